Lay out the build, the runtime base and the interface headers

Cause: the modules are written in parallel, so the types they exchange have to stand first. Conclusion: the seams are fixed; modules can follow on their own folders.

--- /dev/null
+++ b/apps/cardamombayctl/main.cpp
@@ -0,0 +1,6 @@
+#include <cardamombay/forward.hpp>
+
+int main()
+{
+    return 0;
+}
