--- a/tests/support/fake_endpoints.cpp
+++ b/tests/support/fake_endpoints.cpp
@@ -100,7 +100,7 @@
     return found;
 }
 
-void FakeEndpoints::start(std::shared_ptr<Exchange> exchange)
+void FakeEndpoints::start(const std::shared_ptr<Exchange> &exchange)
 {
     exchange->timeout_ = clock_.schedule(timeout_, [this, exchange] {
         exchange->finish(Error(TimedOut{exchange->order_ ? "order" : "probe", timeout_}));
@@ -202,7 +202,7 @@
     exchange->vm_ = std::move(vm);
     exchange->address_ = std::move(address);
     exchange->done_ = std::move(done);
-    endpoints_.start(std::move(exchange));
+    endpoints_.start(exchange);
 }
 
 void FakeEndpointOrders::send(Address address, EndpointOrder order, Callback<EndpointState> done)
@@ -216,7 +216,7 @@
     exchange->address_ = std::move(address);
     exchange->order_ = std::move(order);
     exchange->done_ = std::move(done);
-    endpoints_.start(std::move(exchange));
+    endpoints_.start(exchange);
 }
 
 } // namespace cardamombay::support
--- a/tests/support/fake_endpoints.hpp
+++ b/tests/support/fake_endpoints.hpp
@@ -98,7 +98,7 @@
     [[nodiscard]] Vm &vmOf(const VmId &vm);
     [[nodiscard]] const Vm &vmOf(const VmId &vm) const;
     [[nodiscard]] Vm *vmAt(const Address &address);
-    void start(std::shared_ptr<Exchange> exchange);
+    void start(const std::shared_ptr<Exchange> &exchange);
     void arrive(const std::shared_ptr<Exchange> &exchange);
     void runOrQueue(Vm &vm, std::function<void()> action);
     void serve(Vm &vm, const std::shared_ptr<Exchange> &exchange);
