--- /dev/null
+++ b/tests/traffic/fake_control_link.hpp
@@ -0,0 +1,51 @@
+/// \file
+/// \brief Control link whose snapshot and claims are set by the test.
+#pragma once
+
+#include <cardamombay/traffic/control_link.hpp>
+#include <cardamombay/traffic/snapshot_holder.hpp>
+
+#include <mutex>
+#include <utility>
+#include <vector>
+
+namespace cardamombay::test {
+
+/// \brief Publishes what the test gives it and answers claims inline with claimAnswer_.
+class FakeControlLink final : public traffic::ControlLink
+{
+public:
+    [[nodiscard]] routing::RoutingSnapshotPtr snapshot() const override
+    {
+        return holder_.snapshot();
+    }
+    void postTraffic(traffic::TrafficReport report) override
+    {
+        const std::lock_guard lock(mutex_);
+        lastReport_ = std::move(report);
+    }
+    void claim(traffic::ClaimRequest request, traffic::ClaimCallback done) override
+    {
+        traffic::ClaimAnswer answer;
+        {
+            const std::lock_guard lock(mutex_);
+            claims_.push_back(std::move(request));
+            answer = claimAnswer_;
+        }
+        done(answer);
+    }
+    void completeClaim(traffic::ClaimCompletion completion) override
+    {
+        const std::lock_guard lock(mutex_);
+        completions_.push_back(std::move(completion));
+    }
+
+    traffic::SnapshotHolder holder_;
+    std::mutex mutex_;
+    traffic::TrafficReport lastReport_;
+    traffic::ClaimAnswer claimAnswer_;
+    std::vector<traffic::ClaimRequest> claims_;
+    std::vector<traffic::ClaimCompletion> completions_;
+};
+
+} // namespace cardamombay::test
