Add the router, admission and retry decisions in a first working form

Cause: the traffic threads need the decisions of the request path to be wired against. Change: routing::Router (prefix affinity with slack, better of two, zone preference, straggler ejection, pair of prefill and decode groups, approximate prefix index fed by own decisions and cache events); limits::Admission (weighted max-min over digested demand, bounded queues, early shedding); retries::RetryBudget, Backoff, Circuit, CircuitBoard and RetryPolicy.

--- /dev/null
+++ b/src/limits/admission.cpp
@@ -0,0 +1,149 @@
+#include "limits/service_limits.hpp"
+
+#include <cardamombay/limits/admission.hpp>
+
+#include <algorithm>
+#include <optional>
+#include <unordered_map>
+
+namespace cardamombay::limits {
+
+std::string_view nameOf(ShedReason reason)
+{
+    switch (reason) {
+    case ShedReason::UnknownService:
+        return "unknown-service";
+    case ShedReason::NoCapacity:
+        return "no-capacity";
+    case ShedReason::QueueFull:
+        return "queue-full";
+    case ShedReason::TooLate:
+        return "too-late";
+    case ShedReason::QueueTimeout:
+        return "queue-timeout";
+    case ShedReason::Displaced:
+        return "displaced";
+    }
+    return "no-capacity";
+}
+
+namespace impl {
+
+/// \brief A request that runs or waits.
+struct Held
+{
+    ServiceLimits *service_ = nullptr;
+    TeamLimits *team_ = nullptr;
+    std::optional<QueueKey> waiting_; ///< Set while it waits.
+    TimePoint admittedAt_{};
+};
+
+class AdmissionState
+{
+public:
+    explicit AdmissionState(LimitsPolicy policy)
+        : policy_(policy)
+    {
+    }
+
+    LimitsPolicy policy_;
+    std::unordered_map<ServiceName, ServiceLimits> services_;
+    std::unordered_map<RequestId, Held> held_;
+
+    ServiceLimits &service(const ServiceName &name)
+    {
+        return services_.try_emplace(name, name, policy_).first->second;
+    }
+};
+
+} // namespace impl
+
+Admission::Admission(LimitsPolicy policy)
+    : state_(std::make_unique<impl::AdmissionState>(policy))
+{
+}
+
+Admission::~Admission() = default;
+
+AdmissionDecision Admission::offer(const AdmissionRequest &request,
+                                   const routing::RoutingSnapshot &snapshot, TimePoint now)
+{
+    const config::Service *declared
+        = snapshot.configuration_ ? snapshot.configuration_->service(request.service_) : nullptr;
+    if (!declared)
+        return Shed{ShedReason::UnknownService, state_->policy_.minimumRetryAfter_};
+    impl::ServiceLimits &service = state_->service(request.service_);
+    AdmissionDecision decision = service.offer(request, *declared, snapshot, now);
+    if (std::holds_alternative<Shed>(decision))
+        return decision;
+    impl::Held held{&service, &service.team(request.team_), std::nullopt, now};
+    if (std::holds_alternative<Queued>(decision))
+        held.waiting_ = impl::QueueKey{request.priority_, service.lastArrival()};
+    state_->held_.insert_or_assign(request.request_, held);
+    return decision;
+}
+
+void Admission::finished(const RequestId &request, TimePoint now)
+{
+    const auto found = state_->held_.find(request);
+    if (found == state_->held_.end())
+        return;
+    const impl::Held held = found->second;
+    state_->held_.erase(found);
+    if (held.waiting_)
+        held.service_->withdraw(*held.team_, *held.waiting_);
+    else
+        held.service_->free(*held.team_, held.admittedAt_, now);
+}
+
+std::vector<Released> Admission::release(const routing::RoutingSnapshot &snapshot, TimePoint now)
+{
+    std::vector<Released> released;
+    for (auto &[name, service] : state_->services_) {
+        const config::Service *declared
+            = snapshot.configuration_ ? snapshot.configuration_->service(name) : nullptr;
+        // A service taken out of the configuration has no groups, so its queue empties as such.
+        config::Service removed;
+        removed.name_ = name;
+        service.release(declared ? *declared : removed, snapshot, now, released);
+    }
+    for (const Released &answer : released) {
+        const auto found = state_->held_.find(answer.request_);
+        if (found == state_->held_.end())
+            continue;
+        if (std::holds_alternative<Shed>(answer.answer_)) {
+            state_->held_.erase(found);
+            continue;
+        }
+        found->second.waiting_.reset();
+        found->second.admittedAt_ = now;
+    }
+    return released;
+}
+
+TimePoint Admission::nextWake() const
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &[name, service] : state_->services_)
+        next = std::min(next, service.nextWake());
+    return next;
+}
+
+std::vector<routing::DemandReport> Admission::demand(TimePoint now)
+{
+    std::vector<routing::DemandReport> reports;
+    for (auto &[name, service] : state_->services_)
+        service.reportDemand(now, reports);
+    return reports;
+}
+
+ServiceLoad Admission::load(const ServiceName &service) const
+{
+    const auto found = state_->services_.find(service);
+    if (found == state_->services_.end())
+        return {};
+    const impl::ServiceLimits &limits = found->second;
+    return {limits.shares().capacity_, limits.shares().slots_, limits.running(), limits.waiting()};
+}
+
+} // namespace cardamombay::limits
--- /dev/null
+++ b/src/retries/retry_policy.cpp
@@ -0,0 +1,71 @@
+#include <cardamombay/retries/retry_policy.hpp>
+
+#include <algorithm>
+
+namespace cardamombay::retries {
+
+namespace {
+
+constexpr Duration busyRetryAfter = std::chrono::seconds(5);
+
+[[nodiscard]] bool mayHaveRun(AttemptEnd end)
+{
+    return end == AttemptEnd::Broken || end == AttemptEnd::TimedOut;
+}
+
+} // namespace
+
+std::string_view nameOf(GiveUpReason reason)
+{
+    switch (reason) {
+    case GiveUpReason::MayHaveRun:
+        return "may-have-run";
+    case GiveUpReason::AnswerStarted:
+        return "answer-started";
+    case GiveUpReason::AttemptLimit:
+        return "attempt-limit";
+    case GiveUpReason::DeadlineTooClose:
+        return "deadline-too-close";
+    case GiveUpReason::BudgetSpent:
+        return "budget-spent";
+    }
+    return "attempt-limit";
+}
+
+RetryPolicy::RetryPolicy(std::uint64_t seed, RetrySettings settings)
+    : settings_(settings)
+    , backoff_(seed, settings.backoff_)
+{
+}
+
+void RetryPolicy::freshRequest(const ServiceName &service, TimePoint now)
+{
+    budget(service).deposit(now);
+}
+
+RetryDecision RetryPolicy::decide(const FailedAttempt &attempt, TimePoint now)
+{
+    const Duration retryAfter = std::max(attempt.retryAfter_, busyRetryAfter);
+    if (attempt.isNonIdempotent_ && mayHaveRun(attempt.end_))
+        return GiveUp{GiveUpReason::MayHaveRun, retryAfter};
+    if (attempt.hasAnswerStarted_ && !attempt.isResumable_)
+        return GiveUp{GiveUpReason::AnswerStarted, retryAfter};
+    if (attempt.attempts_ >= settings_.attemptLimit_)
+        return GiveUp{GiveUpReason::AttemptLimit, retryAfter};
+
+    const Duration delay = std::max(backoff_.delay(attempt.attempts_), attempt.retryAfter_);
+    const bool isTooLate = attempt.deadline_ != TimePoint::max()
+                           && now + delay + settings_.minimumLeft_ > attempt.deadline_;
+    if (isTooLate)
+        return GiveUp{GiveUpReason::DeadlineTooClose, retryAfter};
+    if (!budget(attempt.service_).withdraw(now))
+        return GiveUp{GiveUpReason::BudgetSpent, retryAfter};
+    return Retry{delay};
+}
+
+RetryBudget &RetryPolicy::budget(const ServiceName &service)
+{
+    return budgets_.try_emplace(service, settings_.budget_).first->second;
+}
+
+} // namespace cardamombay::retries
--- /dev/null
+++ b/tests/limits/site.hpp
@@ -0,0 +1,54 @@
+/// \file
+/// \brief A snapshot with one service and a capacity, for tests of admission.
+#pragma once
+
+#include <cardamombay/limits/admission.hpp>
+
+#include <memory>
+#include <string>
+
+namespace fixture {
+
+/// \brief One entry VM's view of a service named "lm".
+struct LimitsSite
+{
+    LimitsSite(std::size_t groups, std::uint32_t slotsPerGroup)
+    {
+        using namespace cardamombay;
+        auto configuration = std::make_shared<config::Configuration>();
+        config::Service service;
+        service.name_ = ServiceName("lm");
+        service.requestsPerReplica_ = slotsPerGroup;
+        configuration->services_.push_back(service);
+        snapshot_.sequence_ = 1;
+        snapshot_.self_ = EntryId("entry-1");
+        snapshot_.configuration_ = configuration;
+        snapshot_.services_.push_back({service.name_, {}});
+        for (std::size_t i = 0; i < groups; ++i) {
+            routing::SnapshotGroup group;
+            group.group_ = GroupId("lm/a/" + std::to_string(i));
+            group.zone_ = AvailabilityZone("a");
+            group.freshUntil_ = now_ + std::chrono::hours(1);
+            group.capacity_ = slotsPerGroup;
+            snapshot_.services_[0].groups_.push_back(group);
+        }
+    }
+
+    cardamombay::limits::AdmissionDecision offer(cardamombay::limits::Admission &admission,
+                                                 const std::string &request,
+                                                 const std::string &team = "a",
+                                                 std::uint32_t priority = 100)
+    {
+        using namespace cardamombay;
+        return admission.offer({.request_ = RequestId(request),
+                                .service_ = ServiceName("lm"),
+                                .team_ = TeamName(team),
+                                .priority_ = priority},
+                               snapshot_, now_);
+    }
+
+    cardamombay::TimePoint now_{std::chrono::hours(1)};
+    cardamombay::routing::RoutingSnapshot snapshot_;
+};
+
+} // namespace fixture
