Add commits that resolve lost answers by their writer token

Cause: A write whose answer was lost may have taken effect; configuration, leases, groups and claims all need to know which. Change: platform::ReliableCommit retries the same transaction with the same token and takes a conflict on a row with that token as its own success; without proof it gives StoreAnswerLost. WriterTokens makes the tokens. Transactions that could take effect twice are refused. Conclusion: Callers can act on StoreConflict and StoreAnswerLost without guessing.

--- /dev/null
+++ b/tests/outcomes/reliable_commit.cpp
@@ -0,0 +1,194 @@
+#include <cardamombay/core/manual_clock.hpp>
+#include <cardamombay/platform/reliable_commit.hpp>
+
+#include "support/fake_store.hpp"
+
+#include <optional>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::platform;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const RowKey key{"leases", "d1"};
+
+struct Bench
+{
+    ManualClock clock_;
+    support::FakePlatform platform_{clock_};
+    support::FakeTableStore store_{platform_};
+    Random random_{7};
+    WriterTokens tokens_{EntryId("e1"), Incarnation(3)};
+    ReliableCommit commit_{clock_, store_, random_};
+    std::optional<Result<CommitReceipt>> answer_;
+
+    Transaction take(const std::string &value)
+    {
+        const Row *row = platform_.row(key);
+        return {tokens_.next(), {{key, row ? row->version_ : RowVersion{}}}, {{key, value}}};
+    }
+
+    void start(Transaction transaction)
+    {
+        commit_.commit(std::move(transaction),
+                       [this](Result<CommitReceipt> result) { answer_ = std::move(result); });
+    }
+
+    void overwrite(const std::string &writer)
+    {
+        platform_.apply({WriterToken(writer), {}, {{key, "theirs"}}});
+    }
+};
+
+} // namespace
+
+Test(reliable_commit, writer_tokens_differ)
+{
+    WriterTokens tokens(EntryId("e1"), Incarnation(3));
+
+    cr_assert_eq(tokens.next().text(), "e1.3.1");
+    cr_assert_eq(tokens.next().text(), "e1.3.2");
+}
+
+Test(reliable_commit, lost_answer_after_the_effect_is_found_by_the_token)
+{
+    Bench bench;
+    bench.platform_.faults_.loseNextAnswers_ = 1;
+
+    bench.start(bench.take("mine"));
+    bench.clock_.advance(seconds(1));
+
+    cr_assert(isOk(*bench.answer_));
+    cr_assert_eq(bench.platform_.commits_, 1);
+    cr_assert(valueOf(*bench.answer_).version_ == bench.platform_.row(key)->version_);
+}
+
+Test(reliable_commit, lost_request_is_carried_out_by_the_retry)
+{
+    Bench bench;
+    bench.platform_.faults_.losesRequests_ = true;
+    bench.start(bench.take("mine"));
+    bench.clock_.advance(milliseconds(100));
+    cr_assert_not(bench.answer_.has_value());
+
+    bench.platform_.faults_.losesRequests_ = false;
+    bench.clock_.advance(seconds(1));
+
+    cr_assert(isOk(*bench.answer_));
+    cr_assert_eq(bench.platform_.commits_, 1);
+}
+
+Test(reliable_commit, conflict_without_a_lost_answer_is_a_conflict)
+{
+    Bench bench;
+    auto transaction = bench.take("mine");
+    bench.overwrite("other.1.1");
+
+    bench.start(std::move(transaction));
+    bench.clock_.advance(seconds(1));
+
+    cr_assert(isError<StoreConflict>(*bench.answer_));
+}
+
+Test(reliable_commit, row_replaced_after_a_lost_answer_stays_unknown)
+{
+    Bench bench;
+    bench.platform_.faults_.loseNextAnswers_ = 1;
+    bench.start(bench.take("mine"));
+    bench.clock_.advance(milliseconds(5));
+    bench.overwrite("other.1.1");
+
+    bench.clock_.advance(seconds(1));
+
+    cr_assert(isError<StoreAnswerLost>(*bench.answer_));
+    cr_assert_eq(bench.commit_.counts().unresolved_, 1);
+}
+
+Test(reliable_commit, another_row_of_the_transaction_can_prove_the_effect)
+{
+    Bench bench;
+    bench.platform_.faults_.loseNextAnswers_ = 1;
+    auto transaction = bench.take("mine");
+    transaction.writes_.push_back({{"vms", "vm-1"}, "mine"});
+    bench.start(std::move(transaction));
+    bench.clock_.advance(milliseconds(5));
+    bench.overwrite("other.1.1");
+
+    bench.clock_.advance(seconds(1));
+
+    cr_assert(isOk(*bench.answer_));
+}
+
+Test(reliable_commit, outage_after_a_lost_answer_is_waited_out)
+{
+    Bench bench;
+    bench.platform_.faults_.loseNextAnswers_ = 1;
+    bench.start(bench.take("mine"));
+    bench.clock_.advance(milliseconds(6));
+    bench.platform_.faults_.isDown_ = true;
+    bench.clock_.advance(seconds(3));
+    cr_assert_not(bench.answer_.has_value());
+
+    bench.platform_.faults_.isDown_ = false;
+    bench.clock_.advance(seconds(3));
+
+    cr_assert(isOk(*bench.answer_));
+}
+
+Test(reliable_commit, deadline_after_a_lost_answer_gives_unknown_not_unavailable)
+{
+    Bench bench;
+    bench.platform_.faults_.loseNextAnswers_ = 1;
+    bench.start(bench.take("mine"));
+    bench.clock_.advance(milliseconds(6));
+    bench.platform_.faults_.isDown_ = true;
+
+    bench.clock_.advance(seconds(20));
+
+    cr_assert(isError<StoreAnswerLost>(*bench.answer_));
+}
+
+Test(reliable_commit, outage_without_a_lost_answer_is_reported_at_once)
+{
+    Bench bench;
+    bench.platform_.faults_.isDown_ = true;
+
+    bench.start(bench.take("mine"));
+    bench.clock_.advance(milliseconds(6));
+
+    cr_assert(isError<StoreUnavailable>(*bench.answer_));
+}
+
+Test(reliable_commit, transaction_that_could_take_effect_twice_is_refused)
+{
+    Bench bench;
+
+    bench.start({bench.tokens_.next(), {}, {{key, "mine"}}});
+    cr_assert_not(bench.answer_.has_value());
+    bench.clock_.runDue();
+
+    cr_assert(isError<InvalidInput>(*bench.answer_));
+    cr_assert_eq(bench.platform_.commits_, 0);
+}
+
+Test(reliable_commit, destroyed_while_a_commit_runs_calls_nothing)
+{
+    ManualClock clock;
+    support::FakePlatform platform(clock);
+    support::FakeTableStore store(platform);
+    Random random(1);
+    bool isCalled = false;
+    {
+        ReliableCommit commit(clock, store, random);
+        commit.commit({WriterToken("t"), {{key, {}}}, {{key, "x"}}},
+                      [&](const Result<CommitReceipt> &) { isCalled = true; });
+    }
+
+    clock.advance(seconds(1));
+
+    cr_assert_not(isCalled);
+}
