--- a/include/cardamombay/chart/machine.hpp
+++ b/include/cardamombay/chart/machine.hpp
@@ -4,7 +4,7 @@
 
 #include <cardamombay/chart/binding.hpp>
 
-#include <cstddef>
+#include <cstdint>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -57,9 +57,11 @@
         }
         isRunning_ = true;
         const Handled handled = take(context, index);
-        for (std::size_t next = 0; next < queue_.size(); ++next)
-            take(context, queue_[next]);
-        queue_.clear();
+        while (!queue_.empty()) {
+            const auto next = queue_.front();
+            queue_.erase(queue_.begin());
+            take(context, next);
+        }
         isRunning_ = false;
         return handled;
     }
