--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -262,16 +262,33 @@
     problems_.add(position, fullKey(key), std::move(problem), std::move(remedy));
 }
 
+void TableReader::refuse(std::string_view key, std::string problem, std::string remedy)
+{
+    if (!table_.contains(key))
+        return;
+    refused_.emplace_back(key);
+    report(key, std::move(problem), std::move(remedy));
+}
+
 void TableReader::finish()
 {
     for (const auto &[key, node] : table_) {
-        if (std::find(known_.begin(), known_.end(), key.str()) != known_.end())
+        const auto isIn = [&key = key](const std::vector<std::string> &names) {
+            return std::find(names.begin(), names.end(), key.str()) != names.end();
+        };
+        if (isIn(known_) || isIn(refused_))
             continue;
         problems_.add(positionOf(key, file_), fullKey(key.str()), "unknown key",
                       remedyForUnknown(key.str(), known_));
     }
 }
 
+bool TableReader::holds(std::string_view key, std::int64_t value) const
+{
+    const toml::node *node = table_.get(key);
+    return node && node->value_exact<std::int64_t>() == value;
+}
+
 std::string TableReader::fullKey(std::string_view key) const
 {
     return path_.empty() ? std::string(key) : path_ + "." + std::string(key);
--- a/src/config/toml_reader.hpp
+++ b/src/config/toml_reader.hpp
@@ -75,10 +75,15 @@
     /// \brief Reports a problem at the value of \p key, or at the table if it is absent.
     void report(std::string_view key, std::string problem, std::string remedy);
 
+    /// \brief Reports \p key, known but out of place in this table, if it is there.
+    void refuse(std::string_view key, std::string problem, std::string remedy);
+
     /// \brief Reports keys that no read named.
     void finish();
 
     [[nodiscard]] bool has(std::string_view key) const { return table_.contains(key); }
+    /// \brief True if \p key is there with the whole number \p value.
+    [[nodiscard]] bool holds(std::string_view key, std::int64_t value) const;
     [[nodiscard]] const toml::table &node() const { return table_; }
     [[nodiscard]] const std::string &file() const { return file_; }
     /// \brief Whole dotted name of \p key.
@@ -93,6 +98,7 @@
     std::string file_;
     Problems &problems_;
     std::vector<std::string> known_;
+    std::vector<std::string> refused_; ///< Reported already; not offered as the nearest key.
 };
 
 } // namespace cardamombay::config::impl
