--- a/include/cardamombay/net/asio_http_client.hpp
+++ b/include/cardamombay/net/asio_http_client.hpp
@@ -22,7 +22,7 @@
 {
     std::size_t connectionsPerAddress_ = 4; ///< Further requests wait for one to be free.
     std::size_t waitingPerAddress_ = 256;   ///< Further requests fail at once.
-    std::size_t responseBytes_ = 8 * 1024 * 1024;
+    std::size_t responseBytes_ = std::size_t{8} << 20U;
     Duration idleTimeout_ = std::chrono::seconds(30); ///< Then an unused connection is closed.
 };
 
--- a/src/net/asio_http_client.cpp
+++ b/src/net/asio_http_client.cpp
@@ -236,7 +236,7 @@
 ConnectionPointer AsioHttpClient::Impl::takeIdle(Pool &pool)
 {
     while (!pool.idle_.empty()) {
-        const ConnectionPointer connection = pool.idle_.back();
+        ConnectionPointer connection = pool.idle_.back();
         pool.idle_.pop_back();
         connection->idleTimer_.cancel();
         if (isQuiet(connection->socket_)) {
