--- /dev/null
+++ b/src/watching/endpoint_watcher.cpp
@@ -0,0 +1,561 @@
+#include <cardamombay/watching/endpoint_watcher.hpp>
+
+#include <cardamombay/core/hash.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <iterator>
+#include <utility>
+
+namespace cardamombay::watching {
+
+namespace {
+
+constexpr std::size_t keptRemovals = 256;
+
+/// Longer without a turn than this and measured latencies are this process's own fault.
+constexpr Duration pauseThreshold = std::chrono::seconds(1);
+
+bool isSameButLoad(const endpoint::EndpointState &left, const endpoint::EndpointState &right)
+{
+    return left.incarnation_ == right.incarnation_ && left.phase_ == right.phase_
+           && left.assignment_ == right.assignment_ && left.model_ == right.model_
+           && left.highestFencing_ == right.highestFencing_;
+}
+
+/// Only the VM that takes a group's requests, or a plain endpoint, has a load worth telling.
+bool hasLoad(const endpoint::EndpointState &state)
+{
+    return !state.assignment_ || state.assignment_->rank_ == 0;
+}
+
+} // namespace
+
+EndpointWatcher::EndpointWatcher(Clock &clock, endpoint::EndpointOrders &orders,
+                                 WatchSettings settings, EntryId self)
+    : clock_(clock)
+    , orders_(orders)
+    , settings_(settings)
+    , self_(std::move(self))
+    , alive_(std::make_shared<bool>(true))
+{
+    // Revisions of two runs of one entry VM must not meet, or a peer would take the sets of both
+    // for one: each run begins at a number drawn from its name and its start.
+    const auto start = static_cast<std::uint64_t>(clock.now().time_since_epoch().count());
+    revision_ = (stableHash(self_.text(), start) >> 32U) + 1;
+    removalFloor_ = revision_;
+}
+
+EndpointWatcher::~EndpointWatcher()
+{
+    clock_.cancel(timer_);
+}
+
+void EndpointWatcher::start()
+{
+    scheduleTick();
+}
+
+void EndpointWatcher::scheduleTick()
+{
+    nextTickAt_ = clock_.now() + settings_.tick_;
+    timer_ = clock_.schedule(settings_.tick_, [this] { tick(); });
+}
+
+void EndpointWatcher::tick()
+{
+    const TimePoint now = clock_.now();
+    if (now - nextTickAt_ > pauseThreshold)
+        wokeAt_ = now;
+    scheduleTick();
+    for (auto &[vm, watch] : own_) {
+        if (now < watch.nextProbeAt_)
+            continue;
+        watch.nextProbeAt_ += settings_.probePeriod_;
+        if (watch.nextProbeAt_ <= now)
+            watch.nextProbeAt_ = now + settings_.probePeriod_;
+        probe(vm);
+    }
+    removeLateRows();
+    probeNeeded();
+    if (now >= nextMedianAt_) {
+        nextMedianAt_ = now + settings_.probePeriod_;
+        updateMedian();
+    }
+}
+
+void EndpointWatcher::setVms(std::span<const platform::VmRecord> vms, Duration age)
+{
+    const TimePoint now = clock_.now();
+    const TimePoint takenAt = now - age;
+    if (takenAt < listTakenAt_)
+        return;
+    listTakenAt_ = takenAt;
+    std::map<VmId, Endpoint> listed;
+    std::set<VmId> names;
+    std::vector<VmId> newlyLeaving;
+    for (const platform::VmRecord &record : vms) {
+        if (record.role_ == platform::VmRole::Entry)
+            continue;
+        names.insert(record.id_);
+        const bool isLeavingNow = record.status_ == platform::VmStatus::Leaving;
+        const auto known = endpoints_.find(record.id_);
+        const bool wasLeaving = known != endpoints_.end() && known->second.isListedLeaving_;
+        if (isLeavingNow && !wasLeaving)
+            newlyLeaving.push_back(record.id_);
+        listed.emplace(record.id_, Endpoint{record, isLeavingNow});
+    }
+    endpoints_ = std::move(listed);
+    const auto isAbsent = [&](const auto &item) { return !names.contains(item.first); };
+    std::erase_if(best_, isAbsent);
+    std::erase_if(latencies_, isAbsent);
+    rebuildOwn();
+    for (const VmId &vm : newlyLeaving)
+        markLeaving(vm);
+    for (const VmId &vm : vetoes_.leaving())
+        liftIfReplaced(vm);
+    vetoes_.forget(names, now - settings_.vetoRetention_);
+}
+
+void EndpointWatcher::setSites(std::span<const config::Site> sites)
+{
+    regions_.clear();
+    for (const config::Site &site : sites)
+        regions_[site.zone_] = site.region_;
+    rebuildOwn();
+}
+
+void EndpointWatcher::setWatchers(std::span<const membership::MemberEntry> alive)
+{
+    watchers_.assign(alive.begin(), alive.end());
+    std::set<EntryId> present;
+    for (const membership::MemberEntry &entry : watchers_)
+        present.insert(entry.id_);
+    std::erase_if(peerSets_, [&](const auto &item) { return !present.contains(item.first); });
+    rebuildOwn();
+}
+
+bool EndpointWatcher::isInOwnRegion(const AvailabilityZone &zone) const
+{
+    const auto self
+        = std::find_if(watchers_.begin(), watchers_.end(),
+                       [this](const membership::MemberEntry &e) { return e.id_ == self_; });
+    const auto region = regions_.find(zone);
+    return self == watchers_.end() || region == regions_.end() || region->second == self->region_;
+}
+
+std::vector<EntryId> EndpointWatcher::watchersOf(const VmId &vm) const
+{
+    const auto found = endpoints_.find(vm);
+    if (found == endpoints_.end())
+        return {};
+    const AvailabilityZone &zone = found->second.record_.zone_;
+    using Ranked = std::pair<std::uint64_t, const EntryId *>;
+    std::vector<Ranked> site;
+    std::vector<Ranked> region;
+    const auto regionName = regions_.find(zone);
+    for (const membership::MemberEntry &entry : watchers_) {
+        const Ranked ranked{rendezvousWeight(vm.text(), entry.id_.text()), &entry.id_};
+        if (entry.zone_ == zone)
+            site.push_back(ranked);
+        if (regionName == regions_.end() || regionName->second == entry.region_)
+            region.push_back(ranked);
+    }
+    auto &ranking = site.size() >= settings_.watchersPerVm_ ? site : region;
+    std::sort(ranking.begin(), ranking.end(), [](const Ranked &left, const Ranked &right) {
+        return left.first != right.first ? left.first > right.first : *left.second < *right.second;
+    });
+    ranking.resize(std::min<std::size_t>(ranking.size(), settings_.watchersPerVm_));
+    std::vector<EntryId> chosen;
+    chosen.reserve(ranking.size());
+    for (const auto &[weight, id] : ranking)
+        chosen.push_back(*id);
+    return chosen;
+}
+
+void EndpointWatcher::rebuildOwn()
+{
+    const TimePoint now = clock_.now();
+    std::map<VmId, OwnWatch> kept;
+    for (const auto &[vm, endpoint] : endpoints_) {
+        if (!isInOwnRegion(endpoint.record_.zone_))
+            continue;
+        const std::vector<EntryId> chosen = watchersOf(vm);
+        if (std::find(chosen.begin(), chosen.end(), self_) == chosen.end())
+            continue;
+        auto known = own_.extract(vm);
+        if (!known.empty()) {
+            kept.insert(std::move(known));
+            continue;
+        }
+        const auto period = static_cast<std::uint64_t>(settings_.probePeriod_.count());
+        const Duration phase(stableHash(vm.text(), stableHash(self_.text())) % period);
+        kept[vm].nextProbeAt_ = now + phase;
+    }
+    for (auto &[vm, watch] : own_)
+        removeRow(vm, watch);
+    own_ = std::move(kept);
+}
+
+void EndpointWatcher::probeNow(const VmId &vm)
+{
+    probe(vm);
+}
+
+void EndpointWatcher::probe(const VmId &vm)
+{
+    const auto found = endpoints_.find(vm);
+    if (found == endpoints_.end())
+        return;
+    const TimePoint now = clock_.now();
+    Latency &latency = latencies_[vm];
+    if (latency.isPending_ && now - latency.sentAt_ < settings_.probeTimeout_)
+        return;
+    latency.isPending_ = true;
+    latency.sentAt_ = now;
+    ++counters_.probesSent_;
+    const std::weak_ptr<bool> guard = alive_;
+    orders_.probe(vm, found->second.record_.address_,
+                  [this, guard, vm, now](const Result<endpoint::EndpointState> &result) {
+                      if (guard.expired())
+                          return;
+                      if (isOk(result) && valueOf(result).vm_ == vm)
+                          answered(vm, now, valueOf(result));
+                      else
+                          failed(vm, now, result);
+                  });
+}
+
+void EndpointWatcher::answered(const VmId &vm, TimePoint sentAt,
+                               const endpoint::EndpointState &state)
+{
+    const TimePoint now = clock_.now();
+    const auto latency = latencies_.find(vm);
+    if (latency != latencies_.end() && latency->second.sentAt_ == sentAt)
+        latency->second.isPending_ = false;
+    const bool wasPaused = sentAt < wokeAt_ || now - nextTickAt_ > pauseThreshold;
+    if (!wasPaused)
+        noteLatency(vm, now - sentAt);
+    // The state held at some time after the probe left; the answer itself may have waited.
+    const Observation observation{state, sentAt, isSlow(vm), self_};
+    const auto own = own_.find(vm);
+    if (own != own_.end())
+        noteOwn(own->second, observation);
+    consider(vm, observation);
+}
+
+void EndpointWatcher::failed(const VmId &vm, TimePoint sentAt,
+                             const Result<endpoint::EndpointState> &result)
+{
+    ++counters_.probesFailed_;
+    const auto latency = latencies_.find(vm);
+    if (latency != latencies_.end() && latency->second.sentAt_ == sentAt)
+        latency->second.isPending_ = false;
+    const auto own = own_.find(vm);
+    if (own == own_.end())
+        return;
+    own->second.nextProbeAt_
+        = std::min(own->second.nextProbeAt_, clock_.now() + settings_.retryGap_);
+    // A VM that is slow to answer may still be serving; one that refuses the connection, or that
+    // is another VM by now, is not.
+    if (isOk(result) || isError<EndpointUnreachable>(result))
+        removeRow(vm, own->second);
+}
+
+void EndpointWatcher::noteOwn(OwnWatch &watch, const Observation &observation)
+{
+    const bool isFirst = watch.last_.by_.isEmpty();
+    if (!isFirst && !supersedes(observation, watch.last_, settings_.replacedTime_))
+        return;
+    watch.last_ = observation;
+    if (clock_.now() - observation.observedAt_ > settings_.lateTime_)
+        return;
+    const bool isTold = watch.revision_ != 0;
+    if (isTold && !isWorthTelling(observation, watch.told_))
+        return;
+    const bool isUrgent = !isTold || !isSameButLoad(observation.state_, watch.told_.state_);
+    watch.told_ = observation;
+    watch.revision_ = ++revision_;
+    if (isUrgent)
+        urgent();
+}
+
+bool EndpointWatcher::isWorthTelling(const Observation &now, const Observation &told) const
+{
+    if (!isSameButLoad(now.state_, told.state_) || now.isStraggler_ != told.isStraggler_)
+        return true;
+    if (!hasLoad(now.state_))
+        return false;
+    constexpr double kvStep = 0.1;
+    const endpoint::LoadReport &fresh = now.state_.load_;
+    const endpoint::LoadReport &old = told.state_.load_;
+    const double before = old.running_ + old.queued_;
+    const double after = fresh.running_ + fresh.queued_;
+    const double step = std::max(1.0, before * settings_.loadChange_);
+    return std::abs(after - before) > step
+           || std::abs(fresh.kvCacheUsed_ - old.kvCacheUsed_) > kvStep;
+}
+
+void EndpointWatcher::removeRow(const VmId &vm, OwnWatch &watch)
+{
+    if (watch.revision_ == 0)
+        return;
+    watch.revision_ = 0;
+    removals_.push_back(Removal{++revision_, vm});
+    if (removals_.size() > keptRemovals) {
+        removalFloor_ = removals_.front().revision_;
+        removals_.pop_front();
+    }
+    urgent();
+}
+
+void EndpointWatcher::removeLateRows()
+{
+    const TimePoint limit = clock_.now() - settings_.lateTime_;
+    for (auto &[vm, watch] : own_) {
+        if (watch.revision_ != 0 && watch.last_.observedAt_ < limit)
+            removeRow(vm, watch);
+    }
+}
+
+void EndpointWatcher::appendTo(membership::Digest &digest)
+{
+    const TimePoint now = clock_.now();
+    vetoes_.appendTo(digest, now, settings_.vetoRepeat_);
+    removeLateRows();
+    const PeerSet &peer = peerSets_[digest.to_];
+    membership::WatchSummary summary;
+    summary.revision_ = revision_;
+    summary.applied_ = peer.revision_;
+    const bool isKnown = peer.acknowledged_ >= removalFloor_ && peer.acknowledged_ <= revision_;
+    summary.base_ = isKnown ? peer.acknowledged_ : 0;
+    if (!isKnown)
+        ++counters_.wholeSetsSent_;
+    for (const auto &[vm, watch] : own_) {
+        if (watch.revision_ == 0)
+            continue;
+        const Duration age = now - watch.last_.observedAt_;
+        summary.age_ = std::max(summary.age_, age);
+        if (watch.revision_ > summary.base_) {
+            digest.observations_.push_back(
+                membership::ObservationEntry{watch.told_.state_, age, watch.told_.isStraggler_});
+        }
+    }
+    for (const Removal &removal : removals_) {
+        const auto own = own_.find(removal.vm_);
+        const bool isTold = own != own_.end() && own->second.revision_ != 0;
+        if (isKnown && removal.revision_ > summary.base_ && !isTold)
+            summary.removed_.push_back(removal.vm_);
+    }
+    digest.watch_ = std::move(summary);
+}
+
+void EndpointWatcher::merge(const membership::Digest &digest)
+{
+    if (vetoes_.merge(digest.leaving_, clock_.now())) {
+        for (const membership::LeavingEntry &entry : digest.leaving_)
+            changed(entry.vm_);
+        urgent();
+    }
+    if (!digest.watch_ || digest.from_.id_ == self_)
+        return;
+    PeerSet &set = peerSets_[digest.from_.id_];
+    set.acknowledged_ = digest.watch_->applied_;
+    applyRows(set, digest);
+    if (set.revision_ != digest.watch_->revision_) {
+        ++counters_.summariesRefused_;
+        return;
+    }
+    ++counters_.summariesApplied_;
+    const TimePoint seenAt = clock_.now() - digest.watch_->age_;
+    for (auto &[vm, row] : set.rows_) {
+        row.observedAt_ = std::max(row.observedAt_, seenAt);
+        consider(vm, row);
+    }
+}
+
+void EndpointWatcher::applyRows(PeerSet &set, const membership::Digest &digest)
+{
+    const membership::WatchSummary &summary = *digest.watch_;
+    const bool isWhole = summary.base_ == 0;
+    const bool isNext = !isWhole && set.revision_ != 0 && summary.base_ <= set.revision_
+                        && set.revision_ < summary.revision_;
+    if (isWhole && set.revision_ != summary.revision_)
+        set.rows_.clear();
+    else if (!isNext)
+        return;
+    for (const VmId &vm : summary.removed_)
+        set.rows_.erase(vm);
+    const TimePoint now = clock_.now();
+    for (const membership::ObservationEntry &entry : digest.observations_) {
+        set.rows_[entry.state_.vm_]
+            = Observation{entry.state_, now - entry.age_, entry.isStraggler_, digest.from_.id_};
+    }
+    set.revision_ = summary.revision_;
+}
+
+void EndpointWatcher::consider(const VmId &vm, const Observation &candidate)
+{
+    const auto [place, isNew] = best_.try_emplace(vm, candidate);
+    Observation &known = place->second;
+    if (isNew) {
+        vetoes_.noteIncarnation(vm, candidate.state_.incarnation_);
+        changed(vm);
+        return;
+    }
+    if (!supersedes(candidate, known, settings_.replacedTime_))
+        return;
+    const bool isRestart = candidate.state_.incarnation_ != known.state_.incarnation_;
+    const bool isChanged = !isSameButLoad(candidate.state_, known.state_)
+                           || candidate.isStraggler_ != known.isStraggler_;
+    const bool isUnchanged = candidate.state_ == known.state_;
+    if (!isUnchanged)
+        known.state_ = candidate.state_;
+    known.observedAt_ = candidate.observedAt_;
+    known.isStraggler_ = candidate.isStraggler_;
+    known.by_ = candidate.by_;
+    if (isRestart) {
+        ++counters_.restartsSeen_;
+        liftIfReplaced(vm);
+    }
+    if (isChanged)
+        changed(vm);
+}
+
+const Observation *EndpointWatcher::observation(const VmId &vm) const
+{
+    const auto found = best_.find(vm);
+    return found == best_.end() ? nullptr : &found->second;
+}
+
+TimePoint EndpointWatcher::freshUntil(const VmId &vm) const
+{
+    const Observation *known = observation(vm);
+    return known == nullptr ? TimePoint{} : known->observedAt_ + settings_.freshnessWindow_;
+}
+
+bool EndpointWatcher::isStraggler(const VmId &vm) const
+{
+    const Observation *known = observation(vm);
+    return known != nullptr && known->isStraggler_;
+}
+
+void EndpointWatcher::need(const VmId &vm)
+{
+    needed_[vm] = clock_.now() + settings_.neededTime_;
+}
+
+void EndpointWatcher::probeNeeded()
+{
+    const TimePoint now = clock_.now();
+    std::erase_if(needed_, [now](const auto &item) { return item.second <= now; });
+    for (const auto &[vm, until] : needed_) {
+        const bool isLapsing = now + settings_.neededLead_ >= freshUntil(vm);
+        const auto latency = latencies_.find(vm);
+        const bool isDue = latency == latencies_.end()
+                           || now - latency->second.sentAt_ >= settings_.neededProbeGap_;
+        if (!isLapsing || !isDue || own_.contains(vm))
+            continue;
+        ++counters_.ownProbesForNeed_;
+        probe(vm);
+    }
+}
+
+std::vector<EntryId> EndpointWatcher::neededPeers(std::span<const EntryId> scope) const
+{
+    std::set<EntryId> peers;
+    for (const auto &[vm, until] : needed_) {
+        if (own_.contains(vm))
+            continue;
+        const std::vector<EntryId> watchers = watchersOf(vm);
+        const bool isCovered = std::any_of(watchers.begin(), watchers.end(), [&](const auto &id) {
+            return std::find(scope.begin(), scope.end(), id) != scope.end();
+        });
+        if (!isCovered)
+            peers.insert(watchers.begin(), watchers.end());
+    }
+    return {peers.begin(), peers.end()};
+}
+
+void EndpointWatcher::markLeaving(const VmId &vm)
+{
+    const Observation *known = observation(vm);
+    const Incarnation incarnation = known == nullptr ? Incarnation() : known->state_.incarnation_;
+    if (!vetoes_.mark(vm, incarnation, clock_.now()))
+        return;
+    changed(vm);
+    urgent();
+}
+
+void EndpointWatcher::clearLeaving(const VmId &vm)
+{
+    if (!vetoes_.lift(vm, clock_.now()))
+        return;
+    changed(vm);
+    urgent();
+}
+
+bool EndpointWatcher::isLeaving(const VmId &vm) const
+{
+    return vetoes_.isLeaving(vm);
+}
+
+void EndpointWatcher::liftIfReplaced(const VmId &vm)
+{
+    const auto listed = endpoints_.find(vm);
+    const Observation *known = observation(vm);
+    if (listed == endpoints_.end() || listed->second.isListedLeaving_ || known == nullptr)
+        return;
+    if (vetoes_.isReplaced(vm, known->state_.incarnation_, listTakenAt_))
+        clearLeaving(vm);
+}
+
+void EndpointWatcher::noteLatency(const VmId &vm, Duration latency)
+{
+    Latency &known = latencies_[vm];
+    if (known.average_ == Duration::zero()) {
+        known.average_ = latency;
+        return;
+    }
+    const double step
+        = settings_.latencyGain_ * static_cast<double>((latency - known.average_).count());
+    known.average_ += Duration(static_cast<std::int64_t>(step));
+}
+
+void EndpointWatcher::updateMedian()
+{
+    std::vector<Duration> averages;
+    averages.reserve(latencies_.size());
+    for (const auto &[vm, latency] : latencies_) {
+        if (latency.average_ > Duration::zero())
+            averages.push_back(latency.average_);
+    }
+    if (averages.empty())
+        return;
+    const auto middle = averages.begin() + static_cast<std::ptrdiff_t>(averages.size() / 2);
+    std::nth_element(averages.begin(), middle, averages.end());
+    medianLatency_ = *middle;
+}
+
+bool EndpointWatcher::isSlow(const VmId &vm) const
+{
+    const auto found = latencies_.find(vm);
+    if (found == latencies_.end() || found->second.average_ < settings_.stragglerLatency_)
+        return false;
+    const double bound = settings_.stragglerFactor_ * static_cast<double>(medianLatency_.count());
+    return static_cast<double>(found->second.average_.count()) > bound;
+}
+
+void EndpointWatcher::changed(const VmId &vm)
+{
+    if (onChange_)
+        onChange_(vm);
+}
+
+void EndpointWatcher::urgent()
+{
+    if (onUrgent_)
+        onUrgent_();
+}
+
+} // namespace cardamombay::watching
--- /dev/null
+++ b/src/watching/observation.cpp
@@ -0,0 +1,16 @@
+#include <cardamombay/watching/observation.hpp>
+
+namespace cardamombay::watching {
+
+bool supersedes(const Observation &candidate, const Observation &known, Duration replacedTime)
+{
+    const Incarnation incoming = candidate.state_.incarnation_;
+    const Incarnation present = known.state_.incarnation_;
+    if (incoming > present)
+        return true;
+    if (incoming == present)
+        return candidate.observedAt_ > known.observedAt_;
+    return candidate.observedAt_ > known.observedAt_ + replacedTime;
+}
+
+} // namespace cardamombay::watching
--- /dev/null
+++ b/src/watching/veto_table.cpp
@@ -0,0 +1,116 @@
+#include <cardamombay/watching/veto_table.hpp>
+
+#include <algorithm>
+
+namespace cardamombay::watching {
+
+namespace {
+
+/// A digest can get lost; telling a veto a few times costs less than hearing of it late.
+constexpr std::uint32_t firstTellings = 3;
+
+bool isOdd(std::uint64_t count)
+{
+    return (count & 1U) != 0;
+}
+
+} // namespace
+
+bool VetoTable::mark(const VmId &vm, Incarnation incarnation, TimePoint when)
+{
+    Veto &veto = vetoes_[vm];
+    if (isOdd(veto.count_))
+        return false;
+    ++veto.count_;
+    veto.incarnation_ = incarnation;
+    veto.since_ = when;
+    veto.told_.clear();
+    return true;
+}
+
+bool VetoTable::lift(const VmId &vm, TimePoint now)
+{
+    const auto found = vetoes_.find(vm);
+    if (found == vetoes_.end() || !isOdd(found->second.count_))
+        return false;
+    ++found->second.count_;
+    found->second.since_ = now;
+    found->second.told_.clear();
+    return true;
+}
+
+bool VetoTable::merge(std::span<const membership::LeavingEntry> entries, TimePoint now)
+{
+    bool isChanged = false;
+    for (const membership::LeavingEntry &entry : entries) {
+        Veto &veto = vetoes_[entry.vm_];
+        if (entry.count_ <= veto.count_)
+            continue;
+        isChanged |= isOdd(entry.count_) != isOdd(veto.count_);
+        veto.count_ = entry.count_;
+        veto.incarnation_ = entry.incarnation_;
+        veto.since_ = now - entry.age_;
+        veto.told_.clear();
+    }
+    return isChanged;
+}
+
+bool VetoTable::isLeaving(const VmId &vm) const
+{
+    const auto found = vetoes_.find(vm);
+    return found != vetoes_.end() && isOdd(found->second.count_);
+}
+
+void VetoTable::noteIncarnation(const VmId &vm, Incarnation incarnation)
+{
+    const auto found = vetoes_.find(vm);
+    if (found != vetoes_.end() && found->second.incarnation_.isNone())
+        found->second.incarnation_ = incarnation;
+}
+
+bool VetoTable::isReplaced(const VmId &vm, Incarnation incarnation, TimePoint listTakenAt) const
+{
+    const auto found = vetoes_.find(vm);
+    if (found == vetoes_.end() || !isOdd(found->second.count_))
+        return false;
+    const Veto &veto = found->second;
+    return !veto.incarnation_.isNone() && incarnation > veto.incarnation_
+           && listTakenAt > veto.since_;
+}
+
+TimePoint VetoTable::leavingSince(const VmId &vm) const
+{
+    return isLeaving(vm) ? vetoes_.at(vm).since_ : TimePoint{};
+}
+
+std::vector<VmId> VetoTable::leaving() const
+{
+    std::vector<VmId> vms;
+    for (const auto &[vm, veto] : vetoes_) {
+        if (isOdd(veto.count_))
+            vms.push_back(vm);
+    }
+    return vms;
+}
+
+void VetoTable::appendTo(membership::Digest &digest, TimePoint now, Duration repeat)
+{
+    for (auto &[vm, veto] : vetoes_) {
+        Told &told = veto.told_[digest.to_];
+        if (told.times_ >= firstTellings && now - told.at_ < repeat)
+            continue;
+        ++told.times_;
+        told.at_ = now;
+        digest.leaving_.push_back(
+            membership::LeavingEntry{vm, now - veto.since_, veto.count_, veto.incarnation_});
+    }
+}
+
+void VetoTable::forget(const std::set<VmId> &listed, TimePoint limit)
+{
+    std::erase_if(vetoes_, [&](const auto &item) {
+        return !listed.contains(item.first) && item.second.since_ < limit;
+    });
+}
+
+} // namespace cardamombay::watching
