--- a/include/cardamombay/retries/circuit.hpp
+++ b/include/cardamombay/retries/circuit.hpp
@@ -1,7 +1,9 @@
 /// \file
 /// \brief Circuit of one group: stops attempts at a group that keeps failing.
+/// \details The transitions stand in charts/circuit.toml.
 #pragma once
 
+#include <cardamombay/chart/machine.hpp>
 #include <cardamombay/core/time.hpp>
 
 #include <cstdint>
@@ -9,6 +11,14 @@
 
 namespace cardamombay::retries {
 
+class Circuit;
+
+/// \brief The chart of circuits with its code, shared by all circuits.
+using CircuitProgramPtr = chart::ProgramPtr<Circuit>;
+
+/// \brief Binds charts/circuit.toml; done once at start.
+[[nodiscard]] Result<CircuitProgramPtr> makeCircuitProgram(const chart::Chart &chart);
+
 /// \brief Settings of a circuit.
 struct CircuitPolicy
 {
@@ -17,48 +27,56 @@
     Duration maximumOpenTime_ = std::chrono::seconds(30);
 };
 
-/// \brief Where a circuit stands.
-enum class CircuitStatus {
-    Closed,  ///< Attempts go through.
-    Open,    ///< No attempts.
-    HalfOpen ///< One trial attempt at a time.
-};
-
-/// \brief Short name, for logs and metrics, such as "half-open".
-[[nodiscard]] std::string_view nameOf(CircuitStatus status);
-
 /// \brief Circuit breaker fed by attempts and time; single-threaded.
+/// \code
+/// Circuit circuit(program);
+/// if (circuit.allows(clock.now()))
+///     circuit.started(clock.now()); // then succeeded(), failed() or abandoned() at its end
+/// \endcode
 class Circuit
 {
 public:
-    explicit Circuit(CircuitPolicy policy = {});
-
-    /// \brief Where the circuit stands at \p now.
-    [[nodiscard]] CircuitStatus status(TimePoint now) const;
+    explicit Circuit(CircuitProgramPtr program, CircuitPolicy policy = {});
 
     /// \brief True if an attempt may be made at \p now.
-    [[nodiscard]] bool allows(TimePoint now) const;
+    [[nodiscard]] bool allows(TimePoint now);
+
+    /// \brief State in the chart at \p now, such as "half-open", for logs and metrics.
+    [[nodiscard]] std::string_view status(TimePoint now);
 
-    /// \brief An attempt starts; takes the trial of a half-open circuit.
-    void started(TimePoint now);
+    /// \brief True if it is closed and nothing has failed since the last success.
+    [[nodiscard]] bool isHealthy() const;
 
-    void succeeded(TimePoint now);
-    void failed(TimePoint now);
+    /// \name Events
+    /// \{
+    void started(TimePoint now) { handle("started", now); }
+    void succeeded(TimePoint now) { handle("succeeded", now); }
+    void failed(TimePoint now) { handle("failed", now); }
 
     /// \brief The attempt ended without showing anything of the group; frees the trial.
-    void abandoned();
+    void abandoned(TimePoint now) { handle("abandoned", now); }
+    /// \}
 
-    /// \brief When the next trial is allowed; meaningful while open.
-    [[nodiscard]] TimePoint openUntil() const { return openUntil_; }
+    /// \brief When a trial is allowed; the maximum if the circuit is not open.
+    [[nodiscard]] TimePoint nextTrial() const;
+
+    /// \brief When the last event came.
+    [[nodiscard]] TimePoint changedAt() const { return now_; }
 
 private:
-    void open(TimePoint now);
+    friend Result<CircuitProgramPtr> makeCircuitProgram(const chart::Chart &chart);
+
+    void handle(std::string_view event, TimePoint now);
+    void passTime(TimePoint now);
+    void startWait();
+    void forgetFailures();
 
     CircuitPolicy policy_;
+    chart::Machine<Circuit> machine_;
     std::uint32_t failuresInRow_ = 0;
-    std::uint32_t openings_ = 0; ///< In a row; zero means closed.
+    std::uint32_t openings_ = 0; ///< Without a success between them.
     TimePoint openUntil_{};
-    bool hasTrial_ = false;
+    TimePoint now_{}; ///< Instant of the event being handled.
 };
 
 } // namespace cardamombay::retries
--- a/include/cardamombay/retries/circuit_board.hpp
+++ b/include/cardamombay/retries/circuit_board.hpp
@@ -6,33 +6,43 @@
 #include <cardamombay/retries/circuit.hpp>
 
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace cardamombay::retries {
 
 /// \brief Circuits by group; a group without failures has no entry. Single-threaded.
+/// \code
+/// request.excluded_ = board.blocked(clock.now());
+/// const auto decision = router.choose(*snapshot, request, clock.now());
+/// board.started(decision.group_->group_, clock.now());
+/// \endcode
 class CircuitBoard
 {
 public:
-    explicit CircuitBoard(CircuitPolicy policy = {});
+    explicit CircuitBoard(CircuitProgramPtr program, CircuitPolicy policy = {});
 
     /// \brief Groups that must not be tried at \p now, for RouteRequest::excluded_.
     /// \returns a view that holds until the next call.
     [[nodiscard]] std::span<const GroupId> blocked(TimePoint now);
 
+    /// \name Events; each started() is followed by one of the others
+    /// \{
     void started(const GroupId &group, TimePoint now);
     void succeeded(const GroupId &group, TimePoint now);
     void failed(const GroupId &group, TimePoint now);
-    void abandoned(const GroupId &group);
+    void abandoned(const GroupId &group, TimePoint now);
+    /// \}
 
-    /// \brief Where the circuit of \p group stands at \p now.
-    [[nodiscard]] CircuitStatus status(const GroupId &group, TimePoint now) const;
+    /// \brief State of the circuit of \p group at \p now, such as "closed".
+    [[nodiscard]] std::string_view status(const GroupId &group, TimePoint now);
 
     /// \brief When the first open circuit allows a trial; the maximum if none is open.
     [[nodiscard]] TimePoint nextTrial() const;
 
 private:
+    CircuitProgramPtr program_;
     CircuitPolicy policy_;
     std::unordered_map<GroupId, Circuit> circuits_;
     std::vector<GroupId> blocked_;
--- a/include/cardamombay/retries/retry_policy.hpp
+++ b/include/cardamombay/retries/retry_policy.hpp
@@ -6,6 +6,7 @@
 
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/core/time.hpp>
+#include <cardamombay/outcomes/outcome.hpp>
 #include <cardamombay/retries/backoff.hpp>
 #include <cardamombay/retries/retry_budget.hpp>
 
@@ -16,19 +17,11 @@
 
 namespace cardamombay::retries {
 
-/// \brief How an attempt ended without a whole answer.
-enum class AttemptEnd {
-    NoByteLeft, ///< The connection could not be made.
-    Refused,    ///< The endpoint says that it did not run the request.
-    Broken,     ///< The connection broke after a byte may have left.
-    TimedOut    ///< No answer in time after a byte may have left.
-};
-
 /// \brief A failed attempt and the request it was made for.
 struct FailedAttempt
 {
     ServiceName service_{};
-    AttemptEnd end_ = AttemptEnd::NoByteLeft;
+    outcomes::Outcome outcome_ = outcomes::Outcome::Unknown;
     bool isNonIdempotent_ = false;
     bool hasAnswerStarted_ = false; ///< Bytes of an answer went to the caller.
     bool isResumable_ = false;      ///< The started answer can go on from where it stopped.
@@ -39,6 +32,7 @@
 
 /// \brief Why no further attempt is made.
 enum class GiveUpReason {
+    HasRun,        ///< The endpoint gave its answer, whatever it says.
     MayHaveRun,    ///< Non-idempotent, and a byte may have left.
     AnswerStarted, ///< The caller has a part of an answer that cannot be resumed.
     AttemptLimit,
--- a/include/cardamombay/routing/routing_snapshot.hpp
+++ b/include/cardamombay/routing/routing_snapshot.hpp
@@ -34,7 +34,7 @@
     bool isStraggler_ = false;
     std::uint32_t capacity_ = 1;
     endpoint::LoadReport load_;
-    TimePoint loadTakenAt_{};
+    TimePoint loadTakenAt_{};        ///< When the engine took the figures: hearing less load_.lag_.
     std::uint32_t peerInFlight_ = 0; ///< In flight from other entry VMs, by their digests.
 
     /// \brief True if new work may be handed to the group at \p now.
--- a/src/retries/circuit.cpp
+++ b/src/retries/circuit.cpp
@@ -1,92 +1,87 @@
 #include <cardamombay/retries/circuit.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamombay::retries {
 
-std::string_view nameOf(CircuitStatus status)
+namespace {
+
+/// States that code asks about.
+constexpr std::string_view closedState = "closed";
+constexpr std::string_view openState = "open";
+constexpr std::string_view trialState = "trial";
+
+} // namespace
+
+Result<CircuitProgramPtr> makeCircuitProgram(const chart::Chart &chart)
 {
-    switch (status) {
-    case CircuitStatus::Closed:
-        return "closed";
-    case CircuitStatus::Open:
-        return "open";
-    case CircuitStatus::HalfOpen:
-        return "half-open";
-    }
-    return "closed";
+    chart::Binding<Circuit> binding;
+    binding.state(closedState).state(openState).state(trialState);
+    binding.events({"started", "succeeded", "failed", "abandoned", "wait-over"});
+    binding.guard("limit-reached", [](const Circuit &circuit) {
+        return circuit.failuresInRow_ + 1 >= circuit.policy_.failures_;
+    });
+    binding.action("count-failure", [](Circuit &circuit) { ++circuit.failuresInRow_; });
+    binding.action("forget-failures", [](Circuit &circuit) { circuit.forgetFailures(); });
+    binding.action("start-wait", [](Circuit &circuit) { circuit.startWait(); });
+    return chart::bind(chart, std::move(binding));
 }
 
-Circuit::Circuit(CircuitPolicy policy)
+Circuit::Circuit(CircuitProgramPtr program, CircuitPolicy policy)
     : policy_(policy)
+    , machine_(std::move(program))
 {
 }
 
-CircuitStatus Circuit::status(TimePoint now) const
+bool Circuit::allows(TimePoint now)
 {
-    if (openings_ == 0)
-        return CircuitStatus::Closed;
-    return now < openUntil_ ? CircuitStatus::Open : CircuitStatus::HalfOpen;
+    passTime(now);
+    return !machine_.isIn(openState) && !machine_.isIn(trialState);
 }
 
-bool Circuit::allows(TimePoint now) const
+std::string_view Circuit::status(TimePoint now)
 {
-    switch (status(now)) {
-    case CircuitStatus::Closed:
-        return true;
-    case CircuitStatus::Open:
-        return false;
-    case CircuitStatus::HalfOpen:
-        return !hasTrial_;
-    }
-    return true;
+    passTime(now);
+    return machine_.state();
 }
 
-void Circuit::started(TimePoint now)
+bool Circuit::isHealthy() const
 {
-    if (status(now) == CircuitStatus::HalfOpen)
-        hasTrial_ = true;
+    return machine_.isIn(closedState) && failuresInRow_ == 0;
 }
 
-void Circuit::succeeded(TimePoint now)
+TimePoint Circuit::nextTrial() const
 {
-    failuresInRow_ = 0;
-    // While open, a success is that of an attempt from before; only the trial closes the circuit.
-    if (status(now) != CircuitStatus::HalfOpen)
-        return;
-    openings_ = 0;
-    hasTrial_ = false;
+    return machine_.isIn(openState) ? openUntil_ : TimePoint::max();
 }
 
-void Circuit::failed(TimePoint now)
+void Circuit::handle(std::string_view event, TimePoint now)
 {
-    switch (status(now)) {
-    case CircuitStatus::Closed:
-        if (++failuresInRow_ >= policy_.failures_)
-            open(now);
-        return;
-    case CircuitStatus::Open:
-        return;
-    case CircuitStatus::HalfOpen:
-        open(now);
-        return;
-    }
+    passTime(now);
+    now_ = now;
+    machine_.handle(*this, event);
 }
 
-void Circuit::abandoned()
+void Circuit::passTime(TimePoint now)
 {
-    hasTrial_ = false;
+    if (now >= nextTrial())
+        machine_.handle(*this, "wait-over");
 }
 
-void Circuit::open(TimePoint now)
+void Circuit::startWait()
 {
     Duration wait = policy_.openTime_;
     for (std::uint32_t i = 0; i < openings_ && wait < policy_.maximumOpenTime_; ++i)
         wait *= 2;
-    openUntil_ = now + std::min(wait, policy_.maximumOpenTime_);
+    openUntil_ = now_ + std::min(wait, policy_.maximumOpenTime_);
     ++openings_;
+}
+
+void Circuit::forgetFailures()
+{
     failuresInRow_ = 0;
-    hasTrial_ = false;
+    openings_ = 0;
 }
 
 } // namespace cardamombay::retries
--- a/src/retries/circuit_board.cpp
+++ b/src/retries/circuit_board.cpp
@@ -1,18 +1,30 @@
 #include <cardamombay/retries/circuit_board.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace cardamombay::retries {
 
-CircuitBoard::CircuitBoard(CircuitPolicy policy)
-    : policy_(policy)
+namespace {
+
+/// A group that is gone gets no more events; its circuit is dropped after this time.
+constexpr Duration forgetAfter = std::chrono::minutes(10);
+
+} // namespace
+
+CircuitBoard::CircuitBoard(CircuitProgramPtr program, CircuitPolicy policy)
+    : program_(std::move(program))
+    , policy_(policy)
 {
 }
 
 std::span<const GroupId> CircuitBoard::blocked(TimePoint now)
 {
+    std::erase_if(circuits_, [now](const auto &entry) {
+        return now - entry.second.changedAt() > forgetAfter;
+    });
     blocked_.clear();
-    for (const auto &[group, circuit] : circuits_) {
+    for (auto &[group, circuit] : circuits_) {
         if (!circuit.allows(now))
             blocked_.push_back(group);
     }
@@ -32,35 +44,34 @@
     if (found == circuits_.end())
         return;
     found->second.succeeded(now);
-    if (found->second.status(now) == CircuitStatus::Closed)
+    if (found->second.isHealthy())
         circuits_.erase(found);
 }
 
 void CircuitBoard::failed(const GroupId &group, TimePoint now)
 {
-    circuits_.try_emplace(group, policy_).first->second.failed(now);
+    circuits_.try_emplace(group, program_, policy_).first->second.failed(now);
 }
 
-void CircuitBoard::abandoned(const GroupId &group)
+void CircuitBoard::abandoned(const GroupId &group, TimePoint now)
 {
     const auto found = circuits_.find(group);
     if (found != circuits_.end())
-        found->second.abandoned();
+        found->second.abandoned(now);
 }
 
-CircuitStatus CircuitBoard::status(const GroupId &group, TimePoint now) const
+std::string_view CircuitBoard::status(const GroupId &group, TimePoint now)
 {
     const auto found = circuits_.find(group);
-    return found == circuits_.end() ? CircuitStatus::Closed : found->second.status(now);
+    return found == circuits_.end() ? program_->table_.states_[program_->table_.initial_]
+                                    : found->second.status(now);
 }
 
 TimePoint CircuitBoard::nextTrial() const
 {
     TimePoint next = TimePoint::max();
-    for (const auto &[group, circuit] : circuits_) {
-        if (circuit.openUntil() != TimePoint{})
-            next = std::min(next, circuit.openUntil());
-    }
+    for (const auto &[group, circuit] : circuits_)
+        next = std::min(next, circuit.nextTrial());
     return next;
 }
 
--- a/src/retries/retry_policy.cpp
+++ b/src/retries/retry_policy.cpp
@@ -8,16 +8,13 @@
 
 constexpr Duration busyRetryAfter = std::chrono::seconds(5);
 
-[[nodiscard]] bool mayHaveRun(AttemptEnd end)
-{
-    return end == AttemptEnd::Broken || end == AttemptEnd::TimedOut;
-}
-
 } // namespace
 
 std::string_view nameOf(GiveUpReason reason)
 {
     switch (reason) {
+    case GiveUpReason::HasRun:
+        return "has-run";
     case GiveUpReason::MayHaveRun:
         return "may-have-run";
     case GiveUpReason::AnswerStarted:
@@ -46,7 +43,9 @@
 RetryDecision RetryPolicy::decide(const FailedAttempt &attempt, TimePoint now)
 {
     const Duration retryAfter = std::max(attempt.retryAfter_, busyRetryAfter);
-    if (attempt.isNonIdempotent_ && mayHaveRun(attempt.end_))
+    if (attempt.outcome_ == outcomes::Outcome::Ran)
+        return GiveUp{GiveUpReason::HasRun, retryAfter};
+    if (attempt.isNonIdempotent_ && attempt.outcome_ != outcomes::Outcome::NotRun)
         return GiveUp{GiveUpReason::MayHaveRun, retryAfter};
     if (attempt.hasAnswerStarted_ && !attempt.isResumable_)
         return GiveUp{GiveUpReason::AnswerStarted, retryAfter};
--- a/src/routing/group_book.cpp
+++ b/src/routing/group_book.cpp
@@ -78,9 +78,21 @@
     ++state.samples_;
 }
 
-std::vector<OwnerIndex> GroupBook::forgetUnseen(TimePoint now)
+void GroupBook::formed(OwnerIndex index, Generation generation, TimePoint now)
+{
+    GroupState &state = states_[index];
+    if (generation <= state.generation_)
+        return;
+    state.generation_ = generation;
+    state.timeToFirstToken_ = 0;
+    state.samples_ = 0;
+    state.ejectedUntil_ = TimePoint{};
+    state.cacheSequence_.reset();
+    index_.distrustBefore(index, now);
+}
+
+void GroupBook::forgetUnseen(TimePoint now)
 {
-    std::vector<OwnerIndex> freed;
     for (OwnerIndex index = 0; index < states_.size(); ++index) {
         GroupState &state = states_[index];
         const bool isLive = inFlight_[index] > 0 || now - state.seenAt_ < forgetAfter;
@@ -89,9 +101,8 @@
         indexes_.erase(state.group_);
         state.isUsed_ = false;
         free_.push_back(index);
-        freed.push_back(index);
+        index_.distrustBefore(index, now);
     }
-    return freed;
 }
 
 } // namespace cardamombay::routing::impl
--- a/src/routing/group_book.hpp
+++ b/src/routing/group_book.hpp
@@ -58,6 +58,12 @@
 class GroupBook
 {
 public:
+    /// \param index what the groups hold; entries of groups that are gone are dropped from it.
+    explicit GroupBook(PrefixIndex &index)
+        : index_(index)
+    {
+    }
+
     /// \brief Index of \p group, making an entry if there is none.
     OwnerIndex indexOf(const GroupId &group);
 
@@ -71,11 +77,15 @@
     void started(OwnerIndex index, TimePoint now);
     void finished(OwnerIndex index, const RequestSample &sample, TimePoint now);
 
+    /// \brief The group was seen in \p generation: a newer one starts with an empty cache and
+    /// without the slowness of the former members.
+    void formed(OwnerIndex index, Generation generation, TimePoint now);
+
     /// \brief Drops entries that no snapshot held for a while and nothing is in flight at.
-    /// \returns the indexes that were freed.
-    std::vector<OwnerIndex> forgetUnseen(TimePoint now);
+    void forgetUnseen(TimePoint now);
 
 private:
+    PrefixIndex &index_;
     std::unordered_map<GroupId, OwnerIndex> indexes_;
     std::vector<GroupState> states_;
     std::vector<std::uint32_t> inFlight_; ///< Apart from states_: read for every decision.
--- a/src/routing/router_state.cpp
+++ b/src/routing/router_state.cpp
@@ -44,6 +44,7 @@
     : policy_(policy)
     , random_(seed)
     , index_(policy.prefixEntries_, policy.prefixLife_)
+    , book_(index_)
 {
 }
 
@@ -96,8 +97,7 @@
     viewed_ = &snapshot;
     viewedSequence_ = snapshot.sequence_;
     viewedAt_ = now;
-    for (const OwnerIndex freed : book_.forgetUnseen(now))
-        index_.distrustBefore(freed, now);
+    book_.forgetUnseen(now);
 }
 
 void RouterState::markExcluded(const ServiceView &view, std::span<const GroupId> excluded)
@@ -123,7 +123,7 @@
         decision.reason_ = reasonForNone(decision.passedOver_);
         return decision;
     }
-    const Weighed weighed = summarize(view);
+    const Weighed weighed = summarize();
     const bool usesCache = step.role_ != GroupRole::Decode;
     if (usesCache && pickHolder(view, request, weighed, now, decision))
         return decision;
@@ -176,9 +176,8 @@
     decision.usable_ = static_cast<std::uint32_t>(locals_.size() + remotes_.size());
 }
 
-RouterState::Weighed RouterState::summarize(const ServiceView &view) const
+RouterState::Weighed RouterState::summarize() const
 {
-    (void)view;
     Weighed weighed{noLoad, noLoad, noLoad};
     for (const std::uint32_t position : locals_)
         weighed.leastLocal_ = std::min(weighed.leastLocal_, loads_[position]);
@@ -280,10 +279,7 @@
     GroupState &state = book_.state(*owner);
     if (event.generation_ < state.generation_)
         return;
-    if (event.generation_ > state.generation_) {
-        state.generation_ = event.generation_;
-        state.cacheSequence_.reset();
-    }
+    book_.formed(*owner, event.generation_, now);
     if (state.cacheSequence_ && event.sequence_ <= *state.cacheSequence_)
         return;
     const bool hasGap = state.cacheSequence_ && event.sequence_ != *state.cacheSequence_ + 1;
--- a/src/routing/router_state.hpp
+++ b/src/routing/router_state.hpp
@@ -58,13 +58,13 @@
     [[nodiscard]] bool pickHolder(const ServiceView &view, const RouteRequest &request,
                                   const Weighed &weighed, TimePoint now, RouteDecision &decision);
     void pickBetterOfTwo(const ServiceView &view, const Weighed &weighed, RouteDecision &decision);
-    [[nodiscard]] Weighed summarize(const ServiceView &view) const;
+    [[nodiscard]] Weighed summarize() const;
     [[nodiscard]] const std::vector<std::uint32_t> &pool(const Weighed &weighed);
 
     RouterPolicy policy_;
     Random random_;
-    GroupBook book_;
     PrefixIndex index_;
+    GroupBook book_;
 
     const RoutingSnapshot *viewed_ = nullptr; ///< Compared only, never read.
     std::uint64_t viewedSequence_ = 0;
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -10,9 +10,8 @@
 /// peers' digests if they say more.
 [[nodiscard]] double othersAt(const SnapshotGroup &group, const GroupState &state)
 {
-    const TimePoint takenAt = group.loadTakenAt_ - group.load_.lag_;
     const double reported = double(group.load_.running_) + double(group.load_.queued_);
-    const double ownThen = state.ownInFlight_.at(takenAt);
+    const double ownThen = state.ownInFlight_.at(group.loadTakenAt_);
     return std::max(reported - ownThen, double(group.peerInFlight_));
 }
 
@@ -69,6 +68,7 @@
         const OwnerIndex owner = book.indexOf(group.group_);
         GroupState &state = book.state(owner);
         state.seenAt_ = now;
+        book.formed(owner, group.generation_, now);
         GroupView entry;
         entry.group_ = &group;
         entry.owner_ = owner;
--- /dev/null
+++ b/tests/retries/circuit.cpp
@@ -0,0 +1,70 @@
+#include <cardamombay/retries/circuit_board.hpp>
+
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::retries;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint start{std::chrono::hours(1)};
+
+CircuitProgramPtr program()
+{
+    const auto chart = chart::loadChart(std::string(SOURCE_FOLDER) + "/charts/circuit.toml");
+    cr_assert(isOk(chart), "%s", isOk(chart) ? "" : messageOf(errorOf(chart)).c_str());
+    const auto bound = makeCircuitProgram(valueOf(chart));
+    cr_assert(isOk(bound), "%s", isOk(bound) ? "" : messageOf(errorOf(bound)).c_str());
+    return valueOf(bound);
+}
+
+} // namespace
+
+Test(circuit, opens_after_failures_in_a_row_and_closes_after_a_trial)
+{
+    CircuitBoard board(program());
+    const GroupId group("lm/a/0");
+    for (int i = 0; i < 5; ++i)
+        board.failed(group, start);
+    cr_assert_eq(board.blocked(start).size(), 1);
+
+    const TimePoint later = start + seconds(1);
+    cr_assert(board.blocked(later).empty());
+    board.started(group, later);
+    cr_assert_eq(board.blocked(later).size(), 1, "only one trial at a time");
+    board.succeeded(group, later);
+
+    cr_assert(board.status(group, later) == "closed");
+    cr_assert(board.blocked(later).empty());
+}
+
+Test(circuit, failed_trial_doubles_the_open_time)
+{
+    Circuit circuit(program());
+    for (int i = 0; i < 5; ++i)
+        circuit.failed(start);
+    const TimePoint trial = start + seconds(1);
+    circuit.started(trial);
+    circuit.failed(trial);
+
+    cr_assert_not(circuit.allows(trial + milliseconds(1999)));
+    cr_assert(circuit.allows(trial + seconds(2)));
+}
+
+Test(circuit, abandoned_trial_lets_the_next_one_go)
+{
+    Circuit circuit(program());
+    for (int i = 0; i < 5; ++i)
+        circuit.failed(start);
+    const TimePoint trial = start + seconds(1);
+    circuit.started(trial);
+    cr_assert_not(circuit.allows(trial));
+
+    circuit.abandoned(trial);
+
+    cr_assert(circuit.allows(trial));
+}
