--- /dev/null
+++ b/include/cardamombay/groups/manager_settings.hpp
@@ -0,0 +1,21 @@
+/// \file
+/// \brief Durations of the group manager.
+#pragma once
+
+#include <cardamombay/core/time.hpp>
+
+namespace cardamombay::groups {
+
+/// \brief Durations of the group manager.
+struct ManagerSettings
+{
+    Duration orderMargin_ = std::chrono::seconds(2);    ///< Rest of the lease that an order needs.
+    Duration resendEvery_ = std::chrono::seconds(2);    ///< Order without visible effect.
+    Duration trustAnswerFor_ = std::chrono::seconds(3); ///< Engine's answer to an own order.
+    Duration stopSurvivorsAfter_ = std::chrono::seconds(10); ///< Then members are told to drain.
+    Duration vetoSpread_ = std::chrono::seconds(3); ///< Until all routers know that a group drains.
+    Duration commitRetry_ = std::chrono::seconds(1); ///< Least pause after the store failed.
+    Duration warmUp_ = std::chrono::seconds(5);      ///< A new planner listens before it plans.
+};
+
+} // namespace cardamombay::groups
--- /dev/null
+++ b/src/planning/return_model.cpp
@@ -0,0 +1,43 @@
+#include <cardamombay/planning/return_model.hpp>
+
+#include <cmath>
+
+namespace cardamombay::planning {
+
+namespace {
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+double ReturnModel::probabilityAfter(Duration lostFor) const
+{
+    const double mean = secondsOf(returnTime_);
+    const double stillAway = mean > 0 ? std::exp(-secondsOf(lostFor) / mean) : 0;
+    const double returning = probability_ * stillAway;
+    const double total = returning + 1 - probability_;
+    return total > 0 ? returning / total : 0;
+}
+
+ReturnOutlook ReturnModel::independent(std::span<const Duration> lostFor) const
+{
+    ReturnOutlook outlook{1, {}};
+    double means = 0; // The expected maximum of n exponential times is their mean times H(n).
+    std::size_t number = 0;
+    for (const Duration each : lostFor) {
+        outlook.probability_ *= probabilityAfter(each);
+        means += 1.0 / static_cast<double>(++number);
+    }
+    outlook.timeLeft_ = std::chrono::duration_cast<Duration>(returnTime_ * means);
+    return outlook;
+}
+
+ReturnOutlook ReturnModel::together(Duration lostFor) const
+{
+    return {probabilityAfter(lostFor), returnTime_};
+}
+
+} // namespace cardamombay::planning
