--- a/tests/support/standin_server.cpp
+++ b/tests/support/standin_server.cpp
@@ -55,6 +55,9 @@
 
 asio::awaitable<void> StandinExchange::respond(StandinResponse response)
 {
+    const std::string requestId = headerOf(request_, "X-Request-Id");
+    if (!requestId.empty())
+        response.set("X-Request-Id", requestId);
     response.version(11);
     response.keep_alive(request_.keep_alive());
     response.prepare_payload();
