--- /dev/null
+++ b/include/cardamombay/admin/admin_config.hpp
@@ -0,0 +1,31 @@
+/// \file
+/// \brief Answer to GET /admin/config: the configuration in force at one entry VM.
+#pragma once
+
+#include <cardamombay/core/ids.hpp>
+#include <cardamombay/core/result.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace cardamombay::admin {
+
+/// \brief Version in force, and a higher one that was refused, if any.
+struct AdminConfig
+{
+    ConfigVersion version_;
+    std::string hash_;
+    std::string state_; ///< State of the configuration chart.
+    ConfigVersion refusedVersion_;
+    std::string refusal_; ///< Why, with file, line, key and remedy.
+
+    friend bool operator==(const AdminConfig &, const AdminConfig &) = default;
+};
+
+/// \brief Writes \p config as JSON.
+[[nodiscard]] std::string encode(const AdminConfig &config);
+
+/// \brief Reads what encode() wrote.
+[[nodiscard]] Result<AdminConfig> decodeConfig(std::string_view text);
+
+} // namespace cardamombay::admin
--- a/src/config/base_reader.cpp
+++ b/src/config/base_reader.cpp
@@ -89,6 +89,17 @@
            && (path.size() == prefix.size() || prefix.back() == '/' || path[prefix.size()] == '/');
 }
 
+void reportClash(TableReader &list, const ServiceDraft &later, const ServiceDraft &earlier)
+{
+    const std::string &name = later.service_.name_.text();
+    auto reader = list.child(*list.table(name), name);
+    std::string problem = "\"" + later.service_.pathPrefix_ + "\" clashes with \"";
+    problem += earlier.service_.pathPrefix_ + "\" of service '";
+    problem += earlier.service_.name_.text() + "'";
+    reader.report("path_prefix", problem,
+                  "give each plain service paths that no other one contains");
+}
+
 void checkPrefixes(TableReader &list, const std::vector<ServiceDraft> &services)
 {
     for (auto later = services.begin(); later != services.end(); ++later) {
@@ -99,12 +110,7 @@
             const std::string &other = earlier->service_.pathPrefix_;
             if (other.empty() || !(isPathPrefix(other, path) || isPathPrefix(path, other)))
                 continue;
-            const std::string name = later->service_.name_.text();
-            auto reader = list.child(*list.table(name), name);
-            reader.report("path_prefix",
-                          "\"" + path + "\" clashes with \"" + other + "\" of service '"
-                              + earlier->service_.name_.text() + "'",
-                          "give each plain service paths that no other one contains");
+            reportClash(list, *later, *earlier);
         }
     }
 }
