--- /dev/null
+++ b/include/cardamombay/control/control_node.hpp
@@ -0,0 +1,185 @@
+/// \file
+/// \brief The control side of one entry VM, composed into one object.
+/// \details Owns configuration, membership, watching, leases, groups and claims, and makes the
+/// routing snapshot. It is fed with events and time through interfaces and does no I/O itself, so
+/// that a daemon runs one and a test or bench runs many in one process. Single-threaded.
+#pragma once
+
+#include <cardamombay/claims/claim_book.hpp>
+#include <cardamombay/config/config_agent.hpp>
+#include <cardamombay/control/control_settings.hpp>
+#include <cardamombay/control/peer_reports.hpp>
+#include <cardamombay/control/vm_list_poller.hpp>
+#include <cardamombay/control/zone_planner.hpp>
+#include <cardamombay/core/decision_log.hpp>
+#include <cardamombay/endpoint/endpoint_orders.hpp>
+#include <cardamombay/groups/group_board.hpp>
+#include <cardamombay/membership/membership.hpp>
+#include <cardamombay/membership/peer_transport.hpp>
+#include <cardamombay/platform/object_store.hpp>
+#include <cardamombay/platform/table_store.hpp>
+#include <cardamombay/platform/vm_directory.hpp>
+#include <cardamombay/routing/routing_snapshot.hpp>
+#include <cardamombay/watching/endpoint_watcher.hpp>
+
+#include <functional>
+#include <set>
+
+namespace cardamombay::control {
+
+/// \brief Everything a control node acts through.
+struct ControlLinks
+{
+    Clock &clock_;
+    membership::PeerTransport &peers_;
+    platform::TableStore &table_;
+    platform::ObjectStore &objects_;
+    platform::VmDirectory &directory_;
+    endpoint::EndpointOrders &orders_;
+    DecisionLog &decisions_;
+};
+
+/// \brief All charts that the control side interprets.
+struct NodeCharts
+{
+    ControlCharts planner_;
+    claims::ClaimProgramPtr claim_;
+    config::ConfigProgramPtr config_;
+};
+
+/// \brief One control node.
+/// \code
+/// ControlNode node(links, settings, charts);
+/// node.onSnapshot([&](routing::RoutingSnapshotPtr snapshot) { holder.publish(snapshot); });
+/// node.start();
+/// \endcode
+class ControlNode
+{
+public:
+    using SnapshotSink = std::function<void(routing::RoutingSnapshotPtr)>;
+
+    ControlNode(ControlLinks links, ControlSettings settings, const NodeCharts &charts);
+    ControlNode(const ControlNode &) = delete;
+    ControlNode &operator=(const ControlNode &) = delete;
+    ~ControlNode();
+
+    /// \name Life
+    /// \{
+    void start();
+    /// \brief Tells peers that this entry VM drains and gives its leases back.
+    void drain();
+    /// \brief True once a drain has given back every lease.
+    [[nodiscard]] bool isDrained() const { return planner_.isReleased(); }
+    /// \brief Tells peers that this entry VM is gone.
+    void leave() { membership_.leave(); }
+    /// \}
+
+    /// \name Events
+    /// \{
+    /// \brief A digest of a peer; returns the answer to it.
+    [[nodiscard]] membership::Digest handle(const membership::Digest &incoming);
+    /// \brief Demand and in-flight requests of this entry VM; replaces the former report.
+    void setTraffic(std::vector<routing::DemandReport> demand,
+                    std::vector<membership::InFlightEntry> inFlight);
+    /// \brief An operator drains an endpoint VM: no new work, and its group moves away.
+    void drainVm(const VmId &vm) { watcher_.markLeaving(vm); }
+    /// \brief An operator takes a drain back.
+    void undrainVm(const VmId &vm) { watcher_.clearLeaving(vm); }
+    /// \brief Receives every new routing snapshot.
+    void onSnapshot(SnapshotSink sink) { sink_ = std::move(sink); }
+    /// \}
+
+    /// \name Parts, for status pages, claims and tests
+    /// \{
+    [[nodiscard]] claims::ClaimBook &claims() { return claims_; }
+    [[nodiscard]] config::ConfigAgent &configuration() { return config_; }
+    [[nodiscard]] const config::ConfigAgent &configuration() const { return config_; }
+    [[nodiscard]] const membership::Membership &membership() const { return membership_; }
+    [[nodiscard]] const watching::EndpointWatcher &watcher() const { return watcher_; }
+    [[nodiscard]] const groups::GroupBoard &board() const { return board_; }
+    [[nodiscard]] const ZonePlanner &planner() const { return planner_; }
+    [[nodiscard]] const VmRecords &vms() const { return vms_; }
+    [[nodiscard]] const ControlSettings &settings() const { return settings_; }
+    [[nodiscard]] const routing::RoutingSnapshotPtr &snapshot() const { return snapshot_; }
+    [[nodiscard]] TimePoint startedAt() const { return startedAt_; }
+    [[nodiscard]] TimePoint now() const { return clock_.now(); }
+    /// \brief Own in-flight requests by group, as last reported.
+    [[nodiscard]] const std::vector<membership::InFlightEntry> &inFlight() const
+    {
+        return inFlight_;
+    }
+    [[nodiscard]] bool isStoreReachable() const;
+    /// \}
+
+private:
+    /// Shows the watcher to the planner.
+    class WatcherView final : public groups::VmView
+    {
+    public:
+        explicit WatcherView(const watching::EndpointWatcher &watcher)
+            : watcher_(watcher)
+        {
+        }
+        [[nodiscard]] groups::VmObservation observe(const VmId &vm) const override;
+
+    private:
+        const watching::EndpointWatcher &watcher_;
+    };
+
+    /// Tells the claims which entry VMs still run.
+    class MemberLiveness final : public claims::EntryLiveness
+    {
+    public:
+        explicit MemberLiveness(const membership::Membership &membership)
+            : membership_(membership)
+        {
+        }
+        [[nodiscard]] bool isAlive(const EntryId &entry, Incarnation incarnation) const override;
+
+    private:
+        const membership::Membership &membership_;
+    };
+
+    void connect();
+    void takeList();
+    void takeMembers();
+    void takeConfiguration();
+    void fillDigest(membership::Digest &digest);
+    void takeDigest(const membership::Digest &digest);
+    void tickSnapshot();
+    void tickPlan();
+    void publish();
+    void askForNeeded();
+    void needOwnZone(const routing::SnapshotService &service);
+    void needElsewhere(const routing::SnapshotService &service);
+    [[nodiscard]] bool isDemanded(const ServiceName &service) const;
+    [[nodiscard]] bool isMissingVm() const;
+    [[nodiscard]] bool isAmongFirstOfZone(std::size_t count) const;
+
+    ControlSettings settings_;
+    Clock &clock_;
+    DecisionLog &decisions_;
+    Random random_;
+    membership::Membership membership_;
+    watching::EndpointWatcher watcher_;
+    groups::GroupBoard board_;
+    config::ConfigAgent config_;
+    VmListPoller list_;
+    ZonePlanner planner_;
+    claims::ClaimBook claims_;
+    WatcherView view_;
+    MemberLiveness liveness_;
+    PeerReports reports_;
+    VmRecords vms_;
+    std::vector<routing::DemandReport> demand_;
+    std::vector<membership::InFlightEntry> inFlight_;
+    std::set<VmId> markedLeaving_;
+    std::uint64_t sequence_ = 0;
+    routing::RoutingSnapshotPtr snapshot_;
+    SnapshotSink sink_;
+    TimePoint startedAt_{};
+    TimerId snapshotTimer_ = TimerId::None;
+    TimerId planTimer_ = TimerId::None;
+};
+
+} // namespace cardamombay::control
--- /dev/null
+++ b/src/control/control_node.cpp
@@ -0,0 +1,314 @@
+#include <cardamombay/control/control_node.hpp>
+
+#include <cardamombay/core/hash.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamombay::control {
+
+namespace {
+
+/// Entry VMs of a zone that read the VM list and the configuration often.
+constexpr std::size_t pollersPerZone = 3;
+
+/// Boards refresh once a second up to this many entry VMs, then less often.
+constexpr std::size_t boardReadersAtFullPace = 170;
+
+/// A peer's report counts this long; digests arrive about once a second.
+constexpr Duration reportWindow = std::chrono::seconds(5);
+
+/// Groups of other zones asked about when the own zone has none to offer.
+constexpr std::size_t elsewhereLimit = 4;
+
+/// The table service counts as reachable if it answered within this time.
+constexpr Duration storeWindow = std::chrono::seconds(5);
+
+membership::MemberEntry memberOf(const ControlSettings &settings)
+{
+    membership::MemberEntry self;
+    self.id_ = settings.self_;
+    self.address_ = settings.peerAddress_;
+    self.zone_ = settings.zone_;
+    self.region_ = settings.region_;
+    self.incarnation_ = settings.incarnation_;
+    return self;
+}
+
+} // namespace
+
+ControlNode::ControlNode(ControlLinks links, ControlSettings settings, const NodeCharts &charts)
+    : settings_(std::move(settings))
+    , clock_(links.clock_)
+    , decisions_(links.decisions_)
+    , random_(settings_.randomSeed_)
+    , membership_(links.clock_, links.peers_, Random(random_.bits()), settings_.membership_,
+                  memberOf(settings_))
+    , watcher_(links.clock_, links.orders_, settings_.watching_, settings_.self_)
+    , board_(links.clock_, links.table_, Random(random_.bits()))
+    , config_(links.clock_, links.table_, links.objects_, Random(random_.bits()), charts.config_,
+              config::AgentSettings{settings_.configPollEvery_})
+    , list_(links.clock_, links.directory_, Random(random_.bits()), settings_.vmListEvery_,
+            settings_.idleVmListEvery_)
+    , planner_(links.clock_, links.table_, links.orders_, links.decisions_, settings_,
+               charts.planner_)
+    , claims_({links.clock_, links.table_, links.objects_, random_, charts.claim_, settings_.self_,
+               settings_.incarnation_})
+    , view_(watcher_)
+    , liveness_(membership_)
+    , snapshot_(std::make_shared<routing::RoutingSnapshot>())
+{
+    connect();
+}
+
+ControlNode::~ControlNode()
+{
+    clock_.cancel(snapshotTimer_);
+    clock_.cancel(planTimer_);
+}
+
+void ControlNode::connect()
+{
+    membership_.setPayloadSource(
+        [this](membership::Digest &digest, const EntryId &) { fillDigest(digest); });
+    membership_.setPayloadSink([this](const membership::Digest &digest) { takeDigest(digest); });
+    membership_.onChange([this](const membership::MemberEntry &) { takeMembers(); });
+    watcher_.onUrgent([this] { membership_.flushSoon(); });
+    list_.onList([this] { takeList(); });
+    config_.onChange([this](config::ConfigurationPtr) { takeConfiguration(); });
+    claims_.setLiveness(&liveness_);
+}
+
+void ControlNode::start()
+{
+    startedAt_ = clock_.now();
+    takeMembers();
+    membership_.start(settings_.seeds_);
+    config_.start();
+    list_.start();
+    board_.start();
+    watcher_.start();
+    tickSnapshot();
+    tickPlan();
+}
+
+void ControlNode::drain()
+{
+    membership_.setDraining(true);
+    planner_.release();
+}
+
+membership::Digest ControlNode::handle(const membership::Digest &incoming)
+{
+    return membership_.handle(incoming);
+}
+
+void ControlNode::setTraffic(std::vector<routing::DemandReport> demand,
+                             std::vector<membership::InFlightEntry> inFlight)
+{
+    demand_ = std::move(demand);
+    inFlight_ = std::move(inFlight);
+}
+
+bool ControlNode::isStoreReachable() const
+{
+    return board_.hasBeenRefreshed() && board_.age() < storeWindow;
+}
+
+// ---- what changes --------------------------------------------------------------------------
+
+void ControlNode::takeList()
+{
+    const auto &list = list_.list();
+    vms_.clear();
+    std::vector<Address> entries;
+    for (const auto &record : list.vms_) {
+        vms_.emplace(record.id_, record);
+        if (record.role_ == platform::VmRole::Entry && record.address_ != settings_.peerAddress_)
+            entries.push_back(record.address_);
+    }
+    watcher_.setVms(list.vms_, list_.age());
+    membership_.addSeeds(entries);
+}
+
+void ControlNode::takeMembers()
+{
+    const auto alive = membership_.aliveMembers();
+    watcher_.setWatchers(alive);
+    claims_.setEntryCount(static_cast<std::uint32_t>(std::max<std::size_t>(alive.size(), 1)));
+    const bool isPoller = isAmongFirstOfZone(pollersPerZone);
+    list_.setPoller(isPoller);
+    config_.setPoller(isPoller);
+    const auto stretch = std::max(1.0, static_cast<double>(alive.size()) / boardReadersAtFullPace);
+    board_.setRefreshEvery(std::chrono::duration_cast<Duration>(std::chrono::seconds(1) * stretch));
+}
+
+void ControlNode::takeConfiguration()
+{
+    const auto current = config_.current();
+    watcher_.setSites(current->sites_);
+    membership_.setConfigVersion(current->version_);
+    membership_.flushSoon();
+    publish();
+}
+
+bool ControlNode::isAmongFirstOfZone(std::size_t count) const
+{
+    const std::string &zone = settings_.zone_.text();
+    const auto own = rendezvousWeight(zone, settings_.self_.text());
+    std::size_t ahead = 0;
+    for (const auto &member : membership_.aliveMembers()) {
+        if (member.zone_ == settings_.zone_ && rendezvousWeight(zone, member.id_.text()) > own)
+            ++ahead;
+    }
+    return ahead < count;
+}
+
+// ---- digests -------------------------------------------------------------------------------
+
+void ControlNode::fillDigest(membership::Digest &digest)
+{
+    watcher_.appendTo(digest);
+    digest.demand_ = demand_;
+    digest.inFlight_ = inFlight_;
+}
+
+void ControlNode::takeDigest(const membership::Digest &digest)
+{
+    watcher_.merge(digest);
+    reports_.take(digest, clock_.now());
+    config_.offer(membership_.highestConfigVersion());
+}
+
+// ---- periodic work -------------------------------------------------------------------------
+
+void ControlNode::tickSnapshot()
+{
+    snapshotTimer_ = clock_.schedule(settings_.snapshotEvery_, [this] { tickSnapshot(); });
+    reports_.forgetOthers(membership_.aliveMembers(), clock_.now(), reportWindow);
+    config_.offer(membership_.highestConfigVersion());
+    askForNeeded();
+    publish();
+}
+
+void ControlNode::tickPlan()
+{
+    planTimer_ = clock_.schedule(settings_.planEvery_, [this] { tickPlan(); });
+    if (isMissingVm())
+        list_.want();
+    if (!membership_.isTrusted() || !list_.hasList())
+        return;
+    const auto alive = membership_.aliveMembers();
+    planner_.tick({config_.current(), list_.list().vms_, alive, &view_, &board_});
+}
+
+void ControlNode::publish()
+{
+    auto snapshot = std::make_shared<routing::RoutingSnapshot>();
+    snapshot->sequence_ = ++sequence_;
+    snapshot->self_ = settings_.self_;
+    snapshot->zone_ = settings_.zone_;
+    snapshot->configuration_ = config_.current();
+    const PeerLoad peerLoad = reports_.load();
+    snapshot->services_
+        = buildServices({snapshot->configuration_, board_, watcher_, vms_, peerLoad});
+    snapshot->peerDemand_ = reports_.demand();
+    snapshot->isStoreReachable_ = isStoreReachable();
+    snapshot_ = std::move(snapshot);
+    if (sink_)
+        sink_(snapshot_);
+}
+
+/// A router that hears nothing of a VM probes by itself before it gives up.
+void ControlNode::askForNeeded()
+{
+    for (const auto &service : snapshot_->services_) {
+        if (!isDemanded(service.service_))
+            continue;
+        needOwnZone(service);
+        needElsewhere(service);
+    }
+    std::vector<EntryId> scope = membership_.scopePeers();
+    membership_.setExtraPeers(watcher_.neededPeers(scope));
+}
+
+void ControlNode::needOwnZone(const routing::SnapshotService &service)
+{
+    for (const auto &group : service.groups_) {
+        if (group.zone_ != settings_.zone_)
+            continue;
+        for (const VmId &member : group.members_)
+            watcher_.need(member);
+    }
+}
+
+/// Asks about a few groups of other zones if the own zone cannot serve.
+void ControlNode::needElsewhere(const routing::SnapshotService &service)
+{
+    const TimePoint now = clock_.now();
+    std::vector<const routing::SnapshotGroup *> others;
+    for (const auto &group : service.groups_) {
+        if (group.zone_ == settings_.zone_ && group.isUsable(now))
+            return;
+        if (group.zone_ != settings_.zone_ && !group.isVetoed_)
+            others.push_back(&group);
+    }
+    const auto weight = [&](const routing::SnapshotGroup *group) {
+        return rendezvousWeight(group->group_.text(), settings_.self_.text());
+    };
+    std::sort(others.begin(), others.end(),
+              [&](auto *left, auto *right) { return weight(left) > weight(right); });
+    if (others.size() > elsewhereLimit)
+        others.resize(elsewhereLimit);
+    for (const auto *group : others) {
+        for (const VmId &member : group->members_)
+            watcher_.need(member);
+    }
+}
+
+bool ControlNode::isDemanded(const ServiceName &service) const
+{
+    return std::any_of(demand_.begin(), demand_.end(), [&](const routing::DemandReport &report) {
+        return report.service_ == service && report.inFlight_ + report.waiting_ > 0;
+    });
+}
+
+/// True if a group has a member that the list does not show yet.
+bool ControlNode::isMissingVm() const
+{
+    for (const auto &[id, group] : board_.groups()) {
+        if (!group.content_.isActive())
+            continue;
+        for (const VmId &member : group.content_.members_) {
+            if (!vms_.contains(member))
+                return true;
+        }
+    }
+    return false;
+}
+
+// ---- views ---------------------------------------------------------------------------------
+
+groups::VmObservation ControlNode::WatcherView::observe(const VmId &vm) const
+{
+    groups::VmObservation seen;
+    seen.isLeaving_ = watcher_.isLeaving(vm);
+    const auto *observation = watcher_.observation(vm);
+    if (!observation)
+        return seen;
+    seen.state_ = observation->state_;
+    seen.heardAt_ = observation->observedAt_;
+    seen.isFresh_ = watcher_.isFresh(vm);
+    seen.isStraggler_ = observation->isStraggler_;
+    return seen;
+}
+
+bool ControlNode::MemberLiveness::isAlive(const EntryId &entry, Incarnation incarnation) const
+{
+    const auto alive = membership_.aliveMembers();
+    return std::any_of(alive.begin(), alive.end(), [&](const membership::MemberEntry &member) {
+        return member.id_ == entry && member.incarnation_ == incarnation;
+    });
+}
+
+} // namespace cardamombay::control
--- /dev/null
+++ b/src/control/zone_planner.cpp
@@ -0,0 +1,149 @@
+#include <cardamombay/control/zone_planner.hpp>
+
+#include <cardamombay/leases/candidate_rank.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cardamombay::control {
+
+namespace {
+
+constexpr std::size_t ownEntriesWanted = 2;
+
+} // namespace
+
+std::vector<EntryId> planningEntries(const AvailabilityZone &zone,
+                                     const config::Configuration &configuration,
+                                     std::span<const membership::MemberEntry> alive)
+{
+    std::vector<EntryId> own;
+    std::vector<EntryId> region;
+    const config::Site *site = configuration.site(zone);
+    for (const auto &member : alive) {
+        if (member.isDraining_)
+            continue;
+        if (member.zone_ == zone)
+            own.push_back(member.id_);
+        if (site && member.region_ == site->region_)
+            region.push_back(member.id_);
+    }
+    return own.size() < ownEntriesWanted ? region : own;
+}
+
+ZonePlanner::ZonePlanner(Clock &clock, platform::TableStore &store,
+                         endpoint::EndpointOrders &orders, DecisionSink &decisions,
+                         const ControlSettings &settings, ControlCharts charts)
+    : clock_(clock)
+    , store_(store)
+    , orders_(orders)
+    , decisions_(decisions)
+    , settings_(settings)
+    , charts_(std::move(charts))
+    , random_(settings.randomSeed_)
+{
+}
+
+ZonePlanner::~ZonePlanner() = default;
+
+void ZonePlanner::tick(const PlanPicture &picture)
+{
+    if (isReleasing_ || !picture.configuration_)
+        return;
+    addDomains(picture);
+    for (auto &[name, domain] : domains_) {
+        rank(name, domain, picture);
+        if (domain.lease_->isHeld())
+            plan(domain, picture);
+    }
+}
+
+void ZonePlanner::addDomains(const PlanPicture &picture)
+{
+    for (const auto &record : picture.vms_) {
+        const bool isEngine = record.role_ == platform::VmRole::Engine;
+        if (!isEngine || record.domain_.isEmpty() || domains_.contains(record.domain_))
+            continue;
+        const auto entries
+            = planningEntries(record.zone_, *picture.configuration_, picture.alive_);
+        const bool isCandidate
+            = leases::candidateRank(record.domain_, settings_.self_, entries).has_value()
+              && std::find(entries.begin(), entries.end(), settings_.self_) != entries.end();
+        if (isCandidate)
+            domains_.emplace(record.domain_, makeDomain(record));
+    }
+}
+
+ZonePlanner::Domain ZonePlanner::makeDomain(const platform::VmRecord &record)
+{
+    Domain domain;
+    domain.zone_ = record.zone_;
+    domain.lease_ = std::make_unique<leases::LeaseKeeper>(
+        clock_, store_, Random(random_.bits()), settings_.leases_, settings_.self_,
+        settings_.incarnation_, record.domain_, charts_.lease_);
+    domain.manager_ = std::make_unique<groups::GroupManager>(
+        clock_, store_, orders_, *domain.lease_, decisions_, settings_.groups_, settings_.self_,
+        settings_.incarnation_, charts_.group_);
+    domain.lease_->start();
+    return domain;
+}
+
+void ZonePlanner::rank(const FabricDomain &name, Domain &domain, const PlanPicture &picture)
+{
+    const auto entries = planningEntries(domain.zone_, *picture.configuration_, picture.alive_);
+    const bool mayPlan
+        = std::find(entries.begin(), entries.end(), settings_.self_) != entries.end();
+    domain.lease_->setCandidateRank(
+        mayPlan ? leases::candidateRank(name, settings_.self_, entries) : std::nullopt);
+}
+
+void ZonePlanner::plan(Domain &domain, const PlanPicture &picture)
+{
+    groups::PlanInput input;
+    input.configuration_ = picture.configuration_;
+    input.zone_ = domain.zone_;
+    input.view_ = picture.view_;
+    input.board_ = picture.board_;
+    std::copy_if(picture.vms_.begin(), picture.vms_.end(), std::back_inserter(input.vms_),
+                 [&](const platform::VmRecord &record) {
+                     return record.role_ == platform::VmRole::Engine
+                            && record.zone_ == domain.zone_;
+                 });
+    domain.manager_->tick(input);
+}
+
+void ZonePlanner::release()
+{
+    isReleasing_ = true;
+    for (auto &[name, domain] : domains_)
+        domain.lease_->release();
+}
+
+bool ZonePlanner::isReleased() const
+{
+    return std::all_of(domains_.begin(), domains_.end(),
+                       [](const auto &item) { return item.second.lease_->isReleased(); });
+}
+
+std::vector<groups::GroupStatus> ZonePlanner::groups() const
+{
+    std::vector<groups::GroupStatus> all;
+    for (const auto &[name, domain] : domains_) {
+        auto part = domain.manager_->groups();
+        std::move(part.begin(), part.end(), std::back_inserter(all));
+    }
+    return all;
+}
+
+std::vector<const leases::LeaseKeeper *> ZonePlanner::heldLeases() const
+{
+    std::vector<const leases::LeaseKeeper *> held;
+    for (const auto &[name, domain] : domains_) {
+        if (domain.lease_->isHeld())
+            held.push_back(domain.lease_.get());
+    }
+    return held;
+}
+
+} // namespace cardamombay::control
