Move the member transitions into charts/member.toml

Cause: state charts live in files; the table held its transitions in code.

Change: charts/member.toml, makeMemberProgram(); MemberTable and Membership take the program.

Conclusion: one copy of the transitions; the constructor of Membership has one more parameter.

--- a/include/cardamombay/membership/member_table.hpp
+++ b/include/cardamombay/membership/member_table.hpp
@@ -1,13 +1,14 @@
 /// \file
-/// \brief The members as this entry VM knows them, and the rules by which reports change them.
+/// \brief The members as this entry VM knows them; charts/member.toml holds the rules.
 #pragma once
 
+#include <cardamombay/chart/machine.hpp>
+#include <cardamombay/core/result.hpp>
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/membership/digest.hpp>
 
 #include <map>
-#include <optional>
-#include <span>
+#include <string_view>
 #include <vector>
 
 namespace cardamombay::membership {
@@ -20,29 +21,37 @@
     TimePoint statusSince_{}; ///< On this entry VM's clock.
 };
 
-/// \brief What a report did to the table.
-enum class TableChange {
-    None,   ///< Known already, or older than what is known.
-    Minor,  ///< Only the configuration version or the address moved.
-    Changed ///< The change has to be passed on.
+/// \brief What the guards and actions of the chart work on.
+struct MemberEvent
+{
+    Member *member_ = nullptr;
+    const MemberEntry *report_ = nullptr; ///< Null for own evidence.
 };
 
+using MemberProgramPtr = chart::ProgramPtr<MemberEvent>;
+
+/// \brief Checks \p chart, which is charts/member.toml, against the code; done once, at start.
+[[nodiscard]] Result<MemberProgramPtr> makeMemberProgram(const chart::Chart &chart);
+
 /// \brief Table of the other members.
-/// \details A report counts by its incarnation first; within one incarnation Left outranks Dead,
-/// Dead outranks Suspect, Suspect outranks Alive. Only the member itself raises its incarnation,
-/// so a wrong suspicion is refuted by nobody else.
 class MemberTable
 {
 public:
     using Members = std::map<EntryId, Member>;
 
+    explicit MemberTable(MemberProgramPtr program)
+        : program_(std::move(program))
+    {
+    }
+
     /// \brief Takes a report into account.
-    TableChange apply(const MemberEntry &report, TimePoint now);
+    /// \returns true if it changed something that has to be passed on.
+    bool apply(const MemberEntry &report, TimePoint now);
 
     /// \brief Own evidence: the member did not answer, directly or through others.
-    TableChange suspect(const EntryId &id, TimePoint now);
+    bool suspect(const EntryId &id, TimePoint now);
     /// \brief Own evidence: the suspicion was not refuted in time.
-    TableChange declareDead(const EntryId &id, TimePoint now);
+    bool declareDead(const EntryId &id, TimePoint now);
     /// \brief Own evidence: the member ran at \p when with \p incarnation.
     /// \returns true if this ended a suspicion held here.
     bool heard(const EntryId &id, Incarnation incarnation, TimePoint when, TimePoint now);
@@ -70,10 +79,12 @@
         TimePoint changedAt_{};
     };
 
+    bool raise(const EntryId &id, std::string_view event, const MemberEntry *report, TimePoint now);
     void account(const MemberEntry &entry, bool isAdded, TimePoint now);
-    void setStatus(Member &member, MemberStatus status, TimePoint now);
 
+    MemberProgramPtr program_;
     Members members_;
+    std::map<EntryId, chart::Machine<MemberEvent>> machines_;
     std::map<RegionName, Region> regions_;
     std::size_t aliveCount_ = 0;
 };
--- a/include/cardamombay/membership/membership.hpp
+++ b/include/cardamombay/membership/membership.hpp
@@ -43,7 +43,8 @@
 
 /// \brief One entry VM's part in the membership protocol.
 /// \code
-/// Membership membership(clock, transport, Random(seed), settings, self);
+/// auto program = makeMemberProgram(valueOf(charts.load("member")));
+/// Membership membership(clock, transport, Random(seed), settings, self, valueOf(program));
 /// membership.setPayloadSource([&](Digest &out, const EntryId &) { watcher.appendTo(out); });
 /// membership.setPayloadSink([&](const Digest &in) { watcher.merge(in); });
 /// membership.start(seeds);
@@ -64,8 +65,9 @@
     /// \param settings periods and bounds.
     /// \param self this entry VM; its incarnation is higher than in any former run if possible, and
     /// raised by itself otherwise.
+    /// \param program of charts/member.toml, shared by all.
     Membership(Clock &clock, PeerTransport &transport, Random random, MembershipSettings settings,
-               MemberEntry self);
+               MemberEntry self, MemberProgramPtr program);
     Membership(const Membership &) = delete;
     Membership &operator=(const Membership &) = delete;
     ~Membership();
@@ -159,7 +161,7 @@
     void probeIndirectly(const EntryId &target);
 
     void send(const Member &target, Channel channel, bool wantsPayload);
-    void sendDigest(Address address, Digest digest, SentDigest sent);
+    void sendDigest(Address address, Digest digest, const SentDigest &sent);
     void finished(const SentDigest &sent, const Result<Digest> &result);
     void returnTable(const Digest &answer);
     void sendToSeed(const Address &seed);
@@ -179,7 +181,7 @@
 
     void changed(const MemberEntry &entry);
     void rebuildScope();
-    [[nodiscard]] bool isInitiator(const EntryId &peer) const;
+    [[nodiscard]] bool isInitiator(const EntryId &id) const;
     [[nodiscard]] bool isBridge() const;
     [[nodiscard]] bool isScope(const EntryId &id) const { return scope_.contains(id); }
     [[nodiscard]] Channel channelTo(const MemberEntry &entry) const;
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -8,14 +8,67 @@
 
 namespace {
 
-/// True if a report of \p incoming counts over what is known of the same incarnation.
-bool outranks(MemberStatus incoming, MemberStatus known)
+constexpr std::string_view aliveState = "alive";
+constexpr std::string_view suspectState = "suspect";
+constexpr std::string_view deadState = "dead";
+constexpr std::string_view leftState = "left";
+
+constexpr std::string_view heardEvent = "heard";
+constexpr std::string_view probeFailedEvent = "probe-failed";
+constexpr std::string_view expiredEvent = "suspicion-expired";
+
+std::string_view reportEvent(MemberStatus status)
+{
+    switch (status) {
+    case MemberStatus::Suspect:
+        return "reported-suspect";
+    case MemberStatus::Dead:
+        return "reported-dead";
+    case MemberStatus::Left:
+        return "reported-left";
+    case MemberStatus::Alive:
+        break;
+    }
+    return "reported-alive";
+}
+
+MemberStatus statusOf(std::string_view state)
 {
-    return static_cast<int>(incoming) > static_cast<int>(known);
+    if (state == suspectState)
+        return MemberStatus::Suspect;
+    if (state == deadState)
+        return MemberStatus::Dead;
+    return state == leftState ? MemberStatus::Left : MemberStatus::Alive;
+}
+
+void adopt(MemberEvent &event)
+{
+    const ConfigVersion version = event.member_->entry_.configVersion_;
+    event.member_->entry_ = *event.report_;
+    event.member_->entry_.configVersion_ = std::max(version, event.report_->configVersion_);
 }
 
 } // namespace
 
+Result<MemberProgramPtr> makeMemberProgram(const chart::Chart &chart)
+{
+    chart::Binding<MemberEvent> binding;
+    binding.state(aliveState).state(suspectState).state(deadState).state(leftState);
+    binding.events({"reported-alive", "reported-suspect", "reported-dead", "reported-left",
+                    heardEvent, probeFailedEvent, expiredEvent});
+    binding.guard("is-newer", [](const MemberEvent &event) {
+        return event.report_->incarnation_ > event.member_->entry_.incarnation_;
+    });
+    binding.guard("is-older", [](const MemberEvent &event) {
+        return event.report_->incarnation_ < event.member_->entry_.incarnation_;
+    });
+    binding.guard("is-evident", [](const MemberEvent &event) {
+        return event.member_->heardAt_ >= event.member_->statusSince_;
+    });
+    binding.action("adopt", adopt);
+    return chart::bind(chart, std::move(binding));
+}
+
 bool isLive(MemberStatus status)
 {
     return status == MemberStatus::Alive || status == MemberStatus::Suspect;
@@ -26,52 +79,33 @@
     return stableHash(id.text(), incarnation.value());
 }
 
-TableChange MemberTable::apply(const MemberEntry &report, TimePoint now)
+bool MemberTable::apply(const MemberEntry &report, TimePoint now)
 {
     const auto [place, isNew] = members_.try_emplace(report.id_);
     Member &member = place->second;
     if (isNew) {
         member.entry_ = report;
+        member.entry_.status_ = MemberStatus::Alive;
         member.statusSince_ = now;
-        account(report, true, now);
-        return TableChange::Changed;
+        machines_.emplace(report.id_, chart::Machine<MemberEvent>(program_));
+        account(member.entry_, true, now);
     }
-    MemberEntry &known = member.entry_;
-    const bool isNewer = report.incarnation_ > known.incarnation_;
-    const bool isSame = report.incarnation_ == known.incarnation_;
-    if (isNewer || (isSame && outranks(report.status_, known.status_))) {
-        const auto version = std::max(known.configVersion_, report.configVersion_);
-        account(known, false, now);
-        if (known.status_ != report.status_ || isNewer)
-            member.statusSince_ = now;
-        known = report;
-        known.configVersion_ = version;
-        account(known, true, now);
-        return TableChange::Changed;
+    const bool isChanged = raise(report.id_, reportEvent(report.status_), &report, now);
+    if (report.incarnation_ == member.entry_.incarnation_) {
+        member.entry_.configVersion_
+            = std::max(member.entry_.configVersion_, report.configVersion_);
     }
-    if (isSame && report.configVersion_ > known.configVersion_) {
-        known.configVersion_ = report.configVersion_;
-        return TableChange::Minor;
-    }
-    return TableChange::None;
+    return isNew || isChanged;
 }
 
-TableChange MemberTable::suspect(const EntryId &id, TimePoint now)
+bool MemberTable::suspect(const EntryId &id, TimePoint now)
 {
-    const auto found = members_.find(id);
-    if (found == members_.end() || found->second.entry_.status_ != MemberStatus::Alive)
-        return TableChange::None;
-    setStatus(found->second, MemberStatus::Suspect, now);
-    return TableChange::Changed;
+    return raise(id, probeFailedEvent, nullptr, now);
 }
 
-TableChange MemberTable::declareDead(const EntryId &id, TimePoint now)
+bool MemberTable::declareDead(const EntryId &id, TimePoint now)
 {
-    const auto found = members_.find(id);
-    if (found == members_.end() || found->second.entry_.status_ != MemberStatus::Suspect)
-        return TableChange::None;
-    setStatus(found->second, MemberStatus::Dead, now);
-    return TableChange::Changed;
+    return raise(id, expiredEvent, nullptr, now);
 }
 
 bool MemberTable::heard(const EntryId &id, Incarnation incarnation, TimePoint when, TimePoint now)
@@ -79,12 +113,26 @@
     const auto found = members_.find(id);
     if (found == members_.end() || found->second.entry_.incarnation_ > incarnation)
         return false;
+    found->second.heardAt_ = std::max(found->second.heardAt_, when);
+    return raise(id, heardEvent, nullptr, now);
+}
+
+bool MemberTable::raise(const EntryId &id, std::string_view event, const MemberEntry *report,
+                        TimePoint now)
+{
+    const auto found = members_.find(id);
+    if (found == members_.end())
+        return false;
     Member &member = found->second;
-    member.heardAt_ = std::max(member.heardAt_, when);
-    const bool wasSuspect = member.entry_.status_ == MemberStatus::Suspect;
-    if (!wasSuspect || when < member.statusSince_)
+    const MemberEntry before = member.entry_;
+    chart::Machine<MemberEvent> &machine = machines_.at(id);
+    MemberEvent context{&member, report};
+    if (machine.handle(context, event) != chart::Handled::Taken)
         return false;
-    setStatus(member, MemberStatus::Alive, now);
+    member.entry_.status_ = statusOf(machine.state());
+    member.statusSince_ = now;
+    account(before, false, now);
+    account(member.entry_, true, now);
     return true;
 }
 
@@ -98,9 +146,12 @@
 
 void MemberTable::forgetBefore(TimePoint limit)
 {
-    std::erase_if(members_, [limit](const auto &item) {
+    std::erase_if(members_, [this, limit](const auto &item) {
         const Member &member = item.second;
-        return !isLive(member.entry_.status_) && member.statusSince_ < limit;
+        const bool isForgotten = !isLive(member.entry_.status_) && member.statusSince_ < limit;
+        if (isForgotten)
+            machines_.erase(item.first);
+        return isForgotten;
     });
 }
 
@@ -141,12 +192,4 @@
     aliveCount_ += isAdded ? 1 : -1;
 }
 
-void MemberTable::setStatus(Member &member, MemberStatus status, TimePoint now)
-{
-    account(member.entry_, false, now);
-    member.entry_.status_ = status;
-    member.statusSince_ = now;
-    account(member.entry_, true, now);
-}
-
 } // namespace cardamombay::membership
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -27,12 +27,13 @@
 } // namespace
 
 Membership::Membership(Clock &clock, PeerTransport &transport, Random random,
-                       MembershipSettings settings, MemberEntry self)
+                       MembershipSettings settings, MemberEntry self, MemberProgramPtr program)
     : clock_(clock)
     , transport_(transport)
-    , random_(std::move(random))
+    , random_(random)
     , settings_(settings)
     , self_(std::move(self))
+    , table_(std::move(program))
     , nextSequence_(firstSequence(random_))
     , alive_(std::make_shared<bool>(true))
 {
@@ -307,7 +308,7 @@
             continue;
         }
         other.probeDeadline_ = TimePoint{};
-        if (table_.suspect(id, now) == TableChange::Changed) {
+        if (table_.suspect(id, now)) {
             ++counters_.suspicions_;
             changed(member->entry_);
         }
@@ -326,7 +327,7 @@
             lapsed.push_back(id);
     }
     for (const EntryId &id : lapsed) {
-        if (table_.declareDead(id, now) != TableChange::Changed)
+        if (!table_.declareDead(id, now))
             continue;
         ++counters_.deaths_;
         changed(table_.find(id)->entry_);
@@ -373,7 +374,7 @@
     sendDigest(target.entry_.address_, std::move(digest), sent);
 }
 
-void Membership::sendDigest(Address address, Digest digest, SentDigest sent)
+void Membership::sendDigest(Address address, Digest digest, const SentDigest &sent)
 {
     ++counters_.exchangesStarted_;
     const std::weak_ptr<bool> guard = alive_;
@@ -529,7 +530,7 @@
         refute(report);
         return;
     }
-    if (table_.apply(report, clock_.now()) == TableChange::Changed)
+    if (table_.apply(report, clock_.now()))
         changed(report);
 }
 
@@ -667,10 +668,10 @@
     scope_ = isSmall || site.empty() ? std::move(region) : std::move(site);
 }
 
-bool Membership::isInitiator(const EntryId &other) const
+bool Membership::isInitiator(const EntryId &id) const
 {
-    const EntryId &low = std::min(self_.id_, other);
-    const EntryId &high = std::max(self_.id_, other);
+    const EntryId &low = std::min(self_.id_, id);
+    const EntryId &high = std::max(self_.id_, id);
     const bool isLow = (rendezvousWeight(low.text(), high.text()) & 1U) == 0;
     return (isLow ? low : high) == self_.id_;
 }
--- a/src/rpc/json_rpc_peer_transport.cpp
+++ b/src/rpc/json_rpc_peer_transport.cpp
@@ -93,14 +93,15 @@
 {
     const std::uint64_t call = nextCall_++;
     const Duration timeout = timeout_;
-    http_.send(post(address, envelope(call, "exchange", encodeDigest(digest)), timeout),
-               [address, call, timeout, done = std::move(done)](const net::HttpResult &result) {
-                   const auto value = readResponse(address, result, call, timeout);
-                   if (isOk(value))
-                       done(digestOf(address, valueOf(value)));
-                   else
-                       done(errorOf(value));
-               });
+    auto request = post(address, envelope(call, "exchange", encodeDigest(digest)), timeout);
+    http_.send(std::move(request), [address = std::move(address), call, timeout,
+                                    done = std::move(done)](const net::HttpResult &result) {
+        const auto value = readResponse(address, result, call, timeout);
+        if (isOk(value))
+            done(digestOf(address, valueOf(value)));
+        else
+            done(errorOf(value));
+    });
 }
 
 void JsonRpcPeerTransport::call(Address address, const std::string &method,
@@ -108,14 +109,15 @@
 {
     const std::uint64_t call = nextCall_++;
     const Duration timeout = timeout_;
-    http_.send(post(address, envelope(call, method, parameter), timeout),
-               [address, call, timeout, done = std::move(done)](const net::HttpResult &result) {
-                   const auto value = readResponse(address, result, call, timeout);
-                   if (isOk(value))
-                       done(impl::write(valueOf(value)));
-                   else
-                       done(errorOf(value));
-               });
+    auto request = post(address, envelope(call, method, parameter), timeout);
+    http_.send(std::move(request), [address = std::move(address), call, timeout,
+                                    done = std::move(done)](const net::HttpResult &result) {
+        const auto value = readResponse(address, result, call, timeout);
+        if (isOk(value))
+            done(impl::write(valueOf(value)));
+        else
+            done(errorOf(value));
+    });
 }
 
 } // namespace cardamombay::rpc
--- a/tests/membership/failures.cpp
+++ b/tests/membership/failures.cpp
@@ -9,9 +9,18 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+namespace {
+
+FleetShape shape(std::size_t nodes, std::size_t zones = 3, std::size_t regions = 1)
+{
+    return FleetShape{nodes, zones, regions, SOURCE_FOLDER "/charts"};
+}
+
+} // namespace
+
 Test(membership, nodes_that_know_one_seed_find_each_other)
 {
-    Fleet fleet(FleetShape{});
+    Fleet fleet(shape(7));
 
     fleet.run(seconds(5));
 
@@ -20,7 +29,7 @@
 
 Test(membership, silent_member_is_suspected_then_dead)
 {
-    Fleet fleet(FleetShape{});
+    Fleet fleet(shape(7));
     fleet.run(seconds(5));
 
     fleet.kill(6);
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -3,6 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <cstdlib>
+#include <iostream>
+#include <utility>
 
 namespace cardamombay::support {
 
@@ -10,14 +13,30 @@
 using membership::Membership;
 using membership::MemberStatus;
 
+membership::MemberProgramPtr memberProgram(const std::string &folder)
+{
+    const auto chart = chart::ChartFolder(folder).load("member");
+    if (!isOk(chart)) {
+        std::cerr << errorOf(chart) << std::endl;
+        std::abort();
+    }
+    const auto program = membership::makeMemberProgram(valueOf(chart));
+    if (!isOk(program)) {
+        std::cerr << errorOf(program) << std::endl;
+        std::abort();
+    }
+    return valueOf(program);
+}
+
 Fleet::Fleet(FleetShape shape, std::uint64_t seed, membership::MembershipSettings settings)
     : network_(clock_, seed)
-    , shape_(shape)
+    , shape_(std::move(shape))
     , seed_(seed)
     , settings_(settings)
+    , program_(memberProgram(shape_.charts_))
 {
-    nodes_.resize(shape.nodes_);
-    for (std::size_t i = 0; i < shape.nodes_; ++i)
+    nodes_.resize(shape_.nodes_);
+    for (std::size_t i = 0; i < shape_.nodes_; ++i)
         add(i, Incarnation(1));
 }
 
@@ -48,8 +67,9 @@
     nodes_[index].reset();
     network_.addNode(self.id_, self.address_);
     const std::uint64_t nodeSeed = seed_ * 1000003 + index + incarnation.value() * 7919;
-    nodes_[index] = std::make_unique<Membership>(
-        network_.clock(self.id_), network_.transport(self.id_), Random(nodeSeed), settings_, self);
+    nodes_[index]
+        = std::make_unique<Membership>(network_.clock(self.id_), network_.transport(self.id_),
+                                       Random(nodeSeed), settings_, self, program_);
     Membership *node = nodes_[index].get();
     network_.setHandler(self.id_,
                         [node](const membership::Digest &digest) { return node->handle(digest); });
--- a/tests/support/fake_fleet.hpp
+++ b/tests/support/fake_fleet.hpp
@@ -18,8 +18,12 @@
     std::size_t nodes_ = 7;
     std::size_t zones_ = 3;
     std::size_t regions_ = 1;
+    std::string charts_ = "charts"; ///< Folder of the state charts.
 };
 
+/// \brief The program of member.toml in \p folder.
+[[nodiscard]] membership::MemberProgramPtr memberProgram(const std::string &folder);
+
 /// \brief Entry VMs e000, e001 and so on; all join through the first.
 class Fleet
 {
@@ -43,7 +47,7 @@
     /// \brief The status of \p whom as \p viewer sees it; Left if unknown.
     [[nodiscard]] membership::MemberStatus status(std::size_t viewer, std::size_t whom) const;
     /// \brief True if every node of \p viewers sees every node of \p whom alive.
-    [[nodiscard]] bool allSee(membership::MemberStatus status,
+    [[nodiscard]] bool allSee(membership::MemberStatus expected,
                               const std::vector<std::size_t> &viewers,
                               const std::vector<std::size_t> &whom) const;
     [[nodiscard]] std::vector<std::size_t> all() const;
@@ -58,6 +62,7 @@
     FleetShape shape_;
     std::uint64_t seed_;
     membership::MembershipSettings settings_;
+    membership::MemberProgramPtr program_;
     std::vector<std::unique_ptr<membership::Membership>> nodes_;
 };
 
