--- a/include/cardamombay/membership/digest.hpp
+++ b/include/cardamombay/membership/digest.hpp
@@ -144,6 +144,7 @@
     EchoEntry echo_;
     bool wantsTable_ = false;   ///< The sender joins: the answer holds every member.
     bool wantsPayload_ = false; ///< The answer holds observations, demand and the like.
+    ConfigVersion newestConfig_; ///< Highest version that the sender has heard of.
     std::optional<WatchSummary> watch_;
     std::vector<RegionSummary> regions_;
     std::vector<SiteSummary> sites_;
--- a/include/cardamombay/membership/membership.hpp
+++ b/include/cardamombay/membership/membership.hpp
@@ -108,8 +108,8 @@
     [[nodiscard]] std::vector<MemberEntry> aliveMembers() const;
     /// \brief The live peers whose payload arrives each period.
     [[nodiscard]] std::vector<EntryId> scopePeers() const;
-    /// \brief Highest configuration version that any member is known to have, self included.
-    [[nodiscard]] ConfigVersion highestConfigVersion() const;
+    /// \brief Highest configuration version that was heard of, here or from any member.
+    [[nodiscard]] ConfigVersion highestConfigVersion() const { return newestConfig_; }
     /// \brief Configuration in force by site, own site first-hand, others by their summaries.
     [[nodiscard]] std::vector<SiteSummary> siteSummaries() const;
     [[nodiscard]] const MembershipCounters &counters() const { return counters_; }
@@ -180,6 +180,7 @@
     [[nodiscard]] std::optional<RegionName> differingRegion(const Digest &digest);
 
     void changed(const MemberEntry &entry);
+    void noteConfigVersion(ConfigVersion version);
     void rebuildScope();
     [[nodiscard]] bool isInitiator(const EntryId &id) const;
     [[nodiscard]] bool isBridge() const;
@@ -205,6 +206,7 @@
     std::map<AvailabilityZone, RemoteSite> remoteSites_;
     std::vector<Address> seeds_;
     std::uint64_t nextSequence_;
+    ConfigVersion newestConfig_;
     PayloadSource source_;
     PayloadSink sink_;
     ChangeHandler onChange_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -97,6 +97,18 @@
 void Membership::setConfigVersion(ConfigVersion version)
 {
     self_.configVersion_ = std::max(self_.configVersion_, version);
+    noteConfigVersion(version);
+}
+
+void Membership::noteConfigVersion(ConfigVersion version)
+{
+    if (version <= newestConfig_)
+        return;
+    newestConfig_ = version;
+    // A few hops in quick succession carry it through the site, the region and the others.
+    flushSoon();
+    nextProbeAt_ = TimePoint{};
+    nextBridgeAt_ = TimePoint{};
 }
 
 void Membership::setExtraPeers(std::span<const EntryId> peers)
@@ -456,6 +468,7 @@
     digest.from_ = self_;
     digest.to_ = to;
     digest.sequence_ = nextSequence_++;
+    digest.newestConfig_ = newestConfig_;
     if (!to.isEmpty()) {
         PeerLink &link = peer(to).link_;
         digest.echo_ = link.echo(now);
@@ -509,6 +522,7 @@
     const MemberEntry &from = digest.from_;
     peer(from.id_).link_.noteReceived(digest.sequence_, now);
     applyReport(from);
+    noteConfigVersion(std::max(from.configVersion_, digest.newestConfig_));
     if (madeAfter && table_.heard(from.id_, from.incarnation_, *madeAfter, now)) {
         if (const Member *member = table_.find(from.id_))
             changed(member->entry_);
@@ -736,16 +750,6 @@
     return {scope_.begin(), scope_.end()};
 }
 
-ConfigVersion Membership::highestConfigVersion() const
-{
-    ConfigVersion highest = self_.configVersion_;
-    for (const auto &[id, member] : table_.members())
-        highest = std::max(highest, member.entry_.configVersion_);
-    for (const auto &[zone, site] : remoteSites_)
-        highest = std::max(highest, site.summary_.newest_);
-    return highest;
-}
-
 SiteSummary Membership::ownSite() const
 {
     SiteSummary site{self_.zone_, 1, self_.configVersion_, self_.configVersion_, {}};
--- a/src/rpc/digest_json.cpp
+++ b/src/rpc/digest_json.cpp
@@ -28,6 +28,7 @@
 constexpr const char *sequenceKey = "q";
 constexpr const char *echoKey = "e";
 constexpr const char *flagsKey = "b";
+constexpr const char *newestConfigKey = "v";
 constexpr const char *membersKey = "m";
 constexpr const char *observationsKey = "o";
 constexpr const char *leavingKey = "l";
@@ -446,6 +447,8 @@
         = (digest.wantsTable_ ? tableFlag : 0U) | (digest.wantsPayload_ ? payloadFlag : 0U);
     if (flags != 0)
         object[flagsKey] = flags;
+    if (digest.newestConfig_ > digest.from_.configVersion_)
+        object[newestConfigKey] = Json::UInt64(digest.newestConfig_.value());
     writeList(object, membersKey, digest.members_, memberToJson);
     writeList(object, observationsKey, digest.observations_, observationToJson);
     writeList(object, leavingKey, digest.leaving_, leavingToJson);
@@ -478,6 +481,13 @@
     const unsigned flags = value[flagsKey].asUInt();
     digest.wantsTable_ = (flags & tableFlag) != 0;
     digest.wantsPayload_ = (flags & payloadFlag) != 0;
+    digest.newestConfig_ = digest.from_.configVersion_;
+    if (value.isMember(newestConfigKey)) {
+        const Json::UInt64 newest = value[newestConfigKey].asUInt64();
+        if (newest > INT64_MAX)
+            throw std::runtime_error("a configuration version is out of range");
+        digest.newestConfig_ = ConfigVersion(newest);
+    }
     readList(value, membersKey, digest.members_, memberFrom);
     readList(value, observationsKey, digest.observations_, observationFrom);
     readList(value, leavingKey, digest.leaving_, leavingFrom);
--- a/tests/rpc/digest_codec.cpp
+++ b/tests/rpc/digest_codec.cpp
@@ -36,6 +36,7 @@
     digest.sequence_ = 77;
     digest.echo_ = EchoEntry{55, milliseconds(12)};
     digest.wantsPayload_ = true;
+    digest.newestConfig_ = ConfigVersion(43);
     digest.members_.push_back(sampleMember());
     ObservationEntry observation;
     observation.state_.vm_ = VmId("vm-21");
