Give each prompt prefix a home group that all entry VMs agree on

Cause: each entry VM knew only its own routing, so a conversation that the balancer moved between entry VMs found its cache in half of the cases. Conclusion: agreement by hash replaces an exchange of cache contents between entry VMs.

--- a/include/cardamombay/routing/route_decision.hpp
+++ b/include/cardamombay/routing/route_decision.hpp
@@ -30,6 +30,7 @@
 /// \brief Why the group was chosen, or why there is none.
 enum class RouteReason {
     PrefixAffinity, ///< It probably holds the prefix, and its load is within the slack.
+    PrefixHome,     ///< All entry VMs send this prefix there; its load is within the slack.
     BetterOfTwo,    ///< The less loaded of two drawn groups.
     OnlyCandidate,
     UnknownService, ///< The snapshot has no such service.
--- a/src/routing/route_decision.cpp
+++ b/src/routing/route_decision.cpp
@@ -9,6 +9,8 @@
     switch (reason) {
     case RouteReason::PrefixAffinity:
         return "prefix-affinity";
+    case RouteReason::PrefixHome:
+        return "prefix-home";
     case RouteReason::BetterOfTwo:
         return "better-of-two";
     case RouteReason::OnlyCandidate:
--- a/src/routing/router_state.cpp
+++ b/src/routing/router_state.cpp
@@ -1,6 +1,7 @@
 #include "routing/router_state.hpp"
 
 #include <algorithm>
+#include <bit>
 #include <limits>
 
 namespace cardamombay::routing::impl {
@@ -15,6 +16,17 @@
 /// Ejections by own measurement are looked at again this often under one snapshot.
 constexpr Duration viewLife = std::chrono::seconds(1);
 
+/// Prompts shorter than this many blocks have no home: there is little to save.
+constexpr std::size_t minimumAnchor = 4;
+
+/// \brief Spreads the bits of \p value (the finalizer of SplitMix64).
+[[nodiscard]] std::uint64_t mix(std::uint64_t value)
+{
+    value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+    return value ^ (value >> 31);
+}
+
 /// \brief Why nothing could be taken; the cause nearest to being usable is named.
 [[nodiscard]] RouteReason reasonForNone(const PassedOver &passedOver)
 {
@@ -125,7 +137,7 @@
     }
     const Weighed weighed = summarize();
     const bool usesCache = step.role_ != GroupRole::Decode;
-    if (usesCache && pickHolder(view, request, weighed, now, decision))
+    if (usesCache && pickByPrefix(view, request, weighed, now, decision))
         return decision;
     pickBetterOfTwo(view, weighed, decision);
     return decision;
@@ -187,36 +199,80 @@
     return weighed;
 }
 
-bool RouterState::pickHolder(const ServiceView &view, const RouteRequest &request,
-                             const Weighed &weighed, TimePoint now, RouteDecision &decision)
+bool RouterState::pickByPrefix(const ServiceView &view, const RouteRequest &request,
+                               const Weighed &weighed, TimePoint now, RouteDecision &decision)
 {
     const auto blocks = request.prefixHashes_;
+    const double limit = weighed.least_ + policy_.affinitySlack_;
+    const std::size_t matched = index_.matchedBlocks(blocks, now);
+    const std::size_t anchor = std::bit_floor(blocks.size());
+    if (matched >= anchor && matched > 0
+        && pickHolderAt(view, blocks[matched - 1], matched, limit, now, decision))
+        return true;
+    // Another entry VM may have served the rest of the prompt; all of them agree on its home.
+    if (anchor >= minimumAnchor && pickHome(view, blocks[anchor - 1], limit, decision))
+        return true;
     // Fewer matched blocks have more holders, so a loaded deep holder gives way to shallower ones.
-    for (std::size_t depth = index_.matchedBlocks(blocks, now); depth > 0; depth /= 2) {
-        const PrefixHolders holders = index_.holders(blocks[depth - 1], now);
-        double best = noLoad;
-        std::size_t bestPosition = 0;
-        for (const OwnerIndex owner : holders.all()) {
-            const auto position = view.position(owner);
-            if (!position || loads_[*position] == passedOverLoad)
-                continue;
-            const double penalty = view.groups_[*position].isLocal_ ? 0 : policy_.zoneSlack_;
-            const double load = loads_[*position] + penalty;
-            if (load < best) {
-                best = load;
-                bestPosition = *position;
-            }
-        }
-        if (best <= weighed.least_ + policy_.affinitySlack_) {
-            decision.group_ = view.groups_[bestPosition].group_;
-            decision.reason_ = RouteReason::PrefixAffinity;
-            addCandidate(decision, view.groups_[bestPosition], best, depth);
+    for (std::size_t depth = matched; depth > 0; depth /= 2) {
+        if (pickHolderAt(view, blocks[depth - 1], depth, limit, now, decision))
             return true;
-        }
     }
     return false;
 }
 
+double RouterState::affinityLoad(const ServiceView &view, std::size_t position) const
+{
+    const double penalty = view.groups_[position].isLocal_ ? 0 : policy_.affinityZoneSlack_;
+    return loads_[position] + penalty;
+}
+
+bool RouterState::pickHolderAt(const ServiceView &view, std::uint64_t block, std::size_t depth,
+                               double limit, TimePoint now, RouteDecision &decision) const
+{
+    double best = noLoad;
+    std::size_t bestPosition = 0;
+    const PrefixHolders holders = index_.holders(block, now);
+    for (const OwnerIndex owner : holders.all()) {
+        const auto position = view.position(owner);
+        if (!position || loads_[*position] == passedOverLoad)
+            continue;
+        const double load = affinityLoad(view, *position);
+        if (load < best) {
+            best = load;
+            bestPosition = *position;
+        }
+    }
+    if (best > limit)
+        return false;
+    decision.group_ = view.groups_[bestPosition].group_;
+    decision.reason_ = RouteReason::PrefixAffinity;
+    addCandidate(decision, view.groups_[bestPosition], best, depth);
+    return true;
+}
+
+bool RouterState::pickHome(const ServiceView &view, std::uint64_t anchor, double limit,
+                           RouteDecision &decision) const
+{
+    std::size_t home = 0;
+    std::uint64_t highest = 0;
+    for (const auto *positions : {&locals_, &remotes_}) {
+        for (const std::uint32_t position : *positions) {
+            const std::uint64_t weight = mix(anchor ^ view.groups_[position].hash_);
+            if (weight >= highest) {
+                highest = weight;
+                home = position;
+            }
+        }
+    }
+    const double load = affinityLoad(view, home);
+    if (load > limit)
+        return false;
+    decision.group_ = view.groups_[home].group_;
+    decision.reason_ = RouteReason::PrefixHome;
+    addCandidate(decision, view.groups_[home], load);
+    return true;
+}
+
 const std::vector<std::uint32_t> &RouterState::pool(const Weighed &weighed)
 {
     if (remotes_.empty())
--- a/src/routing/router_state.hpp
+++ b/src/routing/router_state.hpp
@@ -55,8 +55,13 @@
                                PassedOver &passedOver) const;
     void weigh(const ServiceView &view, const RouteRequest &request, const Step &step,
                TimePoint now, RouteDecision &decision, bool takesEjected);
-    [[nodiscard]] bool pickHolder(const ServiceView &view, const RouteRequest &request,
-                                  const Weighed &weighed, TimePoint now, RouteDecision &decision);
+    [[nodiscard]] bool pickByPrefix(const ServiceView &view, const RouteRequest &request,
+                                    const Weighed &weighed, TimePoint now, RouteDecision &decision);
+    [[nodiscard]] bool pickHolderAt(const ServiceView &view, std::uint64_t block, std::size_t depth,
+                                    double limit, TimePoint now, RouteDecision &decision) const;
+    [[nodiscard]] bool pickHome(const ServiceView &view, std::uint64_t anchor, double limit,
+                                RouteDecision &decision) const;
+    [[nodiscard]] double affinityLoad(const ServiceView &view, std::size_t position) const;
     void pickBetterOfTwo(const ServiceView &view, const Weighed &weighed, RouteDecision &decision);
     [[nodiscard]] Weighed summarize() const;
     [[nodiscard]] const std::vector<std::uint32_t> &pool(const Weighed &weighed);
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -1,5 +1,7 @@
 #include "routing/service_view.hpp"
 
+#include <cardamombay/core/hash.hpp>
+
 #include <algorithm>
 
 namespace cardamombay::routing::impl {
@@ -72,6 +74,7 @@
         GroupView entry;
         entry.group_ = &group;
         entry.owner_ = owner;
+        entry.hash_ = stableHash(group.group_.text());
         entry.othersLoad_ = othersAt(group, state);
         entry.perCapacity_ = 1.0 / std::max(group.capacity_, 1U);
         entry.freshUntil_ = group.freshUntil_;
--- a/src/routing/service_view.hpp
+++ b/src/routing/service_view.hpp
@@ -18,6 +18,7 @@
 {
     const SnapshotGroup *group_ = nullptr;
     OwnerIndex owner_ = 0;
+    std::uint64_t hash_ = 0; ///< Of the group's identifier; the same on every entry VM.
     double othersLoad_ = 0;  ///< Requests that other entry VMs have at the group.
     double perCapacity_ = 1; ///< One over the group's capacity.
     TimePoint freshUntil_{};
