Add the HTTP server, upstream calls, request parsing and the stream relay

Cause: callers' requests must be read within bounds, understood, and answered with whole streams only. Change: net::HttpServer (limits, timeouts, pipelining, half-closed callers), net::Upstream (own connection for each call, back-pressure), traffic::parseRequest, problem bodies, StreamRelay without copies.

--- /dev/null
+++ b/include/cardamombay/net/http_server.hpp
@@ -0,0 +1,108 @@
+/// \file
+/// \brief HTTP server: listens, reads whole requests within bounds, keeps callers' connections.
+/// \details Each connection belongs to one worker thread. Requests of a connection are handled
+/// one after the other, so pipelined ones are answered in order. Input that is no acceptable
+/// request never reaches the handler; the handler only words the refusal. A caller that closed
+/// its sending side still gets its answer.
+#pragma once
+
+#include <cardamombay/core/address.hpp>
+#include <cardamombay/core/result.hpp>
+#include <cardamombay/core/time.hpp>
+#include <cardamombay/net/server_exchange.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace cardamombay::net {
+
+/// \brief Bounds on what a caller may send and how long it may take.
+struct HttpServerLimits
+{
+    std::size_t headerBytes_ = std::size_t{16} * 1024;
+    std::size_t bodyBytes_ = std::size_t{1024} * 1024;
+    std::size_t connections_ = 4096;
+    Duration readTimeout_ = std::chrono::seconds(10); ///< From a request's first byte to its last.
+    Duration idleTimeout_ = std::chrono::seconds(60); ///< Between two requests.
+    Duration writeTimeout_ = std::chrono::seconds(30);
+};
+
+/// \brief Why input was not taken as a request; it was not run.
+enum class ServerFault {
+    Malformed,      ///< 400
+    SlowRequest,    ///< 408
+    BodyTooLarge,   ///< 413
+    HeaderTooLarge, ///< 431
+};
+
+/// \brief Status code of a fault.
+[[nodiscard]] std::uint32_t statusOf(ServerFault fault);
+
+/// \brief Takes the requests of one worker thread.
+class HttpHandler
+{
+public:
+    HttpHandler() = default;
+    HttpHandler(const HttpHandler &) = delete;
+    HttpHandler &operator=(const HttpHandler &) = delete;
+    virtual ~HttpHandler() = default;
+
+    /// \brief Answers \p request through \p exchange, now or later.
+    virtual void handle(ServerRequest request, std::shared_ptr<ServerExchange> exchange) = 0;
+
+    /// \brief Words the response to input that is no acceptable request.
+    virtual HttpResponse refusal(ServerFault fault, std::string_view detail) = 0;
+};
+
+/// \brief A thread's event loop with its handler; both outlive the server.
+struct ServerWorker
+{
+    boost::asio::io_context *context_ = nullptr;
+    HttpHandler *handler_ = nullptr;
+};
+
+/// \brief HTTP/1.1 server.
+/// \code
+/// net::HttpServer server({{&context, &handler}}, {});
+/// const auto bound = server.listen({"127.0.0.1", 8080});
+/// \endcode
+class HttpServer
+{
+public:
+    /// \param workers at least one; the first one accepts and hands sockets round robin.
+    /// \param limits bounds for all connections.
+    HttpServer(std::vector<ServerWorker> workers, HttpServerLimits limits);
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+    ~HttpServer();
+
+    /// \brief Binds and starts to accept; call before the workers run.
+    /// \returns the address with the port that was bound, or InvalidInput.
+    [[nodiscard]] Result<Address> listen(const Address &address);
+
+    /// \name Shutdown; may be called from any thread
+    /// \{
+    /// \brief From now on every response ends its connection.
+    void closeConnectionsAfterResponse();
+    /// \brief Closes the listener.
+    void stopAccepting();
+    /// \brief Closes connections on which no request is under way.
+    void closeIdleConnections();
+    /// \}
+
+    /// \brief Open connections, on all workers.
+    [[nodiscard]] std::size_t connections() const;
+
+private:
+    class Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+} // namespace cardamombay::net
--- a/include/cardamombay/traffic/claim.hpp
+++ b/include/cardamombay/traffic/claim.hpp
@@ -4,7 +4,7 @@
 
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/core/time.hpp>
-#include <cardamombay/traffic/outcome.hpp>
+#include <cardamombay/outcomes/outcome.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -56,7 +56,7 @@
     TeamName team_;
     IdempotencyKey key_;
     RequestId request_;
-    Outcome outcome_ = Outcome::Unknown;
+    outcomes::Outcome outcome_ = outcomes::Outcome::Unknown;
     StoredAnswer answer_; ///< Only if Ran.
 };
 
--- /dev/null
+++ b/src/net/http_server_connection.hpp
@@ -0,0 +1,97 @@
+/// \file
+/// \brief One caller's connection: reads requests one after the other and writes the answers.
+#pragma once
+
+#include <net/http_server_state.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cardamombay::net::impl {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+/// \brief Connection; kept alive by its pending operations and its exchange.
+class ServerConnection final : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+    ServerConnection(tcp::socket socket, std::shared_ptr<WorkerState> worker);
+    ~ServerConnection();
+    ServerConnection(const ServerConnection &) = delete;
+    ServerConnection &operator=(const ServerConnection &) = delete;
+
+    void start();
+    void close();
+    void closeIfIdle();
+
+    /// \name Answering; called by the exchange of the present request
+    /// \{
+    void respond(HttpResponse response);
+    void startStream(const HttpResponse &head);
+    void write(std::span<const std::string_view> parts, std::function<void()> written);
+    void finish(std::span<const HttpField> trailers);
+    void onLost(std::function<void()> lost) { lost_ = std::move(lost); }
+    /// \}
+
+private:
+    enum class Activity { Idle, Reading, Answering, Closing };
+
+    /// \name Reading
+    /// \{
+    void readRequest();
+    void readHeader();
+    void readBody();
+    void readBodyBytes();
+    void handleRequest();
+    void handleReadError(error_code error);
+    void refuse(ServerFault fault, std::string_view detail);
+    void startReadTimer();
+    void watchForReset();
+    /// \}
+
+    /// \name Writing
+    /// \{
+    [[nodiscard]] std::string headText(const HttpResponse &response,
+                                       std::string_view framing) const;
+    [[nodiscard]] bool endsConnection() const;
+    void answered(error_code error, bool isLast);
+    void linger();
+    void readUntilEnd();
+    void lose();
+    /// \}
+
+    beast::tcp_stream stream_;
+    boost::asio::steady_timer readTimer_;
+    std::shared_ptr<WorkerState> worker_;
+    std::string callerIp_;
+    beast::flat_buffer buffer_;
+    std::optional<http::request_parser<http::string_body>> parser_;
+    Activity activity_ = Activity::Idle;
+    bool isClosed_ = false;
+    bool isSlow_ = false;
+    bool keepsAlive_ = true;
+    bool isHead_ = false;
+    bool isChunked_ = true; ///< False for HTTP/1.0 callers: their end of stream is the close.
+    std::size_t lingered_ = 0;
+    std::string head_; ///< Head of the response that is being sent.
+    std::string body_;
+    std::string chunkHead_;
+    std::function<void()> lost_;
+};
+
+} // namespace cardamombay::net::impl
