--- a/include/cardamombay/net/upstream.hpp
+++ b/include/cardamombay/net/upstream.hpp
@@ -53,8 +53,9 @@
     /// \param data all bytes that were not consumed yet; valid until the next consume().
     virtual void onData(std::string_view data) = 0;
 
-    /// \brief The answer is whole, as its framing says; unconsumed bytes stay valid.
-    virtual void onEnd() = 0;
+    /// \brief The answer is whole, as its framing says.
+    /// \param rest all bytes that were not consumed; valid as long as the call.
+    virtual void onEnd(std::string_view rest) = 0;
 
     /// \brief The connection was not made, broke, or broke the protocol.
     virtual void onFailure(UpstreamFailure failure) = 0;
--- /dev/null
+++ b/include/cardamombay/traffic/dispatcher.hpp
@@ -0,0 +1,118 @@
+/// \file
+/// \brief Admission, routing and retries of the daemon, shared by its traffic threads.
+/// \details The decisions themselves stand in modules limits, routing and retries; this class lets
+/// several threads share one of each, since capacity and budgets are those of the whole entry VM.
+/// A decision takes microseconds, so one mutex serves them all.
+#pragma once
+
+#include <cardamombay/limits/admission.hpp>
+#include <cardamombay/retries/circuit_board.hpp>
+#include <cardamombay/retries/retry_policy.hpp>
+#include <cardamombay/routing/router.hpp>
+#include <cardamombay/traffic/control_link.hpp>
+
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace cardamombay::traffic {
+
+/// \brief Settings of the decisions.
+struct DispatchPolicy
+{
+    limits::LimitsPolicy limits_;
+    routing::RouterPolicy router_;
+    retries::RetrySettings retries_;
+    retries::CircuitPolicy circuits_;
+};
+
+/// \brief What an attempt needs of a group.
+struct RouteQuery
+{
+    ServiceName service_;
+    std::span<const std::uint64_t> prefixHashes_;
+    std::span<const GroupId> tried_;                     ///< Taken again only if no other is left.
+    const endpoint::ModelSpec *requiredModel_ = nullptr; ///< Set to resume a stream.
+};
+
+/// \brief The group that an attempt goes to, or why there is none.
+struct RouteChoice
+{
+    std::optional<routing::SnapshotGroup> group_;
+    routing::RouteReason reason_ = routing::RouteReason::NoGroups;
+};
+
+/// \brief How an attempt ended for its group.
+enum class GroupResult {
+    Succeeded,
+    Failed,
+    Abandoned ///< Stopped by this side; says nothing of the group.
+};
+
+/// \brief Final answer to a request that waited for admission.
+using AdmissionAnswer = std::variant<limits::Admitted, limits::Shed>;
+
+/// \brief The shared decisions; every function may be called from any thread.
+class Dispatcher
+{
+public:
+    /// \brief Called once, from any thread and never under the dispatcher's lock.
+    using AdmissionCallback = std::function<void(AdmissionAnswer)>;
+
+    explicit Dispatcher(std::uint64_t seed, const DispatchPolicy &policy = {});
+
+    /// \name Admission
+    /// \{
+    /// \brief Asks to let \p request in; \p answered is called only if it is queued.
+    [[nodiscard]] limits::AdmissionDecision offer(const limits::AdmissionRequest &request,
+                                                  const routing::RoutingSnapshot &snapshot,
+                                                  TimePoint now, AdmissionCallback answered);
+
+    /// \brief The request is over; whoever waits may follow.
+    void finished(const RequestId &request, const routing::RoutingSnapshot &snapshot,
+                  TimePoint now);
+
+    /// \brief Gives waiting requests their answers that time or a new snapshot brought.
+    void releaseWaiting(const routing::RoutingSnapshot &snapshot, TimePoint now);
+    /// \}
+
+    /// \name Attempts
+    /// \{
+    /// \brief Chooses a group and counts the attempt as started there.
+    [[nodiscard]] RouteChoice startAttempt(const routing::RoutingSnapshot &snapshot,
+                                           const RouteQuery &query, TimePoint now);
+    void finishAttempt(const GroupId &group, GroupResult result, Duration timeToFirstToken,
+                       TimePoint now);
+    void freshRequest(const ServiceName &service, TimePoint now);
+    [[nodiscard]] retries::RetryDecision retry(const retries::FailedAttempt &attempt,
+                                               TimePoint now);
+    /// \}
+
+    /// \brief Demand and in-flight requests for the control thread.
+    [[nodiscard]] TrafficReport report(const routing::RoutingSnapshot &snapshot, TimePoint now);
+
+private:
+    struct PendingAnswer
+    {
+        AdmissionCallback answered_;
+        AdmissionAnswer answer_;
+    };
+
+    [[nodiscard]] std::vector<PendingAnswer> takeReleased(const routing::RoutingSnapshot &snapshot,
+                                                          TimePoint now);
+    [[nodiscard]] routing::RouteDecision choose(const routing::RoutingSnapshot &snapshot,
+                                                const RouteQuery &query, TimePoint now);
+
+    std::mutex mutex_;
+    limits::Admission admission_;
+    routing::Router router_;
+    retries::RetryPolicy retries_;
+    retries::CircuitBoard circuits_;
+    std::unordered_map<RequestId, AdmissionCallback> waiting_;
+};
+
+} // namespace cardamombay::traffic
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -157,7 +157,7 @@
     if (listener_ == nullptr)
         return;
     if (parser_.is_done())
-        listener_->onEnd();
+        listener_->onEnd({body_.data(), filled_});
     else
         readBody();
 }
@@ -193,7 +193,7 @@
         if (filled_ != before)
             listener_->onData({body_.data(), filled_});
         if (listener_ != nullptr)
-            listener_->onEnd();
+            listener_->onEnd({body_.data(), filled_});
         return;
     }
     if (filled_ == before)
--- /dev/null
+++ b/src/traffic/attempt_run.hpp
@@ -0,0 +1,106 @@
+/// \file
+/// \brief One attempt under way: carries bytes between an endpoint and the caller.
+/// \details What an event means is decided by outcomes::Attempt and StreamRelay; this class only
+/// moves data between the two connections and says when the attempt is over.
+#pragma once
+
+#include <cardamombay/outcomes/attempt.hpp>
+#include <cardamombay/routing/routing_snapshot.hpp>
+#include <cardamombay/traffic/parsed_request.hpp>
+#include <cardamombay/traffic/stream_relay.hpp>
+#include <cardamombay/traffic/traffic_context.hpp>
+#include <traffic/caller_answer.hpp>
+
+#include <memory>
+
+namespace cardamombay::traffic::impl {
+
+/// \brief Where an attempt goes.
+struct AttemptPlan
+{
+    AttemptId id_;
+    routing::SnapshotGroup group_;
+    std::uint64_t resumeFrom_ = 0;
+};
+
+/// \brief Why this side stops an attempt.
+enum class StopReason { CallerGone, GroupLost, TimedOut };
+
+/// \brief Is told when an attempt is over.
+class AttemptOwner
+{
+public:
+    AttemptOwner() = default;
+    AttemptOwner(const AttemptOwner &) = delete;
+    AttemptOwner &operator=(const AttemptOwner &) = delete;
+    virtual ~AttemptOwner() = default;
+
+    /// \brief The attempt is settled and writes nothing to the caller any more.
+    virtual void onAttemptOver() = 0;
+};
+
+/// \brief One attempt under way.
+class AttemptRun final : public net::UpstreamListener,
+                         public std::enable_shared_from_this<AttemptRun>
+{
+public:
+    AttemptRun(TrafficContext &context, const ParsedRequest &request, AttemptPlan plan,
+               CallerAnswer &answer, StreamRelay &relay, AttemptOwner &owner);
+
+    /// \brief Connects and sends the request.
+    /// \param traceparent names the attempt's span.
+    void start(std::string traceparent);
+
+    /// \brief Stops the attempt, and cancels it at the engine if it may run there.
+    void stop(StopReason reason);
+
+    /// \brief The caller is gone, but the attempt goes on: its answer is kept, not sent.
+    void goOnUnheard();
+
+    [[nodiscard]] const outcomes::Attempt &attempt() const { return attempt_; }
+    [[nodiscard]] const AttemptPlan &plan() const { return plan_; }
+    [[nodiscard]] std::uint32_t tokens() const { return tokens_; }
+    [[nodiscard]] Duration timeToFirstToken() const { return timeToFirstToken_; }
+    [[nodiscard]] Duration retryAfter() const { return retryAfter_; }
+
+    /// \name Events of the connection
+    /// \{
+    bool onConnected() override;
+    void onHead(net::HttpResponse head) override;
+    void onData(std::string_view data) override;
+    void onEnd(std::string_view rest) override;
+    void onFailure(net::UpstreamFailure failure) override;
+    /// \}
+
+private:
+    [[nodiscard]] net::UpstreamRequest makeRequest(std::string traceparent) const;
+    void relayEvents(std::string_view data);
+    void afterWrite();
+    void takeWholeAnswer(std::string_view body);
+    void noteFirstToken();
+    void cancelAtEngine();
+    void over();
+
+    TrafficContext &context_;
+    const ParsedRequest &request_;
+    AttemptPlan plan_;
+    CallerAnswer &answer_;
+    StreamRelay &relay_;
+    AttemptOwner &owner_;
+    outcomes::Attempt attempt_;
+    std::unique_ptr<net::UpstreamCall> call_;
+    net::HttpResponse head_;
+    TimePoint startedAt_{};
+    Duration timeToFirstToken_{};
+    Duration retryAfter_{};
+    std::uint32_t tokens_ = 0;
+    RelayStep step_; ///< Being written to the caller.
+    bool isEventStream_ = false;
+    bool isWriting_ = false;
+    bool isUnheard_ = false;
+    bool hasConnectionEnded_ = false;
+    bool isCancelled_ = false;
+    bool isOver_ = false;
+};
+
+} // namespace cardamombay::traffic::impl
--- /dev/null
+++ b/src/traffic/dispatcher.cpp
@@ -0,0 +1,142 @@
+#include <cardamombay/traffic/dispatcher.hpp>
+
+#include <utility>
+
+namespace cardamombay::traffic {
+
+Dispatcher::Dispatcher(std::uint64_t seed, const DispatchPolicy &policy)
+    : admission_(policy.limits_)
+    , router_(seed, policy.router_)
+    , retries_(seed, policy.retries_)
+    , circuits_(policy.circuits_)
+{
+}
+
+limits::AdmissionDecision Dispatcher::offer(const limits::AdmissionRequest &request,
+                                            const routing::RoutingSnapshot &snapshot, TimePoint now,
+                                            AdmissionCallback answered)
+{
+    const std::lock_guard lock(mutex_);
+    auto decision = admission_.offer(request, snapshot, now);
+    if (std::holds_alternative<limits::Queued>(decision))
+        waiting_.emplace(request.request_, std::move(answered));
+    return decision;
+}
+
+void Dispatcher::finished(const RequestId &request, const routing::RoutingSnapshot &snapshot,
+                          TimePoint now)
+{
+    std::vector<PendingAnswer> answers;
+    {
+        const std::lock_guard lock(mutex_);
+        admission_.finished(request, now);
+        waiting_.erase(request);
+        answers = takeReleased(snapshot, now);
+    }
+    for (auto &pending : answers)
+        pending.answered_(pending.answer_);
+}
+
+void Dispatcher::releaseWaiting(const routing::RoutingSnapshot &snapshot, TimePoint now)
+{
+    std::vector<PendingAnswer> answers;
+    {
+        const std::lock_guard lock(mutex_);
+        if (waiting_.empty())
+            return;
+        answers = takeReleased(snapshot, now);
+    }
+    for (auto &pending : answers)
+        pending.answered_(pending.answer_);
+}
+
+std::vector<Dispatcher::PendingAnswer>
+Dispatcher::takeReleased(const routing::RoutingSnapshot &snapshot, TimePoint now)
+{
+    std::vector<PendingAnswer> answers;
+    if (waiting_.empty())
+        return answers;
+    for (auto &released : admission_.release(snapshot, now)) {
+        auto waiting = waiting_.extract(released.request_);
+        if (!waiting.empty())
+            answers.push_back({std::move(waiting.mapped()), released.answer_});
+    }
+    return answers;
+}
+
+RouteChoice Dispatcher::startAttempt(const routing::RoutingSnapshot &snapshot,
+                                     const RouteQuery &query, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    const auto decision = choose(snapshot, query, now);
+    if (decision.group_ == nullptr)
+        return {std::nullopt, decision.reason_};
+    router_.started(decision.group_->group_, query.prefixHashes_, now);
+    circuits_.started(decision.group_->group_, now);
+    return {*decision.group_, decision.reason_};
+}
+
+routing::RouteDecision Dispatcher::choose(const routing::RoutingSnapshot &snapshot,
+                                          const RouteQuery &query, TimePoint now)
+{
+    const auto blocked = circuits_.blocked(now);
+    std::vector<GroupId> excluded(blocked.begin(), blocked.end());
+    excluded.insert(excluded.end(), query.tried_.begin(), query.tried_.end());
+    routing::RouteRequest request;
+    request.service_ = query.service_;
+    request.prefixHashes_ = query.prefixHashes_;
+    request.requiredModel_ = query.requiredModel_;
+    request.excluded_ = excluded;
+    auto decision = router_.choose(snapshot, request, now);
+    if (decision.reason_ != routing::RouteReason::AllExcluded || query.tried_.empty())
+        return decision;
+    request.excluded_ = blocked;
+    return router_.choose(snapshot, request, now);
+}
+
+void Dispatcher::finishAttempt(const GroupId &group, GroupResult result, Duration timeToFirstToken,
+                               TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    const bool isOk = result != GroupResult::Failed;
+    router_.finished(group, {timeToFirstToken, isOk}, now);
+    switch (result) {
+    case GroupResult::Succeeded:
+        circuits_.succeeded(group, now);
+        break;
+    case GroupResult::Failed:
+        circuits_.failed(group, now);
+        break;
+    case GroupResult::Abandoned:
+        circuits_.abandoned(group);
+        break;
+    }
+}
+
+void Dispatcher::freshRequest(const ServiceName &service, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    retries_.freshRequest(service, now);
+}
+
+retries::RetryDecision Dispatcher::retry(const retries::FailedAttempt &attempt, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    return retries_.decide(attempt, now);
+}
+
+TrafficReport Dispatcher::report(const routing::RoutingSnapshot &snapshot, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    TrafficReport report;
+    report.demand_ = admission_.demand(now);
+    for (const auto &service : snapshot.services_) {
+        for (const auto &group : service.groups_) {
+            if (const auto inFlight = router_.inFlight(group.group_))
+                report.inFlight_.push_back({group.group_, inFlight});
+        }
+    }
+    return report;
+}
+
+} // namespace cardamombay::traffic
