--- a/include/cardamombay/traffic/dispatcher.hpp
+++ b/include/cardamombay/traffic/dispatcher.hpp
@@ -63,7 +63,11 @@
     /// \brief Called once, from any thread and never under the dispatcher's lock.
     using AdmissionCallback = std::function<void(AdmissionAnswer)>;
 
-    explicit Dispatcher(std::uint64_t seed, const DispatchPolicy &policy = {});
+    /// \param seed of the routing draws and back-off delays.
+    /// \param circuits the chart of circuits, bound.
+    /// \param policy settings of the decisions.
+    Dispatcher(std::uint64_t seed, retries::CircuitProgramPtr circuits,
+               const DispatchPolicy &policy = {});
 
     /// \name Admission
     /// \{
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -4,11 +4,12 @@
 
 namespace cardamombay::traffic {
 
-Dispatcher::Dispatcher(std::uint64_t seed, const DispatchPolicy &policy)
+Dispatcher::Dispatcher(std::uint64_t seed, retries::CircuitProgramPtr circuits,
+                       const DispatchPolicy &policy)
     : admission_(policy.limits_)
     , router_(seed, policy.router_)
     , retries_(seed, policy.retries_)
-    , circuits_(policy.circuits_)
+    , circuits_(std::move(circuits), policy.circuits_)
 {
 }
 
@@ -108,7 +109,7 @@
         circuits_.failed(group, now);
         break;
     case GroupResult::Abandoned:
-        circuits_.abandoned(group);
+        circuits_.abandoned(group, now);
         break;
     }
 }
--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -282,13 +282,7 @@
     failed.deadline_ = request_.deadline_;
     // The time an endpoint asks for concerns itself; another one may take the request at once.
     failed.retryAfter_ = attempts_ > 1 ? run_->retryAfter() : Duration::zero();
-    failed.end_ = retries::AttemptEnd::Broken;
-    if (verdict.cause_ == outcomes::Cause::TimedOut)
-        failed.end_ = retries::AttemptEnd::TimedOut;
-    if (verdict.outcome_ == outcomes::Outcome::NotRun)
-        failed.end_ = retries::AttemptEnd::NoByteLeft;
-    if (verdict.cause_ == outcomes::Cause::Refused)
-        failed.end_ = retries::AttemptEnd::Refused;
+    failed.outcome_ = verdict.outcome_;
     const auto decision = context_.dispatcher_.retry(failed, now());
     if (const auto *again = std::get_if<retries::Retry>(&decision))
         retryLater(again->delay_);
