--- a/tests/support/engine_standin.cpp
+++ b/tests/support/engine_standin.cpp
@@ -333,7 +333,7 @@
 
 EngineStandin::Behaviour EngineStandin::takeBehaviour()
 {
-    const Behaviour taken = behaviour_;
+    Behaviour taken = behaviour_;
     if (behaviour_.count_ > 0 && --behaviour_.count_ == 0)
         behaviour_ = {};
     return taken;
--- a/tests/support/plain_standin.cpp
+++ b/tests/support/plain_standin.cpp
@@ -9,7 +9,6 @@
 namespace cardamombay::support {
 
 namespace asio = boost::asio;
-namespace http = boost::beast::http;
 namespace json = boost::json;
 
 PlainStandin::PlainStandin(asio::io_context &context, VmId vm, std::uint16_t port,
@@ -55,7 +54,7 @@
 
 PlainStandin::Behaviour PlainStandin::takeBehaviour()
 {
-    const Behaviour taken = behaviour_;
+    Behaviour taken = behaviour_;
     if (behaviour_.count_ > 0 && --behaviour_.count_ == 0)
         behaviour_ = {};
     return taken;
--- a/tests/support/process_harness.cpp
+++ b/tests/support/process_harness.cpp
@@ -1,10 +1,10 @@
 #include "support/process_harness.hpp"
 
-#include <array>
 #include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <random>
 #include <sstream>
 #include <stdexcept>
 #include <system_error>
@@ -53,6 +53,19 @@
     ::_exit(notStarted);
 }
 
+bool canListen(std::uint16_t port)
+{
+    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    const auto *generic = reinterpret_cast<const sockaddr *>(&address);
+    const bool isBound = socket >= 0 && ::bind(socket, generic, sizeof(address)) == 0;
+    ::close(socket);
+    return isBound;
+}
+
 } // namespace
 
 bool waitUntil(const std::function<bool()> &condition, Duration limit)
@@ -68,18 +81,19 @@
 
 std::uint16_t freePort()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto *generic = reinterpret_cast<sockaddr *>(&address);
-    const bool isBound = socket >= 0 && ::bind(socket, generic, size) == 0
-                         && ::getsockname(socket, generic, &size) == 0;
-    ::close(socket);
-    if (!isBound)
-        fail("no free port");
-    return ntohs(address.sin_port);
+    // Below the range from which the system takes the ports of outgoing connections, so that no
+    // connection of a test takes the port before the program listens on it.
+    constexpr int first = 12000;
+    constexpr int last = 31999;
+    constexpr int tries = 200;
+    std::random_device seed;
+    std::uniform_int_distribution<int> pick(first, last);
+    for (int i = 0; i < tries; ++i) {
+        const auto port = static_cast<std::uint16_t>(pick(seed));
+        if (canListen(port))
+            return port;
+    }
+    throw std::runtime_error("no free port");
 }
 
 ProcessHarness::ProcessHarness(std::filesystem::path programs)
@@ -116,6 +130,7 @@
     std::vector<std::string> words{program};
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char *> pointers;
+    pointers.reserve(words.size() + 1);
     for (auto &word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
