--- a/tests/support/engine_standin.cpp
+++ b/tests/support/engine_standin.cpp
@@ -172,6 +172,7 @@
     : context_(context)
     , settings_(std::move(settings))
     , member_(settings_.vm_, settings_.incarnation_, settings_.checksFencing_)
+    , ledgerFile_(settings_.ledgerFile_)
     , loadTakenAt_(steady_clock::now())
     , server_(context, settings_.port_,
               [this](StandinExchange &exchange) { return handle(exchange); })
@@ -377,6 +378,8 @@
         completion.shownAttempt_ += "-other";
     if (completion.is("no-attempt"))
         completion.shownAttempt_.clear();
+    const EngineRun &run = *completion.run_;
+    ledgerFile_.append({settings_.vm_.text(), run.attempt_, run.user_, run.idempotencyKey_});
     runs_.push_back(completion.run_);
     try {
         co_await runCompletion(exchange, completion);
--- a/tests/support/engine_standin.hpp
+++ b/tests/support/engine_standin.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "support/engine_member.hpp"
+#include "support/run_ledger.hpp"
 #include "support/standin_server.hpp"
 
 #include <cardamombay/core/address.hpp>
@@ -33,6 +34,7 @@
     Duration tokenTime_ = std::chrono::milliseconds(5);
     std::uint32_t slots_ = 16;                               ///< Requests batched at once.
     Duration loadInterval_ = std::chrono::milliseconds(500); ///< Between load reports.
+    std::string ledgerFile_; ///< Runs are appended here before they start; empty writes none.
 };
 
 /// \brief What the text of a completion depends on.
@@ -117,6 +119,7 @@
     EngineMember member_;
     Behaviour behaviour_;
     std::vector<std::shared_ptr<EngineRun>> runs_;
+    RunLedgerFile ledgerFile_;
     std::set<std::string> cancelled_;
     std::list<Waiter> waiting_;
     std::uint32_t running_ = 0;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -73,8 +73,10 @@
     node.address_ = {std::string(loopback), freePort()};
     launch.arguments_.insert(launch.arguments_.end(),
                              {"--port", std::to_string(node.address_.port_)});
-    if (launch.program_ != "platform_standin")
-        launch.arguments_.insert(launch.arguments_.end(), {"--vm", node.name_});
+    if (launch.program_ != "platform_standin") {
+        launch.arguments_.insert(launch.arguments_.end(),
+                                 {"--vm", node.name_, "--ledger", ledgerFile(node)});
+    }
     node.process_
         = harness_.start(node.name_, harness_.program(launch.program_), launch.arguments_);
     harness_.waitForPort(node.process_);
@@ -242,6 +244,23 @@
     Caller(platform_.address_).post("/test/vms/status", json::serialize(status));
 }
 
+std::string Fleet::ledgerFile(const FleetNode &node) const
+{
+    return harness_.folder() / (node.name_ + ".runs");
+}
+
+std::vector<RunRecord> Fleet::runs() const
+{
+    std::vector<RunRecord> all;
+    for (const auto *nodes : {&engines_, &plains_}) {
+        for (const auto &node : *nodes) {
+            const auto records = RunLedgerFile::read(ledgerFile(node));
+            all.insert(all.end(), records.begin(), records.end());
+        }
+    }
+    return all;
+}
+
 Caller Fleet::caller(std::size_t entry) const
 {
     return Caller(entries_.at(entry).address_);
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -4,6 +4,7 @@
 
 #include "support/caller.hpp"
 #include "support/process_harness.hpp"
+#include "support/run_ledger.hpp"
 
 #include <cardamombay/core/address.hpp>
 #include <cardamombay/core/ids.hpp>
@@ -90,6 +91,9 @@
     /// \brief The base file that the plan stands for.
     [[nodiscard]] std::string defaultBase() const;
 
+    /// \brief What all endpoints ran, also those killed since.
+    [[nodiscard]] std::vector<RunRecord> runs() const;
+
     /// \brief Errors of all entry VMs, for messages of failed tests.
     [[nodiscard]] std::string entryLogs();
 
@@ -104,6 +108,7 @@
     FleetNode launchEndpoint(Launch launch, const AvailabilityZone &zone, std::string domain);
     void launchEntry(std::size_t index);
     void postVms();
+    [[nodiscard]] std::string ledgerFile(const FleetNode &node) const;
     [[nodiscard]] std::string vmList() const;
     [[nodiscard]] std::string settingsOf(const FleetNode &entry) const;
     [[nodiscard]] Address routed(std::string_view client, const FleetNode &server,
--- a/tests/support/plain_standin.cpp
+++ b/tests/support/plain_standin.cpp
@@ -12,9 +12,10 @@
 namespace json = boost::json;
 
 PlainStandin::PlainStandin(asio::io_context &context, VmId vm, std::uint16_t port,
-                           Incarnation incarnation)
+                           Incarnation incarnation, const std::string &ledgerFile)
     : vm_(std::move(vm))
     , incarnation_(incarnation)
+    , ledgerFile_(ledgerFile)
     , server_(context, port, [this](StandinExchange &exchange) { return handle(exchange); })
 {
 }
@@ -78,6 +79,7 @@
     record.target_ = std::string(request.target());
     record.idempotencyKey_ = headerOf(request, "Idempotency-Key");
     record.body_ = request.body();
+    ledgerFile_.append({vm_.text(), record.attempt_, record.body_, record.idempotencyKey_});
     runs_.push_back(std::move(record));
     ++running_;
     try {
--- a/tests/support/plain_standin.hpp
+++ b/tests/support/plain_standin.hpp
@@ -2,6 +2,7 @@
 /// \brief An endpoint of a plain service as docs/ENDPOINTS.md publishes it.
 #pragma once
 
+#include "support/run_ledger.hpp"
 #include "support/standin_server.hpp"
 
 #include <cardamombay/core/ids.hpp>
@@ -29,7 +30,7 @@
 {
 public:
     PlainStandin(boost::asio::io_context &context, VmId vm, std::uint16_t port,
-                 Incarnation incarnation);
+                 Incarnation incarnation, const std::string &ledgerFile = "");
 
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
@@ -57,6 +58,7 @@
     Behaviour behaviour_;
     std::uint32_t running_ = 0;
     std::vector<PlainRun> runs_;
+    RunLedgerFile ledgerFile_;
     StandinServer server_;
 };
 
--- a/tests/support/programs/engine_standin.cpp
+++ b/tests/support/programs/engine_standin.cpp
@@ -33,6 +33,7 @@
 {
     std::string vm = "vm-1";
     std::string weights;
+    std::string ledger;
     std::uint64_t port = 0;
     std::uint64_t incarnation = support::startStamp();
     std::uint64_t loadMs = 100;
@@ -50,6 +51,7 @@
         .number("tokens-per-second", tokensPerSecond, "rate of one stream")
         .number("slots", slots, "requests batched at once")
         .number("lag-ms", lagMs, "time between load reports")
+        .text("ledger", ledger, "file to which runs are appended")
         .parse(argc, argv);
 
     support::EngineSettings settings;
@@ -63,6 +65,7 @@
                           / static_cast<std::int64_t>(std::max<std::uint64_t>(tokensPerSecond, 1));
     settings.slots_ = static_cast<std::uint32_t>(std::max<std::uint64_t>(slots, 1));
     settings.loadInterval_ = std::chrono::milliseconds(lagMs);
+    settings.ledgerFile_ = ledger;
 
     boost::asio::io_context context(1);
     support::EngineStandin engine(context, settings);
