Claim keyed non-idempotent requests before their hand-over

Cause: A retry reaches another entry VM through the balancer; a keyed non-idempotent request must run at most once through lost answers, outages, pauses and lost entry VMs.

--- a/include/cardamombay/platform/reliable_commit.hpp
+++ b/include/cardamombay/platform/reliable_commit.hpp
@@ -37,6 +37,9 @@
     Duration firstDelay_ = std::chrono::milliseconds(20); ///< Doubles with each retry.
     Duration longestDelay_ = std::chrono::seconds(1);
     Duration deadline_ = std::chrono::seconds(10); ///< No try starts later than this.
+    /// \brief Rows, once written by a writer, are changed by that writer only; then a conflict on
+    /// a row of another writer proves that the transaction never took effect.
+    bool isWriterSoleOwner_ = false;
 };
 
 /// \brief Counts, for metrics.
@@ -94,6 +97,7 @@
     void attempt(const OperationPtr &operation);
     void judge(const OperationPtr &operation, Result<CommitReceipt> result);
     void judgeConflict(const OperationPtr &operation, const StoreConflict &conflict);
+    [[nodiscard]] bool provesNoEffect(const StoreConflict &conflict) const;
     void searchToken(const OperationPtr &operation);
     void retry(const OperationPtr &operation, Duration atLeast, Error error);
     void giveUp(const OperationPtr &operation, Error error);
--- /dev/null
+++ b/src/claims/row_batcher.cpp
@@ -0,0 +1,192 @@
+#include <cardamombay/claims/row_batcher.hpp>
+
+#include <algorithm>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace cardamombay::claims {
+
+using platform::CommitReceipt;
+using platform::Row;
+using platform::RowKey;
+
+namespace {
+
+const Row *find(const std::vector<Row> &rows, const RowKey &key)
+{
+    const auto found
+        = std::find_if(rows.begin(), rows.end(), [&](const Row &row) { return row.key_ == key; });
+    return found == rows.end() ? nullptr : &*found;
+}
+
+} // namespace
+
+RowBatcher::RowBatcher(Clock &clock, platform::TableStore &store, Random &random,
+                       platform::WriterTokens tokens, BatchPolicy policy)
+    : clock_(clock)
+    , store_(store)
+    , tokens_(std::move(tokens))
+    , policy_(policy)
+    , commit_(clock, store, random, policy.commit_)
+    , credit_(policy.burst_)
+    , refilledAt_(clock.now())
+    , alive_(std::make_shared<char>())
+{
+}
+
+void RowBatcher::submit(RowChange change, RowChangeCallback done)
+{
+    queue_.push_back(Item{std::move(change), std::move(done)});
+    wake(queue_.size() >= policy_.rows_ ? Duration::zero() : policy_.gatherDelay_);
+}
+
+void RowBatcher::setEntryCount(std::uint32_t count)
+{
+    refill();
+    entryCount_ = std::max(count, 1U);
+}
+
+void RowBatcher::refill()
+{
+    const auto now = clock_.now();
+    const std::chrono::duration<double> passed = now - refilledAt_;
+    const double rate = policy_.writesPerSecond_ / entryCount_;
+    credit_ = std::min(policy_.burst_, credit_ + passed.count() * rate);
+    refilledAt_ = now;
+}
+
+/// Runs pump() after \p delay, or earlier if that was asked for.
+void RowBatcher::wake(Duration delay)
+{
+    const auto due = clock_.now() + delay;
+    if (timer_ != TimerId::None && timerDue_ <= due)
+        return;
+    clock_.cancel(timer_);
+    timerDue_ = due;
+    timer_ = clock_.schedule(delay, [this, alive = std::weak_ptr(alive_)] {
+        if (alive.expired())
+            return;
+        timer_ = TimerId::None;
+        pump();
+    });
+}
+
+void RowBatcher::pump()
+{
+    expire();
+    while (!queue_.empty() && inFlight_ < policy_.inFlight_) {
+        refill();
+        if (credit_ < 1) {
+            const double rate = policy_.writesPerSecond_ / entryCount_;
+            const std::chrono::duration<double> missing((1 - credit_) / rate);
+            wake(std::chrono::duration_cast<Duration>(missing) + std::chrono::microseconds(1));
+            return;
+        }
+        credit_ -= 1;
+        flush();
+    }
+}
+
+void RowBatcher::expire()
+{
+    const auto now = clock_.now();
+    const auto isLate = [now](const Item &item) { return item.change_.startBefore_ <= now; };
+    if (std::none_of(queue_.begin(), queue_.end(), isLate))
+        return;
+    std::vector<Item> late;
+    std::deque<Item> rest;
+    for (auto &item : queue_) {
+        if (isLate(item))
+            late.push_back(std::move(item));
+        else
+            rest.push_back(std::move(item));
+    }
+    queue_ = std::move(rest);
+    for (const auto &item : late)
+        item.done_(Error(StoreUnavailable{"row change", "not submitted in time"}));
+}
+
+void RowBatcher::flush()
+{
+    auto batch = std::make_shared<std::vector<Item>>();
+    platform::Transaction transaction{tokens_.next(), {}, {}};
+    const auto count = std::min(queue_.size(), policy_.rows_);
+    for (std::size_t i = 0; i < count; ++i) {
+        auto &change = queue_.front().change_;
+        transaction.conditions_.push_back({change.key_, change.expected_});
+        transaction.writes_.push_back({change.key_, change.value_});
+        batch->push_back(std::move(queue_.front()));
+        queue_.pop_front();
+    }
+    ++inFlight_;
+    ++counts_.transactions_;
+    commit_.commit(std::move(transaction),
+                   [this, batch](const Result<CommitReceipt> &result) { judge(batch, result); });
+}
+
+void RowBatcher::judge(const Batch &batch, const Result<CommitReceipt> &result)
+{
+    if (!isOk(result)) {
+        if (const auto *conflict = std::get_if<StoreConflict>(&errorOf(result))) {
+            ++counts_.conflicts_;
+            readConflicts(batch, *conflict);
+            return;
+        }
+    }
+    --inFlight_;
+    for (const auto &item : *batch) {
+        if (isOk(result)) {
+            ++counts_.changes_;
+            item.done_(RowWritten{valueOf(result).version_});
+        } else {
+            item.done_(errorOf(result));
+        }
+    }
+    wake(Duration::zero());
+}
+
+void RowBatcher::readConflicts(const Batch &batch, const StoreConflict &conflict)
+{
+    std::vector<RowKey> keys;
+    for (const auto &item : *batch)
+        keys.push_back(item.change_.key_);
+    store_.read(std::move(keys), [this, alive = std::weak_ptr(alive_), batch,
+                                  conflict](Result<std::vector<Row>> result) {
+        if (alive.expired())
+            return;
+        --inFlight_;
+        split(batch, conflict, isOk(result) ? valueOf(result) : std::vector<Row>{});
+    });
+}
+
+/// A read may be stale, a conflict never is: only a higher version proves a conflict, and absence
+/// proves one only where the store itself reported it.
+void RowBatcher::split(const Batch &batch, const StoreConflict &conflict,
+                       const std::vector<Row> &rows)
+{
+    std::vector<Item> again;
+    for (auto &item : *batch) {
+        const auto &change = item.change_;
+        const bool isReported = change.key_ == RowKey{conflict.table_, conflict.key_};
+        const Row *row = find(rows, change.key_);
+        if (row && row->version_ > change.expected_)
+            item.done_(RowTaken{*row});
+        else if (isReported && conflict.found_.isNone())
+            item.done_(RowTaken{Row{change.key_, {}, {}, {}}});
+        else if (isReported && ++item.conflicts_ >= policy_.conflicts_)
+            item.done_(Error(conflict));
+        else
+            again.push_back(std::move(item));
+    }
+    requeue(std::move(again));
+}
+
+void RowBatcher::requeue(std::vector<Item> items)
+{
+    queue_.insert(queue_.begin(), std::make_move_iterator(items.begin()),
+                  std::make_move_iterator(items.end()));
+    wake(Duration::zero());
+}
+
+} // namespace cardamombay::claims
--- a/src/platform/reliable_commit.cpp
+++ b/src/platform/reliable_commit.cpp
@@ -115,13 +115,18 @@
     if (conflict.writer_ == operation->transaction_.writer_) {
         ++counts_.provenByToken_;
         operation->done_(CommitReceipt{conflict.found_});
-    } else if (operation->hasLostAnswer_) {
+    } else if (operation->hasLostAnswer_ && !provesNoEffect(conflict)) {
         searchToken(operation);
     } else {
         operation->done_(Error(conflict));
     }
 }
 
+bool ReliableCommit::provesNoEffect(const StoreConflict &conflict) const
+{
+    return policy_.isWriterSoleOwner_ && !conflict.writer_.isEmpty();
+}
+
 void ReliableCommit::searchToken(const OperationPtr &operation)
 {
     std::vector<RowKey> keys;
