Let claims go before outcomes in the write budget

Cause: At 340 entry VMs an outcome, which nobody waits for, used up the credit of the next claim. Change: Row changes have an urgency; those without it wait for an urgent one or for spare credit.

--- a/include/cardamombay/claims/row_batcher.hpp
+++ b/include/cardamombay/claims/row_batcher.hpp
@@ -2,6 +2,7 @@
 /// \brief Many conditional writes of single rows in few transactions.
 /// \details Collects row changes of one entry VM and commits them together, paced by its share of
 /// the store's write budget: batches grow with the load while the number of transactions does not.
+/// Changes that nobody waits for spend only credit that urgent ones leave.
 /// A change whose condition fails is split out; the others are committed without it.
 #pragma once
 
@@ -25,6 +26,7 @@
     RowVersion expected_; ///< None: the row must be absent.
     std::optional<std::string> value_;
     TimePoint startBefore_ = TimePoint::max(); ///< Not submitted later.
+    bool isUrgent_ = true; ///< If not, it waits for an urgent change or for spare credit.
 };
 
 /// \brief The change took effect.
@@ -94,6 +96,7 @@
     using Batch = std::shared_ptr<std::vector<Item>>;
 
     void refill();
+    [[nodiscard]] double creditNeeded() const;
     void wake(Duration delay);
     void pump();
     void expire();
@@ -110,6 +113,7 @@
     BatchPolicy policy_;
     platform::ReliableCommit commit_;
     std::deque<Item> queue_;
+    std::size_t urgent_ = 0; ///< Urgent items in the queue.
     std::uint32_t entryCount_ = 1;
     std::uint32_t inFlight_ = 0;
     double credit_;
--- a/src/claims/claim_record.cpp
+++ b/src/claims/claim_record.cpp
@@ -62,7 +62,7 @@
     auto &clock = book_.setting_.clock_;
     startedAt_ = clock.now();
     const Duration limit = book_.policy_.claimDeadline_;
-    write(encode(row_), startedAt_ + limit);
+    write({key_, version_, encode(row_), startedAt_ + limit});
     clock.schedule(limit, [record = weak_from_this(), alive = std::weak_ptr(book_.alive_)] {
         const auto self = record.lock();
         if (!alive.expired() && self && self->isIn("claiming")) {
@@ -184,13 +184,15 @@
 void ClaimRecord::writeOutcome()
 {
     ++retries_;
-    write(encode(row_), TimePoint::max());
+    RowChange change{key_, version_, encode(row_)};
+    change.isUrgent_ = false;
+    write(std::move(change));
 }
 
 void ClaimRecord::writeRelease()
 {
     ++retries_;
-    write(std::nullopt, TimePoint::max());
+    write({key_, version_, std::nullopt});
 }
 
 void ClaimRecord::schedule(Duration delay)
@@ -224,12 +226,11 @@
     book_.setting_.table_.read({key_}, std::move(done));
 }
 
-void ClaimRecord::write(std::optional<std::string> value, TimePoint startBefore)
+void ClaimRecord::write(RowChange change)
 {
-    book_.batcher_.submit({key_, version_, std::move(value), startBefore},
-                          [self = shared_from_this()](RowChangeResult result) {
-                              self->handleResult(std::move(result));
-                          });
+    book_.batcher_.submit(std::move(change), [self = shared_from_this()](RowChangeResult result) {
+        self->handleResult(std::move(result));
+    });
 }
 
 } // namespace cardamombay::claims
--- a/src/claims/claim_record.hpp
+++ b/src/claims/claim_record.hpp
@@ -62,7 +62,7 @@
     void readRow();
     /// \}
 
-    void write(std::optional<std::string> value, TimePoint startBefore);
+    void write(RowChange change);
 
     ClaimBook &book_;
     ClaimRequest request_;
--- a/src/claims/row_batcher.cpp
+++ b/src/claims/row_batcher.cpp
@@ -37,6 +37,7 @@
 
 void RowBatcher::submit(RowChange change, RowChangeCallback done)
 {
+    urgent_ += change.isUrgent_ ? 1 : 0;
     queue_.push_back(Item{std::move(change), std::move(done)});
     wake(queue_.size() >= policy_.rows_ ? Duration::zero() : policy_.gatherDelay_);
 }
@@ -56,6 +57,12 @@
     refilledAt_ = now;
 }
 
+/// One credit stays back for urgent changes.
+double RowBatcher::creditNeeded() const
+{
+    return urgent_ > 0 || policy_.burst_ < 2 ? 1 : 2;
+}
+
 /// Runs pump() after \p delay, or earlier if that was asked for.
 void RowBatcher::wake(Duration delay)
 {
@@ -77,9 +84,9 @@
     expire();
     while (!queue_.empty() && inFlight_ < policy_.inFlight_) {
         refill();
-        if (credit_ < 1) {
+        if (credit_ < creditNeeded()) {
             const double rate = policy_.writesPerSecond_ / entryCount_;
-            const std::chrono::duration<double> missing((1 - credit_) / rate);
+            const std::chrono::duration<double> missing((creditNeeded() - credit_) / rate);
             wake(std::chrono::duration_cast<Duration>(missing) + std::chrono::microseconds(1));
             return;
         }
@@ -97,10 +104,12 @@
     std::vector<Item> late;
     std::deque<Item> rest;
     for (auto &item : queue_) {
-        if (isLate(item))
+        if (isLate(item)) {
+            urgent_ -= item.change_.isUrgent_ ? 1 : 0;
             late.push_back(std::move(item));
-        else
+        } else {
             rest.push_back(std::move(item));
+        }
     }
     queue_ = std::move(rest);
     for (const auto &item : late)
@@ -116,6 +125,7 @@
         auto &change = queue_.front().change_;
         transaction.conditions_.push_back({change.key_, change.expected_});
         transaction.writes_.push_back({change.key_, change.value_});
+        urgent_ -= change.isUrgent_ ? 1 : 0;
         batch->push_back(std::move(queue_.front()));
         queue_.pop_front();
     }
@@ -184,6 +194,8 @@
 
 void RowBatcher::requeue(std::vector<Item> items)
 {
+    for (const auto &item : items)
+        urgent_ += item.change_.isUrgent_ ? 1 : 0;
     queue_.insert(queue_.begin(), std::make_move_iterator(items.begin()),
                   std::make_move_iterator(items.end()));
     wake(Duration::zero());
