--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -1,5 +1,7 @@
 #include "routing/service_view.hpp"
 
+#include <cardamombay/core/hash.hpp>
+
 #include <algorithm>
 
 namespace cardamombay::routing::impl {
@@ -10,9 +12,8 @@
 /// peers' digests if they say more.
 [[nodiscard]] double othersAt(const SnapshotGroup &group, const GroupState &state)
 {
-    const TimePoint takenAt = group.loadTakenAt_ - group.load_.lag_;
     const double reported = double(group.load_.running_) + double(group.load_.queued_);
-    const double ownThen = state.ownInFlight_.at(takenAt);
+    const double ownThen = state.ownInFlight_.at(group.loadTakenAt_);
     return std::max(reported - ownThen, double(group.peerInFlight_));
 }
 
@@ -69,9 +70,11 @@
         const OwnerIndex owner = book.indexOf(group.group_);
         GroupState &state = book.state(owner);
         state.seenAt_ = now;
+        book.formed(owner, group.generation_, now);
         GroupView entry;
         entry.group_ = &group;
         entry.owner_ = owner;
+        entry.hash_ = stableHash(group.group_.text());
         entry.othersLoad_ = othersAt(group, state);
         entry.perCapacity_ = 1.0 / std::max(group.capacity_, 1U);
         entry.freshUntil_ = group.freshUntil_;
