--- a/include/cardamombay/net/http_server.hpp
+++ b/include/cardamombay/net/http_server.hpp
@@ -97,8 +97,12 @@
     void closeIdleConnections();
     /// \}
 
-    /// \brief Open connections, on all workers.
+    /// \name Connections on all workers; may be called from any thread
+    /// \{
     [[nodiscard]] std::size_t connections() const;
+    /// \brief Those on which a request arrives or is answered, until the last byte is out.
+    [[nodiscard]] std::size_t busyConnections() const;
+    /// \}
 
 private:
     class Impl;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -85,6 +85,7 @@
     void closeConnectionsAfterResponse() { state_->closesAfterResponse_ = true; }
     void closeIdleConnections();
     [[nodiscard]] std::size_t connections() const { return state_->connections_; }
+    [[nodiscard]] std::size_t busyConnections() const { return state_->busyConnections_; }
 
 private:
     void take(impl::tcp::socket socket, const std::shared_ptr<impl::WorkerState> &worker);
@@ -207,6 +208,11 @@
     impl_->stopAccepting();
 }
 
+std::size_t HttpServer::busyConnections() const
+{
+    return impl_->busyConnections();
+}
+
 std::size_t HttpServer::connections() const
 {
     return impl_->connections();
--- a/src/net/http_server_answer.cpp
+++ b/src/net/http_server_answer.cpp
@@ -171,7 +171,7 @@
 /// so the rest of the input is read and dropped first, within bounds.
 void ServerConnection::linger()
 {
-    activity_ = Activity::Closing;
+    setActivity(Activity::Closing);
     error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
     stream_.expires_after(lingerTime);
@@ -196,6 +196,7 @@
     if (isClosed_)
         return;
     isClosed_ = true;
+    setActivity(Activity::Idle);
     lost_ = nullptr;
     readTimer_.cancel();
     stream_.close();
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -84,10 +84,21 @@
                                 });
 }
 
+void ServerConnection::setActivity(Activity activity)
+{
+    const bool wasBusy = activity_ != Activity::Idle;
+    const bool isBusy = activity != Activity::Idle;
+    activity_ = activity;
+    if (isBusy && !wasBusy)
+        worker_->server_->busyConnections_.fetch_add(1);
+    if (wasBusy && !isBusy)
+        worker_->server_->busyConnections_.fetch_sub(1);
+}
+
 void ServerConnection::readRequest()
 {
     const auto &limits = worker_->server_->limits_;
-    activity_ = Activity::Idle;
+    setActivity(Activity::Idle);
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes_));
     parser_->body_limit(limits.bodyBytes_);
@@ -121,7 +132,7 @@
 
 void ServerConnection::readHeader()
 {
-    activity_ = Activity::Reading;
+    setActivity(Activity::Reading);
     stream_.expires_never();
     startReadTimer();
     http::async_read_header(stream_, buffer_, *parser_,
@@ -180,14 +191,14 @@
     readTimer_.cancel();
     keepsAlive_ = false;
     isHead_ = false;
-    activity_ = Activity::Answering;
+    setActivity(Activity::Answering);
     respond(worker_->handler_->refusal(fault, detail));
 }
 
 void ServerConnection::handleRequest()
 {
     readTimer_.cancel();
-    activity_ = Activity::Answering;
+    setActivity(Activity::Answering);
     auto message = parser_->release();
     keepsAlive_ = message.keep_alive();
     isHead_ = message.method() == http::verb::head;
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -61,6 +61,7 @@
     void handleReadError(error_code error);
     void refuse(ServerFault fault, std::string_view detail);
     void startReadTimer();
+    void setActivity(Activity activity);
     void watchForReset();
     /// \}
 
--- a/src/net/http_server_state.hpp
+++ b/src/net/http_server_state.hpp
@@ -18,6 +18,7 @@
     HttpServerLimits limits_;
     std::atomic<bool> closesAfterResponse_{false};
     std::atomic<std::size_t> connections_{0};
+    std::atomic<std::size_t> busyConnections_{0}; ///< With a request under way.
 };
 
 /// \brief Connections of one worker; touched on its thread only.
--- a/src/traffic/attempt_run.cpp
+++ b/src/traffic/attempt_run.cpp
@@ -102,6 +102,8 @@
 void AttemptRun::onData(std::string_view data)
 {
     const auto self = shared_from_this();
+    if (isOver_)
+        return;
     if (isEventStream_) {
         relayEvents(data);
         return;
@@ -163,12 +165,14 @@
 void AttemptRun::onEnd(std::string_view rest)
 {
     const auto self = shared_from_this();
+    if (isOver_)
+        return;
     if (!isEventStream_) {
         takeWholeAnswer(rest);
         return;
     }
     hasConnectionEnded_ = true;
-    if (isWriting_ || isOver_)
+    if (isWriting_)
         return;
     attempt_.closed();
     over();
@@ -224,10 +228,7 @@
         break;
     }
     cancelAtEngine();
-    // A write under way still needs the call's data, and its end is reported; only a caller that
-    // is gone never takes it.
-    if (!isWriting_)
-        call_.reset();
+    // The end of a write under way is reported, unless its caller is gone.
     if (!isWriting_ || reason == StopReason::CallerGone)
         over();
 }
@@ -256,6 +257,9 @@
     if (std::exchange(isOver_, true))
         return;
     cancelAtEngine();
+    // A write under way still needs the call's data.
+    if (!isWriting_)
+        call_.reset();
     owner_.onAttemptOver();
 }
 
