Cover failures of watching endpoint VMs

Cause: deaths, pauses, restarts, cut-off watchers, late digests and vetoes had no tests.

Change: 26 tests over real Membership and EndpointWatcher objects on one paused clock; the clock of a replaced fake node drops its timers.

--- a/tests/support/fake_peers.cpp
+++ b/tests/support/fake_peers.cpp
@@ -6,6 +6,12 @@
 
 using membership::Digest;
 
+PausableClock::~PausableClock()
+{
+    for (const auto &[id, timer] : timers_)
+        clock_.cancel(timer.first);
+}
+
 TimerId PausableClock::schedule(Duration delay, std::function<void()> action)
 {
     const std::uint64_t id = next_++;
--- a/tests/support/fake_peers.hpp
+++ b/tests/support/fake_peers.hpp
@@ -25,6 +25,8 @@
     {
     }
 
+    ~PausableClock() override;
+
     [[nodiscard]] TimePoint now() const override { return clock_.now(); }
     TimerId schedule(Duration delay, std::function<void()> action) override;
     void cancel(TimerId timer) override;
--- /dev/null
+++ b/tests/watching/failures.cpp
@@ -0,0 +1,463 @@
+#include "support/fake_watch_fleet.hpp"
+
+#include <algorithm>
+#include <set>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using cardamombay::support::Fleet;
+using cardamombay::support::FleetShape;
+using cardamombay::support::WatchFleet;
+using platform::VmStatus;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+FleetShape shape(std::size_t nodes, std::size_t zones = 3, std::size_t regions = 1)
+{
+    return FleetShape{nodes, zones, regions, SOURCE_FOLDER "/charts"};
+}
+
+constexpr std::size_t vmCount = 54;
+
+/// A node that watches neither \p vm nor is among \p others.
+std::size_t bystander(WatchFleet &fleet, const VmId &vm)
+{
+    const auto watchers = fleet.watchersOf(0, vm);
+    std::size_t node = 0;
+    while (std::find(watchers.begin(), watchers.end(), node) != watchers.end())
+        ++node;
+    return node;
+}
+
+} // namespace
+
+Test(watching, every_vm_has_two_watchers_in_its_site_and_is_fresh_everywhere)
+{
+    WatchFleet fleet(shape(7), vmCount);
+
+    fleet.run(seconds(8));
+
+    for (std::size_t i = 0; i < vmCount; ++i) {
+        const auto watchers = fleet.watchersOf(0, WatchFleet::vm(i));
+        cr_assert_eq(watchers.size(), 2);
+        cr_assert(watchers == fleet.watchersOf(6, WatchFleet::vm(i)), "nodes disagree");
+        for (const std::size_t node : watchers)
+            cr_assert_eq(node % 3, i % 3, "watched from another site");
+        cr_assert_eq(fleet.freshAt(WatchFleet::vm(i)), 7);
+    }
+}
+
+Test(watching, site_without_two_entry_vms_is_watched_from_the_region)
+{
+    WatchFleet fleet(shape(4, 3), 9);
+
+    fleet.run(seconds(8));
+
+    for (std::size_t i = 0; i < 9; ++i) {
+        cr_assert_eq(fleet.watchersOf(0, WatchFleet::vm(i)).size(), 2);
+        cr_assert_eq(fleet.freshAt(WatchFleet::vm(i)), 4);
+    }
+}
+
+Test(watching, freshness_never_lapses_in_a_healthy_fleet)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+
+    for (int step = 0; step < 600; ++step) {
+        fleet.run(milliseconds(100));
+        for (std::size_t i = 0; i < vmCount; ++i)
+            cr_assert_eq(fleet.freshAt(WatchFleet::vm(i)), 7, "step %d, VM %zu", step, i);
+    }
+}
+
+Test(watching, dead_vm_lapses_everywhere_within_the_window)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+
+    fleet.endpoints_.kill(WatchFleet::vm(5));
+    fleet.run(milliseconds(3001));
+
+    cr_assert_eq(fleet.freshAt(WatchFleet::vm(5)), 0);
+    cr_assert_eq(fleet.freshAt(WatchFleet::vm(6)), 7);
+}
+
+Test(watching, paused_vm_lapses_everywhere_within_the_window)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+
+    fleet.endpoints_.pause(WatchFleet::vm(5));
+    fleet.run(milliseconds(3001));
+    cr_assert_eq(fleet.freshAt(WatchFleet::vm(5)), 0);
+
+    fleet.endpoints_.resume(WatchFleet::vm(5));
+    fleet.run(seconds(3));
+    cr_assert_eq(fleet.freshAt(WatchFleet::vm(5)), 7);
+}
+
+Test(watching, answers_held_back_by_a_paused_vm_do_not_freshen)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    fleet.endpoints_.pause(vm);
+    fleet.run(milliseconds(900));
+    const std::size_t watcher = fleet.watchersOf(0, vm).front();
+    const TimePoint before = fleet.watcher(watcher).freshUntil(vm);
+
+    fleet.orders(watcher).isCutOff_ = true;
+    fleet.endpoints_.resume(vm);
+    fleet.run(milliseconds(5));
+
+    // The probe left during the pause, so what its answer proves is no younger than that.
+    const TimePoint after = fleet.watcher(watcher).freshUntil(vm);
+    cr_assert_leq((after - before).count(), Duration(milliseconds(1000)).count());
+    cr_assert_lt(after.time_since_epoch().count(),
+                 (fleet.fleet_.clock_.now() + seconds(3)).time_since_epoch().count());
+}
+
+Test(watching, loss_of_one_watcher_keeps_all_vms_fresh)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+
+    fleet.fleet_.kill(1);
+    for (int step = 0; step < 150; ++step) {
+        fleet.run(milliseconds(100));
+        for (std::size_t i = 0; i < vmCount; ++i)
+            cr_assert_geq(fleet.freshAt(WatchFleet::vm(i)), 6, "step %d, VM %zu", step, i);
+    }
+    // The successor of the lost watcher is in place.
+    for (std::size_t i = 0; i < vmCount; ++i) {
+        const auto watchers = fleet.watchersOf(0, WatchFleet::vm(i));
+        cr_assert_eq(watchers.size(), 2);
+        cr_assert_eq(std::count(watchers.begin(), watchers.end(), 1), 0);
+    }
+}
+
+Test(watching, router_probes_by_itself_when_both_watchers_are_lost)
+{
+    WatchFleet fleet(shape(12), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    const std::size_t router = bystander(fleet, vm);
+    for (const std::size_t node : fleet.watchersOf(0, vm))
+        fleet.fleet_.kill(node);
+
+    for (int step = 0; step < 200; ++step) {
+        fleet.watcher(router).need(vm);
+        fleet.run(milliseconds(100));
+        cr_assert(fleet.watcher(router).isFresh(vm), "step %d", step);
+    }
+    cr_assert_gt(fleet.watcher(router).counters().ownProbesForNeed_, 0);
+}
+
+Test(watching, router_does_not_probe_what_it_hears_of)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+
+    for (int step = 0; step < 200; ++step) {
+        for (std::size_t i = 0; i < vmCount; ++i)
+            fleet.watcher(0).need(WatchFleet::vm(i));
+        fleet.run(milliseconds(100));
+    }
+
+    cr_assert_eq(fleet.watcher(0).counters().ownProbesForNeed_, 0);
+}
+
+Test(watching, vm_of_another_site_is_heard_of_once_needed)
+{
+    WatchFleet fleet(shape(60, 3), 12);
+    const VmId vm = WatchFleet::vm(1);
+    fleet.run(seconds(12));
+    cr_assert_not(fleet.watcher(0).isFresh(vm), "node 0 is in another site");
+
+    for (int step = 0; step < 200; ++step) {
+        fleet.watcher(0).need(vm);
+        fleet.run(milliseconds(100));
+        if (step > 10)
+            cr_assert(fleet.watcher(0).isFresh(vm));
+    }
+    // Its watchers report it; the probe at the beginning is not kept up.
+    cr_assert_leq(fleet.watcher(0).counters().ownProbesForNeed_, 3);
+}
+
+Test(watching, watcher_cut_off_from_a_vm_does_not_take_it_out)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+
+    fleet.orders(fleet.watchersOf(0, vm).front()).cutOffFrom_.insert(vm);
+    for (int step = 0; step < 150; ++step) {
+        fleet.run(milliseconds(100));
+        cr_assert_eq(fleet.freshAt(vm), 7, "step %d", step);
+    }
+}
+
+Test(watching, node_cut_off_from_all_peers_lapses_what_it_does_not_watch)
+{
+    WatchFleet fleet(shape(12), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    const std::size_t router = bystander(fleet, vm);
+
+    fleet.fleet_.network_.partition({Fleet::id(router)});
+    fleet.run(milliseconds(3001));
+
+    cr_assert_not(fleet.watcher(router).isFresh(vm));
+}
+
+Test(watching, woken_node_takes_nothing_for_fresh_from_before_its_pause)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+    fleet.fleet_.pause(0);
+    fleet.run(milliseconds(800));
+    for (std::size_t i = 0; i < vmCount; ++i)
+        fleet.endpoints_.kill(WatchFleet::vm(i));
+    fleet.run(seconds(30));
+
+    fleet.fleet_.resume(0);
+
+    for (int step = 0; step < 50; ++step) {
+        for (std::size_t i = 0; i < vmCount; ++i)
+            cr_assert_not(fleet.watcher(0).isFresh(WatchFleet::vm(i)));
+        fleet.run(milliseconds(20));
+    }
+}
+
+Test(watching, restart_of_a_vm_is_seen_and_its_former_life_is_forgotten)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    const auto before = fleet.watcher(0).observation(vm)->state_.incarnation_;
+
+    fleet.endpoints_.kill(vm);
+    fleet.endpoints_.restart(vm);
+    fleet.run(seconds(3));
+
+    for (const std::size_t node : fleet.fleet_.all()) {
+        cr_assert(fleet.watcher(node).observation(vm)->state_.incarnation_ > before);
+        cr_assert_eq(fleet.watcher(node).counters().restartsSeen_, 1);
+    }
+}
+
+Test(watching, observation_of_a_former_incarnation_loses)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    membership::Digest late;
+    late.from_.id_ = EntryId("other");
+    late.watch_ = membership::WatchSummary{0, 5, {}, 0, {}};
+    late.observations_.push_back({fleet.watcher(0).observation(vm)->state_, {}, false});
+    fleet.endpoints_.restart(vm);
+    fleet.run(seconds(3));
+    const auto state = fleet.watcher(0).observation(vm)->state_;
+
+    fleet.watcher(0).merge(late);
+
+    cr_assert(fleet.watcher(0).observation(vm)->state_ == state);
+}
+
+Test(watching, duplicate_and_reordered_digests_never_freshen)
+{
+    WatchFleet fleet(shape(1, 1), 1);
+    const VmId vm = WatchFleet::vm(0);
+    fleet.orders(0).isCutOff_ = true;
+    fleet.run(seconds(1));
+    membership::Digest first;
+    first.from_.id_ = EntryId("other");
+    first.watch_ = membership::WatchSummary{0, 5, milliseconds(200), 0, {}};
+    first.observations_.push_back({fleet.endpoints_.state(vm), milliseconds(200), false});
+    fleet.watcher(0).merge(first);
+    const TimePoint until = fleet.watcher(0).freshUntil(vm);
+    cr_assert_eq((until - fleet.fleet_.clock_.now()).count(), Duration(milliseconds(2800)).count());
+
+    fleet.run(milliseconds(500));
+    // Membership counts ages from now, so the copy arrives older by the time it took.
+    first.watch_->age_ += milliseconds(500);
+    first.observations_[0].age_ += milliseconds(500);
+    fleet.watcher(0).merge(first);
+    cr_assert(fleet.watcher(0).freshUntil(vm) == until);
+
+    // A summary of a set that is not the one known here proves nothing about the VM.
+    membership::Digest other = first;
+    other.observations_.clear();
+    other.watch_ = membership::WatchSummary{6, 9, {}, 0, {}};
+    fleet.watcher(0).merge(other);
+    cr_assert(fleet.watcher(0).freshUntil(vm) == until);
+}
+
+Test(watching, restarted_watcher_is_understood_again)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+    fleet.fleet_.kill(2, false);
+    fleet.run(seconds(1));
+
+    fleet.restart(2, Incarnation(50));
+    fleet.run(seconds(5));
+
+    for (std::size_t i = 0; i < vmCount; ++i)
+        cr_assert_eq(fleet.freshAt(WatchFleet::vm(i)), 7);
+}
+
+Test(watching, lost_digests_are_made_up_for)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.fleet_.network_.faults_.loss_ = 0.2;
+    fleet.fleet_.network_.faults_.duplication_ = 0.2;
+    fleet.fleet_.network_.faults_.jitter_ = milliseconds(100);
+    fleet.run(seconds(30));
+    for (std::size_t i = 0; i < vmCount; i += 2)
+        fleet.endpoints_.restart(WatchFleet::vm(i));
+
+    fleet.run(seconds(10));
+
+    for (std::size_t i = 0; i < vmCount; ++i) {
+        for (const std::size_t node : fleet.fleet_.all()) {
+            const auto *known = fleet.watcher(node).observation(WatchFleet::vm(i));
+            cr_assert_not_null(known);
+            cr_assert(known->state_ == fleet.endpoints_.state(WatchFleet::vm(i)));
+        }
+    }
+}
+
+Test(watching, straggler_is_told_from_the_dead)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId slow = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+
+    fleet.endpoints_.faults(slow).extraLatency_ = milliseconds(250);
+    fleet.endpoints_.pause(WatchFleet::vm(6));
+    fleet.run(seconds(15));
+
+    for (const std::size_t node : fleet.fleet_.all()) {
+        cr_assert(fleet.watcher(node).isStraggler(slow));
+        cr_assert(fleet.watcher(node).isFresh(slow), "it answers, so it is not dead");
+        cr_assert_not(fleet.watcher(node).isFresh(WatchFleet::vm(6)));
+        cr_assert_not(fleet.watcher(node).isStraggler(WatchFleet::vm(7)));
+    }
+    fleet.endpoints_.faults(slow).extraLatency_ = milliseconds(0);
+    fleet.run(seconds(15));
+    cr_assert_not(fleet.watcher(0).isStraggler(slow));
+}
+
+Test(watching, pause_of_the_watcher_makes_no_stragglers)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    fleet.run(seconds(8));
+
+    fleet.fleet_.pause(0);
+    fleet.run(seconds(20));
+    fleet.fleet_.resume(0);
+    fleet.run(seconds(3));
+
+    for (std::size_t i = 0; i < vmCount; ++i)
+        cr_assert_not(fleet.watcher(0).isStraggler(WatchFleet::vm(i)));
+}
+
+Test(watching, leaving_vm_is_vetoed_everywhere_within_half_a_second)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+
+    fleet.watcher(3).markLeaving(vm);
+    fleet.run(milliseconds(500));
+
+    for (const std::size_t node : fleet.fleet_.all())
+        cr_assert(fleet.watcher(node).isLeaving(vm));
+}
+
+Test(watching, list_that_stops_saying_leaving_does_not_lift_the_veto)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    fleet.list(vm, VmStatus::Leaving);
+    fleet.run(seconds(2));
+
+    fleet.list(vm, VmStatus::Live);
+    fleet.run(seconds(5));
+
+    for (const std::size_t node : fleet.fleet_.all())
+        cr_assert(fleet.watcher(node).isLeaving(vm));
+}
+
+Test(watching, undrain_lifts_the_veto_and_a_late_digest_does_not_bring_it_back)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    fleet.watcher(3).markLeaving(vm);
+    membership::Digest late;
+    late.from_.id_ = Fleet::id(3);
+    late.to_ = Fleet::id(0);
+    fleet.watcher(3).appendTo(late);
+    fleet.run(seconds(2));
+
+    fleet.watcher(1).clearLeaving(vm);
+    fleet.run(milliseconds(500));
+    fleet.watcher(0).merge(late);
+
+    for (const std::size_t node : fleet.fleet_.all())
+        cr_assert_not(fleet.watcher(node).isLeaving(vm));
+}
+
+Test(watching, replaced_vm_is_usable_again_once_a_later_list_says_so)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    fleet.list(vm, VmStatus::Leaving);
+    fleet.run(seconds(5));
+
+    fleet.endpoints_.kill(vm);
+    fleet.endpoints_.restart(vm);
+    fleet.run(seconds(3));
+    cr_assert(fleet.watcher(0).isLeaving(vm), "the list still says that it leaves");
+    fleet.list(vm, VmStatus::Live);
+    fleet.run(seconds(1));
+
+    for (const std::size_t node : fleet.fleet_.all())
+        cr_assert_not(fleet.watcher(node).isLeaving(vm));
+}
+
+Test(watching, older_vm_list_is_passed_over)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(20));
+    fleet.list(vm, VmStatus::Live);
+    fleet.run(seconds(1));
+
+    fleet.list(vm, VmStatus::Leaving, seconds(15));
+
+    cr_assert_not(fleet.watcher(0).isLeaving(vm));
+}
+
+Test(watching, joining_node_learns_the_vetoes)
+{
+    WatchFleet fleet(shape(7), vmCount);
+    const VmId vm = WatchFleet::vm(5);
+    fleet.run(seconds(8));
+    fleet.watcher(3).markLeaving(vm);
+    fleet.run(minutes(1));
+
+    fleet.restart(6, Incarnation(50));
+    fleet.run(seconds(3));
+
+    cr_assert(fleet.watcher(6).isLeaving(vm));
+}
