--- /dev/null
+++ b/include/cardamombay/control/admin_view.hpp
@@ -0,0 +1,30 @@
+/// \file
+/// \brief Shows a control node to operators.
+/// \details Read-only: turns what the node knows into the messages of module admin. It decides
+/// nothing; the reason why a group is not usable follows the rules of the snapshot.
+#pragma once
+
+#include <cardamombay/admin/admin_config.hpp>
+#include <cardamombay/admin/admin_group.hpp>
+#include <cardamombay/admin/admin_status.hpp>
+#include <cardamombay/admin/admin_vm.hpp>
+#include <cardamombay/control/control_node.hpp>
+
+#include <string_view>
+#include <vector>
+
+namespace cardamombay::control {
+
+/// \brief State of the node; \p lifecycleState comes from the daemon's chart.
+[[nodiscard]] admin::AdminStatus statusOf(const ControlNode &node, std::string_view lifecycleState);
+
+/// \brief Every group slot that was ever formed, with the reason if it is not usable.
+[[nodiscard]] std::vector<admin::AdminGroup> groupsOf(const ControlNode &node);
+
+/// \brief Every endpoint VM.
+[[nodiscard]] std::vector<admin::AdminVm> vmsOf(const ControlNode &node);
+
+/// \brief The configuration in force.
+[[nodiscard]] admin::AdminConfig configOf(const ControlNode &node);
+
+} // namespace cardamombay::control
--- a/include/cardamombay/control/control_node.hpp
+++ b/include/cardamombay/control/control_node.hpp
@@ -6,8 +6,12 @@
 #pragma once
 
 #include <cardamombay/claims/claim_book.hpp>
+#include <cardamombay/claims/claim_expiry.hpp>
 #include <cardamombay/config/config_agent.hpp>
+#include <cardamombay/config/config_store.hpp>
+#include <cardamombay/control/config_peers.hpp>
 #include <cardamombay/control/control_settings.hpp>
+#include <cardamombay/control/node_charts.hpp>
 #include <cardamombay/control/peer_reports.hpp>
 #include <cardamombay/control/vm_list_poller.hpp>
 #include <cardamombay/control/zone_planner.hpp>
@@ -17,6 +21,7 @@
 #include <cardamombay/membership/membership.hpp>
 #include <cardamombay/membership/peer_transport.hpp>
 #include <cardamombay/platform/object_store.hpp>
+#include <cardamombay/platform/paced_table_store.hpp>
 #include <cardamombay/platform/table_store.hpp>
 #include <cardamombay/platform/vm_directory.hpp>
 #include <cardamombay/routing/routing_snapshot.hpp>
@@ -32,6 +37,7 @@
 {
     Clock &clock_;
     membership::PeerTransport &peers_;
+    ConfigPeers &configPeers_;
     platform::TableStore &table_;
     platform::ObjectStore &objects_;
     platform::VmDirectory &directory_;
@@ -39,14 +45,6 @@
     DecisionLog &decisions_;
 };
 
-/// \brief All charts that the control side interprets.
-struct NodeCharts
-{
-    ControlCharts planner_;
-    claims::ClaimProgramPtr claim_;
-    config::ConfigProgramPtr config_;
-};
-
 /// \brief One control node.
 /// \code
 /// ControlNode node(links, settings, charts);
@@ -108,7 +106,7 @@
     {
         return inFlight_;
     }
-    [[nodiscard]] bool isStoreReachable() const;
+    [[nodiscard]] bool isStoreReachable() const { return store_.isReachable(); }
     /// \}
 
 private:
@@ -156,17 +154,23 @@
     [[nodiscard]] bool isMissingVm() const;
     [[nodiscard]] bool isAmongFirstOfZone(std::size_t count) const;
 
+    void fetchFromPeers(ConfigVersion atLeast, Callback<std::string> done);
+
     ControlSettings settings_;
     Clock &clock_;
     DecisionLog &decisions_;
+    ConfigPeers &configPeers_;
     Random random_;
+    platform::PacedTableStore store_;
     membership::Membership membership_;
     watching::EndpointWatcher watcher_;
     groups::GroupBoard board_;
+    config::ConfigStore configStore_;
     config::ConfigAgent config_;
     VmListPoller list_;
     ZonePlanner planner_;
     claims::ClaimBook claims_;
+    claims::ClaimExpiry claimExpiry_;
     WatcherView view_;
     MemberLiveness liveness_;
     PeerReports reports_;
--- a/include/cardamombay/control/zone_planner.hpp
+++ b/include/cardamombay/control/zone_planner.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cardamombay/control/control_settings.hpp>
+#include <cardamombay/control/node_charts.hpp>
 #include <cardamombay/core/decision_log.hpp>
 #include <cardamombay/core/random.hpp>
 #include <cardamombay/endpoint/endpoint_orders.hpp>
@@ -20,13 +21,6 @@
 
 namespace cardamombay::control {
 
-/// \brief Programs of the charts that a control node runs.
-struct ControlCharts
-{
-    leases::LeaseProgramPtr lease_;
-    groups::GroupProgramPtr group_;
-};
-
 /// \brief What the planner sees at one tick.
 struct PlanPicture
 {
@@ -42,7 +36,7 @@
 {
 public:
     ZonePlanner(Clock &clock, platform::TableStore &store, endpoint::EndpointOrders &orders,
-                DecisionSink &decisions, const ControlSettings &settings, ControlCharts charts);
+                DecisionSink &decisions, const ControlSettings &settings, const NodeCharts &charts);
     ZonePlanner(const ZonePlanner &) = delete;
     ZonePlanner &operator=(const ZonePlanner &) = delete;
     ~ZonePlanner();
@@ -80,7 +74,7 @@
     endpoint::EndpointOrders &orders_;
     DecisionSink &decisions_;
     const ControlSettings &settings_;
-    ControlCharts charts_;
+    const NodeCharts &charts_;
     Random random_;
     bool isReleasing_ = false;
     std::map<FabricDomain, Domain> domains_;
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -21,8 +21,8 @@
 /// Groups of other zones asked about when the own zone has none to offer.
 constexpr std::size_t elsewhereLimit = 4;
 
-/// The table service counts as reachable if it answered within this time.
-constexpr Duration storeWindow = std::chrono::seconds(5);
+/// Peers asked for the configuration at once.
+constexpr std::size_t configPeersAsked = 3;
 
 membership::MemberEntry memberOf(const ControlSettings &settings)
 {
@@ -35,25 +35,40 @@
     return self;
 }
 
+platform::WriterTokens tokensOf(const ControlSettings &settings)
+{
+    return platform::WriterTokens(settings.self_, settings.incarnation_);
+}
+
+config::ConfigAgentOptions agentOptions(const ControlSettings &settings)
+{
+    config::ConfigAgentOptions options;
+    options.pollInterval_ = settings.configPollEvery_;
+    return options;
+}
+
 } // namespace
 
 ControlNode::ControlNode(ControlLinks links, ControlSettings settings, const NodeCharts &charts)
     : settings_(std::move(settings))
     , clock_(links.clock_)
     , decisions_(links.decisions_)
+    , configPeers_(links.configPeers_)
     , random_(settings_.randomSeed_)
+    , store_(links.table_, links.clock_, Random(random_.bits()))
     , membership_(links.clock_, links.peers_, Random(random_.bits()), settings_.membership_,
-                  memberOf(settings_))
+                  memberOf(settings_), charts.member_)
     , watcher_(links.clock_, links.orders_, settings_.watching_, settings_.self_)
-    , board_(links.clock_, links.table_, Random(random_.bits()))
-    , config_(links.clock_, links.table_, links.objects_, Random(random_.bits()), charts.config_,
-              config::AgentSettings{settings_.configPollEvery_})
+    , board_(links.clock_, store_, Random(random_.bits()))
+    , configStore_(links.clock_, store_, links.objects_, random_, tokensOf(settings_))
+    , config_(links.clock_, configStore_, random_, links.decisions_, charts.config_,
+              agentOptions(settings_))
     , list_(links.clock_, links.directory_, Random(random_.bits()), settings_.vmListEvery_,
             settings_.idleVmListEvery_)
-    , planner_(links.clock_, links.table_, links.orders_, links.decisions_, settings_,
-               charts.planner_)
-    , claims_({links.clock_, links.table_, links.objects_, random_, charts.claim_, settings_.self_,
+    , planner_(links.clock_, store_, links.orders_, links.decisions_, settings_, charts)
+    , claims_({links.clock_, store_, links.objects_, random_, charts.claim_, settings_.self_,
                settings_.incarnation_})
+    , claimExpiry_(links.clock_, store_, random_, tokensOf(settings_))
     , view_(watcher_)
     , liveness_(membership_)
     , snapshot_(std::make_shared<routing::RoutingSnapshot>())
@@ -75,7 +90,10 @@
     membership_.onChange([this](const membership::MemberEntry &) { takeMembers(); });
     watcher_.onUrgent([this] { membership_.flushSoon(); });
     list_.onList([this] { takeList(); });
-    config_.onChange([this](config::ConfigurationPtr) { takeConfiguration(); });
+    config_.setOnChange([this](const config::ConfigurationPtr &) { takeConfiguration(); });
+    config_.setPeerFetch([this](ConfigVersion atLeast, Callback<std::string> done) {
+        fetchFromPeers(atLeast, std::move(done));
+    });
     claims_.setLiveness(&liveness_);
 }
 
@@ -88,6 +106,7 @@
     list_.start();
     board_.start();
     watcher_.start();
+    claimExpiry_.start();
     tickSnapshot();
     tickPlan();
 }
@@ -110,11 +129,6 @@
     inFlight_ = std::move(inFlight);
 }
 
-bool ControlNode::isStoreReachable() const
-{
-    return board_.hasBeenRefreshed() && board_.age() < storeWindow;
-}
-
 // ---- what changes --------------------------------------------------------------------------
 
 void ControlNode::takeList()
@@ -135,6 +149,7 @@
 {
     const auto alive = membership_.aliveMembers();
     watcher_.setWatchers(alive);
+    store_.setFleetSize(alive.size());
     claims_.setEntryCount(static_cast<std::uint32_t>(std::max<std::size_t>(alive.size(), 1)));
     const bool isPoller = isAmongFirstOfZone(pollersPerZone);
     list_.setPoller(isPoller);
@@ -164,6 +179,28 @@
     return ahead < count;
 }
 
+/// Asks the live peers that have the highest versions, a few at once.
+void ControlNode::fetchFromPeers(ConfigVersion atLeast, Callback<std::string> done)
+{
+    auto peers = membership_.aliveMembers();
+    std::erase_if(peers, [&](const auto &peer) { return peer.id_ == settings_.self_; });
+    std::stable_sort(peers.begin(), peers.end(), [](const auto &left, const auto &right) {
+        return left.configVersion_ > right.configVersion_;
+    });
+    if (peers.size() > configPeersAsked)
+        peers.resize(configPeersAsked);
+    std::vector<Address> addresses;
+    for (const auto &peer : peers)
+        addresses.push_back(peer.address_);
+    if (addresses.empty()) {
+        clock_.schedule({}, [done = std::move(done)] {
+            done(Error(PeerUnreachable{EntryId("any"), "no live peer is known"}));
+        });
+        return;
+    }
+    fetchHighest(configPeers_, addresses, atLeast, std::move(done));
+}
+
 // ---- digests -------------------------------------------------------------------------------
 
 void ControlNode::fillDigest(membership::Digest &digest)
--- a/src/control/peer_reports.cpp
+++ b/src/control/peer_reports.cpp
@@ -13,8 +13,9 @@
                                Duration window)
 {
     std::erase_if(reports_, [&](const auto &item) {
-        const bool isAlive = std::any_of(alive.begin(), alive.end(),
-                                         [&](const auto &member) { return member.id_ == item.first; });
+        const bool isAlive = std::any_of(alive.begin(), alive.end(), [&](const auto &member) {
+            return member.id_ == item.first;
+        });
         return !isAlive || now - item.second.takenAt_ > window;
     });
 }
--- a/src/control/snapshot_builder.cpp
+++ b/src/control/snapshot_builder.cpp
@@ -62,8 +62,7 @@
         return group;
     }
 
-    SnapshotGroup plainGroup(const config::Service &service,
-                             const platform::VmRecord &record) const
+    SnapshotGroup plainGroup(const config::Service &service, const platform::VmRecord &record) const
     {
         SnapshotGroup group;
         group.group_ = GroupId(record.id_.text());
--- a/src/control/vm_list_poller.cpp
+++ b/src/control/vm_list_poller.cpp
@@ -57,14 +57,15 @@
 void VmListPoller::ask()
 {
     isAsking_ = true;
-    directory_.list([this, isAlive = std::weak_ptr<bool>(isAlive_)](Result<platform::VmList> result) {
-        if (isAlive.expired())
-            return;
-        isAsking_ = false;
-        arm(period());
-        if (isOk(result))
-            take(std::move(valueOf(result)));
-    });
+    directory_.list(
+        [this, isAlive = std::weak_ptr<bool>(isAlive_)](Result<platform::VmList> result) {
+            if (isAlive.expired())
+                return;
+            isAsking_ = false;
+            arm(period());
+            if (isOk(result))
+                take(std::move(valueOf(result)));
+        });
 }
 
 void VmListPoller::take(platform::VmList list)
--- a/src/control/zone_planner.cpp
+++ b/src/control/zone_planner.cpp
@@ -34,13 +34,13 @@
 
 ZonePlanner::ZonePlanner(Clock &clock, platform::TableStore &store,
                          endpoint::EndpointOrders &orders, DecisionSink &decisions,
-                         const ControlSettings &settings, ControlCharts charts)
+                         const ControlSettings &settings, const NodeCharts &charts)
     : clock_(clock)
     , store_(store)
     , orders_(orders)
     , decisions_(decisions)
     , settings_(settings)
-    , charts_(std::move(charts))
+    , charts_(charts)
     , random_(settings.randomSeed_)
 {
 }
@@ -65,8 +65,7 @@
         const bool isEngine = record.role_ == platform::VmRole::Engine;
         if (!isEngine || record.domain_.isEmpty() || domains_.contains(record.domain_))
             continue;
-        const auto entries
-            = planningEntries(record.zone_, *picture.configuration_, picture.alive_);
+        const auto entries = planningEntries(record.zone_, *picture.configuration_, picture.alive_);
         const bool isCandidate
             = leases::candidateRank(record.domain_, settings_.self_, entries).has_value()
               && std::find(entries.begin(), entries.end(), settings_.self_) != entries.end();
@@ -94,8 +93,8 @@
     const auto entries = planningEntries(domain.zone_, *picture.configuration_, picture.alive_);
     const bool mayPlan
         = std::find(entries.begin(), entries.end(), settings_.self_) != entries.end();
-    domain.lease_->setCandidateRank(
-        mayPlan ? leases::candidateRank(name, settings_.self_, entries) : std::nullopt);
+    domain.lease_->setCandidateRank(mayPlan ? leases::candidateRank(name, settings_.self_, entries)
+                                            : std::nullopt);
 }
 
 void ZonePlanner::plan(Domain &domain, const PlanPicture &picture)
