--- a/apps/cardamombayd/main.cpp
+++ b/apps/cardamombayd/main.cpp
@@ -1,6 +1,81 @@
-#include <cardamombay/forward.hpp>
+/// \file
+/// \brief Program cardamombayd: parses arguments, loads settings and runs the daemon.
+#include "daemon.hpp"
 
-int main()
+#include <cardamombay/cli/command_line.hpp>
+#include <cardamombay/cli/exit_code.hpp>
+#include <cardamombay/log/events.hpp>
+#include <cardamombay/log/log.hpp>
+
+#include <iostream>
+#include <string_view>
+
+using namespace cardamombay;
+
+namespace {
+
+log::Level levelOf(std::string_view name)
+{
+    if (name == "trace" || name == "debug")
+        return log::Level::Debug;
+    if (name == "warn")
+        return log::Level::Warning;
+    if (name == "error")
+        return log::Level::Error;
+    return log::Level::Info;
+}
+
+int fail(const Error &error, int code)
+{
+    std::cerr << "cardamombayd: " << error << '\n';
+    return code;
+}
+
+int runDaemon(settings::Settings settings)
+{
+    log::configure(levelOf(settings.logLevel_));
+    daemon::Daemon daemon(std::move(settings));
+    const auto result = daemon.run();
+    if (isOk(result))
+        return cli::exitOk;
+    const auto &error = errorOf(result);
+    log::error(log::event::daemonFailed, {{"kind", std::string(kindOf(error))},
+                                          {"problem", messageOf(error)},
+                                          {"remedy", remedyOf(error)}});
+    const bool isInput
+        = std::holds_alternative<InvalidInput>(error) || std::holds_alternative<NotFound>(error);
+    return isInput ? cli::exitWrongInput : cli::exitFailed;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
 {
-    return 0;
+    const cli::CommandLine line("cardamombayd", "--settings FILE",
+                                {{"settings", 's', "FILE", "process settings, TOML"},
+                                 {"check", 'c', "", "check the settings and exit"}});
+    const auto parsed = line.parse(argc, argv);
+    if (!isOk(parsed))
+        return fail(errorOf(parsed), cli::exitWrongInput);
+    const auto &given = valueOf(parsed);
+    if (given.has("help")) {
+        std::cout << line.help();
+        return cli::exitOk;
+    }
+    if (given.has("version")) {
+        std::cout << line.version() << '\n';
+        return cli::exitOk;
+    }
+    if (!given.has("settings")) {
+        std::cerr << "cardamombayd: --settings FILE is needed\n" << line.help();
+        return cli::exitWrongInput;
+    }
+    auto loaded = settings::load(given.value("settings"));
+    if (!isOk(loaded))
+        return fail(errorOf(loaded), cli::exitWrongInput);
+    if (given.has("check")) {
+        std::cout << "settings are valid\n";
+        return cli::exitOk;
+    }
+    return runDaemon(valueOf(std::move(loaded)));
 }
