--- a/tests/support/caller.cpp
+++ b/tests/support/caller.cpp
@@ -1,5 +1,7 @@
 #include "support/caller.hpp"
 
+#include <cardamombay/load/call_outcome.hpp>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
@@ -144,7 +146,7 @@
 CompletionAnswer readCompletion(load::CallResult result, bool isStream)
 {
     CompletionAnswer answer;
-    answer.outcome_ = outcomeOf(result);
+    answer.outcome_ = load::statedOutcome(result);
     answer.result_ = std::move(result);
     if (answer.result_.status_ != 200)
         return answer;
@@ -155,10 +157,4 @@
     return answer;
 }
 
-std::string outcomeOf(const load::CallResult &result)
-{
-    const std::string header = result.field("X-Outcome");
-    return header.empty() ? textAt(parseObject(result.body_), "outcome") : header;
-}
-
 } // namespace cardamombay::support
--- a/tests/support/caller.hpp
+++ b/tests/support/caller.hpp
@@ -71,7 +71,4 @@
 /// \brief Reads what came back; \p isStream as it was asked for.
 [[nodiscard]] CompletionAnswer readCompletion(load::CallResult result, bool isStream);
 
-/// \brief "not-run", "ran", "unknown" or empty, from the header or the problem body.
-[[nodiscard]] std::string outcomeOf(const load::CallResult &result);
-
 } // namespace cardamombay::support
