--- a/tests/net/asio_http_client.cpp
+++ b/tests/net/asio_http_client.cpp
@@ -1,4 +1,4 @@
-#include "support/scripted_server.hpp"
+#include "client_fixture.hpp"
 
 #include <cardamombay/net/asio_http_client.hpp>
 
@@ -11,90 +11,18 @@
 
 using namespace cardamombay;
 using net::AsioHttpClient;
-using net::HttpClientLimits;
 using net::HttpFailure;
 using net::HttpRequest;
-using net::HttpResponse;
 using net::HttpResult;
 using std::chrono::milliseconds;
+using support::ClientFixture;
 using support::jsonAnswer;
+using support::post;
+using support::postWithId;
 using support::ScriptedServer;
 
 namespace {
 
-struct Fixture
-{
-    explicit Fixture(HttpClientLimits limits = {})
-        : client_(context_, limits)
-        , server_(context_)
-    {
-    }
-
-    void start(HttpRequest request)
-    {
-        request.address_ = request.address_.ip_.empty() ? server_.address() : request.address_;
-        client_.send(std::move(request),
-                     [this](HttpResult result) { results_.push_back(std::move(result)); });
-    }
-
-    void runUntil(std::size_t count)
-    {
-        const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(20);
-        while (results_.size() < count && std::chrono::steady_clock::now() < limit)
-            context_.run_one_for(milliseconds(100));
-        cr_assert_eq(results_.size(), count, "expected %zu answers", count);
-    }
-
-    HttpResult exchange(HttpRequest request)
-    {
-        const std::size_t count = results_.size() + 1;
-        start(std::move(request));
-        cr_assert_eq(results_.size(), count - 1, "answered inline");
-        runUntil(count);
-        return results_.back();
-    }
-
-    HttpFailure failure(HttpRequest request)
-    {
-        const auto result = exchange(std::move(request));
-        cr_assert(std::holds_alternative<HttpFailure>(result), "expected a failure");
-        return std::get<HttpFailure>(result);
-    }
-
-    HttpResponse response(HttpRequest request)
-    {
-        const auto result = exchange(std::move(request));
-        cr_assert(std::holds_alternative<HttpResponse>(result), "expected a response");
-        return std::get<HttpResponse>(result);
-    }
-
-    void settle(Duration time)
-    {
-        context_.run_for(time);
-        context_.restart();
-    }
-
-    boost::asio::io_context context_;
-    AsioHttpClient client_;
-    ScriptedServer server_;
-    std::vector<HttpResult> results_;
-};
-
-HttpRequest post(std::string body)
-{
-    HttpRequest request;
-    request.method_ = "POST";
-    request.body_ = std::move(body);
-    return request;
-}
-
-HttpRequest postWithId(std::string id)
-{
-    HttpRequest request = post("{}");
-    request.fields_.push_back({std::string(net::requestIdField), std::move(id)});
-    return request;
-}
-
 Address closedPort(boost::asio::io_context &context)
 {
     using boost::asio::ip::tcp;
@@ -106,7 +34,7 @@
 
 Test(asio_http_client, kept_connection_serves_the_next_request)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.server_.add({.bytes_ = jsonAnswer("one", 200, "X-Kind: first\r\n")});
     fixture.server_.add({.bytes_ = jsonAnswer("two", 503)});
 
@@ -122,7 +50,7 @@
 
 Test(asio_http_client, refused_connection_says_that_no_byte_left)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     HttpRequest request = post("a");
     request.address_ = closedPort(fixture.context_);
 
@@ -134,7 +62,7 @@
 
 Test(asio_http_client, address_that_is_no_ip_number_says_that_no_byte_left)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     HttpRequest request = post("a");
     request.address_ = {"store.example", 80};
 
@@ -143,7 +71,7 @@
 
 Test(asio_http_client, silent_server_gives_a_timeout_that_may_have_left)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     HttpRequest request = post("a");
     request.timeout_ = milliseconds(50);
 
@@ -156,7 +84,7 @@
 
 Test(asio_http_client, kept_connection_that_dies_under_a_request_is_not_repeated)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.server_.add({.bytes_ = jsonAnswer("one")});
     fixture.server_.add({.resets_ = true});
     fixture.server_.add({.bytes_ = jsonAnswer("never asked for")});
@@ -170,7 +98,7 @@
 
 Test(asio_http_client, connection_closed_while_idle_is_replaced)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.server_.add({.bytes_ = jsonAnswer("one")});
     fixture.server_.add({.bytes_ = jsonAnswer("two")});
     (void)fixture.response(post("a"));
@@ -184,7 +112,7 @@
 
 Test(asio_http_client, answer_cut_short_is_no_answer)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     const auto whole = jsonAnswer("0123456789");
     fixture.server_.add({.bytes_ = whole.substr(0, whole.size() - 3), .closes_ = true});
 
@@ -193,7 +121,7 @@
 
 Test(asio_http_client, answer_past_the_size_limit_is_refused)
 {
-    Fixture fixture({.responseBytes_ = 1000});
+    ClientFixture fixture({.responseBytes_ = 1000});
     fixture.server_.add({.bytes_ = jsonAnswer(std::string(1001, 'x'))});
     fixture.server_.add({.bytes_ = jsonAnswer(std::string(1000, 'x'))});
 
@@ -203,7 +131,7 @@
 
 Test(asio_http_client, duplicated_answer_is_not_taken_for_the_next_request)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.server_.add({.bytes_ = jsonAnswer("one"), .laterBytes_ = jsonAnswer("one")});
     fixture.server_.add({.bytes_ = jsonAnswer("two")});
     (void)fixture.response(post("a"));
@@ -214,7 +142,7 @@
 
 Test(asio_http_client, answer_that_echoes_another_request_is_dropped)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     fixture.server_.add({.bytes_ = jsonAnswer("old", 200, "X-Request-Id: r-1\r\n")});
     fixture.server_.add({.bytes_ = jsonAnswer("own", 200, "X-Request-Id: r-3\r\n")});
 
@@ -228,7 +156,7 @@
 
 Test(asio_http_client, connections_are_bounded_and_waiting_requests_follow)
 {
-    Fixture fixture({.connectionsPerAddress_ = 2});
+    ClientFixture fixture({.connectionsPerAddress_ = 2});
     for (int i = 0; i < 6; ++i) {
         fixture.server_.add({.bytes_ = jsonAnswer("x"), .delay_ = milliseconds(10)});
         fixture.start(post("a"));
@@ -242,7 +170,7 @@
 
 Test(asio_http_client, request_that_waited_out_its_time_says_that_no_byte_left)
 {
-    Fixture fixture({.connectionsPerAddress_ = 1});
+    ClientFixture fixture({.connectionsPerAddress_ = 1});
     fixture.start(post("holds the connection"));
     HttpRequest request = post("waits");
     request.timeout_ = milliseconds(50);
@@ -259,7 +187,7 @@
 
 Test(asio_http_client, full_queue_refuses_at_once)
 {
-    Fixture fixture({.connectionsPerAddress_ = 1, .waitingPerAddress_ = 1});
+    ClientFixture fixture({.connectionsPerAddress_ = 1, .waitingPerAddress_ = 1});
     fixture.start(post("holds the connection"));
     fixture.start(post("waits"));
 
@@ -268,7 +196,7 @@
 
 Test(asio_http_client, idle_connection_is_closed_in_time)
 {
-    Fixture fixture({.idleTimeout_ = milliseconds(30)});
+    ClientFixture fixture({.idleTimeout_ = milliseconds(30)});
     fixture.server_.add({.bytes_ = jsonAnswer("one")});
     (void)fixture.response(post("a"));
     cr_assert_eq(fixture.client_.openConnections(), 1U);
@@ -280,7 +208,7 @@
 
 Test(asio_http_client, line_break_in_a_field_is_refused)
 {
-    Fixture fixture;
+    ClientFixture fixture;
     HttpRequest request = post("a");
     request.fields_.push_back({"X-Name", "a\r\nX-Forged: b"});
 
