--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -27,12 +27,13 @@
 } // namespace
 
 Membership::Membership(Clock &clock, PeerTransport &transport, Random random,
-                       MembershipSettings settings, MemberEntry self)
+                       MembershipSettings settings, MemberEntry self, MemberProgramPtr program)
     : clock_(clock)
     , transport_(transport)
-    , random_(std::move(random))
+    , random_(random)
     , settings_(settings)
     , self_(std::move(self))
+    , table_(std::move(program))
     , nextSequence_(firstSequence(random_))
     , alive_(std::make_shared<bool>(true))
 {
@@ -96,6 +97,18 @@
 void Membership::setConfigVersion(ConfigVersion version)
 {
     self_.configVersion_ = std::max(self_.configVersion_, version);
+    noteConfigVersion(version);
+}
+
+void Membership::noteConfigVersion(ConfigVersion version)
+{
+    if (version <= newestConfig_)
+        return;
+    newestConfig_ = version;
+    // A few hops in quick succession carry it through the site, the region and the others.
+    flushSoon();
+    nextProbeAt_ = TimePoint{};
+    nextBridgeAt_ = TimePoint{};
 }
 
 void Membership::setExtraPeers(std::span<const EntryId> peers)
@@ -307,7 +320,7 @@
             continue;
         }
         other.probeDeadline_ = TimePoint{};
-        if (table_.suspect(id, now) == TableChange::Changed) {
+        if (table_.suspect(id, now)) {
             ++counters_.suspicions_;
             changed(member->entry_);
         }
@@ -326,7 +339,7 @@
             lapsed.push_back(id);
     }
     for (const EntryId &id : lapsed) {
-        if (table_.declareDead(id, now) != TableChange::Changed)
+        if (!table_.declareDead(id, now))
             continue;
         ++counters_.deaths_;
         changed(table_.find(id)->entry_);
@@ -373,7 +386,7 @@
     sendDigest(target.entry_.address_, std::move(digest), sent);
 }
 
-void Membership::sendDigest(Address address, Digest digest, SentDigest sent)
+void Membership::sendDigest(Address address, Digest digest, const SentDigest &sent)
 {
     ++counters_.exchangesStarted_;
     const std::weak_ptr<bool> guard = alive_;
@@ -455,6 +468,7 @@
     digest.from_ = self_;
     digest.to_ = to;
     digest.sequence_ = nextSequence_++;
+    digest.newestConfig_ = newestConfig_;
     if (!to.isEmpty()) {
         PeerLink &link = peer(to).link_;
         digest.echo_ = link.echo(now);
@@ -508,6 +522,7 @@
     const MemberEntry &from = digest.from_;
     peer(from.id_).link_.noteReceived(digest.sequence_, now);
     applyReport(from);
+    noteConfigVersion(std::max(from.configVersion_, digest.newestConfig_));
     if (madeAfter && table_.heard(from.id_, from.incarnation_, *madeAfter, now)) {
         if (const Member *member = table_.find(from.id_))
             changed(member->entry_);
@@ -529,7 +544,7 @@
         refute(report);
         return;
     }
-    if (table_.apply(report, clock_.now()) == TableChange::Changed)
+    if (table_.apply(report, clock_.now()))
         changed(report);
 }
 
@@ -667,10 +682,10 @@
     scope_ = isSmall || site.empty() ? std::move(region) : std::move(site);
 }
 
-bool Membership::isInitiator(const EntryId &other) const
+bool Membership::isInitiator(const EntryId &id) const
 {
-    const EntryId &low = std::min(self_.id_, other);
-    const EntryId &high = std::max(self_.id_, other);
+    const EntryId &low = std::min(self_.id_, id);
+    const EntryId &high = std::max(self_.id_, id);
     const bool isLow = (rendezvousWeight(low.text(), high.text()) & 1U) == 0;
     return (isLow ? low : high) == self_.id_;
 }
@@ -735,16 +750,6 @@
     return {scope_.begin(), scope_.end()};
 }
 
-ConfigVersion Membership::highestConfigVersion() const
-{
-    ConfigVersion highest = self_.configVersion_;
-    for (const auto &[id, member] : table_.members())
-        highest = std::max(highest, member.entry_.configVersion_);
-    for (const auto &[zone, site] : remoteSites_)
-        highest = std::max(highest, site.summary_.newest_);
-    return highest;
-}
-
 SiteSummary Membership::ownSite() const
 {
     SiteSummary site{self_.zone_, 1, self_.configVersion_, self_.configVersion_, {}};
