--- a/apps/cardamombayd/control_side.hpp
+++ b/apps/cardamombayd/control_side.hpp
@@ -10,7 +10,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <memory>
+#include <string>
 
 namespace cardamombay::daemon {
 
@@ -22,6 +24,7 @@
     const settings::Settings &settings_;
     Incarnation incarnation_;
     metrics::Registry &registry_;
+    std::function<std::string()> lifecycleState_; ///< State of the daemon's chart.
 };
 
 [[nodiscard]] std::unique_ptr<traffic::ControlSide> makeControlSide(const ControlParts &parts);
--- a/apps/cardamombayd/daemon.cpp
+++ b/apps/cardamombayd/daemon.cpp
@@ -81,7 +81,8 @@
     auto lifecycle = makeLifecycle();
     if (!isOk(lifecycle))
         return lifecycle;
-    control_ = makeControlSide({context_, clock_, settings_, incarnation_, registry_});
+    control_ = makeControlSide({context_, clock_, settings_, incarnation_, registry_,
+                                [this] { return std::string(lifecycle_->state()); }});
     const auto bound = startTraffic();
     if (!isOk(bound))
         return errorOf(bound);
--- a/include/cardamombay/control/control_node.hpp
+++ b/include/cardamombay/control/control_node.hpp
@@ -28,7 +28,6 @@
 #include <cardamombay/watching/endpoint_watcher.hpp>
 
 #include <functional>
-#include <set>
 
 namespace cardamombay::control {
 
@@ -42,7 +41,7 @@
     platform::ObjectStore &objects_;
     platform::VmDirectory &directory_;
     endpoint::EndpointOrders &orders_;
-    DecisionLog &decisions_;
+    DecisionSink &decisions_;
 };
 
 /// \brief One control node.
@@ -158,7 +157,6 @@
 
     ControlSettings settings_;
     Clock &clock_;
-    DecisionLog &decisions_;
     ConfigPeers &configPeers_;
     Random random_;
     platform::PacedTableStore store_;
@@ -177,7 +175,6 @@
     VmRecords vms_;
     std::vector<routing::DemandReport> demand_;
     std::vector<membership::InFlightEntry> inFlight_;
-    std::set<VmId> markedLeaving_;
     std::uint64_t sequence_ = 0;
     routing::RoutingSnapshotPtr snapshot_;
     SnapshotSink sink_;
--- a/include/cardamombay/traffic/claim.hpp
+++ b/include/cardamombay/traffic/claim.hpp
@@ -43,8 +43,9 @@
 struct ClaimAnswer
 {
     ClaimVerdict verdict_ = ClaimVerdict::Unavailable;
-    StoredAnswer stored_;   ///< Only if Finished.
-    Duration retryAfter_{}; ///< Only if Unavailable.
+    StoredAnswer stored_;        ///< Only if Finished.
+    Duration retryAfter_{};      ///< Only if Unavailable.
+    TimePoint handOverBefore_{}; ///< Only if Granted: no hand-over from then on.
 };
 
 /// \brief Receives the answer, once, on the control thread.
--- /dev/null
+++ b/src/control/claim_desk.hpp
@@ -0,0 +1,32 @@
+/// \file
+/// \brief Carries claims of the traffic side to the claim book.
+#pragma once
+
+#include <cardamombay/claims/claim_book.hpp>
+#include <cardamombay/traffic/claim.hpp>
+
+#include <map>
+
+namespace cardamombay::control::impl {
+
+/// \brief Translates between traffic's messages and the book's; lives on the control thread.
+class ClaimDesk
+{
+public:
+    explicit ClaimDesk(claims::ClaimBook &book)
+        : book_(book)
+    {
+    }
+
+    void claim(const traffic::ClaimRequest &request, traffic::ClaimCallback done);
+    void complete(const traffic::ClaimCompletion &completion);
+
+private:
+    [[nodiscard]] traffic::ClaimAnswer answerOf(const RequestId &request,
+                                                const Result<claims::ClaimAnswer> &result);
+
+    claims::ClaimBook &book_;
+    std::map<RequestId, claims::ClaimNumber> granted_;
+};
+
+} // namespace cardamombay::control::impl
