--- a/apps/cardamombayctl/main.cpp
+++ b/apps/cardamombayctl/main.cpp
@@ -1,6 +1,8 @@
-#include <cardamombay/forward.hpp>
+#include <cardamombay/cli/control_program.hpp>
 
-int main()
+#include <iostream>
+
+int main(int argc, char **argv)
 {
-    return 0;
+    return cardamombay::cli::runControlProgram(argc, argv, std::cout, std::cerr);
 }
--- a/src/config/nearest_name.cpp
+++ b/src/config/nearest_name.cpp
@@ -46,6 +46,8 @@
     const std::string nearest = nearestName(name, known);
     if (!nearest.empty())
         return "did you mean '" + nearest + "'? Otherwise remove it";
+    if (known.empty())
+        return "remove it";
     std::string list;
     for (const auto &item : known)
         list += (list.empty() ? "" : ", ") + item;
