Start the daemon with its settings option in the fleet

Change: Fleet passes the option; entryCount() for callers on threads. Conclusion: follows the daemon's command line.

--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -111,7 +111,8 @@
 {
     FleetNode &entry = entries_[index];
     const std::string file = harness_.writeFile(entry.name_ + ".toml", settingsOf(entry));
-    entry.process_ = harness_.start(entry.name_, harness_.program("cardamombayd"), {file});
+    entry.process_
+        = harness_.start(entry.name_, harness_.program("cardamombayd"), {"--settings", file});
 }
 
 std::string Fleet::settingsOf(const FleetNode &entry) const
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -82,6 +82,7 @@
     /// \}
 
     [[nodiscard]] Caller caller(std::size_t entry) const;
+    [[nodiscard]] std::size_t entryCount() const { return entries_.size(); }
     [[nodiscard]] ProcessHarness &harness() { return harness_; }
     [[nodiscard]] FleetNode &platform() { return platform_; }
     [[nodiscard]] std::vector<FleetNode> &engines() { return engines_; }
