Find fake endpoint VMs by address through an index

Cause: the fake searched all VMs for each message, which hid the slopes of control work at the two-year size. Change: an index from address to VM.

--- a/tests/support/fake_endpoints.cpp
+++ b/tests/support/fake_endpoints.cpp
@@ -33,7 +33,10 @@
 {
     Vm entry{
         std::move(address), EngineMember(vm, Incarnation{1}, checksFencing), {}, false, false, {}};
-    vms_.insert_or_assign(std::move(vm), std::move(entry));
+    const Address at = entry.address_;
+    if (const auto old = vms_.find(vm); old != vms_.end())
+        byAddress_.erase(old->second.address_);
+    byAddress_[at] = &vms_.insert_or_assign(std::move(vm), std::move(entry)).first->second;
 }
 
 FakeEndpoints::Vm &FakeEndpoints::vmOf(const VmId &vm)
@@ -51,11 +54,8 @@
 
 FakeEndpoints::Vm *FakeEndpoints::vmAt(const Address &address)
 {
-    for (auto &[id, vm] : vms_) {
-        if (vm.address_ == address)
-            return &vm;
-    }
-    return nullptr;
+    const auto found = byAddress_.find(address);
+    return found == byAddress_.end() ? nullptr : found->second;
 }
 
 void FakeEndpoints::kill(const VmId &vm)
--- a/tests/support/fake_endpoints.hpp
+++ b/tests/support/fake_endpoints.hpp
@@ -109,6 +109,7 @@
 
     Clock &clock_;
     std::map<VmId, Vm> vms_;
+    std::map<Address, Vm *> byAddress_;
     std::vector<ReceivedOrder> orders_;
     std::uint64_t probes_ = 0;
 };
