Test that the fleet starts entry VMs with generated settings

Cause: the part of Fleet that starts the daemon had never run. Conclusion: the fleet matches the daemon's settings and command line of today.

--- a/tests/endpoint/fleet.cpp
+++ b/tests/endpoint/fleet.cpp
@@ -39,3 +39,19 @@
 
     cr_assert(waitUntil([&] { return isInPhase("\"idle\""); }));
 }
+
+Test(fleet, entry_vms_start_with_the_generated_settings_and_end_on_a_signal)
+{
+    FleetPlan plan;
+    plan.settings_ = "[drain]\nannounce = \"0s\"\n";
+    Fleet fleet(PROGRAM_FOLDER, SOURCE_FOLDER, plan);
+    fleet.startPlatform();
+
+    fleet.startEntries();
+    for (const auto &entry : fleet.entries())
+        fleet.harness().terminate(entry.process_);
+
+    for (const auto &entry : fleet.entries())
+        cr_assert_eq(fleet.harness().waitForExit(entry.process_), 0, "%s",
+                     fleet.entryLogs().c_str());
+}
