--- a/include/cardamombay/claims/claim.hpp
+++ b/include/cardamombay/claims/claim.hpp
@@ -88,8 +88,8 @@
 {
     Duration claimDeadline_ = std::chrono::seconds(2);   ///< Longest wait for a claim.
     Duration handOverWithin_ = std::chrono::seconds(30); ///< From the first write of the claim.
-    Duration retryDelay_ = std::chrono::seconds(1);      ///< Between writes of an outcome.
-    std::uint32_t retries_ = 600;                        ///< Writes of an outcome or release.
+    Duration retryDelay_ = std::chrono::seconds(2);      ///< Between writes of an outcome.
+    std::uint32_t retries_ = 43200;                      ///< Of an outcome or release: a day.
     Duration checkDelay_ = std::chrono::seconds(5);      ///< Before an unused claim is looked for.
     std::size_t inlineBytes_ = 2048;                     ///< Longer answers go to the object store.
     std::size_t keptBytes_ = 1U << 20U;                  ///< Longer answers are not kept.
