Commit the rest of a conflicted batch alone and at once

Cause: The rest of a conflicted batch waited for credit and met fresh losers in its next batch; and no test walked every fault through every step of a claim. Change: RowBatcher sends the rest at once, on credit of the next batch. Tests: a fault matrix (7 faults x 4 steps x 3 ends x 2 places of the second caller), throttled commits.

--- a/include/cardamombay/claims/row_batcher.hpp
+++ b/include/cardamombay/claims/row_batcher.hpp
@@ -101,11 +101,12 @@
     void pump();
     void expire();
     void flush();
+    void send(const Batch &batch);
     void judge(const Batch &batch, const Result<platform::CommitReceipt> &result);
     void readConflicts(const Batch &batch, const StoreConflict &conflict);
     void split(const Batch &batch, const StoreConflict &conflict,
                const std::vector<platform::Row> &rows);
-    void requeue(std::vector<Item> items);
+    void requeue(Item item);
 
     Clock &clock_;
     platform::TableStore &store_;
--- a/src/claims/row_batcher.cpp
+++ b/src/claims/row_batcher.cpp
@@ -1,8 +1,6 @@
 #include <cardamombay/claims/row_batcher.hpp>
 
 #include <algorithm>
-#include <iterator>
-#include <set>
 #include <utility>
 
 namespace cardamombay::claims {
@@ -90,7 +88,6 @@
             wake(std::chrono::duration_cast<Duration>(missing) + std::chrono::microseconds(1));
             return;
         }
-        credit_ -= 1;
         flush();
     }
 }
@@ -119,16 +116,24 @@
 void RowBatcher::flush()
 {
     auto batch = std::make_shared<std::vector<Item>>();
-    platform::Transaction transaction{tokens_.next(), {}, {}};
     const auto count = std::min(queue_.size(), policy_.rows_);
     for (std::size_t i = 0; i < count; ++i) {
-        auto &change = queue_.front().change_;
-        transaction.conditions_.push_back({change.key_, change.expected_});
-        transaction.writes_.push_back({change.key_, change.value_});
-        urgent_ -= change.isUrgent_ ? 1 : 0;
+        urgent_ -= queue_.front().change_.isUrgent_ ? 1 : 0;
         batch->push_back(std::move(queue_.front()));
         queue_.pop_front();
     }
+    send(batch);
+}
+
+void RowBatcher::send(const Batch &batch)
+{
+    platform::Transaction transaction{tokens_.next(), {}, {}};
+    for (const auto &item : *batch) {
+        const auto &change = item.change_;
+        transaction.conditions_.push_back({change.key_, change.expected_});
+        transaction.writes_.push_back({change.key_, change.value_});
+    }
+    credit_ -= 1;
     ++inFlight_;
     ++counts_.transactions_;
     commit_.commit(std::move(transaction),
@@ -171,11 +176,12 @@
 }
 
 /// A read may be stale, a conflict never is: only a higher version proves a conflict, and absence
-/// proves one only where the store itself reported it.
+/// proves one only where the store itself reported it. The rest goes alone and at once, on credit
+/// of the next batch, so that no fresh loser can hold it up again.
 void RowBatcher::split(const Batch &batch, const StoreConflict &conflict,
                        const std::vector<Row> &rows)
 {
-    std::vector<Item> again;
+    auto rest = std::make_shared<std::vector<Item>>();
     for (auto &item : *batch) {
         const auto &change = item.change_;
         const bool isReported = change.key_ == RowKey{conflict.table_, conflict.key_};
@@ -186,19 +192,20 @@
             item.done_(RowTaken{Row{change.key_, {}, {}, {}}});
         else if (isReported && ++item.conflicts_ >= policy_.conflicts_)
             item.done_(Error(conflict));
+        else if (isReported)
+            requeue(std::move(item));
         else
-            again.push_back(std::move(item));
+            rest->push_back(std::move(item));
     }
-    requeue(std::move(again));
+    if (!rest->empty())
+        send(rest);
+    wake(Duration::zero());
 }
 
-void RowBatcher::requeue(std::vector<Item> items)
+void RowBatcher::requeue(Item item)
 {
-    for (const auto &item : items)
-        urgent_ += item.change_.isUrgent_ ? 1 : 0;
-    queue_.insert(queue_.begin(), std::make_move_iterator(items.begin()),
-                  std::make_move_iterator(items.end()));
-    wake(Duration::zero());
+    urgent_ += item.change_.isUrgent_ ? 1 : 0;
+    queue_.push_back(std::move(item));
 }
 
 } // namespace cardamombay::claims
--- /dev/null
+++ b/tests/claims/fault_matrix.cpp
@@ -0,0 +1,166 @@
+// Every fault at every step of a keyed request, with a second caller at each entry VM.
+#include "claims/fleet.hpp"
+
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::claims;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+enum class Fault { None, LostAnswer, LostRequest, Outage, SlowStore, Pause, Crash, Last };
+enum class Step { Claiming, Held, Ending, Ended, Last };
+enum class End { Ran, Unknown, NotRun, Last };
+
+/// One request at entry 0 with a fault at one step, then a second caller.
+class Passage
+{
+public:
+    Passage(Fault fault, Step step, End end, std::size_t secondAt)
+        : fault_(fault)
+        , step_(step)
+        , end_(end)
+        , secondAt_(secondAt)
+    {
+    }
+
+    void run()
+    {
+        at(Step::Claiming);
+        first_ = fleet_.claim(0, "key");
+        fleet_.clock_.advance(milliseconds(4));
+        beginCrash(Step::Claiming);
+        fleet_.clock_.advance(seconds(4));
+        at(Step::Held);
+        beginCrash(Step::Held);
+        handOver();
+        at(Step::Ending);
+        finish();
+        fleet_.clock_.advance(milliseconds(4));
+        beginCrash(Step::Ending);
+        fleet_.clock_.advance(seconds(4));
+        at(Step::Ended);
+        beginCrash(Step::Ended);
+
+        const auto early = callAgain();
+        fleet_.faults() = {};
+        fleet_.clock_.advance(seconds(60));
+        const auto late = callAgain();
+        check(early);
+        check(late);
+        cr_assert_leq(runs_, 1, "%s: ran twice", name().c_str());
+    }
+
+private:
+    [[nodiscard]] std::string name() const
+    {
+        return "fault " + std::to_string(static_cast<int>(fault_)) + " at step "
+               + std::to_string(static_cast<int>(step_)) + " end "
+               + std::to_string(static_cast<int>(end_)) + " second at " + std::to_string(secondAt_);
+    }
+
+    /// A fault lasts until the next step.
+    void at(Step step)
+    {
+        auto &faults = fleet_.faults();
+        faults = {};
+        if (step != step_)
+            return;
+        faults.losesAnswers_ = fault_ == Fault::LostAnswer;
+        faults.losesRequests_ = fault_ == Fault::LostRequest;
+        faults.isDown_ = fault_ == Fault::Outage;
+        if (fault_ == Fault::SlowStore)
+            faults.latency_ = seconds(3);
+        if (fault_ == Fault::Pause)
+            fleet_.clock_.jump(seconds(60));
+    }
+
+    void beginCrash(Step step)
+    {
+        if (step == step_ && fault_ == Fault::Crash)
+            fleet_.kill(0);
+    }
+
+    [[nodiscard]] bool isFirstAlive() const { return fleet_.entries_[0] != nullptr; }
+
+    void handOver()
+    {
+        if (!isFirstAlive() || !holds<Granted>(first_))
+            return;
+        const auto &granted = contentOf<Granted>(first_);
+        if (!granted.mayHandOver(fleet_.clock_.now()))
+            end_ = End::NotRun;
+        else if (end_ != End::NotRun)
+            ++runs_;
+    }
+
+    void finish()
+    {
+        if (!isFirstAlive() || !holds<Granted>(first_))
+            return;
+        const auto claim = contentOf<Granted>(first_).claim_;
+        if (end_ == End::NotRun)
+            fleet_.book(0).release(claim);
+        else if (end_ == End::Ran)
+            fleet_.book(0).complete(claim, ranWith("answer"));
+        else
+            fleet_.book(0).complete(claim,
+                                    StoredOutcome::withoutAnswer(outcomes::Outcome::Unknown));
+    }
+
+    std::shared_ptr<Fleet::Answer> callAgain()
+    {
+        const auto at = isFirstAlive() ? secondAt_ : 1;
+        const auto answer = fleet_.claim(at, "key");
+        fleet_.clock_.advance(seconds(7));
+        if (holds<Granted>(answer)) {
+            ++runs_;
+            fleet_.book(at).complete(contentOf<Granted>(answer).claim_, ranWith("answer"));
+        }
+        return answer;
+    }
+
+    void check(const std::shared_ptr<Fleet::Answer> &answer)
+    {
+        cr_assert(answer->has_value(), "%s: no answer", name().c_str());
+        if (!holds<Duplicate>(answer))
+            return;
+        const auto &stored = contentOf<Duplicate>(answer).stored_;
+        const bool isRan = stored.outcome_ == outcomes::Outcome::Ran;
+        cr_assert(!isRan || runs_ == 1, "%s: ran told of what did not run", name().c_str());
+        cr_assert(!isRan || stored.body_ == "answer", "%s: answer lost", name().c_str());
+    }
+
+    Fault fault_;
+    Step step_;
+    End end_;
+    std::size_t secondAt_;
+    Fleet fleet_;
+    std::shared_ptr<Fleet::Answer> first_;
+    int runs_ = 0;
+};
+
+template<typename Enumeration>
+void forEach(const std::function<void(Enumeration)> &action)
+{
+    for (int i = 0; i < static_cast<int>(Enumeration::Last); ++i)
+        action(static_cast<Enumeration>(i));
+}
+
+} // namespace
+
+Test(claim_fault_matrix, no_fault_at_any_step_runs_a_key_twice)
+{
+    forEach<Fault>([](Fault fault) {
+        forEach<Step>([fault](Step step) {
+            forEach<End>([fault, step](End end) {
+                for (const std::size_t second : {0U, 1U})
+                    Passage(fault, step, end, second).run();
+            });
+        });
+    });
+}
--- a/tests/outcomes/reliable_commit.cpp
+++ b/tests/outcomes/reliable_commit.cpp
@@ -44,6 +44,42 @@
     }
 };
 
+/// Throttles the first commit for three seconds.
+class ThrottlingStore final : public TableStore
+{
+public:
+    ThrottlingStore(Clock &clock, support::FakePlatform &platform)
+        : clock_(clock)
+        , inner_(platform)
+    {
+    }
+
+    int tries_ = 0;
+
+    void commit(Transaction transaction, Callback<CommitReceipt> done) override
+    {
+        if (++tries_ > 1) {
+            inner_.commit(std::move(transaction), std::move(done));
+            return;
+        }
+        clock_.schedule(Duration::zero(), [done] {
+            done(Error(StoreThrottled{"commit", seconds(3)}));
+        });
+    }
+    void read(std::vector<RowKey> keys, Callback<std::vector<Row>> done) override
+    {
+        inner_.read(std::move(keys), std::move(done));
+    }
+    void scan(Scan scan, Callback<ScanPage> done) override
+    {
+        inner_.scan(std::move(scan), std::move(done));
+    }
+
+private:
+    Clock &clock_;
+    support::FakeTableStore inner_;
+};
+
 } // namespace
 
 Test(reliable_commit, writer_tokens_differ)
@@ -175,6 +211,25 @@
     cr_assert_eq(bench.platform_.commits_, 0);
 }
 
+Test(reliable_commit, throttled_commit_waits_as_long_as_the_store_asks)
+{
+    ManualClock clock;
+    support::FakePlatform platform(clock);
+    ThrottlingStore store(clock, platform);
+    Random random(1);
+    ReliableCommit commit(clock, store, random);
+    std::optional<Result<CommitReceipt>> answer;
+    commit.commit({WriterToken("t"), {{key, {}}}, {{key, "x"}}},
+                  [&](Result<CommitReceipt> result) { answer = std::move(result); });
+
+    clock.advance(milliseconds(2900));
+    cr_assert_eq(store.tries_, 1);
+    clock.advance(seconds(2));
+
+    cr_assert(isOk(*answer));
+    cr_assert_eq(store.tries_, 2);
+}
+
 Test(reliable_commit, destroyed_while_a_commit_runs_calls_nothing)
 {
     ManualClock clock;
