Test leases, rows, the board and the life of groups

Cause: leases and groups had no run behind them; two planner faults showed at once: a group with a leaving member was drained in the tick that formed its replacement, and a roll-out drained the second group while the VMs of the first were still being released. Change: tests of the lease keeper (pause, jump, lost answers, outage, release, restart, random faults with three contenders), rows, board and the group manager on an in-memory fleet that the benches share; the planner counts replacements it has just decided and VMs that come free.

--- a/src/planning/planning_run.cpp
+++ b/src/planning/planning_run.cpp
@@ -206,6 +206,7 @@
     decision.inputs_.push_back({"spares", std::to_string(spares_.size())});
     decision.members_ = takeSpares(wanted);
     decision.reason_ = "capacity-declared";
+    ++standings_[decision.service_].live_;
     add(std::move(decision));
 }
 
@@ -233,8 +234,8 @@
         const bool hasReplacement = service == nullptr || standing.serving_ >= service->replicas_;
         const bool isReplacementUnderWay = standing.live_ > standing.serving_;
         const std::uint32_t wanted = service == nullptr ? 0 : service->vmsPerReplica_;
-        const bool canFormReplacement
-            = spares_.size() >= wanted || hasSparesElsewhere(wanted) || isReplacementUnderWay;
+        const bool canFormReplacement = spares_.size() + coming_ >= wanted
+                                        || hasSparesElsewhere(wanted) || isReplacementUnderWay;
         const bool isDown = group.phase_ != GroupPhase::Serving;
         if (isDown || hasReplacement)
             endGroup(group, isDown ? "not-worth-repair" : "replaced");
--- /dev/null
+++ b/tests/support/pausable_node.hpp
@@ -0,0 +1,123 @@
+/// \file
+/// \brief A process that can be paused: its timers and answers wait until it wakes.
+#pragma once
+
+#include <cardamombay/core/clock.hpp>
+#include <cardamombay/endpoint/endpoint_orders.hpp>
+#include <cardamombay/platform/table_store.hpp>
+
+#include <functional>
+#include <utility>
+#include <vector>
+
+namespace cardamombay::support {
+
+/// \brief Clock of one process on the clock of a test; time goes on while it is paused.
+class PausableClock final : public Clock
+{
+public:
+    explicit PausableClock(Clock &clock)
+        : clock_(clock)
+    {
+    }
+
+    [[nodiscard]] TimePoint now() const override { return clock_.now(); }
+    TimerId schedule(Duration delay, std::function<void()> action) override
+    {
+        return clock_.schedule(delay, [this, action = std::move(action)] { run(action); });
+    }
+    void cancel(TimerId timer) override { clock_.cancel(timer); }
+
+    /// \brief Runs \p action now, or when the process wakes.
+    void run(const std::function<void()> &action)
+    {
+        if (isPaused_)
+            waiting_.push_back(action);
+        else
+            action();
+    }
+
+    void pause() { isPaused_ = true; }
+    void resume()
+    {
+        isPaused_ = false;
+        for (const auto &action : std::exchange(waiting_, {}))
+            action();
+    }
+
+private:
+    Clock &clock_;
+    bool isPaused_ = false;
+    std::vector<std::function<void()>> waiting_;
+};
+
+/// \brief Table service as a process sees it that may be paused.
+class PausableStore final : public platform::TableStore
+{
+public:
+    PausableStore(PausableClock &clock, platform::TableStore &store)
+        : clock_(clock)
+        , store_(store)
+    {
+    }
+
+    void commit(platform::Transaction transaction, Callback<platform::CommitReceipt> done) override
+    {
+        store_.commit(std::move(transaction), later(std::move(done)));
+    }
+    void read(std::vector<platform::RowKey> keys,
+              Callback<std::vector<platform::Row>> done) override
+    {
+        store_.read(std::move(keys), later(std::move(done)));
+    }
+    void scan(platform::Scan scan, Callback<platform::ScanPage> done) override
+    {
+        store_.scan(std::move(scan), later(std::move(done)));
+    }
+
+private:
+    template<typename Value>
+    Callback<Value> later(Callback<Value> done)
+    {
+        return [this, done = std::move(done)](Result<Value> result) {
+            clock_.run([done, result = std::move(result)] { done(result); });
+        };
+    }
+
+    PausableClock &clock_;
+    platform::TableStore &store_;
+};
+
+/// \brief Control link to endpoint VMs of a process that may be paused.
+class PausableOrders final : public endpoint::EndpointOrders
+{
+public:
+    PausableOrders(PausableClock &clock, endpoint::EndpointOrders &orders)
+        : clock_(clock)
+        , orders_(orders)
+    {
+    }
+
+    void probe(VmId vm, Address address, Callback<endpoint::EndpointState> done) override
+    {
+        orders_.probe(std::move(vm), std::move(address), later(std::move(done)));
+    }
+    void send(Address address, endpoint::EndpointOrder order,
+              Callback<endpoint::EndpointState> done) override
+    {
+        orders_.send(std::move(address), std::move(order), later(std::move(done)));
+    }
+
+private:
+    Callback<endpoint::EndpointState> later(Callback<endpoint::EndpointState> done)
+    {
+        return [this, done = std::move(done)](Result<endpoint::EndpointState> result) {
+            clock_.run([done, result = std::move(result)] { done(result); });
+        };
+    }
+
+    PausableClock &clock_;
+    endpoint::EndpointOrders &orders_;
+};
+
+} // namespace cardamombay::support
--- /dev/null
+++ b/tests/support/planner_fleet.hpp
@@ -0,0 +1,141 @@
+/// \file
+/// \brief Fabric domains of endpoint VMs with planners on entry VMs, in memory on a paused clock.
+#pragma once
+
+#include "support/fake_endpoints.hpp"
+#include "support/fake_store.hpp"
+#include "support/pausable_node.hpp"
+
+#include <cardamombay/core/decision_log.hpp>
+#include <cardamombay/core/manual_clock.hpp>
+#include <cardamombay/groups/group_manager.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cardamombay::support {
+
+/// \brief Shape of a fleet in one availability zone.
+struct FleetShape
+{
+    std::uint32_t domains_ = 1;
+    std::uint32_t vmsPerDomain_ = 4;
+    std::vector<config::Service> services_;
+    config::PlannerPolicy policy_;
+    AvailabilityZone zone_{"zone"};
+    bool checksFencing_ = true;
+    std::string chartFolder_ = "charts";
+};
+
+/// \brief A model service "lm" with \p replicas replicas of \p vmsPerReplica VMs.
+[[nodiscard]] config::Service modelService(std::uint32_t replicas, std::uint32_t vmsPerReplica,
+                                           const std::string &name = "lm",
+                                           std::uint32_t priority = 100);
+
+/// \brief Polls the endpoint VMs of a fleet, as a watcher would.
+class PollingView final : public groups::VmView
+{
+public:
+    PollingView(Clock &clock, endpoint::EndpointOrders &orders,
+                const std::vector<platform::VmRecord> &vms, const std::set<VmId> &leaving);
+
+    [[nodiscard]] groups::VmObservation observe(const VmId &vm) const override;
+
+private:
+    void poll();
+
+    Clock &clock_;
+    endpoint::EndpointOrders &orders_;
+    const std::vector<platform::VmRecord> &vms_;
+    const std::set<VmId> &leaving_;
+    std::map<VmId, groups::VmObservation> observations_;
+};
+
+class PlannerFleet;
+
+/// \brief Planner side of one entry VM: a lease and a manager for each fabric domain.
+class PlannerNode
+{
+public:
+    PlannerNode(PlannerFleet &fleet, EntryId self, planning::Planner planner);
+
+    void pause() { clock_.pause(); }
+    void resume() { clock_.resume(); }
+
+    [[nodiscard]] leases::LeaseKeeper &lease(std::uint32_t domain = 0) { return *leases_[domain]; }
+    [[nodiscard]] groups::GroupManager &manager(std::uint32_t domain = 0)
+    {
+        return *managers_[domain];
+    }
+
+    PlannerFleet &fleet_;
+    EntryId self_;
+    PausableClock clock_;
+    FakeTableStore store_;
+    FakeEndpointOrders orders_;
+    PausableStore nodeStore_;
+    PausableOrders nodeOrders_;
+    PollingView view_;
+    groups::GroupBoard board_;
+    DecisionLog log_;
+
+private:
+    void tick();
+
+    std::vector<std::unique_ptr<leases::LeaseKeeper>> leases_;
+    std::vector<std::unique_ptr<groups::GroupManager>> managers_;
+};
+
+/// \brief The fleet with its platform; entry VMs are added by addNode().
+class PlannerFleet
+{
+public:
+    explicit PlannerFleet(FleetShape shape);
+
+    /// \brief Adds an entry VM that contends for every domain at \p rank.
+    PlannerNode &addNode(std::uint32_t rank = 0, planning::Planner planner = planning::Planner());
+
+    /// \brief Name of VM \p number of domain \p domain.
+    [[nodiscard]] static VmId vm(std::uint32_t number, std::uint32_t domain = 0);
+    [[nodiscard]] static FabricDomain domain(std::uint32_t number);
+    [[nodiscard]] std::vector<VmId> vmsOf(std::uint32_t domain) const;
+
+    void advance(Duration step) { clock_.advance(step); }
+    /// \brief Advances until \p condition holds; false if it does not within \p limit.
+    bool advanceUntil(const std::function<bool()> &condition, Duration limit);
+
+    /// \name What the platform and the VMs say
+    /// \{
+    [[nodiscard]] std::optional<groups::GroupRow> row(std::uint32_t slot = 0,
+                                                      const std::string &service = "lm") const;
+    [[nodiscard]] std::optional<groups::VmRow> vmRow(const VmId &vm) const;
+    /// \brief True if all members of the slot's formation hold it, ready.
+    [[nodiscard]] bool isServing(std::uint32_t slot = 0, const std::string &service = "lm") const;
+    [[nodiscard]] std::uint32_t servingCount() const;
+    /// \brief True if no VM is in two groups, by rows and by what the engines hold.
+    [[nodiscard]] bool isExclusive() const;
+    /// \}
+
+    FleetShape shape_;
+    ManualClock clock_;
+    FakePlatform platform_;
+    FakeEndpoints endpoints_;
+    config::ConfigurationPtr configuration_;
+    std::vector<platform::VmRecord> vms_;
+    std::set<VmId> leaving_;
+    std::set<VmId> dead_; ///< VMs that a test took out; for isServing().
+    leases::LeaseProgramPtr leaseProgram_;
+    groups::GroupProgramPtr groupProgram_;
+    std::vector<std::unique_ptr<PlannerNode>> nodes_;
+
+    void kill(const VmId &vm);
+    void restart(const VmId &vm);
+    void pauseVm(const VmId &vm);
+    void resumeVm(const VmId &vm);
+    void setServices(std::vector<config::Service> services);
+};
+
+} // namespace cardamombay::support
