Test two planners, racing writers, store faults and random interleavings

Cause: leases, fences and conditions matter only when planners race, wake late or cannot read. Change: tests with two planners, three domains, endpoints that check and that ignore fencing numbers, a store that loses answers or is down in each phase, races right before a formation is sent, and a seeded explorer (CARDAMOMBAY_SEEDS=<first>:<count> for more). A second refresh of the board while one runs is refused; the explorer found that with a paused process whose cancelled timer still ran. Conclusion: exclusive membership rests on conditions that tests hold in place.

--- a/src/groups/group_board.cpp
+++ b/src/groups/group_board.cpp
@@ -69,6 +69,8 @@
 
 void GroupBoard::startRefresh()
 {
+    if (isRefreshing_)
+        return;
     isRefreshing_ = true;
     startedAt_ = clock_.now();
     scanning_ = 0;
--- a/tests/support/pausable_node.hpp
+++ b/tests/support/pausable_node.hpp
@@ -6,7 +6,9 @@
 #include <cardamombay/endpoint/endpoint_orders.hpp>
 #include <cardamombay/platform/table_store.hpp>
 
+#include <deque>
 #include <functional>
+#include <memory>
 #include <utility>
 #include <vector>
 
@@ -24,15 +26,29 @@
     [[nodiscard]] TimePoint now() const override { return clock_.now(); }
     TimerId schedule(Duration delay, std::function<void()> action) override
     {
-        return clock_.schedule(delay, [this, action = std::move(action)] { run(action); });
+        const auto timer = std::make_shared<TimerId>(TimerId::None);
+        *timer = clock_.schedule(delay, [this, timer, action = std::move(action)] {
+            if (isPaused_)
+                waiting_.push_back({*timer, action});
+            else
+                action();
+        });
+        return *timer;
+    }
+    void cancel(TimerId timer) override
+    {
+        clock_.cancel(timer);
+        for (auto &each : waiting_) {
+            if (timer != TimerId::None && each.timer_ == timer)
+                each.action_ = [] {};
+        }
     }
-    void cancel(TimerId timer) override { clock_.cancel(timer); }
 
     /// \brief Runs \p action now, or when the process wakes.
     void run(const std::function<void()> &action)
     {
         if (isPaused_)
-            waiting_.push_back(action);
+            waiting_.push_back({TimerId::None, action});
         else
             action();
     }
@@ -41,14 +57,23 @@
     void resume()
     {
         isPaused_ = false;
-        for (const auto &action : std::exchange(waiting_, {}))
-            action();
+        while (!waiting_.empty() && !isPaused_) {
+            const auto next = std::move(waiting_.front());
+            waiting_.pop_front();
+            next.action_();
+        }
     }
 
 private:
+    struct Waiting
+    {
+        TimerId timer_ = TimerId::None; ///< None for an answer.
+        std::function<void()> action_;
+    };
+
     Clock &clock_;
     bool isPaused_ = false;
-    std::vector<std::function<void()>> waiting_;
+    std::deque<Waiting> waiting_;
 };
 
 /// \brief Table service as a process sees it that may be paused.
@@ -61,8 +86,14 @@
     {
     }
 
+    /// \brief Called with each transaction right before it is sent; for races.
+    std::function<void(const platform::Transaction &)> beforeCommit_;
+    bool losesScans_ = false; ///< Scans fail, reads and commits do not.
+
     void commit(platform::Transaction transaction, Callback<platform::CommitReceipt> done) override
     {
+        if (beforeCommit_)
+            beforeCommit_(transaction);
         store_.commit(std::move(transaction), later(std::move(done)));
     }
     void read(std::vector<platform::RowKey> keys,
@@ -72,6 +103,12 @@
     }
     void scan(platform::Scan scan, Callback<platform::ScanPage> done) override
     {
+        if (losesScans_) {
+            clock_.schedule(Duration::zero(), [done = std::move(done)] {
+                done(Error(StoreUnavailable{"scan", "switched off"}));
+            });
+            return;
+        }
         store_.scan(std::move(scan), later(std::move(done)));
     }
 
