--- a/apps/cardamombayd/daemon.cpp
+++ b/apps/cardamombayd/daemon.cpp
@@ -61,7 +61,7 @@
 
 Result<Done> Daemon::run()
 {
-    const auto started = start();
+    auto started = start();
     if (!isOk(started))
         return started;
     context_.run();
--- a/include/cardamombay/net/http_server.hpp
+++ b/include/cardamombay/net/http_server.hpp
@@ -78,7 +78,7 @@
 public:
     /// \param workers at least one; the first one accepts and hands sockets round robin.
     /// \param limits bounds for all connections.
-    HttpServer(std::vector<ServerWorker> workers, HttpServerLimits limits);
+    HttpServer(const std::vector<ServerWorker> &workers, const HttpServerLimits &limits);
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
     ~HttpServer();
--- a/include/cardamombay/traffic/traffic_metrics.hpp
+++ b/include/cardamombay/traffic/traffic_metrics.hpp
@@ -23,7 +23,7 @@
                          outcomes::Outcome outcome, Duration took);
     void requestRefused(std::string_view reason);
     void attemptEnded(const ServiceName &service, outcomes::Cause cause);
-    void answersDropped(const outcomes::DroppedAnswers &dropped);
+    void answersDropped(const outcomes::DroppedAnswers &answers);
     void firstToken(const ServiceName &service, Duration took);
     void tokensRelayed(std::uint32_t tokens) const { tokens_.increment(tokens); }
     void streamResumed() const { resumed_.increment(); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -88,10 +88,10 @@
     [[nodiscard]] std::size_t busyConnections() const { return state_->busyConnections_; }
 
 private:
-    void take(impl::tcp::socket socket, const std::shared_ptr<impl::WorkerState> &worker);
+    void take(impl::Tcp::socket socket, const std::shared_ptr<impl::WorkerState> &worker);
     void pauseAccepting();
 
-    impl::tcp::acceptor acceptor_;
+    impl::Tcp::acceptor acceptor_;
     boost::asio::steady_timer pause_;
     std::shared_ptr<impl::ServerState> state_;
     std::vector<std::shared_ptr<impl::WorkerState>> workers_;
@@ -104,10 +104,10 @@
     const auto ip = boost::asio::ip::make_address(address.ip_, error);
     if (error)
         return cannotListen(address, error.message());
-    const impl::tcp::endpoint endpoint(ip, address.port_);
+    const impl::Tcp::endpoint endpoint(ip, address.port_);
     acceptor_.open(endpoint.protocol(), error);
     if (!error)
-        acceptor_.set_option(impl::tcp::acceptor::reuse_address(true), error);
+        acceptor_.set_option(impl::Tcp::acceptor::reuse_address(true), error);
     if (!error)
         acceptor_.bind(endpoint, error);
     if (!error)
@@ -127,7 +127,7 @@
     const auto worker = workers_[next_++ % workers_.size()];
     acceptor_.async_accept(
         *worker->context_,
-        [self = shared_from_this(), worker](impl::error_code error, impl::tcp::socket socket) {
+        [self = shared_from_this(), worker](impl::error_code error, impl::Tcp::socket socket) {
             if (error == boost::asio::error::operation_aborted || !self->acceptor_.is_open())
                 return;
             if (error) {
@@ -139,7 +139,7 @@
         });
 }
 
-void HttpServer::Impl::take(impl::tcp::socket socket,
+void HttpServer::Impl::take(impl::Tcp::socket socket,
                             const std::shared_ptr<impl::WorkerState> &worker)
 {
     state_->connections_.fetch_add(1);
@@ -178,7 +178,7 @@
     }
 }
 
-HttpServer::HttpServer(std::vector<ServerWorker> workers, HttpServerLimits limits)
+HttpServer::HttpServer(const std::vector<ServerWorker> &workers, const HttpServerLimits &limits)
     : impl_(std::make_shared<Impl>(workers, limits))
 {
 }
--- a/src/net/http_server_answer.cpp
+++ b/src/net/http_server_answer.cpp
@@ -173,7 +173,7 @@
 {
     setActivity(Activity::Closing);
     error_code ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     stream_.expires_after(lingerTime);
     buffer_.clear();
     readUntilEnd();
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -46,7 +46,7 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(tcp::socket socket, std::shared_ptr<WorkerState> worker)
+ServerConnection::ServerConnection(Tcp::socket socket, std::shared_ptr<WorkerState> worker)
     : stream_(std::move(socket))
     , readTimer_(stream_.get_executor())
     , worker_(std::move(worker))
@@ -64,7 +64,7 @@
 void ServerConnection::start()
 {
     error_code error;
-    stream_.socket().set_option(tcp::no_delay(true), error);
+    stream_.socket().set_option(Tcp::no_delay(true), error);
     const auto caller = stream_.socket().remote_endpoint(error);
     if (error)
         return;
@@ -77,7 +77,7 @@
 /// does not, since a caller may close its sending side and still wait for its answer.
 void ServerConnection::watchForReset()
 {
-    stream_.socket().async_wait(tcp::socket::wait_error,
+    stream_.socket().async_wait(Tcp::socket::wait_error,
                                 [self = shared_from_this()](error_code error) {
                                     if (!error)
                                         self->lose();
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -23,14 +23,14 @@
 
 namespace beast = boost::beast;
 namespace http = beast::http;
-using tcp = boost::asio::ip::tcp;
+using Tcp = boost::asio::ip::tcp;
 using boost::system::error_code;
 
 /// \brief Connection; kept alive by its pending operations and its exchange.
 class ServerConnection final : public std::enable_shared_from_this<ServerConnection>
 {
 public:
-    ServerConnection(tcp::socket socket, std::shared_ptr<WorkerState> worker);
+    ServerConnection(Tcp::socket socket, std::shared_ptr<WorkerState> worker);
     ~ServerConnection();
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
