--- a/include/cardamombay/control/zone_planner.hpp
+++ b/include/cardamombay/control/zone_planner.hpp
@@ -74,7 +74,7 @@
     endpoint::EndpointOrders &orders_;
     DecisionSink &decisions_;
     const ControlSettings &settings_;
-    const NodeCharts &charts_;
+    NodeCharts charts_;
     Random random_;
     bool isReleasing_ = false;
     std::map<FabricDomain, Domain> domains_;
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ cmake ninja-build ccache pkg-config clang-format clang-tidy
+    g++ cmake ninja-build ccache curl pkg-config clang-format clang-tidy
     libboost1.81-dev libboost-json1.81-dev
     libjsonrpccpp-dev libjsoncpp-dev prometheus-cpp-dev libpopt-dev liblog4cxx-dev
     libcriterion-dev libgmock-dev libtomlplusplus-dev libopentracing-dev
