--- a/include/cardamombay/traffic/control_link.hpp
+++ b/include/cardamombay/traffic/control_link.hpp
@@ -4,6 +4,7 @@
 /// for claims. Traffic never waits for control: every call returns at once.
 #pragma once
 
+#include <cardamombay/core/decision_log.hpp>
 #include <cardamombay/membership/digest.hpp>
 #include <cardamombay/routing/routing_snapshot.hpp>
 #include <cardamombay/traffic/claim.hpp>
@@ -40,6 +41,9 @@
     /// \brief Records how a granted claim ended.
     virtual void completeClaim(ClaimCompletion completion) = 0;
 
+    /// \brief Keeps why a request was refused or failed, for "cardamombayctl explain".
+    virtual void recordDecision(DecisionRecord record) { (void)record; }
+
     /// \brief True if the table service answered lately.
     [[nodiscard]] virtual bool isStoreReachable() const { return snapshot()->isStoreReachable_; }
 };
--- a/include/cardamombay/traffic/dispatcher.hpp
+++ b/include/cardamombay/traffic/dispatcher.hpp
@@ -15,6 +15,7 @@
 #include <mutex>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -37,6 +38,7 @@
     std::span<const std::uint64_t> prefixHashes_;
     std::span<const GroupId> tried_;                     ///< Taken again only if no other is left.
     const endpoint::ModelSpec *requiredModel_ = nullptr; ///< Set to resume a stream.
+    std::string_view subject_;                           ///< Request, for the record.
 };
 
 /// \brief The group that an attempt goes to, or why there is none.
@@ -44,6 +46,7 @@
 {
     std::optional<routing::SnapshotGroup> group_;
     routing::RouteReason reason_ = routing::RouteReason::NoGroups;
+    DecisionRecord record_; ///< Only if there is no group.
 };
 
 /// \brief How an attempt ended for its group.
@@ -96,6 +99,13 @@
                                                TimePoint now);
     /// \}
 
+    /// \brief Slots of \p service, for records.
+    [[nodiscard]] limits::ServiceLoad load(const ServiceName &service);
+
+    /// \brief True if one more decision may be recorded: an overload refuses thousands of requests
+    /// for the same reason, and a few of them explain it.
+    [[nodiscard]] bool mayRecord(TimePoint now);
+
     /// \brief Demand and in-flight requests for the control thread.
     [[nodiscard]] TrafficReport report(const routing::RoutingSnapshot &snapshot, TimePoint now);
 
@@ -117,6 +127,8 @@
     retries::RetryPolicy retries_;
     retries::CircuitBoard circuits_;
     std::unordered_map<RequestId, AdmissionCallback> waiting_;
+    TimePoint recordPeriod_{};
+    std::uint32_t records_ = 0;
 };
 
 } // namespace cardamombay::traffic
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -4,6 +4,12 @@
 
 namespace cardamombay::traffic {
 
+namespace {
+
+constexpr std::uint32_t recordsPerSecond = 20;
+
+} // namespace
+
 Dispatcher::Dispatcher(std::uint64_t seed, retries::CircuitProgramPtr circuits,
                        const DispatchPolicy &policy)
     : admission_(policy.limits_)
@@ -70,11 +76,15 @@
 {
     const std::lock_guard lock(mutex_);
     const auto decision = choose(snapshot, query, now);
-    if (decision.group_ == nullptr)
-        return {std::nullopt, decision.reason_};
+    if (decision.group_ == nullptr) {
+        routing::RouteRequest request;
+        request.service_ = query.service_;
+        return {std::nullopt, decision.reason_,
+                decision.record(request, std::string(query.subject_), now)};
+    }
     router_.started(decision.group_->group_, query.prefixHashes_, now);
     circuits_.started(decision.group_->group_, now);
-    return {*decision.group_, decision.reason_};
+    return {*decision.group_, decision.reason_, {}};
 }
 
 routing::RouteDecision Dispatcher::choose(const routing::RoutingSnapshot &snapshot,
@@ -126,6 +136,22 @@
     return retries_.decide(attempt, now);
 }
 
+limits::ServiceLoad Dispatcher::load(const ServiceName &service)
+{
+    const std::lock_guard lock(mutex_);
+    return admission_.load(service);
+}
+
+bool Dispatcher::mayRecord(TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    if (now - recordPeriod_ >= std::chrono::seconds(1)) {
+        recordPeriod_ = now;
+        records_ = 0;
+    }
+    return records_++ < recordsPerSecond;
+}
+
 TrafficReport Dispatcher::report(const routing::RoutingSnapshot &snapshot, TimePoint now)
 {
     const std::lock_guard lock(mutex_);
--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -130,6 +130,12 @@
     if (const auto *shed = std::get_if<limits::Shed>(&answer)) {
         isAdmitted_ = false;
         context_.metrics_.requestRefused(limits::nameOf(shed->reason_));
+        const auto load = context_.dispatcher_.load(request_.service_);
+        record({{"capacity", std::to_string(load.capacity_)},
+                {"share", std::to_string(load.share_)},
+                {"running", std::to_string(load.running_)},
+                {"waiting", std::to_string(load.waiting_)}},
+               limits::nameOf(shed->reason_));
         fail(shedProblem(*shed));
         return;
     }
@@ -141,7 +147,11 @@
 {
     retryTimer_ = TimerId::None;
     auto routeSpan = span_.child("route");
-    RouteQuery query{request_.service_, request_.prefixHashes_, tried_};
+    RouteQuery query;
+    query.service_ = request_.service_;
+    query.prefixHashes_ = request_.prefixHashes_;
+    query.tried_ = tried_;
+    query.subject_ = request_.id_.text();
     if (answer_.hasStreamStarted())
         query.requiredModel_ = &model_;
     const auto snapshot = context_.control_.snapshot();
@@ -151,7 +161,7 @@
     if (choice.group_)
         startAttempt(*choice.group_);
     else
-        endWithoutGroup(choice.reason_);
+        endWithoutGroup(choice);
 }
 
 void Session::startAttempt(const routing::SnapshotGroup &group)
@@ -180,7 +190,7 @@
 
 /// A stream that has begun waits a while, since its group may be replaced; a caller that has got
 /// nothing yet is told at once.
-void Session::endWithoutGroup(routing::RouteReason reason)
+void Session::endWithoutGroup(const RouteChoice &choice)
 {
     if (groupMissingSince_ == TimePoint::max())
         groupMissingSince_ = now();
@@ -189,10 +199,12 @@
         retryLater(groupPoll);
         return;
     }
+    if (context_.dispatcher_.mayRecord(now()))
+        context_.control_.recordDecision(choice.record_);
     if (mayHaveRun_ || answer_.hasStreamStarted())
         giveUp(lastVerdict_, Duration::zero());
     else
-        fail(noGroupProblem(reason));
+        fail(noGroupProblem(choice.reason_));
 }
 
 void Session::onAttemptOver()
@@ -297,9 +309,28 @@
 
 void Session::giveUp(const outcomes::AttemptVerdict &verdict, Duration retryAfter)
 {
+    record({{"outcome", std::string(outcomes::nameOf(overallOutcome()))},
+            {"attempts", std::to_string(attempts_)},
+            {"last-group", tried_.empty() ? std::string() : tried_.back().text()}},
+           outcomes::nameOf(verdict.cause_));
     fail(failureProblem(overallOutcome(), verdict.cause_, request_.safety(), retryAfter));
 }
 
+void Session::record(std::vector<Detail> inputs, std::string_view choice)
+{
+    if (!context_.dispatcher_.mayRecord(now()))
+        return;
+    inputs.push_back({"service", request_.service_.text()});
+    inputs.push_back({"team", request_.team_.text()});
+    DecisionRecord record;
+    record.when_ = now();
+    record.event_ = log::event::requestRefused;
+    record.subject_ = request_.id_.text();
+    record.choice_ = choice;
+    record.inputs_ = std::move(inputs);
+    context_.control_.recordDecision(std::move(record));
+}
+
 outcomes::Outcome Session::overallOutcome() const
 {
     if (hasRun_)
--- a/src/traffic/session.hpp
+++ b/src/traffic/session.hpp
@@ -46,7 +46,7 @@
     void takeAdmission(const AdmissionAnswer &answer);
     void attempt();
     void startAttempt(const routing::SnapshotGroup &group);
-    void endWithoutGroup(routing::RouteReason reason);
+    void endWithoutGroup(const RouteChoice &choice);
     void onAttemptOver() override;
     void decideNext(const outcomes::AttemptVerdict &verdict);
     void retry(const outcomes::AttemptVerdict &verdict);
@@ -64,6 +64,7 @@
     void fail(const Problem &problem);
     void close();
     void completeClaim();
+    void record(std::vector<Detail> inputs, std::string_view choice);
     void accountAttempt(const outcomes::AttemptVerdict &verdict);
     [[nodiscard]] bool canResume(const outcomes::AttemptVerdict &verdict) const;
     [[nodiscard]] outcomes::Outcome overallOutcome() const;
