Look at the group again before the first byte, and leave stalled streams

Cause: a group can be vetoed or lose a member while the connection to it is made; a stream can stop without its connection breaking; whole answers were counted as time to first token. Conclusion: a veto reaches attempts until their first byte leaves; the stall rule has no test yet.

--- a/src/traffic/attempt_run.cpp
+++ b/src/traffic/attempt_run.cpp
@@ -1,5 +1,7 @@
 #include <traffic/attempt_run.hpp>
 
+#include <traffic/group_watch.hpp>
+
 #include <charconv>
 #include <utility>
 
@@ -79,9 +81,24 @@
     return request;
 }
 
+/// The group may have been vetoed, or lost a member, while the connection was made.
 bool AttemptRun::onConnected()
 {
-    return attempt_.startSending();
+    const auto self = shared_from_this();
+    const auto now = context_.clock_.now();
+    const auto snapshot = context_.control_.snapshot();
+    const auto standing = standingOf(plan_.group_, request_.service_, *snapshot, now);
+    if (standing == GroupStanding::Usable)
+        return attempt_.startSending();
+    attempt_.groupLost();
+    over();
+    return false;
+}
+
+Duration AttemptRun::silence(TimePoint now) const
+{
+    const bool isWaiting = lastDataAt_ != TimePoint{} && !isWriting_;
+    return isWaiting ? now - lastDataAt_ : Duration::zero();
 }
 
 void AttemptRun::onHead(net::HttpResponse head)
@@ -116,6 +133,7 @@
 
 void AttemptRun::relayEvents(std::string_view data)
 {
+    lastDataAt_ = context_.clock_.now();
     step_ = relay_.take(data, attempt_);
     if (step_.tokens_ != 0)
         noteFirstToken();
@@ -148,6 +166,7 @@
 void AttemptRun::afterWrite()
 {
     isWriting_ = false;
+    lastDataAt_ = context_.clock_.now();
     context_.metrics_.tokensRelayed(step_.tokens_);
     if (step_.isWhole_) {
         answer_.finishStream();
@@ -190,7 +209,8 @@
         return;
     }
     attempt_.endMarker();
-    noteFirstToken();
+    if (request_.kind_ == config::ServiceKind::Plain)
+        noteFirstToken();
     net::HttpResponse response = std::move(head_);
     response.body_ = std::string(body);
     if (isCompletion)
--- a/src/traffic/attempt_run.hpp
+++ b/src/traffic/attempt_run.hpp
@@ -60,7 +60,10 @@
     [[nodiscard]] const outcomes::Attempt &attempt() const { return attempt_; }
     [[nodiscard]] const AttemptPlan &plan() const { return plan_; }
     [[nodiscard]] std::uint32_t tokens() const { return tokens_; }
+    /// \brief Zero if no token came, or if the answer was not streamed and so shows no first one.
     [[nodiscard]] Duration timeToFirstToken() const { return timeToFirstToken_; }
+    /// \brief For how long a stream that has begun has brought nothing.
+    [[nodiscard]] Duration silence(TimePoint now) const;
     [[nodiscard]] Duration retryAfter() const { return retryAfter_; }
 
     /// \name Events of the connection
@@ -91,6 +94,7 @@
     std::unique_ptr<net::UpstreamCall> call_;
     net::HttpResponse head_;
     TimePoint startedAt_{};
+    TimePoint lastDataAt_{};
     Duration timeToFirstToken_{};
     Duration retryAfter_{};
     std::uint32_t tokens_ = 0;
--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -2,6 +2,7 @@
 
 #include <cardamombay/log/events.hpp>
 #include <cardamombay/log/log.hpp>
+#include <traffic/group_watch.hpp>
 #include <traffic/session_problems.hpp>
 
 #include <utility>
@@ -11,7 +12,8 @@
 namespace {
 
 constexpr std::uint32_t resumeLimit = 8; ///< Resumptions of one stream that do not cost budget.
-constexpr Duration groupPatience = std::chrono::seconds(10); ///< Of a stream that has begun.
+constexpr Duration groupPatience = std::chrono::seconds(10);  ///< Of a stream that has begun.
+constexpr Duration longestSilence = std::chrono::seconds(10); ///< Of a stream that has begun.
 constexpr Duration groupPoll = std::chrono::milliseconds(50);
 
 std::string numberText(std::int64_t number)
@@ -344,19 +346,15 @@
     if (!run_ || isClosed_ || !isModel || run_->attempt().isSettled())
         return;
     const auto &plan = run_->plan();
-    if (const auto *service = snapshot.service(request_.service_)) {
-        for (const auto &group : service->groups_) {
-            const bool isSame = group.group_ == plan.group_.group_
-                                && group.generation_ == plan.group_.generation_;
-            // A group that is vetoed finishes what it has; one that is not known whole does not.
-            if (isSame && now < group.freshUntil_)
-                return;
-        }
-    }
-    log::warning(log::event::attemptStopped, {{"request", request_.id_.text()},
-                                              {"group", plan.group_.group_.text()},
-                                              {"reason", "group-not-whole"}});
-    run_->stop(StopReason::GroupLost);
+    const auto standing = standingOf(plan.group_, request_.service_, snapshot, now);
+    const bool isStalled = run_->silence(now) > longestSilence;
+    if (standing != GroupStanding::NotWhole && !isStalled)
+        return;
+    log::warning(log::event::attemptStopped,
+                 {{"request", request_.id_.text()},
+                  {"group", plan.group_.group_.text()},
+                  {"reason", isStalled ? "stream-stalled" : "group-not-whole"}});
+    run_->stop(isStalled ? StopReason::TimedOut : StopReason::GroupLost);
 }
 
 void Session::callerGone()
--- a/src/traffic/session.hpp
+++ b/src/traffic/session.hpp
@@ -31,7 +31,7 @@
 
     void start();
 
-    /// \brief Stops the attempt if its group may not serve any longer.
+    /// \brief Stops the attempt if its group may not serve any longer or its stream has stalled.
     void checkGroup(const routing::RoutingSnapshot &snapshot, TimePoint now);
 
     /// \brief Ends the session now and tells the caller, at the limit of a shutdown.
--- a/tests/traffic/streams.cpp
+++ b/tests/traffic/streams.cpp
@@ -26,6 +26,28 @@
            && contains(answer, "X-Outcome: ran");
 }
 
+/// Exchange of a caller that is of no interest.
+class IgnoredExchange final : public net::ServerExchange
+{
+public:
+    void respond(net::HttpResponse) override {}
+    void startStream(net::HttpResponse) override {}
+    void write(std::span<const std::string_view>, std::function<void()>) override {}
+    void finish(std::span<const net::HttpField>) override {}
+    void abort() override {}
+    void onLost(std::function<void()>) override {}
+};
+
+net::ServerRequest parsedCompletion()
+{
+    net::ServerRequest request;
+    request.method_ = "POST";
+    request.target_ = "/v1/completions";
+    request.fields_ = {{"X-Team", "studio"}};
+    request.body_ = R"({"model":"lm","prompt":"x","stream":true})";
+    return request;
+}
+
 std::string streamFrom(const TestEntry &entry, std::string_view fields = {})
 {
     RawCaller caller(entry.address());
@@ -188,3 +210,22 @@
     cr_assert(support::waitUntil([&] { return engine.cancels() == 1; }));
     cr_assert(support::waitUntil([&] { return entry.state_.inFlight_ == 0; }));
 }
+
+Test(streams, group_vetoed_while_the_connection_is_made_gets_no_work)
+{
+    TestEngine leaving(streamsWhole(5));
+    TestEngine sound(streamsWhole(5));
+    TestEntry entry;
+    entry.addGroup("lm/a/0", leaving.address());
+    entry.publish();
+    // Runs between the choice of the group and the moment its connection stands.
+    entry.runOnThread([&] {
+        entry.worker_->handle(parsedCompletion(), std::make_shared<IgnoredExchange>());
+        entry.snapshot_.services_[0].groups_[0].isVetoed_ = true;
+        entry.addGroup("lm/a/1", sound.address());
+        entry.publish();
+    });
+
+    cr_assert(support::waitUntil([&] { return sound.requests() == 1; }));
+    cr_assert_eq(leaving.requests(), 0u);
+}
