Measure the affinity slack from the mean load; tell stragglers by the time between tokens

Cause: the least loaded of many groups is an outlier, so the slack over it shrank as the fleet grew; and the time to the first token depends on cache hits more than on the group's speed, so healthy groups were ejected.

--- a/bench/endpoint_model.hpp
+++ b/bench/endpoint_model.hpp
@@ -88,7 +88,7 @@
     double tokens_ = 200;
     TimePoint arrivedAt_{};
     std::function<void(Duration, std::size_t)> onFirstToken_; ///< Time since arrival, blocks held.
-    std::function<void()> onEnd_;
+    std::function<void(Duration)> onEnd_;                     ///< Time between tokens.
 };
 
 /// \brief A group: waiting requests, one prefill at a time, a batch that decodes.
@@ -155,9 +155,9 @@
     {
         const double batch = 1 + shape_.batchCost_ * running_ / shape_.slots_;
         const double time = request.tokens_ * shape_.secondsPerToken_ * batch * shape_.slowness_;
-        clock_.schedule(ofSeconds(time), [this, request = std::move(request)] {
+        clock_.schedule(ofSeconds(time), [this, time, request = std::move(request)] {
             --running_;
-            request.onEnd_();
+            request.onEnd_(ofSeconds(time / request.tokens_));
             startWaiting();
         });
     }
--- a/include/cardamombay/routing/route_decision.hpp
+++ b/include/cardamombay/routing/route_decision.hpp
@@ -90,8 +90,9 @@
 /// \brief What a finished attempt showed of its group.
 struct RequestSample
 {
-    Duration timeToFirstToken_{}; ///< Zero if no token came.
+    Duration timeToFirstToken_{}; ///< Or to the first byte; zero if none came.
     bool isOk_ = true;            ///< False if the group failed, not if the caller left.
+    Duration timePerToken_{};     ///< Mean time between tokens; zero if unknown.
 };
 
 } // namespace cardamombay::routing
--- a/src/routing/group_book.cpp
+++ b/src/routing/group_book.cpp
@@ -29,6 +29,12 @@
     return isForgotten ? steps_[count_ % limit].value_ : 0;
 }
 
+Duration answerTimeOf(const RequestSample &sample)
+{
+    const bool hasTokens = sample.timePerToken_ > Duration::zero();
+    return hasTokens ? sample.timePerToken_ : sample.timeToFirstToken_;
+}
+
 OwnerIndex GroupBook::indexOf(const GroupId &group)
 {
     const auto found = indexes_.find(group);
@@ -70,11 +76,12 @@
     if (inFlight_[index] > 0)
         --inFlight_[index];
     state.ownInFlight_.set(now, inFlight_[index]);
-    if (!sample.isOk_ || sample.timeToFirstToken_ <= Duration::zero())
+    const Duration time = answerTimeOf(sample);
+    if (!sample.isOk_ || time <= Duration::zero())
         return;
-    const double seconds = std::chrono::duration<double>(sample.timeToFirstToken_).count();
+    const double seconds = std::chrono::duration<double>(time).count();
     const double weight = std::max(newSampleWeight, 1.0 / (state.samples_ + 1));
-    state.timeToFirstToken_ += weight * (seconds - state.timeToFirstToken_);
+    state.answerTime_ += weight * (seconds - state.answerTime_);
     ++state.samples_;
 }
 
@@ -84,9 +91,10 @@
     if (generation <= state.generation_)
         return;
     state.generation_ = generation;
-    state.timeToFirstToken_ = 0;
+    state.answerTime_ = 0;
     state.samples_ = 0;
     state.ejectedUntil_ = TimePoint{};
+    state.ejections_ = 0;
     state.cacheSequence_.reset();
     index_.distrustBefore(index, now);
 }
--- a/src/routing/group_book.hpp
+++ b/src/routing/group_book.hpp
@@ -40,15 +40,20 @@
     std::size_t count_ = 0; ///< Steps ever set.
 };
 
+/// \brief What compares the speed of groups: the time between tokens, as it hardly depends on the
+/// prompt, or for answers without tokens the time to the first byte; zero if neither is known.
+[[nodiscard]] Duration answerTimeOf(const RequestSample &sample);
+
 /// \brief Own knowledge of one group.
 struct GroupState
 {
     GroupId group_;
     Generation generation_;
     StepHistory ownInFlight_;
-    double timeToFirstToken_ = 0; ///< Seconds, moving average.
+    double answerTime_ = 0; ///< Moving average of answerTimeOf(), seconds.
     std::uint32_t samples_ = 0;
     TimePoint ejectedUntil_{};
+    std::uint32_t ejections_ = 0; ///< Without a time of good speed between them.
     TimePoint seenAt_{}; ///< When a snapshot last held the group.
     std::optional<std::uint64_t> cacheSequence_;
     bool isUsed_ = false;
--- a/src/routing/router_state.cpp
+++ b/src/routing/router_state.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <bit>
 #include <limits>
+#include <utility>
 
 namespace cardamombay::routing::impl {
 
@@ -41,6 +42,13 @@
     return RouteReason::NoGroups;
 }
 
+/// \brief A group's rank as the home of a prefix.
+struct Home
+{
+    std::uint64_t weight_ = 0; ///< Zero: none.
+    std::size_t position_ = 0;
+};
+
 void addCandidate(RouteDecision &decision, const GroupView &entry, double load,
                   std::size_t matched = 0)
 {
@@ -190,12 +198,16 @@
 
 RouterState::Weighed RouterState::summarize() const
 {
-    Weighed weighed{noLoad, noLoad, noLoad};
-    for (const std::uint32_t position : locals_)
+    Weighed weighed{0, noLoad, noLoad};
+    for (const std::uint32_t position : locals_) {
         weighed.leastLocal_ = std::min(weighed.leastLocal_, loads_[position]);
-    for (const std::uint32_t position : remotes_)
+        weighed.mean_ += loads_[position];
+    }
+    for (const std::uint32_t position : remotes_) {
         weighed.leastRemote_ = std::min(weighed.leastRemote_, loads_[position]);
-    weighed.least_ = std::min(weighed.leastLocal_, weighed.leastRemote_ + policy_.zoneSlack_);
+        weighed.mean_ += loads_[position];
+    }
+    weighed.mean_ /= double(locals_.size() + remotes_.size());
     return weighed;
 }
 
@@ -203,7 +215,7 @@
                                const Weighed &weighed, TimePoint now, RouteDecision &decision)
 {
     const auto blocks = request.prefixHashes_;
-    const double limit = weighed.least_ + policy_.affinitySlack_;
+    const double limit = weighed.mean_ + policy_.affinitySlack_;
     const std::size_t matched = index_.matchedBlocks(blocks, now);
     const std::size_t anchor = std::bit_floor(blocks.size());
     if (matched >= anchor && matched > 0
@@ -253,24 +265,28 @@
 bool RouterState::pickHome(const ServiceView &view, std::uint64_t anchor, double limit,
                            RouteDecision &decision) const
 {
-    std::size_t home = 0;
-    std::uint64_t highest = 0;
+    Home first;
+    Home second;
     for (const auto *positions : {&locals_, &remotes_}) {
         for (const std::uint32_t position : *positions) {
-            const std::uint64_t weight = mix(anchor ^ view.groups_[position].hash_);
-            if (weight >= highest) {
-                highest = weight;
-                home = position;
-            }
+            const Home home{mix(anchor ^ view.groups_[position].hash_), position};
+            if (home.weight_ > first.weight_)
+                second = std::exchange(first, home);
+            else if (home.weight_ > second.weight_)
+                second = home;
         }
     }
-    const double load = affinityLoad(view, home);
-    if (load > limit)
-        return false;
-    decision.group_ = view.groups_[home].group_;
-    decision.reason_ = RouteReason::PrefixHome;
-    addCandidate(decision, view.groups_[home], load);
-    return true;
+    for (const Home &home : {first, second}) {
+        const bool isNone = home.weight_ == 0;
+        const double load = isNone ? noLoad : affinityLoad(view, home.position_);
+        if (load > limit)
+            continue;
+        decision.group_ = view.groups_[home.position_].group_;
+        decision.reason_ = RouteReason::PrefixHome;
+        addCandidate(decision, view.groups_[home.position_], load);
+        return true;
+    }
+    return false;
 }
 
 const std::vector<std::uint32_t> &RouterState::pool(const Weighed &weighed)
--- a/src/routing/router_state.hpp
+++ b/src/routing/router_state.hpp
@@ -39,7 +39,7 @@
     /// \brief What weighing the groups gave; loads are kept in loads_.
     struct Weighed
     {
-        double least_ = 0;
+        double mean_ = 0;
         double leastLocal_ = 0;
         double leastRemote_ = 0;
     };
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+constexpr std::uint32_t probationSamples = 2;
+constexpr std::uint32_t maxDoublings = 4;
+
 /// \brief Requests of others at the group: the report less the own requests of that time, or the
 /// peers' digests if they say more.
 [[nodiscard]] double othersAt(const SnapshotGroup &group, const GroupState &state)
@@ -17,14 +20,14 @@
     return std::max(reported - ownThen, double(group.peerInFlight_));
 }
 
-[[nodiscard]] double medianTimeToFirstToken(const ServiceView &view, const RouterPolicy &policy,
-                                            GroupBook &book)
+[[nodiscard]] double medianAnswerTime(const ServiceView &view, const RouterPolicy &policy,
+                                      GroupBook &book)
 {
     std::vector<double> times;
     for (const GroupView &entry : view.groups_) {
         const GroupState &state = book.state(entry.owner_);
         if (state.samples_ >= policy.stragglerSamples_)
-            times.push_back(state.timeToFirstToken_);
+            times.push_back(state.answerTime_);
     }
     if (times.size() < 3)
         return 0;
@@ -36,17 +39,25 @@
 [[nodiscard]] bool isSlow(const GroupState &state, double median, const RouterPolicy &policy)
 {
     const double minimum = std::chrono::duration<double>(policy.stragglerMinimum_).count();
-    return median > 0 && state.samples_ >= policy.stragglerSamples_
-           && state.timeToFirstToken_ > std::max(policy.stragglerRatio_ * median, minimum);
+    return state.answerTime_ > std::max(policy.stragglerRatio_ * median, minimum);
 }
 
-/// \brief Ejects a slow group for a time; afterwards it must show itself slow again.
+/// \brief Ejects a slow group for a time that doubles while it stays slow. A group that comes back
+/// needs few samples to be ejected again, and many to be forgiven.
 void updateOwnEjection(GroupState &state, double median, const RouterPolicy &policy, TimePoint now)
 {
-    if (now < state.ejectedUntil_ || !isSlow(state, median, policy))
+    const bool isOnProbation = state.ejections_ > 0;
+    const std::uint32_t needed = isOnProbation ? probationSamples : policy.stragglerSamples_;
+    if (median <= 0 || now < state.ejectedUntil_ || state.samples_ < needed)
         return;
-    state.ejectedUntil_ = now + policy.ejectionTime_;
-    state.samples_ = 0;
+    if (isSlow(state, median, policy)) {
+        const auto doublings = std::min(state.ejections_, maxDoublings);
+        state.ejectedUntil_ = now + policy.ejectionTime_ * (1U << doublings);
+        state.samples_ = 0;
+        ++state.ejections_;
+    } else if (state.samples_ >= policy.stragglerSamples_) {
+        state.ejections_ = 0;
+    }
 }
 
 } // namespace
@@ -95,7 +106,7 @@
 
 void ejectStragglers(ServiceView &view, const RouterPolicy &policy, GroupBook &book, TimePoint now)
 {
-    const double median = medianTimeToFirstToken(view, policy, book);
+    const double median = medianAnswerTime(view, policy, book);
     std::vector<GroupView *> slow;
     double usable = 0;
     for (GroupView &entry : view.groups_) {
@@ -109,7 +120,7 @@
             slow.push_back(&entry);
     }
     std::stable_sort(slow.begin(), slow.end(), [&](const GroupView *a, const GroupView *b) {
-        return book.state(a->owner_).timeToFirstToken_ > book.state(b->owner_).timeToFirstToken_;
+        return book.state(a->owner_).answerTime_ > book.state(b->owner_).answerTime_;
     });
     double left = usable;
     for (GroupView *entry : slow) {
