Hold a team to the level of max-min, not to its own average demand

Cause: a small team was held to its average at each entry VM, so its bursts were refused while large teams took the slots. Change: a team may have up to the water level here; a wait below the share is counted at the rate at which any slot comes free; bench_limits_fairness measures fairness and goodput.

--- /dev/null
+++ b/bench/limits_fairness.cpp
@@ -0,0 +1,350 @@
+/// \file
+/// \brief Fairness and goodput of admission at 0.5, 1, 2 and 5 times the capacity.
+/// \details Usage: bench_limits_fairness [groups] [seconds] [seed]. Seven entry VMs admit requests
+/// of ten teams, two of them large, to groups of 16 slots. Digests are half a second old when they
+/// arrive. At half time one entry VM is lost; its peers notice after three seconds.
+#include "endpoint_model.hpp"
+
+#include <cardamombay/core/random.hpp>
+#include <cardamombay/limits/admission.hpp>
+#include <cardamombay/limits/fair_share.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <cstdlib>
+#include <memory>
+#include <string>
+
+using namespace cardamombay;
+using namespace bench;
+
+namespace {
+
+constexpr std::size_t entryCount = 7;
+constexpr std::size_t teamCount = 10;
+constexpr std::uint32_t slotsPerGroup = 16;
+constexpr double meanService = 5;
+constexpr double warmUp = 30; ///< Seconds of each half that do not count.
+constexpr Duration digestPeriod = std::chrono::milliseconds(500);
+const ServiceName serviceName("lm");
+
+struct Scenario
+{
+    std::size_t groups_ = 12;
+    double seconds_ = 300;
+    std::uint64_t seed_ = 1;
+    double load_ = 1;
+
+    [[nodiscard]] std::uint32_t slots() const
+    {
+        return static_cast<std::uint32_t>(groups_) * slotsPerGroup;
+    }
+    [[nodiscard]] double capacity() const { return slots() / meanService; } ///< Requests a second.
+};
+
+/// \brief Part of the offered load that each team makes up: two large ones, eight small ones.
+double partOf(std::size_t team)
+{
+    return team < 2 ? 0.38 : 0.03;
+}
+
+TeamName nameOf(std::size_t team)
+{
+    return TeamName("team-" + std::to_string(team));
+}
+
+/// \brief What was seen in one half of the run.
+struct Half
+{
+    std::vector<double> offered_ = std::vector<double>(teamCount);
+    std::vector<double> served_ = std::vector<double>(teamCount);
+    std::vector<double> waits_;
+    std::vector<double> refusals_; ///< Seconds until a refusal was told.
+    std::vector<double> overshoot_;
+    double shed_ = 0;
+    double seconds_ = 0;
+};
+
+double percentile(std::vector<double> &values, double share)
+{
+    if (values.empty())
+        return 0;
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * double(values.size() - 1))];
+}
+
+class Run
+{
+public:
+    explicit Run(const Scenario &scenario)
+        : scenario_(scenario)
+        , random_(scenario.seed_)
+    {
+        makeSnapshot();
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            entries_.push_back(std::make_unique<limits::Admission>());
+            snapshots_.push_back(base_);
+            snapshots_[i].self_ = entryOf(i);
+        }
+        digested_.resize(entryCount);
+        isDead_.resize(entryCount);
+        isForgotten_.resize(entryCount);
+    }
+
+    void run()
+    {
+        start_ = clock_.now();
+        exchange();
+        poll();
+        sample();
+        clock_.schedule(ofSeconds(scenario_.seconds_ / 2), [this] { loseEntry(0); });
+        const double perSecond = scenario_.load_ * scenario_.capacity();
+        for (double at = 0; at < scenario_.seconds_;) {
+            at += -std::log(1 - random_.unit()) / perSecond;
+            clock_.advance(start_ + ofSeconds(at) - clock_.now());
+            arrive();
+        }
+    }
+
+    void report()
+    {
+        const char *names[] = {"before", "after"};
+        for (std::size_t half = 0; half < 2; ++half)
+            report(names[half], halves_[half]);
+    }
+
+private:
+    struct Request
+    {
+        std::size_t entry_ = 0;
+        std::size_t team_ = 0;
+        TimePoint arrivedAt_{};
+    };
+
+    static EntryId entryOf(std::size_t entry) { return EntryId("entry-" + std::to_string(entry)); }
+
+    void makeSnapshot()
+    {
+        auto configuration = std::make_shared<config::Configuration>();
+        config::Service service;
+        service.name_ = serviceName;
+        service.requestsPerReplica_ = slotsPerGroup;
+        configuration->services_.push_back(service);
+        for (std::size_t i = 0; i < teamCount; ++i) {
+            config::Team team;
+            team.name_ = nameOf(i);
+            configuration->teams_.push_back(team);
+        }
+        base_.configuration_ = configuration;
+        base_.services_.push_back({serviceName, {}});
+        for (std::size_t i = 0; i < scenario_.groups_; ++i) {
+            routing::SnapshotGroup group;
+            group.group_ = GroupId("lm/" + std::to_string(i));
+            group.freshUntil_ = TimePoint::max();
+            group.capacity_ = slotsPerGroup;
+            base_.services_[0].groups_.push_back(group);
+        }
+    }
+
+    /// \brief Every entry VM gets what its peers said one period ago, then says its own.
+    void exchange()
+    {
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            snapshots_[i].peerDemand_.clear();
+            ++snapshots_[i].sequence_;
+            for (std::size_t peer = 0; peer < entryCount; ++peer) {
+                if (peer != i && !isForgotten_[peer])
+                    snapshots_[i].peerDemand_.push_back({entryOf(peer), digested_[peer]});
+            }
+        }
+        for (std::size_t i = 0; i < entryCount; ++i) {
+            if (!isDead_[i])
+                digested_[i] = entries_[i]->demand(clock_.now());
+        }
+        clock_.schedule(digestPeriod, [this] { exchange(); });
+    }
+
+    void poll()
+    {
+        for (std::size_t i = 0; i < entryCount; ++i)
+            release(i);
+        clock_.schedule(std::chrono::milliseconds(20), [this] { poll(); });
+    }
+
+    void sample()
+    {
+        if (Half *half = counted()) {
+            const double over = double(running_) - scenario_.slots();
+            half->overshoot_.push_back(over / scenario_.slots());
+            half->seconds_ += 0.1;
+        }
+        clock_.schedule(std::chrono::milliseconds(100), [this] { sample(); });
+    }
+
+    /// \brief The half that counts now, if any.
+    Half *counted()
+    {
+        const double passed = inSeconds(clock_.now() - start_);
+        const double half = scenario_.seconds_ / 2;
+        if (passed < half)
+            return passed < warmUp ? nullptr : &halves_[0];
+        return passed < half + warmUp ? nullptr : &halves_[1];
+    }
+
+    void loseEntry(std::size_t entry)
+    {
+        isDead_[entry] = true;
+        // Its connections break, so its requests end.
+        std::erase_if(requests_, [&](const auto &held) { return held.second.entry_ == entry; });
+        running_ -= runningAt_[entry];
+        runningAt_[entry] = 0;
+        clock_.schedule(std::chrono::seconds(3), [this, entry] { isForgotten_[entry] = true; });
+    }
+
+    void arrive()
+    {
+        std::size_t entry = random_.below(entryCount);
+        while (isDead_[entry])
+            entry = random_.below(entryCount);
+        double draw = random_.unit();
+        std::size_t team = 0;
+        while (team + 1 < teamCount && draw >= partOf(team))
+            draw -= partOf(team++);
+        const RequestId id("r" + std::to_string(++count_));
+        if (Half *half = counted())
+            half->offered_[team] += 1;
+        const auto decision = entries_[entry]->offer(
+            {.request_ = id, .service_ = serviceName, .team_ = nameOf(team)}, snapshots_[entry],
+            clock_.now());
+        const Request request{entry, team, clock_.now()};
+        if (std::holds_alternative<limits::Shed>(decision)) {
+            refuse(request);
+            return;
+        }
+        requests_.emplace(id, request);
+        if (std::holds_alternative<limits::Admitted>(decision))
+            start(id);
+    }
+
+    void refuse(const Request &request)
+    {
+        Half *half = counted();
+        if (!half)
+            return;
+        half->shed_ += 1;
+        half->refusals_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
+    }
+
+    void start(const RequestId &id)
+    {
+        const Request &request = requests_.at(id);
+        ++running_;
+        ++runningAt_[request.entry_];
+        if (Half *half = counted())
+            half->waits_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
+        const double time = -std::log(1 - random_.unit()) * meanService;
+        clock_.schedule(ofSeconds(time), [this, id] { finish(id); });
+    }
+
+    void finish(const RequestId &id)
+    {
+        const auto found = requests_.find(id);
+        if (found == requests_.end())
+            return;
+        const Request request = found->second;
+        requests_.erase(found);
+        --running_;
+        --runningAt_[request.entry_];
+        if (Half *half = counted())
+            half->served_[request.team_] += 1;
+        entries_[request.entry_]->finished(id, clock_.now());
+        release(request.entry_);
+    }
+
+    void release(std::size_t entry)
+    {
+        if (isDead_[entry])
+            return;
+        for (const auto &answer : entries_[entry]->release(snapshots_[entry], clock_.now())) {
+            if (std::holds_alternative<limits::Admitted>(answer.answer_)) {
+                start(answer.request_);
+                continue;
+            }
+            refuse(requests_.at(answer.request_));
+            requests_.erase(answer.request_);
+        }
+    }
+
+    void report(const char *name, Half &half)
+    {
+        std::vector<limits::WeightedDemand> demands;
+        double served = 0;
+        for (std::size_t i = 0; i < teamCount; ++i) {
+            demands.push_back({1, half.offered_[i]});
+            served += half.served_[i];
+        }
+        const double possible = scenario_.capacity() * half.seconds_;
+        const auto fair = limits::weightedMaxMin(possible, demands);
+        double lowest = 1e9;
+        double highest = 0;
+        double smallServed = 0;
+        double smallOffered = 0;
+        for (std::size_t i = 0; i < teamCount; ++i) {
+            lowest = std::min(lowest, half.served_[i] / fair[i]);
+            highest = std::max(highest, half.served_[i] / fair[i]);
+            if (i >= 2) {
+                smallServed += half.served_[i];
+                smallOffered += half.offered_[i];
+            }
+        }
+        std::printf("%4.1f %-7s %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f\n",
+                    scenario_.load_, name, served / possible, smallServed / smallOffered, lowest,
+                    highest, percentile(half.waits_, 0.5), percentile(half.waits_, 0.99),
+                    percentile(half.refusals_, 0.99), percentile(half.overshoot_, 0.99),
+                    percentile(half.overshoot_, 1));
+    }
+
+    Scenario scenario_;
+    Random random_;
+    ManualClock clock_;
+    TimePoint start_{};
+    routing::RoutingSnapshot base_;
+    std::vector<std::unique_ptr<limits::Admission>> entries_;
+    std::vector<routing::RoutingSnapshot> snapshots_;
+    std::vector<std::vector<routing::DemandReport>> digested_;
+    std::vector<char> isDead_;
+    std::vector<char> isForgotten_;
+    std::unordered_map<RequestId, Request> requests_;
+    std::uint64_t count_ = 0;
+    std::uint32_t running_ = 0;
+    std::uint32_t runningAt_[entryCount] = {};
+    Half halves_[2];
+};
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const auto argument = [&](int index, double standard) {
+        return argc > index ? std::atof(argv[index]) : standard;
+    };
+    Scenario scenario;
+    scenario.groups_ = static_cast<std::size_t>(argument(1, 12));
+    scenario.seconds_ = argument(2, 300);
+    scenario.seed_ = static_cast<std::uint64_t>(argument(3, 1));
+    std::printf("%zu groups of %u slots, seed %llu; served / possible, served / offered of the "
+                "small teams,\nserved / fair share (lowest and highest team), waits, time to a "
+                "refusal, overshoot of the slots\n",
+                scenario.groups_, slotsPerGroup, static_cast<unsigned long long>(scenario.seed_));
+    std::printf("%4s %-7s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "load", "loss", "goodput",
+                "small", "lowest", "highest", "wait p50", "wait p99", "shed p99", "over p99",
+                "over max");
+    for (const double load : {0.5, 1.0, 2.0, 5.0}) {
+        scenario.load_ = load;
+        Run run(scenario);
+        run.run();
+        run.report();
+    }
+    return 0;
+}
--- a/src/limits/service_limits.cpp
+++ b/src/limits/service_limits.cpp
@@ -68,6 +68,7 @@
         return shed(request.request_, ShedReason::QueueFull, wait);
 
     const TimePoint expires = std::min(now + service.queueTimeout_, request.deadline_);
+    waitingTeams_ += team.queue_.empty();
     team.queue_.emplace(
         key, Waiting{request.request_, request.deadline_, expires, request.isNonIdempotent_});
     expiries_.insert({expires, {team.name_, key}});
@@ -107,6 +108,7 @@
         return;
     expiries_.erase({found->second.expires_, {team.name_, key}});
     team.queue_.erase(found);
+    waitingTeams_ -= team.queue_.empty();
     --waiting_;
 }
 
@@ -146,7 +148,7 @@
         // The average keeps a share below one slot honest; the count keeps a newcomer from taking
         // more than its share at first.
         const double used = std::max(candidate.usage_.average(now), double(candidate.running_));
-        const double ratio = used / share(candidate);
+        const double ratio = used / shares_.of(candidate.name_);
         const bool isBetter
             = !best || ratio < bestRatio || (ratio == bestRatio && name < best->name_);
         if (!isBetter)
@@ -157,18 +159,22 @@
     return best;
 }
 
-double ServiceLimits::share(const TeamLimits &team) const
+Duration ServiceLimits::expectedWait(const TeamLimits &team, std::size_t ahead) const
 {
-    const auto found = shares_.byTeam_.find(team.name_);
-    const double known = found == shares_.byTeam_.end() ? 0 : found->second;
-    // A team that no digest has shown yet is taken for one of equal weight.
-    const double unknown = double(shares_.slots_) / double(shares_.byTeam_.size() + 1);
-    return std::max(known > 0 ? known : unknown, 0.01);
+    const double share = shares_.of(team.name_);
+    const double turns = double(ahead + 1);
+    const double atShare = turns * serviceTime_ / share;
+    if (double(team.running_) + double(ahead) >= share)
+        return seconds(atShare);
+    // Below its share, a team gets every slot that comes free in turn with the others that wait.
+    const double others = double(waitingTeams(team));
+    const double atOnce = turns * (others + 1) * serviceTime_ / std::max(shares_.slots_, 1U);
+    return seconds(std::min(atShare, atOnce));
 }
 
-Duration ServiceLimits::expectedWait(const TeamLimits &team, std::size_t ahead) const
+std::size_t ServiceLimits::waitingTeams(const TeamLimits &except) const
 {
-    return seconds(double(ahead + 1) * serviceTime_ / share(team));
+    return waitingTeams_ - (except.queue_.empty() ? 0 : 1);
 }
 
 Duration ServiceLimits::serviceTimeNeeded(bool isNonIdempotent) const
--- a/src/limits/service_limits.hpp
+++ b/src/limits/service_limits.hpp
@@ -108,7 +108,7 @@
                  TimePoint now);
     [[nodiscard]] std::vector<OwnDemand> ownDemand(bool isAlone, TimePoint now) const;
     [[nodiscard]] double liveDemand(const TeamLimits &team, TimePoint now) const;
-    [[nodiscard]] double share(const TeamLimits &team) const;
+    [[nodiscard]] std::size_t waitingTeams(const TeamLimits &except) const;
     [[nodiscard]] Duration expectedWait(const TeamLimits &team, std::size_t ahead) const;
     [[nodiscard]] Duration serviceTimeNeeded(bool isNonIdempotent) const;
     [[nodiscard]] AdmissionDecision enqueue(TeamLimits &team, const AdmissionRequest &request,
@@ -131,6 +131,7 @@
     std::uint64_t arrivals_ = 0;
     std::uint32_t running_ = 0;
     std::uint32_t waiting_ = 0;
+    std::size_t waitingTeams_ = 0;
     double serviceTime_ = 0; ///< Seconds, moving average; zero until known.
     ShareTable shares_;
     std::uint64_t sharesOf_ = 0; ///< Sequence of the snapshot the shares were made from.
--- a/src/limits/share_table.cpp
+++ b/src/limits/share_table.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr double smallestShare = 0.01;
+
 /// \brief One team's demand at each entry VM, in the order of entry identifiers.
 struct TeamRow
 {
@@ -100,15 +102,24 @@
     return sum;
 }
 
+double ShareTable::of(const TeamName &team) const
+{
+    const auto found = byTeam_.find(team);
+    const double share = found == byTeam_.end() ? level_ / double(entries_) : found->second;
+    return std::max(share, smallestShare);
+}
+
 ShareTable divideCapacity(const routing::RoutingSnapshot &snapshot, const ServiceName &service,
                           std::uint32_t capacity, std::span<const OwnDemand> own,
                           const LimitsPolicy &policy)
 {
     const DemandMatrix matrix = readDemand(snapshot, service, own);
     const std::vector<double> shares = shareOfTeams(matrix, capacity);
+    const auto entries = double(matrix.entries_);
 
     ShareTable table;
     table.capacity_ = capacity;
+    table.entries_ = matrix.entries_;
     std::vector<double> entryParts(matrix.entries_, 0.0);
     std::vector<double> entryDemand(matrix.entries_, 0.0);
     double spare = capacity;
@@ -122,15 +133,20 @@
             entryParts[entry] += share * row.byEntry_[entry] / row.total_;
             entryDemand[entry] += row.byEntry_[entry];
         }
-        table.byTeam_[name] = share * row.byEntry_[matrix.self_] / row.total_;
+        table.level_ = std::max(table.level_, share / std::max(row.weight_, smallestShare));
     }
-    // What nobody asked for yet follows demand too; the one added lets an idle entry VM start.
-    for (std::size_t entry = 0; entry < matrix.entries_; ++entry) {
-        const double part = (entryDemand[entry] + 1) / (demand + double(matrix.entries_));
-        entryParts[entry] += std::max(spare, 0.0) * part;
+    spare = std::max(spare, 0.0);
+    table.level_ += spare / double(matrix.teams_.size() + 1);
+    // A team that wants less than the level may still have up to it, so a burst of a small team
+    // is not held to its average. The one added evens out the counts of small teams.
+    for (const auto &[name, row] : matrix.teams_) {
+        const double part = (row.byEntry_[matrix.self_] + 1) / (row.total_ + entries);
+        table.byTeam_[name] = table.level_ * row.weight_ * part;
     }
-    const auto slots = largestRemainder(capacity, entryParts);
-    table.slots_ = slots[matrix.self_];
+    // What nobody asked for yet follows demand too; the one added lets an idle entry VM start.
+    for (std::size_t entry = 0; entry < matrix.entries_; ++entry)
+        entryParts[entry] += spare * (entryDemand[entry] + 1) / (demand + entries);
+    table.slots_ = largestRemainder(capacity, entryParts)[matrix.self_];
     if (capacity > 0)
         table.slots_ = std::max(table.slots_, policy.entryFloor_);
     return table;
--- a/src/limits/share_table.hpp
+++ b/src/limits/share_table.hpp
@@ -24,9 +24,14 @@
 /// \brief Shares of one service, in slots.
 struct ShareTable
 {
-    std::uint32_t capacity_ = 0;                  ///< Over all entry VMs.
-    std::uint32_t slots_ = 0;                     ///< This entry VM's part.
-    std::unordered_map<TeamName, double> byTeam_; ///< This entry VM's part of each team's share.
+    std::uint32_t capacity_ = 0; ///< Over all entry VMs.
+    std::uint32_t slots_ = 0;    ///< This entry VM's part.
+    double level_ = 0;           ///< Slots a team of weight 1 may have, over all entry VMs.
+    std::size_t entries_ = 1;
+    std::unordered_map<TeamName, double> byTeam_; ///< What each team may have here.
+
+    /// \brief What \p team may have here; an equal part if no digest has shown it yet.
+    [[nodiscard]] double of(const TeamName &team) const;
 };
 
 /// \brief Slots of \p service that are declared and serve at \p now.
