Open circuits after three failures and try again within 8 s; leave hedging out

Cause: with five failures the budget was spent before the circuits of a half outage were open, and with 30 s between trials the first request after an outage was served seconds late.

--- a/bench/endpoint_model.hpp
+++ b/bench/endpoint_model.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <memory>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -88,7 +89,8 @@
     double tokens_ = 200;
     TimePoint arrivedAt_{};
     std::function<void(Duration, std::size_t)> onFirstToken_; ///< Time since arrival, blocks held.
-    std::function<void(Duration)> onEnd_;                     ///< Time between tokens.
+    std::function<void(Duration)> onEnd_; ///< Time between tokens; zero if it was cancelled.
+    std::shared_ptr<bool> isCancelled_ = std::make_shared<bool>(false);
 };
 
 /// \brief A group: waiting requests, one prefill at a time, a batch that decodes.
@@ -137,6 +139,11 @@
         isPrefilling_ = true;
         ModelRequest request = std::move(prefills_.front());
         prefills_.pop_front();
+        if (*request.isCancelled_) {
+            isPrefilling_ = false;
+            end(request);
+            return;
+        }
         std::vector<std::uint64_t> evicted;
         const std::size_t held = cache_.use(request.blocks_, evicted);
         if (onCache_)
@@ -145,12 +152,23 @@
         const Duration time = ofSeconds(missing * shape_.secondsPerBlock_ * shape_.slowness_);
         clock_.schedule(time, [this, request = std::move(request), held]() mutable {
             isPrefilling_ = false;
+            if (*request.isCancelled_) {
+                end(request);
+                return;
+            }
             request.onFirstToken_(clock_.now() - request.arrivedAt_, held);
             decode(std::move(request));
             startPrefill();
         });
     }
 
+    void end(const ModelRequest &request)
+    {
+        --running_;
+        request.onEnd_(Duration::zero());
+        startWaiting();
+    }
+
     void decode(ModelRequest request)
     {
         const double batch = 1 + shape_.batchCost_ * running_ / shape_.slots_;
--- a/bench/limits_fairness.cpp
+++ b/bench/limits_fairness.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Fairness and goodput of admission at 0.5, 1, 2 and 5 times the capacity.
-/// \details Usage: bench_limits_fairness [groups] [seconds] [seed]. Seven entry VMs admit requests
-/// of ten teams, two of them large, to groups of 16 slots. Digests are half a second old when they
-/// arrive. At half time one entry VM is lost; its peers notice after three seconds.
+/// \details Usage: bench_limits_fairness [groups] [seconds] [seed] [service time]. Seven entry VMs
+/// admit requests of ten teams, two of them large, to groups of 16 slots. Digests are half a second
+/// old when they arrive. At half time one entry VM is lost; its peers notice after three seconds.
 #include "endpoint_model.hpp"
 
 #include <cardamombay/core/random.hpp>
@@ -24,7 +24,6 @@
 constexpr std::size_t entryCount = 7;
 constexpr std::size_t teamCount = 10;
 constexpr std::uint32_t slotsPerGroup = 16;
-constexpr double meanService = 5;
 constexpr double warmUp = 30; ///< Seconds of each half that do not count.
 constexpr Duration digestPeriod = std::chrono::milliseconds(500);
 const ServiceName serviceName("lm");
@@ -35,12 +34,13 @@
     double seconds_ = 300;
     std::uint64_t seed_ = 1;
     double load_ = 1;
+    double serviceTime_ = 5; ///< Mean, in seconds.
 
     [[nodiscard]] std::uint32_t slots() const
     {
         return static_cast<std::uint32_t>(groups_) * slotsPerGroup;
     }
-    [[nodiscard]] double capacity() const { return slots() / meanService; } ///< Requests a second.
+    [[nodiscard]] double capacity() const { return slots() / serviceTime_; } ///< Requests a second.
 };
 
 /// \brief Part of the offered load that each team makes up: two large ones, eight small ones.
@@ -243,7 +243,7 @@
         ++runningAt_[request.entry_];
         if (Half *half = counted())
             half->waits_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
-        const double time = -std::log(1 - random_.unit()) * meanService;
+        const double time = -std::log(1 - random_.unit()) * scenario_.serviceTime_;
         clock_.schedule(ofSeconds(time), [this, id] { finish(id); });
     }
 
@@ -333,6 +333,7 @@
     scenario.groups_ = static_cast<std::size_t>(argument(1, 12));
     scenario.seconds_ = argument(2, 300);
     scenario.seed_ = static_cast<std::uint64_t>(argument(3, 1));
+    scenario.serviceTime_ = argument(4, 5);
     std::printf("%zu groups of %u slots, seed %llu; served / possible, served / offered of the "
                 "small teams,\nserved / fair share (lowest and highest team), waits, time to a "
                 "refusal, overshoot of the slots\n",
--- a/bench/routing_policies.cpp
+++ b/bench/routing_policies.cpp
@@ -41,6 +41,7 @@
     bool hasStraggler_ = false;
     bool hasCacheEvents_ = false;
     double eventLoss_ = 0;
+    double hedgeAfter_ = 0; ///< Seconds without a token until a second attempt; zero for never.
 };
 
 /// \brief One arrival; the same list is given to every policy.
@@ -230,6 +231,7 @@
     double imbalance_ = 0;
     std::size_t samples_ = 0;
     double local_ = 0;
+    double attempts_ = 0;
 
     [[nodiscard]] double percentile(double share)
     {
@@ -347,33 +349,66 @@
         return clock_.now() - TimePoint(std::chrono::hours(1)) > std::chrono::seconds(60);
     }
 
+    /// \brief A request with one attempt, or two if it is hedged.
+    struct Request
+    {
+        std::size_t entry_ = 0;
+        const Arrival *arrival_ = nullptr;
+        TimePoint arrivedAt_{};
+        bool counts_ = false;
+        bool hasToken_ = false;
+        std::vector<std::shared_ptr<bool>> cancels_;
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+
     void submit(const Arrival &arrival)
     {
-        const std::size_t entry = arrival.entry_;
+        const auto request = std::make_shared<Request>();
+        request->entry_ = arrival.entry_;
+        request->arrival_ = &arrival;
+        request->arrivedAt_ = clock_.now();
+        request->counts_ = isWarm();
+        attempt(request);
+        if (scenario_.hedgeAfter_ <= 0)
+            return;
+        clock_.schedule(ofSeconds(scenario_.hedgeAfter_), [this, request] {
+            if (!request->hasToken_)
+                attempt(request);
+        });
+    }
+
+    void attempt(const RequestPtr &request)
+    {
+        const std::size_t entry = request->entry_;
+        const auto &blocks = request->arrival_->blocks_;
         const std::size_t chosen
-            = choosers_[entry]->choose(snapshots_[entry], arrival.blocks_, clock_.now());
-        const bool counts = isWarm();
-        if (counts)
+            = choosers_[entry]->choose(snapshots_[entry], blocks, clock_.now());
+        if (request->counts_) {
             results_.local_ += zoneOf(chosen) == zoneOf(entry);
-        auto firstToken = std::make_shared<Duration>();
-        ModelRequest request;
-        request.blocks_ = arrival.blocks_;
-        request.tokens_ = arrival.tokens_;
-        request.arrivedAt_ = clock_.now();
-        const std::size_t blocks = arrival.blocks_.size();
-        request.onFirstToken_
-            = [this, firstToken, counts, blocks](Duration time, std::size_t held) {
-                  *firstToken = time;
-                  if (!counts)
-                      return;
-                  results_.times_.push_back(inSeconds(time));
-                  results_.blocks_ += double(blocks);
-                  results_.hits_ += double(held);
-              };
-        request.onEnd_ = [this, entry, chosen, firstToken](Duration perToken) {
-            choosers_[entry]->finished(chosen, {*firstToken, true, perToken}, clock_.now());
+            results_.attempts_ += 1;
+        }
+        auto time = std::make_shared<Duration>();
+        ModelRequest attempted;
+        attempted.blocks_ = blocks;
+        attempted.tokens_ = request->arrival_->tokens_;
+        attempted.arrivedAt_ = request->arrivedAt_;
+        const std::size_t number = request->cancels_.size();
+        request->cancels_.push_back(attempted.isCancelled_);
+        attempted.onFirstToken_ = [this, time, request, number](Duration taken, std::size_t held) {
+            *time = taken;
+            request->hasToken_ = true;
+            for (std::size_t i = 0; i < request->cancels_.size(); ++i)
+                *request->cancels_[i] = i != number;
+            if (!request->counts_)
+                return;
+            results_.times_.push_back(inSeconds(taken));
+            results_.blocks_ += double(request->arrival_->blocks_.size());
+            results_.hits_ += double(held);
+        };
+        attempted.onEnd_ = [this, entry, chosen, time](Duration perToken) {
+            choosers_[entry]->finished(chosen, {*time, true, perToken}, clock_.now());
         };
-        groups_[chosen]->submit(std::move(request));
+        groups_[chosen]->submit(std::move(attempted));
     }
 
     /// \brief An event reaches each entry VM half a second to a second later, or is lost.
@@ -416,15 +451,17 @@
     const auto arrivals = makeArrivals(scenario, scenario.load_ * slots / decode);
     std::printf("\n%s: %zu groups, load %.2f, %zu requests, seed %llu\n", title, scenario.groups_,
                 scenario.load_, arrivals.size(), static_cast<unsigned long long>(scenario.seed_));
-    std::printf("%-24s %8s %8s %8s %8s %10s %8s\n", "policy", "p50 s", "p95 s", "p99 s", "hits",
-                "imbalance", "in zone");
-    const auto report = [&](const char *name, const ChooserFactory &factory) {
-        Results results = Run(scenario, factory).run(arrivals);
+    std::printf("%-24s %8s %8s %8s %8s %10s %8s %9s\n", "policy", "p50 s", "p95 s", "p99 s", "hits",
+                "imbalance", "in zone", "attempts");
+    const auto report = [&](const char *name, const ChooserFactory &factory, double hedge = 0) {
+        Scenario run = scenario;
+        run.hedgeAfter_ = hedge;
+        Results results = Run(run, factory).run(arrivals);
         const double count = double(results.times_.size());
-        std::printf("%-24s %8.3f %8.3f %8.3f %8.3f %10.3f %8.3f\n", name, results.percentile(0.5),
-                    results.percentile(0.95), results.percentile(0.99),
+        std::printf("%-24s %8.3f %8.3f %8.3f %8.3f %10.3f %8.3f %9.3f\n", name,
+                    results.percentile(0.5), results.percentile(0.95), results.percentile(0.99),
                     results.hits_ / results.blocks_, results.imbalance_ / double(results.samples_),
-                    results.local_ / count);
+                    results.local_ / results.attempts_, results.attempts_ / count);
     };
     const auto simple = [&]<typename Policy>(std::type_identity<Policy>) -> ChooserFactory {
         return [&](std::uint64_t seed) { return std::make_unique<Policy>(seed, scenario.groups_); };
@@ -453,6 +490,9 @@
     variant = standard;
     variant.stragglerRatio_ = 1e9;
     report("router, no ejection", router(variant, true));
+    report("router, hedge 0.3 s", router(standard, true), 0.3);
+    report("router, hedge 0.5 s", router(standard, true), 0.5);
+    report("router, hedge 1 s", router(standard, true), 1.0);
 }
 
 } // namespace
--- a/include/cardamombay/retries/circuit.hpp
+++ b/include/cardamombay/retries/circuit.hpp
@@ -22,9 +22,9 @@
 /// \brief Settings of a circuit.
 struct CircuitPolicy
 {
-    std::uint32_t failures_ = 5;                  ///< Failures in a row that open the circuit.
+    std::uint32_t failures_ = 3;                  ///< Failures in a row that open the circuit.
     Duration openTime_ = std::chrono::seconds(1); ///< Doubles with each failed trial.
-    Duration maximumOpenTime_ = std::chrono::seconds(30);
+    Duration maximumOpenTime_ = std::chrono::seconds(8);
 };
 
 /// \brief Circuit breaker fed by attempts and time; single-threaded.
--- a/tests/retries/circuit.cpp
+++ b/tests/retries/circuit.cpp
@@ -28,8 +28,10 @@
 {
     CircuitBoard board(program());
     const GroupId group("lm/a/0");
-    for (int i = 0; i < 5; ++i)
+    for (int i = 0; i < 2; ++i)
         board.failed(group, start);
+    cr_assert(board.blocked(start).empty());
+    board.failed(group, start);
     cr_assert_eq(board.blocked(start).size(), 1);
 
     const TimePoint later = start + seconds(1);
@@ -45,7 +47,7 @@
 Test(circuit, failed_trial_doubles_the_open_time)
 {
     Circuit circuit(program());
-    for (int i = 0; i < 5; ++i)
+    for (int i = 0; i < 3; ++i)
         circuit.failed(start);
     const TimePoint trial = start + seconds(1);
     circuit.started(trial);
@@ -58,7 +60,7 @@
 Test(circuit, abandoned_trial_lets_the_next_one_go)
 {
     Circuit circuit(program());
-    for (int i = 0; i < 5; ++i)
+    for (int i = 0; i < 3; ++i)
         circuit.failed(start);
     const TimePoint trial = start + seconds(1);
     circuit.started(trial);
@@ -68,3 +70,15 @@
 
     cr_assert(circuit.allows(trial));
 }
+
+Test(circuit, success_between_failures_keeps_it_closed)
+{
+    Circuit circuit(program());
+    for (int i = 0; i < 20; ++i) {
+        circuit.failed(start);
+        circuit.failed(start);
+        circuit.succeeded(start);
+    }
+
+    cr_assert(circuit.allows(start));
+}
