Jitter the open time of circuits

Cause: circuits that opened together tried again together, so after a fleet-wide outage all of them could wait out the longest time. Change: the wait is drawn from the upper half of each step, by a hash of group and seed.

--- a/bench/routing_retries.cpp
+++ b/bench/routing_retries.cpp
@@ -94,7 +94,7 @@
               const retries::CircuitProgramPtr &program)
             : router_(seed)
             , retries_(seed + 1, settings)
-            , circuits_(program)
+            , circuits_(program, {}, seed)
         {
         }
 
--- a/include/cardamombay/retries/circuit.hpp
+++ b/include/cardamombay/retries/circuit.hpp
@@ -23,7 +23,8 @@
 struct CircuitPolicy
 {
     std::uint32_t failures_ = 3;                  ///< Failures in a row that open the circuit.
-    Duration openTime_ = std::chrono::seconds(1); ///< Doubles with each failed trial.
+    Duration openTime_ = std::chrono::seconds(1); ///< Doubles with each failed trial; half of it
+                                                  ///< at least, as the wait is jittered.
     Duration maximumOpenTime_ = std::chrono::seconds(8);
 };
 
@@ -36,7 +37,8 @@
 class Circuit
 {
 public:
-    explicit Circuit(CircuitProgramPtr program, CircuitPolicy policy = {});
+    /// \param seed of the jitter of the open time, so that circuits do not try again together.
+    explicit Circuit(CircuitProgramPtr program, CircuitPolicy policy = {}, std::uint64_t seed = 0);
 
     /// \brief True if an attempt may be made at \p now.
     [[nodiscard]] bool allows(TimePoint now);
@@ -68,13 +70,16 @@
 
     void handle(std::string_view event, TimePoint now);
     void passTime(TimePoint now);
+    [[nodiscard]] double jitter() const;
     void startWait();
     void forgetFailures();
 
     CircuitPolicy policy_;
+    std::uint64_t seed_;
     chart::Machine<Circuit> machine_;
     std::uint32_t failuresInRow_ = 0;
     std::uint32_t openings_ = 0; ///< Without a success between them.
+    std::uint64_t waits_ = 0;    ///< Ever started.
     TimePoint openUntil_{};
     TimePoint now_{}; ///< Instant of the event being handled.
 };
--- a/include/cardamombay/retries/circuit_board.hpp
+++ b/include/cardamombay/retries/circuit_board.hpp
@@ -5,6 +5,7 @@
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/retries/circuit.hpp>
 
+#include <cstdint>
 #include <span>
 #include <string_view>
 #include <unordered_map>
@@ -21,7 +22,8 @@
 class CircuitBoard
 {
 public:
-    explicit CircuitBoard(CircuitProgramPtr program, CircuitPolicy policy = {});
+    explicit CircuitBoard(CircuitProgramPtr program, CircuitPolicy policy = {},
+                          std::uint64_t seed = 0);
 
     /// \brief Groups that must not be tried at \p now, for RouteRequest::excluded_.
     /// \returns a view that holds until the next call.
@@ -44,6 +46,7 @@
 private:
     CircuitProgramPtr program_;
     CircuitPolicy policy_;
+    std::uint64_t seed_;
     std::unordered_map<GroupId, Circuit> circuits_;
     std::vector<GroupId> blocked_;
 };
--- a/src/retries/circuit.cpp
+++ b/src/retries/circuit.cpp
@@ -1,6 +1,8 @@
+#include <cardamombay/core/hash.hpp>
 #include <cardamombay/retries/circuit.hpp>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace cardamombay::retries {
@@ -28,8 +30,9 @@
     return chart::bind(chart, std::move(binding));
 }
 
-Circuit::Circuit(CircuitProgramPtr program, CircuitPolicy policy)
+Circuit::Circuit(CircuitProgramPtr program, CircuitPolicy policy, std::uint64_t seed)
     : policy_(policy)
+    , seed_(seed)
     , machine_(std::move(program))
 {
 }
@@ -69,12 +72,22 @@
         machine_.handle(*this, "wait-over");
 }
 
+/// A number in [0, 1) for this wait; a hash, as a generator for each circuit would be large.
+double Circuit::jitter() const
+{
+    const std::uint64_t bits = stableHash(std::to_string(waits_), seed_);
+    return double(bits >> 11) * 0x1p-53;
+}
+
 void Circuit::startWait()
 {
     Duration wait = policy_.openTime_;
     for (std::uint32_t i = 0; i < openings_ && wait < policy_.maximumOpenTime_; ++i)
         wait *= 2;
-    openUntil_ = now_ + std::min(wait, policy_.maximumOpenTime_);
+    wait = std::min(wait, policy_.maximumOpenTime_);
+    ++waits_;
+    const double length = (0.5 + 0.5 * jitter()) * double(wait.count());
+    openUntil_ = now_ + Duration(static_cast<Duration::rep>(length));
     ++openings_;
 }
 
--- a/src/retries/circuit_board.cpp
+++ b/src/retries/circuit_board.cpp
@@ -1,3 +1,4 @@
+#include <cardamombay/core/hash.hpp>
 #include <cardamombay/retries/circuit_board.hpp>
 
 #include <algorithm>
@@ -12,9 +13,10 @@
 
 } // namespace
 
-CircuitBoard::CircuitBoard(CircuitProgramPtr program, CircuitPolicy policy)
+CircuitBoard::CircuitBoard(CircuitProgramPtr program, CircuitPolicy policy, std::uint64_t seed)
     : program_(std::move(program))
     , policy_(policy)
+    , seed_(seed)
 {
 }
 
@@ -50,7 +52,8 @@
 
 void CircuitBoard::failed(const GroupId &group, TimePoint now)
 {
-    circuits_.try_emplace(group, program_, policy_).first->second.failed(now);
+    const std::uint64_t seed = stableHash(group.text(), seed_);
+    circuits_.try_emplace(group, program_, policy_, seed).first->second.failed(now);
 }
 
 void CircuitBoard::abandoned(const GroupId &group, TimePoint now)
