Judge the speed of model groups by their tokens only; explain refusals

Cause: samples without the time between tokens would be judged by the time to the first token, which says more of the cache than of the group; and a refused request left no record. Change: groups of model services learn their speed from RequestSample::timePerToken_ alone; Admission::record() gives the record of a refusal for "cardamombayctl explain". Conclusion: no healthy group is ejected for its cache misses.

--- a/include/cardamombay/limits/admission.hpp
+++ b/include/cardamombay/limits/admission.hpp
@@ -5,6 +5,7 @@
 /// refuses a request that was handed over, so a refusal is always an honest "not run".
 #pragma once
 
+#include <cardamombay/core/decision_log.hpp>
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/limits/admission_request.hpp>
 #include <cardamombay/limits/limits_policy.hpp>
@@ -63,6 +64,10 @@
     /// that all entry VMs divide by the same figures.
     [[nodiscard]] std::vector<routing::DemandReport> demand(TimePoint now);
 
+    /// \brief The record for "cardamombayctl explain" of a refused request.
+    [[nodiscard]] DecisionRecord record(const AdmissionRequest &request, const Shed &answer,
+                                        TimePoint now) const;
+
     /// \brief Slots of \p service.
     [[nodiscard]] ServiceLoad load(const ServiceName &service) const;
 
--- a/include/cardamombay/routing/route_decision.hpp
+++ b/include/cardamombay/routing/route_decision.hpp
@@ -92,7 +92,7 @@
 {
     Duration timeToFirstToken_{}; ///< Or to the first byte; zero if none came.
     bool isOk_ = true;            ///< False if the group failed, not if the caller left.
-    Duration timePerToken_{};     ///< Mean time between tokens; zero if unknown.
+    Duration timePerToken_{};     ///< Mean time between tokens; tells slow groups of models.
 };
 
 } // namespace cardamombay::routing
--- a/src/limits/admission.cpp
+++ b/src/limits/admission.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <optional>
+#include <string>
 #include <unordered_map>
+#include <utility>
 
 namespace cardamombay::limits {
 
@@ -137,6 +139,29 @@
     return reports;
 }
 
+DecisionRecord Admission::record(const AdmissionRequest &request, const Shed &answer,
+                                 TimePoint now) const
+{
+    DecisionRecord record;
+    record.when_ = now;
+    record.event_ = "request-shed";
+    record.subject_ = request.request_.text();
+    record.choice_ = nameOf(answer.reason_);
+    const ServiceLoad slots = load(request.service_);
+    const auto add = [&record](const char *key, std::string value) {
+        record.inputs_.push_back({key, std::move(value)});
+    };
+    add("service", request.service_.text());
+    add("team", request.team_.text());
+    add("priority", std::to_string(request.priority_));
+    add("capacity", std::to_string(slots.capacity_));
+    add("share", std::to_string(slots.share_));
+    add("running", std::to_string(slots.running_));
+    add("waiting", std::to_string(slots.waiting_));
+    add("retry_after_ms", std::to_string(toMilliseconds(answer.retryAfter_)));
+    return record;
+}
+
 ServiceLoad Admission::load(const ServiceName &service) const
 {
     const auto found = state_->services_.find(service);
--- a/src/routing/group_book.cpp
+++ b/src/routing/group_book.cpp
@@ -29,12 +29,6 @@
     return isForgotten ? steps_[count_ % limit].value_ : 0;
 }
 
-Duration answerTimeOf(const RequestSample &sample)
-{
-    const bool hasTokens = sample.timePerToken_ > Duration::zero();
-    return hasTokens ? sample.timePerToken_ : sample.timeToFirstToken_;
-}
-
 OwnerIndex GroupBook::indexOf(const GroupId &group)
 {
     const auto found = indexes_.find(group);
@@ -76,8 +70,18 @@
     if (inFlight_[index] > 0)
         --inFlight_[index];
     state.ownInFlight_.set(now, inFlight_[index]);
-    const Duration time = answerTimeOf(sample);
-    if (!sample.isOk_ || time <= Duration::zero())
+    if (sample.isOk_)
+        learnSpeed(state, sample);
+}
+
+void GroupBook::learnSpeed(GroupState &state, const RequestSample &sample)
+{
+    // The time to the first token says more of the cache than of the group's speed.
+    const bool hasTokens = sample.timePerToken_ > Duration::zero();
+    const Duration time = hasTokens              ? sample.timePerToken_
+                          : state.streamsTokens_ ? Duration::zero()
+                                                 : sample.timeToFirstToken_;
+    if (time <= Duration::zero())
         return;
     const double seconds = std::chrono::duration<double>(time).count();
     const double weight = std::max(newSampleWeight, 1.0 / (state.samples_ + 1));
--- a/src/routing/group_book.hpp
+++ b/src/routing/group_book.hpp
@@ -40,21 +40,18 @@
     std::size_t count_ = 0; ///< Steps ever set.
 };
 
-/// \brief What compares the speed of groups: the time between tokens, as it hardly depends on the
-/// prompt, or for answers without tokens the time to the first byte; zero if neither is known.
-[[nodiscard]] Duration answerTimeOf(const RequestSample &sample);
-
 /// \brief Own knowledge of one group.
 struct GroupState
 {
     GroupId group_;
     Generation generation_;
     StepHistory ownInFlight_;
-    double answerTime_ = 0; ///< Moving average of answerTimeOf(), seconds.
+    double answerTime_ = 0; ///< Moving average, seconds; compares the speed of groups.
+    bool streamsTokens_ = false;
     std::uint32_t samples_ = 0;
     TimePoint ejectedUntil_{};
     std::uint32_t ejections_ = 0; ///< Without a time of good speed between them.
-    TimePoint seenAt_{}; ///< When a snapshot last held the group.
+    TimePoint seenAt_{};          ///< When a snapshot last held the group.
     std::optional<std::uint64_t> cacheSequence_;
     bool isUsed_ = false;
 };
@@ -90,6 +87,8 @@
     void forgetUnseen(TimePoint now);
 
 private:
+    static void learnSpeed(GroupState &state, const RequestSample &sample);
+
     PrefixIndex &index_;
     std::unordered_map<GroupId, OwnerIndex> indexes_;
     std::vector<GroupState> states_;
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -11,6 +11,13 @@
 constexpr std::uint32_t probationSamples = 2;
 constexpr std::uint32_t maxDoublings = 4;
 
+[[nodiscard]] bool isModelService(const RoutingSnapshot &snapshot, const ServiceName &name)
+{
+    const config::Service *declared
+        = snapshot.configuration_ ? snapshot.configuration_->service(name) : nullptr;
+    return declared && declared->kind_ == config::ServiceKind::Model;
+}
+
 /// \brief Requests of others at the group: the report less the own requests of that time, or the
 /// peers' digests if they say more.
 [[nodiscard]] double othersAt(const SnapshotGroup &group, const GroupState &state)
@@ -75,12 +82,14 @@
     ServiceView view;
     view.service_ = service.service_;
     view.groups_.reserve(service.groups_.size());
+    const bool streamsTokens = isModelService(snapshot, service.service_);
     bool hasPrefill = false;
     bool hasDecode = false;
     for (const SnapshotGroup &group : service.groups_) {
         const OwnerIndex owner = book.indexOf(group.group_);
         GroupState &state = book.state(owner);
         state.seenAt_ = now;
+        state.streamsTokens_ = streamsTokens;
         book.formed(owner, group.generation_, now);
         GroupView entry;
         entry.group_ = &group;
--- a/tests/limits/admission.cpp
+++ b/tests/limits/admission.cpp
@@ -2,6 +2,7 @@
 
 #include <cardamombay/limits/admission.hpp>
 
+#include <algorithm>
 #include <string>
 
 #include <criterion/criterion.h>
@@ -175,3 +176,22 @@
 
     cr_assert(admission.nextWake() <= site.now_ + seconds(2));
 }
+
+Test(admission, refusal_is_explained_by_the_slots_at_that_time)
+{
+    LimitsSite site(1, 4);
+    Admission admission;
+    (void)site.offer(admission, "r1");
+    const AdmissionRequest request{.request_ = RequestId("r2"), .service_ = ServiceName("lm")};
+
+    const auto record = admission.record(request, Shed{ShedReason::TooLate, seconds(3)}, site.now_);
+
+    cr_assert_eq(record.choice_, "too-late");
+    const auto &inputs = record.inputs_;
+    const auto holds = [&](const Detail &detail) {
+        return std::find(inputs.begin(), inputs.end(), detail) != inputs.end();
+    };
+    cr_assert(holds({"capacity", "4"}));
+    cr_assert(holds({"running", "1"}));
+    cr_assert(holds({"retry_after_ms", "3000"}));
+}
--- a/tests/routing/stragglers.cpp
+++ b/tests/routing/stragglers.cpp
@@ -2,6 +2,8 @@
 
 #include <cardamombay/routing/router.hpp>
 
+#include <memory>
+
 #include <criterion/criterion.h>
 
 using namespace cardamombay;
@@ -87,3 +89,24 @@
 
     cr_assert_eq(decision.group_, &fleet.group(0));
 }
+
+Test(stragglers, late_first_tokens_alone_do_not_eject_a_group_of_a_model)
+{
+    Fleet fleet(4);
+    auto configuration = std::make_shared<config::Configuration>();
+    configuration->services_.emplace_back();
+    configuration->services_[0].name_ = ServiceName("lm");
+    fleet.snapshot_.configuration_ = configuration;
+    Router router(1);
+    (void)router.choose(fleet.snapshot_, request(), fleet.now_);
+    for (std::size_t group = 0; group < 4; ++group) {
+        for (int i = 0; i < 8; ++i) {
+            router.started(fleet.group(group).group_, {}, fleet.now_);
+            router.finished(fleet.group(group).group_,
+                            {group == 2 ? seconds(2) : milliseconds(100), true}, fleet.now_);
+        }
+    }
+    fleet.publish();
+
+    cr_assert_eq(router.choose(fleet.snapshot_, request(), fleet.now_).usable_, 4);
+}
