Keep each team's share beside its queue

Cause: an admission with a queue looked up the share of each of 100 teams by name. Change: the share is kept in the team's state and set when the capacity is divided.

--- a/bench/endpoint_model.hpp
+++ b/bench/endpoint_model.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <ranges>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -46,8 +47,8 @@
         while (held < blocks.size() && places_.contains(blocks[held]))
             ++held;
         // The last block first, so that the start of a prompt is the most recently used.
-        for (auto block = blocks.rbegin(); block != blocks.rend(); ++block)
-            touch(*block);
+        for (const std::uint64_t block : blocks | std::views::reverse)
+            touch(block);
         while (order_.size() > limit_) {
             evicted.push_back(order_.back());
             places_.erase(order_.back());
--- a/src/limits/service_limits.cpp
+++ b/src/limits/service_limits.cpp
@@ -36,8 +36,10 @@
 TeamLimits &ServiceLimits::team(const TeamName &name)
 {
     const auto [found, isNew] = teams_.try_emplace(name);
-    if (isNew)
+    if (isNew) {
         found->second.name_ = name;
+        found->second.share_ = shares_.of(name);
+    }
     return found->second;
 }
 
@@ -150,7 +152,7 @@
             continue;
         // The average lets a team make up for moments without demand and keeps a share below one
         // slot honest; the count bounds what it can make up at once.
-        const double share = shares_.of(candidate.name_);
+        const double share = candidate.share_;
         const bool isOver = candidate.running_ >= share + burst(share);
         const double average = candidate.usage_.average(now);
         const double used = isOver ? std::max(average, double(candidate.running_)) : average;
@@ -169,7 +171,7 @@
 {
     const Rivals rivals = rivalsOf(team);
     const double turns = double(ahead + 1);
-    const double share = shares_.of(team.name_);
+    const double share = team.share_;
     const double atRest = turns * serviceTime_ / std::max(share, rivals.slotsLeft_);
     if (team.running_ + double(ahead) >= share + burst(share))
         return seconds(atRest);
@@ -188,7 +190,7 @@
     for (const auto &[name, other] : teams_) {
         if (&other == &team || other.queue_.empty())
             continue;
-        const double below = shares_.of(name) - other.running_;
+        const double below = other.share_ - other.running_;
         if (below <= 0)
             continue;
         rivals.slotsLeft_ -= below;
@@ -272,6 +274,8 @@
     const std::uint32_t capacity = servingCapacity(snapshot, service, now);
     const auto own = ownDemand(snapshot.peerDemand_.empty(), now);
     shares_ = divideCapacity(snapshot, name_, capacity, own, policy_);
+    for (auto &[name, owner] : teams_)
+        owner.share_ = shares_.of(name);
     sharesOf_ = snapshot.sequence_;
     sharesAt_ = now;
     if (capacity > 0)
--- a/src/limits/service_limits.hpp
+++ b/src/limits/service_limits.hpp
@@ -68,6 +68,7 @@
 struct TeamLimits
 {
     TeamName name_;
+    double share_ = 0; ///< Slots it may have here.
     std::uint32_t running_ = 0;
     MovingCount usage_;
     MovingRate offered_;
