--- a/bench/limits_fairness.cpp
+++ b/bench/limits_fairness.cpp
@@ -2,7 +2,8 @@
 /// \brief Fairness and goodput of admission at 0.5, 1, 2 and 5 times the capacity.
 /// \details Usage: bench_limits_fairness [groups] [seconds] [seed] [service time]. Seven entry VMs
 /// admit requests of ten teams, two of them large, to groups of 16 slots. Digests are half a second
-/// old when they arrive. At half time one entry VM is lost; its peers notice after three seconds.
+/// old when they arrive. After a third of the time one entry VM is lost, which its peers notice
+/// after three seconds; after two thirds it is replaced by a new one without state.
 #include "endpoint_model.hpp"
 
 #include <cardamombay/core/random.hpp>
@@ -24,14 +25,15 @@
 constexpr std::size_t entryCount = 7;
 constexpr std::size_t teamCount = 10;
 constexpr std::uint32_t slotsPerGroup = 16;
-constexpr double warmUp = 30; ///< Seconds of each half that do not count.
+constexpr double warmUp = 30; ///< Seconds of each part that do not count.
+constexpr std::size_t partCount = 3;
 constexpr Duration digestPeriod = std::chrono::milliseconds(500);
 const ServiceName serviceName("lm");
 
 struct Scenario
 {
     std::size_t groups_ = 12;
-    double seconds_ = 300;
+    double seconds_ = 450;
     std::uint64_t seed_ = 1;
     double load_ = 1;
     double serviceTime_ = 5; ///< Mean, in seconds.
@@ -54,8 +56,8 @@
     return TeamName("team-" + std::to_string(team));
 }
 
-/// \brief What was seen in one half of the run.
-struct Half
+/// \brief What was seen in one part of the run.
+struct Part
 {
     std::vector<double> offered_ = std::vector<double>(teamCount);
     std::vector<double> served_ = std::vector<double>(teamCount);
@@ -64,6 +66,8 @@
     std::vector<double> overshoot_;
     double shed_ = 0;
     double seconds_ = 0;
+    double firstEntry_ = 0; ///< Requests running at the entry VM that is lost, and at all.
+    double allEntries_ = 0;
 };
 
 double percentile(std::vector<double> &values, double share)
@@ -98,7 +102,8 @@
         exchange();
         poll();
         sample();
-        clock_.schedule(ofSeconds(scenario_.seconds_ / 2), [this] { loseEntry(0); });
+        clock_.schedule(ofSeconds(scenario_.seconds_ / 3), [this] { loseEntry(0); });
+        clock_.schedule(ofSeconds(scenario_.seconds_ * 2 / 3), [this] { replaceEntry(0); });
         const double perSecond = scenario_.load_ * scenario_.capacity();
         for (double at = 0; at < scenario_.seconds_;) {
             at += -std::log(1 - random_.unit()) / perSecond;
@@ -109,9 +114,9 @@
 
     void report()
     {
-        const char *names[] = {"before", "after"};
-        for (std::size_t half = 0; half < 2; ++half)
-            report(names[half], halves_[half]);
+        const char *names[partCount] = {"before", "lost", "replaced"};
+        for (std::size_t i = 0; i < partCount; ++i)
+            report(names[i], parts_[i]);
     }
 
 private:
@@ -174,22 +179,23 @@
 
     void sample()
     {
-        if (Half *half = counted()) {
+        if (Part *part = counted()) {
+            part->firstEntry_ += runningAt_[0];
+            part->allEntries_ += running_;
             const double over = double(running_) - scenario_.slots();
-            half->overshoot_.push_back(over / scenario_.slots());
-            half->seconds_ += 0.1;
+            part->overshoot_.push_back(over / scenario_.slots());
+            part->seconds_ += 0.1;
         }
         clock_.schedule(std::chrono::milliseconds(100), [this] { sample(); });
     }
 
-    /// \brief The half that counts now, if any.
-    Half *counted()
+    /// \brief The part that counts now, if any.
+    Part *counted()
     {
+        const double length = scenario_.seconds_ / partCount;
         const double passed = inSeconds(clock_.now() - start_);
-        const double half = scenario_.seconds_ / 2;
-        if (passed < half)
-            return passed < warmUp ? nullptr : &halves_[0];
-        return passed < half + warmUp ? nullptr : &halves_[1];
+        const auto part = std::min(static_cast<std::size_t>(passed / length), partCount - 1);
+        return passed - double(part) * length < warmUp ? nullptr : &parts_[part];
     }
 
     void loseEntry(std::size_t entry)
@@ -202,6 +208,14 @@
         clock_.schedule(std::chrono::seconds(3), [this, entry] { isForgotten_[entry] = true; });
     }
 
+    void replaceEntry(std::size_t entry)
+    {
+        entries_[entry] = std::make_unique<limits::Admission>();
+        digested_[entry].clear();
+        isDead_[entry] = false;
+        isForgotten_[entry] = false;
+    }
+
     void arrive()
     {
         std::size_t entry = random_.below(entryCount);
@@ -212,8 +226,8 @@
         while (team + 1 < teamCount && draw >= partOf(team))
             draw -= partOf(team++);
         const RequestId id("r" + std::to_string(++count_));
-        if (Half *half = counted())
-            half->offered_[team] += 1;
+        if (Part *part = counted())
+            part->offered_[team] += 1;
         const auto decision = entries_[entry]->offer(
             {.request_ = id, .service_ = serviceName, .team_ = nameOf(team)}, snapshots_[entry],
             clock_.now());
@@ -229,11 +243,11 @@
 
     void refuse(const Request &request)
     {
-        Half *half = counted();
-        if (!half)
+        Part *part = counted();
+        if (!part)
             return;
-        half->shed_ += 1;
-        half->refusals_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
+        part->shed_ += 1;
+        part->refusals_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
     }
 
     void start(const RequestId &id)
@@ -241,8 +255,8 @@
         const Request &request = requests_.at(id);
         ++running_;
         ++runningAt_[request.entry_];
-        if (Half *half = counted())
-            half->waits_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
+        if (Part *part = counted())
+            part->waits_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
         const double time = -std::log(1 - random_.unit()) * scenario_.serviceTime_;
         clock_.schedule(ofSeconds(time), [this, id] { finish(id); });
     }
@@ -256,8 +270,8 @@
         requests_.erase(found);
         --running_;
         --runningAt_[request.entry_];
-        if (Half *half = counted())
-            half->served_[request.team_] += 1;
+        if (Part *part = counted())
+            part->served_[request.team_] += 1;
         entries_[request.entry_]->finished(id, clock_.now());
         release(request.entry_);
     }
@@ -276,33 +290,34 @@
         }
     }
 
-    void report(const char *name, Half &half)
+    void report(const char *name, Part &part)
     {
         std::vector<limits::WeightedDemand> demands;
         double served = 0;
         for (std::size_t i = 0; i < teamCount; ++i) {
-            demands.push_back({1, half.offered_[i]});
-            served += half.served_[i];
+            demands.push_back({1, part.offered_[i]});
+            served += part.served_[i];
         }
-        const double possible = scenario_.capacity() * half.seconds_;
+        const double possible = scenario_.capacity() * part.seconds_;
         const auto fair = limits::weightedMaxMin(possible, demands);
         double lowest = 1e9;
         double highest = 0;
         double smallServed = 0;
         double smallOffered = 0;
         for (std::size_t i = 0; i < teamCount; ++i) {
-            lowest = std::min(lowest, half.served_[i] / fair[i]);
-            highest = std::max(highest, half.served_[i] / fair[i]);
+            lowest = std::min(lowest, part.served_[i] / fair[i]);
+            highest = std::max(highest, part.served_[i] / fair[i]);
             if (i >= 2) {
-                smallServed += half.served_[i];
-                smallOffered += half.offered_[i];
+                smallServed += part.served_[i];
+                smallOffered += part.offered_[i];
             }
         }
-        std::printf("%4.1f %-7s %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f\n",
+        std::printf("%4.1f %-8s %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f %8.3f\n",
                     scenario_.load_, name, served / possible, smallServed / smallOffered, lowest,
-                    highest, percentile(half.waits_, 0.5), percentile(half.waits_, 0.99),
-                    percentile(half.refusals_, 0.99), percentile(half.overshoot_, 0.99),
-                    percentile(half.overshoot_, 1));
+                    highest, percentile(part.waits_, 0.5), percentile(part.waits_, 0.99),
+                    percentile(part.refusals_, 0.99), percentile(part.overshoot_, 0.99),
+                    percentile(part.overshoot_, 1),
+                    part.firstEntry_ / part.allEntries_ * entryCount);
     }
 
     Scenario scenario_;
@@ -319,7 +334,7 @@
     std::uint64_t count_ = 0;
     std::uint32_t running_ = 0;
     std::uint32_t runningAt_[entryCount] = {};
-    Half halves_[2];
+    Part parts_[partCount];
 };
 
 } // namespace
@@ -331,16 +346,16 @@
     };
     Scenario scenario;
     scenario.groups_ = static_cast<std::size_t>(argument(1, 12));
-    scenario.seconds_ = argument(2, 300);
+    scenario.seconds_ = argument(2, 450);
     scenario.seed_ = static_cast<std::uint64_t>(argument(3, 1));
     scenario.serviceTime_ = argument(4, 5);
     std::printf("%zu groups of %u slots, seed %llu; served / possible, served / offered of the "
                 "small teams,\nserved / fair share (lowest and highest team), waits, time to a "
-                "refusal, overshoot of the slots\n",
+                "refusal, overshoot of the slots, running at entry VM 0 over its equal part\n",
                 scenario.groups_, slotsPerGroup, static_cast<unsigned long long>(scenario.seed_));
-    std::printf("%4s %-7s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "load", "loss", "goodput",
+    std::printf("%4s %-8s %8s %8s %8s %8s %8s %8s %8s %8s %8s %8s\n", "load", "part", "goodput",
                 "small", "lowest", "highest", "wait p50", "wait p99", "shed p99", "over p99",
-                "over max");
+                "over max", "entry 0");
     for (const double load : {0.5, 1.0, 2.0, 5.0}) {
         scenario.load_ = load;
         Run run(scenario);
