--- a/src/routing/group_book.cpp
+++ b/src/routing/group_book.cpp
@@ -70,11 +70,22 @@
     if (inFlight_[index] > 0)
         --inFlight_[index];
     state.ownInFlight_.set(now, inFlight_[index]);
-    if (!sample.isOk_ || sample.timeToFirstToken_ <= Duration::zero())
+    if (sample.isOk_)
+        learnSpeed(state, sample);
+}
+
+void GroupBook::learnSpeed(GroupState &state, const RequestSample &sample)
+{
+    // The time to the first token says more of the cache than of the group's speed.
+    const bool hasTokens = sample.timePerToken_ > Duration::zero();
+    const Duration time = hasTokens              ? sample.timePerToken_
+                          : state.streamsTokens_ ? Duration::zero()
+                                                 : sample.timeToFirstToken_;
+    if (time <= Duration::zero())
         return;
-    const double seconds = std::chrono::duration<double>(sample.timeToFirstToken_).count();
+    const double seconds = std::chrono::duration<double>(time).count();
     const double weight = std::max(newSampleWeight, 1.0 / (state.samples_ + 1));
-    state.timeToFirstToken_ += weight * (seconds - state.timeToFirstToken_);
+    state.answerTime_ += weight * (seconds - state.answerTime_);
     ++state.samples_;
 }
 
@@ -84,9 +95,10 @@
     if (generation <= state.generation_)
         return;
     state.generation_ = generation;
-    state.timeToFirstToken_ = 0;
+    state.answerTime_ = 0;
     state.samples_ = 0;
     state.ejectedUntil_ = TimePoint{};
+    state.ejections_ = 0;
     state.cacheSequence_.reset();
     index_.distrustBefore(index, now);
 }
