--- a/bench/routing_policies.cpp
+++ b/bench/routing_policies.cpp
@@ -41,6 +41,7 @@
     bool hasStraggler_ = false;
     bool hasCacheEvents_ = false;
     double eventLoss_ = 0;
+    double hedgeAfter_ = 0; ///< Seconds without a token until a second attempt; zero for never.
 };
 
 /// \brief One arrival; the same list is given to every policy.
@@ -103,7 +104,8 @@
     virtual std::size_t choose(const routing::RoutingSnapshot &snapshot,
                                std::span<const std::uint64_t> blocks, TimePoint now)
         = 0;
-    virtual void finished(std::size_t group, Duration timeToFirstToken, TimePoint now) = 0;
+    virtual void finished(std::size_t group, const routing::RequestSample &sample, TimePoint now)
+        = 0;
     virtual void cacheChanged(const routing::CacheEvent &, TimePoint) {}
     [[nodiscard]] virtual std::uint32_t inFlight(std::size_t group) const = 0;
 };
@@ -125,7 +127,10 @@
         ++inFlight_[group];
         return group;
     }
-    void finished(std::size_t group, Duration, TimePoint) final { --inFlight_[group]; }
+    void finished(std::size_t group, const routing::RequestSample &, TimePoint) final
+    {
+        --inFlight_[group];
+    }
     [[nodiscard]] std::uint32_t inFlight(std::size_t group) const final { return inFlight_[group]; }
 
 protected:
@@ -195,9 +200,9 @@
         router_.started(decision.group_->group_, hashes, now);
         return static_cast<std::size_t>(decision.group_ - snapshot.services_[0].groups_.data());
     }
-    void finished(std::size_t group, Duration timeToFirstToken, TimePoint now) override
+    void finished(std::size_t group, const routing::RequestSample &sample, TimePoint now) override
     {
-        router_.finished(idOf(group), {timeToFirstToken, true}, now);
+        router_.finished(idOf(group), sample, now);
     }
     void cacheChanged(const routing::CacheEvent &event, TimePoint now) override
     {
@@ -226,6 +231,7 @@
     double imbalance_ = 0;
     std::size_t samples_ = 0;
     double local_ = 0;
+    double attempts_ = 0;
 
     [[nodiscard]] double percentile(double share)
     {
@@ -343,33 +349,66 @@
         return clock_.now() - TimePoint(std::chrono::hours(1)) > std::chrono::seconds(60);
     }
 
+    /// \brief A request with one attempt, or two if it is hedged.
+    struct Request
+    {
+        std::size_t entry_ = 0;
+        const Arrival *arrival_ = nullptr;
+        TimePoint arrivedAt_{};
+        bool counts_ = false;
+        bool hasToken_ = false;
+        std::vector<std::shared_ptr<bool>> cancels_;
+    };
+    using RequestPtr = std::shared_ptr<Request>;
+
     void submit(const Arrival &arrival)
     {
-        const std::size_t entry = arrival.entry_;
+        const auto request = std::make_shared<Request>();
+        request->entry_ = arrival.entry_;
+        request->arrival_ = &arrival;
+        request->arrivedAt_ = clock_.now();
+        request->counts_ = isWarm();
+        attempt(request);
+        if (scenario_.hedgeAfter_ <= 0)
+            return;
+        clock_.schedule(ofSeconds(scenario_.hedgeAfter_), [this, request] {
+            if (!request->hasToken_)
+                attempt(request);
+        });
+    }
+
+    void attempt(const RequestPtr &request)
+    {
+        const std::size_t entry = request->entry_;
+        const auto &blocks = request->arrival_->blocks_;
         const std::size_t chosen
-            = choosers_[entry]->choose(snapshots_[entry], arrival.blocks_, clock_.now());
-        const bool counts = isWarm();
-        if (counts)
+            = choosers_[entry]->choose(snapshots_[entry], blocks, clock_.now());
+        if (request->counts_) {
             results_.local_ += zoneOf(chosen) == zoneOf(entry);
-        auto firstToken = std::make_shared<Duration>();
-        ModelRequest request;
-        request.blocks_ = arrival.blocks_;
-        request.tokens_ = arrival.tokens_;
-        request.arrivedAt_ = clock_.now();
-        const std::size_t blocks = arrival.blocks_.size();
-        request.onFirstToken_
-            = [this, firstToken, counts, blocks](Duration time, std::size_t held) {
-                  *firstToken = time;
-                  if (!counts)
-                      return;
-                  results_.times_.push_back(inSeconds(time));
-                  results_.blocks_ += double(blocks);
-                  results_.hits_ += double(held);
-              };
-        request.onEnd_ = [this, entry, chosen, firstToken] {
-            choosers_[entry]->finished(chosen, *firstToken, clock_.now());
+            results_.attempts_ += 1;
+        }
+        auto time = std::make_shared<Duration>();
+        ModelRequest attempted;
+        attempted.blocks_ = blocks;
+        attempted.tokens_ = request->arrival_->tokens_;
+        attempted.arrivedAt_ = request->arrivedAt_;
+        const std::size_t number = request->cancels_.size();
+        request->cancels_.push_back(attempted.isCancelled_);
+        attempted.onFirstToken_ = [this, time, request, number](Duration taken, std::size_t held) {
+            *time = taken;
+            request->hasToken_ = true;
+            for (std::size_t i = 0; i < request->cancels_.size(); ++i)
+                *request->cancels_[i] = i != number;
+            if (!request->counts_)
+                return;
+            results_.times_.push_back(inSeconds(taken));
+            results_.blocks_ += double(request->arrival_->blocks_.size());
+            results_.hits_ += double(held);
         };
-        groups_[chosen]->submit(std::move(request));
+        attempted.onEnd_ = [this, entry, chosen, time](Duration perToken) {
+            choosers_[entry]->finished(chosen, {*time, true, perToken}, clock_.now());
+        };
+        groups_[chosen]->submit(std::move(attempted));
     }
 
     /// \brief An event reaches each entry VM half a second to a second later, or is lost.
@@ -412,15 +451,17 @@
     const auto arrivals = makeArrivals(scenario, scenario.load_ * slots / decode);
     std::printf("\n%s: %zu groups, load %.2f, %zu requests, seed %llu\n", title, scenario.groups_,
                 scenario.load_, arrivals.size(), static_cast<unsigned long long>(scenario.seed_));
-    std::printf("%-24s %8s %8s %8s %8s %10s %8s\n", "policy", "p50 s", "p95 s", "p99 s", "hits",
-                "imbalance", "in zone");
-    const auto report = [&](const char *name, const ChooserFactory &factory) {
-        Results results = Run(scenario, factory).run(arrivals);
+    std::printf("%-24s %8s %8s %8s %8s %10s %8s %9s\n", "policy", "p50 s", "p95 s", "p99 s", "hits",
+                "imbalance", "in zone", "attempts");
+    const auto report = [&](const char *name, const ChooserFactory &factory, double hedge = 0) {
+        Scenario run = scenario;
+        run.hedgeAfter_ = hedge;
+        Results results = Run(run, factory).run(arrivals);
         const double count = double(results.times_.size());
-        std::printf("%-24s %8.3f %8.3f %8.3f %8.3f %10.3f %8.3f\n", name, results.percentile(0.5),
-                    results.percentile(0.95), results.percentile(0.99),
+        std::printf("%-24s %8.3f %8.3f %8.3f %8.3f %10.3f %8.3f %9.3f\n", name,
+                    results.percentile(0.5), results.percentile(0.95), results.percentile(0.99),
                     results.hits_ / results.blocks_, results.imbalance_ / double(results.samples_),
-                    results.local_ / count);
+                    results.local_ / results.attempts_, results.attempts_ / count);
     };
     const auto simple = [&]<typename Policy>(std::type_identity<Policy>) -> ChooserFactory {
         return [&](std::uint64_t seed) { return std::make_unique<Policy>(seed, scenario.groups_); };
@@ -434,16 +475,24 @@
     report("round-robin", simple(std::type_identity<RoundRobinChooser>{}));
     report("least-loaded", simple(std::type_identity<LeastLoadedChooser>{}));
     report("router, no prefixes", router({}, false));
-    for (const double zoneSlack : {0.0, 0.25}) {
-        for (const double slack : {0.1, 0.25, 0.5, 0.75, 1e9}) {
-            routing::RouterPolicy policy;
-            policy.affinitySlack_ = slack;
-            policy.affinityZoneSlack_ = zoneSlack;
-            char name[40];
-            std::snprintf(name, sizeof(name), "router, %.3g, zone %.3g", slack, zoneSlack);
-            report(name, router(policy, true));
-        }
-    }
+    routing::RouterPolicy standard;
+    report("router", router(standard, true));
+    routing::RouterPolicy variant = standard;
+    variant.affinitySlack_ = 0.1;
+    report("router, slack 0.1", router(variant, true));
+    variant.affinitySlack_ = 0.5;
+    report("router, slack 0.5", router(variant, true));
+    variant = standard;
+    variant.affinityZoneSlack_ = 0;
+    report("router, any zone", router(variant, true));
+    variant.affinityZoneSlack_ = standard.zoneSlack_;
+    report("router, zone first", router(variant, true));
+    variant = standard;
+    variant.stragglerRatio_ = 1e9;
+    report("router, no ejection", router(variant, true));
+    report("router, hedge 0.3 s", router(standard, true), 0.3);
+    report("router, hedge 0.5 s", router(standard, true), 0.5);
+    report("router, hedge 1 s", router(standard, true), 1.0);
 }
 
 } // namespace
