--- a/tests/thin_path/thin_path.cpp
+++ b/tests/thin_path/thin_path.cpp
@@ -113,7 +113,7 @@
     const auto answer = stream.answer_.get();
     cr_assert(isWholeAnswer(answer, 600), "%s", answer.result_.body_.c_str());
     const auto log = fleet.harness_.errors(fleet.entryProcess(0));
-    cr_assert_neq(log.find("event=stream-resumed"), std::string::npos);
+    cr_assert_neq(log.find("event=stream-resumed"), std::string::npos, "%s", log.c_str());
 }
 
 Test(thin_path, stream_leaves_a_group_that_lost_another_member)
@@ -127,7 +127,7 @@
     const auto answer = stream.answer_.get();
     cr_assert(isWholeAnswer(answer, 400), "%s", answer.result_.body_.c_str());
     const auto log = fleet.harness_.errors(fleet.entryProcess(0));
-    cr_assert_neq(log.find("event=stream-resumed"), std::string::npos);
+    cr_assert_neq(log.find("event=stream-resumed"), std::string::npos, "%s", log.c_str());
 }
 
 Test(thin_path, stop_signal_under_live_streams_cuts_nothing_off)
