Register signals before the listeners; destroy the node before its links

Change: signals are registered before anything listens; the node and its listener are declared after the links. Conclusion: whoever can reach the daemon can also stop it gracefully.

--- a/apps/cardamombayd/daemon.cpp
+++ b/apps/cardamombayd/daemon.cpp
@@ -81,6 +81,8 @@
     auto lifecycle = makeLifecycle();
     if (!isOk(lifecycle))
         return lifecycle;
+    // Before anything listens: whoever can reach the daemon may also ask it to stop.
+    waitForSignal();
     control_ = makeControlSide({context_, clock_, settings_, incarnation_, registry_,
                                 [this] { return std::string(lifecycle_->state()); }});
     const auto bound = startTraffic();
@@ -92,7 +94,6 @@
     });
     if (!isOk(control))
         return control;
-    waitForSignal();
     log::info(log::event::daemonStarted, {{"entry", settings_.entry_.text()},
                                           {"zone", settings_.zone_.text()},
                                           {"callers", valueOf(bound).text()},
--- a/src/control/hosted_node.cpp
+++ b/src/control/hosted_node.cpp
@@ -120,9 +120,9 @@
     void returnLeases(std::function<void()> done);
     void post(std::function<void()> action);
 
-    traffic::SnapshotHolder holder_;
-    std::unique_ptr<ControlNode> node_;
-    std::unique_ptr<impl::ClaimDesk> claims_;
+    [[nodiscard]] traffic::SnapshotHolder &holder() { return holder_; }
+    [[nodiscard]] ControlNode *node() { return node_.get(); }
+    [[nodiscard]] impl::ClaimDesk *claims() { return claims_.get(); }
 
 private:
     void connect(std::function<void()> ready);
@@ -139,6 +139,10 @@
     RpcConfigPeers configPeers_;
     LoggedDecisions decisions_;
     rpc::JsonRpcDispatcher dispatcher_;
+    traffic::SnapshotHolder holder_;
+    // The node uses the links above, so it goes before them.
+    std::unique_ptr<ControlNode> node_;
+    std::unique_ptr<impl::ClaimDesk> claims_;
     std::unique_ptr<impl::PeerListener> listener_;
     std::unique_ptr<net::HttpServer> server_;
 };
@@ -246,22 +250,22 @@
 
 routing::RoutingSnapshotPtr HostedNode::snapshot() const
 {
-    return impl_->holder_.snapshot();
+    return impl_->holder().snapshot();
 }
 
 void HostedNode::postTraffic(traffic::TrafficReport report)
 {
     impl_->post([impl = impl_.get(), report = std::move(report)]() mutable {
-        if (impl->node_)
-            impl->node_->setTraffic(std::move(report.demand_), std::move(report.inFlight_));
+        if (auto *node = impl->node())
+            node->setTraffic(std::move(report.demand_), std::move(report.inFlight_));
     });
 }
 
 void HostedNode::claim(traffic::ClaimRequest request, traffic::ClaimCallback done)
 {
     impl_->post([impl = impl_.get(), request = std::move(request), done = std::move(done)] {
-        if (impl->claims_)
-            impl->claims_->claim(request, done);
+        if (auto *claims = impl->claims())
+            claims->claim(request, done);
         else
             done({});
     });
@@ -270,8 +274,8 @@
 void HostedNode::completeClaim(traffic::ClaimCompletion completion)
 {
     impl_->post([impl = impl_.get(), completion = std::move(completion)] {
-        if (impl->claims_)
-            impl->claims_->complete(completion);
+        if (auto *claims = impl->claims())
+            claims->complete(completion);
     });
 }
 
