Keep a killed entry VM's links alive in the claim tests

Cause: AddressSanitizer found that the fixture freed the fake store's link while its timers were under way; the fault matrix's crash cases rested on freed memory. Change: Fleet::kill destroys the claim book alone; what it has sent is still carried out. The undefined-behaviour build was not run: the machine was too busy. Conclusion: The fault lay in the fixture, not in the claim book.

--- a/tests/claims/fault_matrix.cpp
+++ b/tests/claims/fault_matrix.cpp
@@ -85,7 +85,7 @@
             fleet_.kill(0);
     }
 
-    [[nodiscard]] bool isFirstAlive() const { return fleet_.entries_[0] != nullptr; }
+    [[nodiscard]] bool isFirstAlive() const { return fleet_.isAlive(0); }
 
     void handOver()
     {
--- a/tests/claims/fleet.hpp
+++ b/tests/claims/fleet.hpp
@@ -43,17 +43,18 @@
         : table_(platform)
         , objects_(platform)
         , random_(number)
-        , book_({clock, table_, objects_, random_, claimProgram(),
-                 EntryId("e" + std::to_string(number)), Incarnation(1)},
-                policy, batches)
+        , book_(std::make_unique<ClaimBook>(
+              ClaimBook::Setting{clock, table_, objects_, random_, claimProgram(),
+                                 EntryId("e" + std::to_string(number)), Incarnation(1)},
+              policy, batches))
     {
-        book_.setLiveness(&known);
+        book_->setLiveness(&known);
     }
 
     support::FakeTableStore table_;
     support::FakeObjectStore objects_;
     Random random_;
-    ClaimBook book_;
+    std::unique_ptr<ClaimBook> book_;
 };
 
 /// \brief Entry VMs e1, e2, ... and what their callers saw.
@@ -65,7 +66,7 @@
             known_.alive_.insert(EntryId("e" + std::to_string(i)));
             entries_.push_back(
                 std::make_unique<Entry>(clock_, platform_, known_, i, policy, batches));
-            entries_.back()->book_.setEntryCount(static_cast<std::uint32_t>(size));
+            entries_.back()->book_->setEntryCount(static_cast<std::uint32_t>(size));
         }
     }
 
@@ -81,14 +82,15 @@
         return answer;
     }
 
-    ClaimBook &book(std::size_t at) { return entries_[at]->book_; }
+    ClaimBook &book(std::size_t at) { return *entries_[at]->book_; }
+    [[nodiscard]] bool isAlive(std::size_t at) const { return entries_[at]->book_ != nullptr; }
     support::StoreFaults &faults() { return platform_.faults_; }
 
-    /// \brief The entry VM vanishes with all it knew.
+    /// \brief The entry VM vanishes with all it knew; what it has sent is still under way.
     void kill(std::size_t at)
     {
         known_.alive_.erase(EntryId("e" + std::to_string(at + 1)));
-        entries_[at].reset();
+        entries_[at]->book_.reset();
     }
 
     ManualClock clock_;
