--- a/include/cardamombay/membership/membership.hpp
+++ b/include/cardamombay/membership/membership.hpp
@@ -102,6 +102,8 @@
     /// \name What is known
     /// \{
     [[nodiscard]] const MemberEntry &self() const { return self_; }
+    /// \brief The entry of another member, or null if it is unknown.
+    [[nodiscard]] const MemberEntry *member(const EntryId &id) const;
     /// \brief All members that are known, self included, by identifier.
     [[nodiscard]] std::vector<MemberEntry> members() const;
     /// \brief Members that may be alive (Alive or Suspect), self included unless it left.
@@ -131,6 +133,7 @@
         TimePoint probeDeadline_{}; ///< Zero: no probe is awaited.
         bool isIndirect_ = false;   ///< The indirect probes have left.
         TimePoint probeSentAt_{};
+        TimePoint askedAt_{}; ///< Last digest that was sent to it unasked.
     };
     struct SentDigest
     {
@@ -166,11 +169,13 @@
     void returnTable(const Digest &answer);
     void sendToSeed(const Address &seed);
     [[nodiscard]] Digest makeDigest(const EntryId &to, Channel channel, bool hasPayload);
+    void appendCleared(Digest &digest, const MemberEntry &entry);
     void appendUpdates(Digest &digest, Channel channel);
     void appendSummaries(Digest &digest) const;
     void appendTable(Digest &digest, const RegionName &region) const;
 
     void receive(const Digest &digest, std::optional<TimePoint> madeAfter);
+    void noteHeard(const EntryId &id, Incarnation incarnation, TimePoint when);
     void applyReport(const MemberEntry &report);
     void refute(const MemberEntry &report);
     void takeReachRequests(const Digest &digest);
@@ -203,6 +208,7 @@
     std::set<EntryId> extraPeers_;
     std::vector<EntryId> probeOrder_;
     std::map<EntryId, std::vector<EntryId>> reachRequesters_;
+    std::map<EntryId, Incarnation> cleared_; ///< Suspicions ended here that spread before.
     std::map<AvailabilityZone, RemoteSite> remoteSites_;
     std::vector<Address> seeds_;
     std::uint64_t nextSequence_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -137,7 +137,9 @@
     bridge();
     rejoin();
     table_.forgetBefore(clock_.now() - settings_.tombstoneTime_);
-    std::erase_if(peers_, [this](const auto &item) { return table_.find(item.first) == nullptr; });
+    const auto isUnknown = [this](const auto &item) { return table_.find(item.first) == nullptr; };
+    std::erase_if(peers_, isUnknown);
+    std::erase_if(cleared_, isUnknown);
 }
 
 bool Membership::isTrusted() const
@@ -334,9 +336,14 @@
     std::vector<EntryId> lapsed;
     for (const auto &[id, member] : table_.members()) {
         const bool isSuspect = member.entry_.status_ == MemberStatus::Suspect;
-        if (isSuspect && member.entry_.region_ == self_.region_
-            && now - member.statusSince_ >= timeout)
+        if (!isSuspect || member.entry_.region_ != self_.region_)
+            continue;
+        const Duration held = now - member.statusSince_;
+        if (held >= timeout)
             lapsed.push_back(id);
+        // Nobody is declared dead on hearsay alone: it is asked once more, at half-time.
+        else if (held >= timeout / 2 && peer(id).askedAt_ < member.statusSince_)
+            send(member, Channel::Region, false);
     }
     for (const EntryId &id : lapsed) {
         if (!table_.declareDead(id, now))
@@ -376,6 +383,7 @@
     Peer &other = peer(id);
     const Duration jitter = settings_.tick_ / 2;
     other.nextExchangeAt_ = now + settings_.exchangePeriod_ - jitter;
+    other.askedAt_ = now;
     const bool isProbe = target.entry_.status_ == MemberStatus::Alive;
     if (isProbe && other.probeDeadline_ == TimePoint{}) {
         other.probeDeadline_ = now + settings_.probeTimeout_;
@@ -477,6 +485,8 @@
         const Member *member = table_.find(to);
         if (member != nullptr && member->entry_.status_ != MemberStatus::Alive)
             digest.members_.push_back(member->entry_);
+        else if (member != nullptr)
+            appendCleared(digest, member->entry_);
     }
     appendUpdates(digest, channel);
     if (channel != Channel::Scope)
@@ -486,6 +496,20 @@
     return digest;
 }
 
+void Membership::appendCleared(Digest &digest, const MemberEntry &entry)
+{
+    const auto found = cleared_.find(entry.id_);
+    if (found == cleared_.end())
+        return;
+    if (entry.incarnation_ > found->second) {
+        cleared_.erase(found);
+        return;
+    }
+    MemberEntry suspected = entry;
+    suspected.status_ = MemberStatus::Suspect;
+    digest.members_.push_back(std::move(suspected));
+}
+
 void Membership::appendUpdates(Digest &digest, Channel channel)
 {
     for (const EntryId &id : updates_.take(channel, settings_.updatesPerDigest_, retransmits())) {
@@ -523,10 +547,8 @@
     peer(from.id_).link_.noteReceived(digest.sequence_, now);
     applyReport(from);
     noteConfigVersion(std::max(from.configVersion_, digest.newestConfig_));
-    if (madeAfter && table_.heard(from.id_, from.incarnation_, *madeAfter, now)) {
-        if (const Member *member = table_.find(from.id_))
-            changed(member->entry_);
-    }
+    if (madeAfter)
+        noteHeard(from.id_, from.incarnation_, *madeAfter);
     for (const MemberEntry &report : digest.members_)
         applyReport(report);
     takeReachReports(digest, madeAfter);
@@ -536,6 +558,17 @@
     passOn(digest, *madeAfter);
 }
 
+void Membership::noteHeard(const EntryId &id, Incarnation incarnation, TimePoint when)
+{
+    if (!table_.heard(id, incarnation, when, clock_.now()))
+        return;
+    const Member *member = table_.find(id);
+    // The suspicion may have reached others, who have no evidence of their own: only the member
+    // can refute it there, so it has to hear of it.
+    cleared_[id] = member->entry_.incarnation_;
+    changed(member->entry_);
+}
+
 void Membership::applyReport(const MemberEntry &report)
 {
     if (report.id_.isEmpty())
@@ -600,11 +633,7 @@
     if (!madeAfter)
         return;
     for (const ReachReport &report : digest.reachReports_) {
-        const TimePoint when = *madeAfter - report.age_;
-        if (!table_.heard(report.target_, report.incarnation_, when, clock_.now()))
-            continue;
-        if (const Member *member = table_.find(report.target_))
-            changed(member->entry_);
+        noteHeard(report.target_, report.incarnation_, *madeAfter - report.age_);
     }
 }
 
@@ -725,6 +754,12 @@
     return peers_[id];
 }
 
+const MemberEntry *Membership::member(const EntryId &id) const
+{
+    const Member *found = table_.find(id);
+    return found == nullptr ? nullptr : &found->entry_;
+}
+
 std::vector<MemberEntry> Membership::members() const
 {
     std::vector<MemberEntry> all;
--- a/tests/support/fake_fleet.cpp
+++ b/tests/support/fake_fleet.cpp
@@ -89,11 +89,10 @@
 
 MemberStatus Fleet::status(std::size_t viewer, std::size_t whom) const
 {
-    for (const MemberEntry &member : nodes_[viewer]->members()) {
-        if (member.id_ == id(whom))
-            return member.status_;
-    }
-    return MemberStatus::Left;
+    if (viewer == whom)
+        return nodes_[viewer]->self().status_;
+    const MemberEntry *member = nodes_[viewer]->member(id(whom));
+    return member == nullptr ? MemberStatus::Left : member->status_;
 }
 
 bool Fleet::allSee(MemberStatus expected, const std::vector<std::size_t> &viewers,
