--- a/bench/membership_slopes.cpp
+++ b/bench/membership_slopes.cpp
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Cost and speed of membership by fleet size, in one process with the paused clock.
-/// \details bench_membership_slopes [folder of charts] [--steady-only]. Bytes are those one node
-/// sends (and, on average, receives): digests as JSON, the JSON-RPC envelope and HTTP heads,
+/// \details bench_membership_slopes [folder of charts] [--steady-only | nodes]. Bytes are those one
+/// node sends (and, on average, receives): digests as JSON, the JSON-RPC envelope and HTTP heads,
 /// without TCP/IP. Processor time holds the protocol, encoding and decoding, and the simulation
 /// itself, but no HTTP or sockets.
 
@@ -141,7 +141,7 @@
     std::fflush(stdout);
 }
 
-void run(const std::string &charts, bool isSteadyOnly)
+void run(const std::string &charts, bool isSteadyOnly, std::size_t onlyNodes)
 {
     std::printf(
         "nodes,zones,regions,bytes_s_node,digest_bytes_s_node,messages_s_node,cpu_us_s_node,"
@@ -152,6 +152,8 @@
     std::vector<double> processor;
     std::vector<double> memory;
     for (const FleetShape &shape : shapes(charts)) {
+        if (onlyNodes != 0 && shape.nodes_ != onlyNodes)
+            continue;
         Row row;
         row.shape_ = shape;
         measureSteady(row);
@@ -165,6 +167,8 @@
         processor.push_back(row.processor_);
         memory.push_back(row.memory_ / 1024);
     }
+    if (sizes.size() < 2)
+        return;
     printFit("bytes_s_node", sizes, bytes);
     printFit("cpu_us_s_node", sizes, processor);
     printFit("memory_kib_node", sizes, memory);
@@ -177,6 +181,8 @@
 int main(int argc, char **argv)
 {
     const bool isSteadyOnly = argc > 2 && std::string_view(argv[2]) == "--steady-only";
-    cardamombay::bench::run(argc > 1 ? argv[1] : "charts", isSteadyOnly);
+    const std::size_t onlyNodes
+        = argc > 2 && !isSteadyOnly ? std::strtoul(argv[2], nullptr, 10) : 0;
+    cardamombay::bench::run(argc > 1 ? argv[1] : "charts", isSteadyOnly, onlyNodes);
     return EXIT_SUCCESS;
 }
--- a/include/cardamombay/membership/membership.hpp
+++ b/include/cardamombay/membership/membership.hpp
@@ -210,6 +210,7 @@
     std::set<EntryId> extraPeers_;
     std::set<EntryId> probed_; ///< Members from whom an answer is awaited.
     std::vector<EntryId> probeOrder_;
+    std::size_t regionSize_ = 0; ///< Other live members of the region.
     std::map<EntryId, std::vector<EntryId>> reachRequesters_;
     std::map<EntryId, Incarnation> cleared_; ///< Suspicions ended here that spread before.
     std::map<AvailabilityZone, RemoteSite> remoteSites_;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -727,6 +727,7 @@
         if (member.entry_.zone_ == self_.zone_)
             site.insert(id);
     }
+    regionSize_ = region.size();
     const bool isSmall = region.size() < settings_.wholeRegionLimit_;
     scope_ = isSmall || site.empty() ? std::move(region) : std::move(site);
 }
@@ -759,7 +760,8 @@
 
 Duration Membership::suspicionTimeout() const
 {
-    const double factor = settings_.suspicionFactor_ * sizeFactor(table_.aliveCount());
+    // Only members of the region suspect each other, so only they need time to hear of it.
+    const double factor = settings_.suspicionFactor_ * sizeFactor(regionSize_);
     return std::chrono::duration_cast<Duration>(factor * settings_.probePeriod_);
 }
 
