--- a/include/cardamombay/config/config_agent.hpp
+++ b/include/cardamombay/config/config_agent.hpp
@@ -4,7 +4,8 @@
 /// It never writes a configuration, never puts an invalid one in force and never goes back to a
 /// lower version: neither for a stale read nor for an old answer that arrives late. A process
 /// that has just started, and so has no version of its own to compare with, confirms what it read
-/// by a conditional transaction, or takes it from the peers when the store is down.
+/// by a conditional transaction, or takes it from the peers when the store is down; then it takes
+/// nothing lower than the highest version any peer told of.
 /// Guards the promise that an accepted configuration is in force everywhere and never reverts.
 #pragma once
 
@@ -132,6 +133,7 @@
     [[nodiscard]] bool isUnset() const { return !current_; }
     [[nodiscard]] bool isBehind() const;
     [[nodiscard]] bool asksPeersFirst() const;
+    [[nodiscard]] bool mayTakeFromPeer(const ConfigRecord &record) const;
 
     Clock &clock_;
     ConfigStore &store_;
--- a/src/config/config_agent.cpp
+++ b/src/config/config_agent.cpp
@@ -194,7 +194,7 @@
     const auto record
         = isOk(result) ? decodeRecord(valueOf(result)) : Result<ConfigRecord>(errorOf(result));
     const bool hasContent = isOk(record) && !valueOf(record).content_.empty();
-    if (hasContent)
+    if (hasContent && mayTakeFromPeer(valueOf(record)))
         consider(valueOf(record), "peer");
     endStep(step, hasContent ? "peers-answered" : "peers-failed");
 }
@@ -293,6 +293,13 @@
     return heard_.value() > std::max(record_.version_.value(), refusedVersion().value());
 }
 
+bool ConfigAgent::mayTakeFromPeer(const ConfigRecord &record) const
+{
+    // What another peer has in force may have been in force here before this process started.
+    const auto least = std::max(record.version_.value(), refusedVersion().value());
+    return !isUnset() || heard_.value() <= least;
+}
+
 bool ConfigAgent::asksPeersFirst() const
 {
     return !isUnset() && isBehind() && peerFetch_ != nullptr;
--- a/tests/config/agent.cpp
+++ b/tests/config/agent.cpp
@@ -76,6 +76,27 @@
     cr_assert_null(cluster.nodes_[0]->agent_.current());
 }
 
+Test(agent, new_process_takes_nothing_lower_than_what_it_heard_of)
+{
+    Running cluster(3);
+    cluster.nodes_[2]->partition_ = 1;
+    cluster.nodes_[2]->tables_.setCutOff(true);
+    cluster.apply("two");
+    cluster.clock_.advance(seconds(5));
+    cr_assert(cluster.isInForce(2, 0));
+
+    cluster.platform_.faults_.isDown_ = true;
+    cluster.restart(1);
+    cluster.nodes_[1]->partition_ = 1; // it can reach only the node that has version 1
+    cluster.nodes_[1]->agent_.offer(ConfigVersion{2});
+    cluster.clock_.advance(minutes(1));
+    cr_assert_null(cluster.nodes_[1]->agent_.current(), "version 1 would revert the site");
+
+    cluster.nodes_[1]->partition_ = 0;
+    cluster.clock_.advance(seconds(5));
+    cr_assert(cluster.nodes_[1]->agent_.version() == ConfigVersion{2});
+}
+
 Test(agent, stale_read_after_restart_is_not_put_in_force)
 {
     Running cluster(1);
--- a/tests/config/cluster.hpp
+++ b/tests/config/cluster.hpp
@@ -68,23 +68,36 @@
     std::vector<std::function<void()>> held_;
 };
 
+/// \brief Links of one process. The fakes' calls under way refer to them, so they outlive it.
+struct ConfigLink
+{
+    explicit ConfigLink(FakePlatform &platform)
+        : tables_(platform)
+        , objects_(platform)
+    {
+    }
+
+    LaggingTableStore tables_;
+    FakeObjectStore objects_;
+};
+
 /// \brief One entry VM: its agent and its link to the store.
 struct ConfigNode
 {
     ConfigNode(ManualClock &clock, FakePlatform &platform, config::ConfigProgramPtr program,
                std::string name, std::uint64_t seed, config::ConfigAgentOptions options)
         : id_(name)
-        , tables_(platform)
-        , objects_(platform)
+        , link_(std::make_shared<ConfigLink>(platform))
+        , tables_(link_->tables_)
         , random_(seed)
-        , store_(clock, tables_, objects_, random_, {id_, Incarnation{seed}})
+        , store_(clock, tables_, link_->objects_, random_, {id_, Incarnation{seed}})
         , agent_(clock, store_, random_, log_, std::move(program), options)
     {
     }
 
     EntryId id_;
-    LaggingTableStore tables_;
-    FakeObjectStore objects_;
+    std::shared_ptr<ConfigLink> link_;
+    LaggingTableStore &tables_;
     Random random_;
     DecisionLog log_;
     config::ConfigStore store_;
@@ -124,6 +137,8 @@
     /// \brief Replaces node \p i by a new process that keeps nothing.
     void restart(std::size_t i)
     {
+        if (nodes_[i])
+            retired_.push_back(nodes_[i]->link_);
         nodes_[i].reset();
         auto node = std::make_unique<ConfigNode>(clock_, platform_, program_,
                                                  "entry-" + std::to_string(i), ++starts_ * 1000 + i,
@@ -237,6 +252,7 @@
 
     config::ConfigAgentOptions options_;
     std::size_t perSite_;
+    std::vector<std::shared_ptr<ConfigLink>> retired_;
     config::ConfigProgramPtr program_;
     FakeTableStore operatorTables_;
     FakeObjectStore operatorObjects_;
