--- a/include/cardamombay/admin/admin_config.hpp
+++ b/include/cardamombay/admin/admin_config.hpp
@@ -8,6 +8,10 @@
 #include <string>
 #include <string_view>
 
+namespace cardamombay::config {
+class ConfigAgent;
+} // namespace cardamombay::config
+
 namespace cardamombay::admin {
 
 /// \brief Version in force, and a higher one that was refused, if any.
@@ -22,6 +26,9 @@
     friend bool operator==(const AdminConfig &, const AdminConfig &) = default;
 };
 
+/// \brief What \p agent has in force and has refused.
+[[nodiscard]] AdminConfig configOf(const config::ConfigAgent &agent);
+
 /// \brief Writes \p config as JSON.
 [[nodiscard]] std::string encode(const AdminConfig &config);
 
--- a/src/admin/admin_config.cpp
+++ b/src/admin/admin_config.cpp
@@ -2,6 +2,10 @@
 
 #include "admin/json_fields.hpp"
 
+#include <cardamombay/config/config_agent.hpp>
+
+#include <sstream>
+
 namespace cardamombay::admin {
 
 using namespace impl;
@@ -21,6 +25,21 @@
 
 } // namespace
 
+AdminConfig configOf(const config::ConfigAgent &agent)
+{
+    AdminConfig config;
+    config.version_ = agent.version();
+    config.hash_ = agent.hash();
+    config.state_ = std::string(agent.state());
+    if (const auto &refused = agent.refused()) {
+        std::ostringstream text;
+        text << refused->error_;
+        config.refusedVersion_ = refused->version_;
+        config.refusal_ = text.str();
+    }
+    return config;
+}
+
 std::string encode(const AdminConfig &config)
 {
     return json::serialize(json::object{{"version", config.version_.value()},
