Prove an apply over HTTP with a lost answer and a store that is down

Cause: the lost answer was tested only against the store in memory.

Change: two tests run cardamombayctl's commands against the platform stand-in as a process, with its faults switched.

Conclusion: the HTTP client, the reliable commit and the configuration's store hold together.

--- a/tests/config/control_program.cpp
+++ b/tests/config/control_program.cpp
@@ -9,6 +9,8 @@
 #include <cardamombay/admin/admin_status.hpp>
 #include <cardamombay/cli/control_program.hpp>
 #include <cardamombay/cli/exit_code.hpp>
+#include <cardamombay/config/address_text.hpp>
+#include <cardamombay/net/asio_http_client.hpp>
 
 #include <boost/asio/io_context.hpp>
 
@@ -88,6 +90,26 @@
         return folder.string();
     }
 
+    /// Switches faults of the stand-in, as docs/PLATFORM.md defines them.
+    void setFaults(const std::string &faults) const
+    {
+        boost::asio::io_context context;
+        net::AsioHttpClient client(context);
+        net::HttpRequest request;
+        request.address_ = *config::addressOf(store_);
+        request.method_ = "POST";
+        request.target_ = "/test/faults";
+        request.body_ = faults;
+        std::uint32_t status = 0;
+        client.send(std::move(request), [&status](const net::HttpResult &result) {
+            if (const auto *response = std::get_if<net::HttpResponse>(&result))
+                status = response->status_;
+        });
+        while (status == 0 && context.run_one() != 0) {
+        }
+        cr_assert_eq(status, 200);
+    }
+
     ProcessHarness harness_;
     std::string store_;
 };
@@ -233,6 +255,34 @@
     cr_assert(platform.command({"config", "diff", "1", "3"}).says("no difference"));
 }
 
+Test(control_program, answer_lost_after_the_write_is_told_as_accepted_once, .timeout = 120)
+{
+    const WithPlatform platform;
+    platform.command({"config", "apply", platform.folderWith("one", 1)});
+
+    platform.setFaults(R"({"lose_next_answers":1})");
+    const auto applied
+        = platform.command({"config", "apply", platform.folderWith("two", 2), "--on", "1"});
+
+    assertCode(applied, cli::exitOk);
+    cr_assert(applied.says("accepted version 2"));
+    cr_assert_not(platform.command({"config", "history"}).says("\n3 "));
+}
+
+Test(control_program, store_that_is_down_takes_nothing, .timeout = 120)
+{
+    const WithPlatform platform;
+    platform.command({"config", "apply", platform.folderWith("one", 1)});
+    platform.setFaults(R"({"down":true})");
+
+    const auto refused
+        = platform.command({"config", "apply", platform.folderWith("two", 2), "--on", "1"});
+    assertCode(refused, cli::exitFailed);
+
+    platform.setFaults(R"({"down":false})");
+    cr_assert(platform.command({"config", "show"}).says("# version 1,"));
+}
+
 Test(control_program, store_that_is_not_there_gives_code_1)
 {
     const auto port = std::to_string(support::freePort());
