--- a/bench/endpoint_model.hpp
+++ b/bench/endpoint_model.hpp
@@ -8,6 +8,8 @@
 #include <deque>
 #include <functional>
 #include <list>
+#include <memory>
+#include <ranges>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -45,8 +47,8 @@
         while (held < blocks.size() && places_.contains(blocks[held]))
             ++held;
         // The last block first, so that the start of a prompt is the most recently used.
-        for (auto block = blocks.rbegin(); block != blocks.rend(); ++block)
-            touch(*block);
+        for (const std::uint64_t block : blocks | std::views::reverse)
+            touch(block);
         while (order_.size() > limit_) {
             evicted.push_back(order_.back());
             places_.erase(order_.back());
@@ -88,7 +90,8 @@
     double tokens_ = 200;
     TimePoint arrivedAt_{};
     std::function<void(Duration, std::size_t)> onFirstToken_; ///< Time since arrival, blocks held.
-    std::function<void()> onEnd_;
+    std::function<void(Duration)> onEnd_; ///< Time between tokens; zero if it was cancelled.
+    std::shared_ptr<bool> isCancelled_ = std::make_shared<bool>(false);
 };
 
 /// \brief A group: waiting requests, one prefill at a time, a batch that decodes.
@@ -137,6 +140,11 @@
         isPrefilling_ = true;
         ModelRequest request = std::move(prefills_.front());
         prefills_.pop_front();
+        if (*request.isCancelled_) {
+            isPrefilling_ = false;
+            end(request);
+            return;
+        }
         std::vector<std::uint64_t> evicted;
         const std::size_t held = cache_.use(request.blocks_, evicted);
         if (onCache_)
@@ -145,19 +153,30 @@
         const Duration time = ofSeconds(missing * shape_.secondsPerBlock_ * shape_.slowness_);
         clock_.schedule(time, [this, request = std::move(request), held]() mutable {
             isPrefilling_ = false;
+            if (*request.isCancelled_) {
+                end(request);
+                return;
+            }
             request.onFirstToken_(clock_.now() - request.arrivedAt_, held);
             decode(std::move(request));
             startPrefill();
         });
     }
 
+    void end(const ModelRequest &request)
+    {
+        --running_;
+        request.onEnd_(Duration::zero());
+        startWaiting();
+    }
+
     void decode(ModelRequest request)
     {
         const double batch = 1 + shape_.batchCost_ * running_ / shape_.slots_;
         const double time = request.tokens_ * shape_.secondsPerToken_ * batch * shape_.slowness_;
-        clock_.schedule(ofSeconds(time), [this, request = std::move(request)] {
+        clock_.schedule(ofSeconds(time), [this, time, request = std::move(request)] {
             --running_;
-            request.onEnd_();
+            request.onEnd_(ofSeconds(time / request.tokens_));
             startWaiting();
         });
     }
