Tell the losing operator who won

Cause: the loser of a race was told the winning version but not whose it is.

Change: on a conflict cardamombayctl shows author, time and note of the version accepted first.

--- a/src/cli/config_commands.cpp
+++ b/src/cli/config_commands.cpp
@@ -74,10 +74,26 @@
     return config::decodeSources(valueOf(stored).record_.content_);
 }
 
+/// Tells who made the version that was accepted first.
+void describeWinner(ControlSession &session, ConfigVersion winner)
+{
+    const auto stored = fetch(session, winner);
+    if (!isOk(stored))
+        return;
+    const auto &note = valueOf(stored).record_.note_;
+    session.err() << "  version " << winner << " is by "
+                  << (note.author_.empty() ? "an unnamed operator" : note.author_) << " at "
+                  << note.time_ << (note.text_.empty() ? "" : ": ") << note.text_ << '\n';
+}
+
 int reportAccepted(ControlSession &session, const Result<ConfigVersion> &result)
 {
-    if (!isOk(result))
-        return session.fail(errorOf(result));
+    if (!isOk(result)) {
+        const int code = session.fail(errorOf(result));
+        if (const auto *conflict = std::get_if<ConfigConflict>(&errorOf(result)))
+            describeWinner(session, conflict->winner_);
+        return code;
+    }
     const auto version = valueOf(result).value();
     if (session.options().isJson_)
         session.out() << json::serialize(json::object{{"version", version}}) << '\n';
--- a/tests/config/control_program.cpp
+++ b/tests/config/control_program.cpp
@@ -233,11 +233,13 @@
     const auto mine = platform.folderWith("mine", 2);
     const auto yours = platform.folderWith("yours", 3);
 
-    assertCode(platform.command({"config", "apply", mine, "--on", "1"}), cli::exitOk);
+    assertCode(platform.command({"config", "apply", mine, "--on", "1", "--author", "amel"}),
+               cli::exitOk);
     const auto late = platform.command({"config", "apply", yours, "--on", "1"});
 
     assertCode(late, cli::exitConflict);
     cr_assert(late.says("configuration version 2 was accepted first"));
+    cr_assert(late.says("version 2 is by amel"));
     cr_assert(late.says("config show"));
 }
 
