--- /dev/null
+++ b/tests/planning/planner.cpp
@@ -0,0 +1,380 @@
+#include <cardamombay/planning/planner.hpp>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::planning;
+using groups::GroupPhase;
+using std::chrono::seconds;
+
+namespace {
+
+const FabricDomain own("fabric-0");
+const FabricDomain other("fabric-1");
+const AvailabilityZone zone("zone");
+
+/// Builds a planner's input: VMs are named "<domain>-<number>" and come in order.
+class Situation
+{
+public:
+    Situation()
+    {
+        state_.domain_ = own;
+        state_.zone_ = zone;
+    }
+
+    void service(const std::string &name, std::uint32_t replicas, std::uint32_t priority = 100,
+                 std::uint32_t vmsPerReplica = 3)
+    {
+        state_.services_.push_back({ServiceName(name),
+                                    replicas,
+                                    vmsPerReplica,
+                                    priority,
+                                    seconds(60),
+                                    {ModelName(name), ModelVersion("1"), {}}});
+    }
+
+    void spares(std::uint32_t count, const FabricDomain &domain = own)
+    {
+        for (std::uint32_t each = 0; each < count; ++each)
+            addVm(domain, true);
+    }
+
+    /// A group with the first \p lost members missing for \p lostFor.
+    GroupId group(const std::string &service, std::uint32_t lost = 0,
+                  Duration lostFor = seconds(10), const FabricDomain &domain = own)
+    {
+        PlannedGroup group;
+        group.group_ = groups::slotId(ServiceName(service), zone, slots_[service]++);
+        group.service_ = ServiceName(service);
+        group.domain_ = domain;
+        group.phase_ = lost > 0 ? GroupPhase::Degraded : GroupPhase::Serving;
+        group.model_ = state_.service(group.service_)->model_;
+        group.vmsPerReplica_ = state_.service(group.service_)->vmsPerReplica_;
+        for (std::uint32_t each = 0; each < group.vmsPerReplica_; ++each) {
+            PlannedVm &vm = addVm(domain, false);
+            vm.isHealthy_ = each >= lost;
+            vm.lostFor_ = vm.isHealthy_ ? Duration::zero() : lostFor;
+            group.members_.push_back(vm.vm_);
+        }
+        state_.groups_.push_back(group);
+        return group.group_;
+    }
+
+    PlannedGroup &groupOf(const GroupId &id)
+    {
+        return *std::find_if(state_.groups_.begin(), state_.groups_.end(),
+                             [&](const PlannedGroup &group) { return group.group_ == id; });
+    }
+
+    PlannedVm &vmOf(const VmId &id)
+    {
+        return *std::find_if(state_.vms_.begin(), state_.vms_.end(),
+                             [&](const PlannedVm &vm) { return vm.vm_ == id; });
+    }
+
+    std::vector<PlanDecision> plan(const Planner &planner = Planner())
+    {
+        std::sort(state_.vms_.begin(), state_.vms_.end(),
+                  [](const PlannedVm &one, const PlannedVm &two) { return one.vm_ < two.vm_; });
+        return planner.plan(state_);
+    }
+
+    PlanState state_;
+
+private:
+    PlannedVm &addVm(const FabricDomain &domain, bool isSpare)
+    {
+        PlannedVm vm;
+        vm.vm_ = VmId(domain.text() + "-" + std::to_string(1000 + state_.vms_.size()));
+        vm.domain_ = domain;
+        vm.isHealthy_ = true;
+        vm.isIdle_ = isSpare;
+        vm.isAssigned_ = !isSpare;
+        return state_.vms_.emplace_back(vm);
+    }
+
+    std::map<std::string, std::uint32_t> slots_;
+};
+
+const PlanDecision *decisionOn(const std::vector<PlanDecision> &decisions, const GroupId &group)
+{
+    const auto found = std::find_if(decisions.begin(), decisions.end(),
+                                    [&](const PlanDecision &each) { return each.group_ == group; });
+    return found == decisions.end() ? nullptr : &*found;
+}
+
+bool isAction(const std::vector<PlanDecision> &decisions, const GroupId &group, PlanAction action)
+{
+    const PlanDecision *decision = decisionOn(decisions, group);
+    return decision != nullptr && decision->action_ == action;
+}
+
+double costOf(const PlanDecision &decision, const std::string &name)
+{
+    for (const Alternative &alternative : decision.alternatives_) {
+        if (alternative.name_ == name)
+            return alternative.cost_;
+    }
+    return -1;
+}
+
+} // namespace
+
+Test(planner, free_slots_are_formed_as_far_as_spares_reach)
+{
+    Situation situation;
+    situation.service("lm", 3);
+    situation.spares(7);
+
+    const auto decisions = situation.plan();
+
+    cr_assert_eq(decisions.size(), 2U);
+    for (const auto &decision : decisions) {
+        cr_assert(decision.action_ == PlanAction::Form);
+        cr_assert_eq(decision.members_.size(), 3U);
+    }
+}
+
+Test(planner, same_input_gives_the_same_decisions)
+{
+    Situation situation;
+    situation.service("lm", 3);
+    situation.spares(4);
+    situation.group("lm", 1);
+
+    const auto one = situation.plan();
+    const auto two = situation.plan();
+
+    cr_assert_eq(one.size(), two.size());
+    for (std::size_t each = 0; each < one.size(); ++each) {
+        cr_assert(one[each].group_ == two[each].group_);
+        cr_assert(one[each].members_ == two[each].members_);
+    }
+}
+
+Test(planner, nothing_is_decided_within_the_grace)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    situation.group("lm", 1, seconds(1));
+    situation.spares(1);
+
+    cr_assert(situation.plan().empty());
+}
+
+Test(planner, replacement_keeps_the_ranks_of_the_survivors)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    const GroupId group = situation.group("lm", 1);
+    situation.spares(1);
+
+    const auto decisions = situation.plan();
+
+    cr_assert(isAction(decisions, group, PlanAction::Replace));
+    const auto &members = decisionOn(decisions, group)->members_;
+    const auto &before = situation.groupOf(group).members_;
+    cr_assert(members[0] != before[0]);
+    cr_assert(members[1] == before[1] && members[2] == before[2]);
+}
+
+Test(planner, decision_names_the_ways_it_weighed_and_takes_the_cheapest)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    const GroupId group = situation.group("lm", 1);
+    situation.spares(1);
+
+    const auto decisions = situation.plan();
+
+    const PlanDecision &decision = *decisionOn(decisions, group);
+    cr_assert(costOf(decision, "wait") > costOf(decision, "replace"));
+    cr_assert(costOf(decision, "replace") > 0);
+}
+
+Test(planner, a_quick_likely_return_is_worth_waiting_for)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    const GroupId group = situation.group("lm", 1, seconds(4));
+    situation.spares(1);
+    situation.state_.services_.front().loadTime_ = seconds(240);
+    situation.state_.policy_.returnTime_ = seconds(10);
+    situation.state_.policy_.returnProbability_ = 0.95;
+    situation.state_.policy_.strandedWeight_ = 0.1;
+    cr_assert(isAction(situation.plan(), group, PlanAction::Wait));
+
+    // The longer it stays away, the less likely it returns.
+    for (PlannedVm &vm : situation.state_.vms_)
+        vm.lostFor_ = vm.isHealthy_ ? Duration::zero() : seconds(120);
+
+    cr_assert(isAction(situation.plan(), group, PlanAction::Replace));
+}
+
+Test(planner, stranded_weight_turns_a_wait_into_a_replacement)
+{
+    Situation situation;
+    situation.service("lm", 1, 100, 16);
+    const GroupId group = situation.group("lm", 1, seconds(4));
+    situation.spares(1);
+    situation.state_.services_.front().loadTime_ = seconds(200);
+    situation.state_.policy_.returnTime_ = seconds(30);
+    situation.state_.policy_.returnProbability_ = 0.9;
+    situation.state_.policy_.strandedWeight_ = 0;
+    cr_assert(isAction(situation.plan(), group, PlanAction::Wait));
+
+    situation.state_.policy_.strandedWeight_ = 5;
+
+    cr_assert(isAction(situation.plan(), group, PlanAction::Replace));
+}
+
+Test(planner, scarce_spare_goes_to_the_service_of_higher_priority)
+{
+    Situation situation;
+    situation.service("low", 1, 10);
+    situation.service("high", 1, 200);
+    const GroupId low = situation.group("low", 1);
+    const GroupId high = situation.group("high", 1);
+    situation.spares(1);
+
+    const auto decisions = situation.plan();
+
+    cr_assert(isAction(decisions, high, PlanAction::Replace));
+    cr_assert_not(isAction(decisions, low, PlanAction::Replace));
+}
+
+Test(planner, scarce_spare_goes_to_the_service_with_the_smaller_share_serving)
+{
+    Situation situation;
+    situation.service("full", 3);
+    situation.service("poor", 3);
+    situation.group("full");
+    situation.group("full");
+    const GroupId full = situation.group("full", 1);
+    const GroupId poor = situation.group("poor", 1);
+    situation.spares(1);
+
+    const auto decisions = situation.plan();
+
+    cr_assert(isAction(decisions, poor, PlanAction::Replace));
+    cr_assert_not(isAction(decisions, full, PlanAction::Replace));
+}
+
+Test(planner, group_of_lower_priority_gives_way_when_there_is_no_spare)
+{
+    Situation situation;
+    situation.service("low", 1, 10);
+    situation.service("high", 1, 200);
+    const GroupId low = situation.group("low");
+    const GroupId high = situation.group("high", 1);
+
+    const auto decisions = situation.plan();
+
+    cr_assert(isAction(decisions, low, PlanAction::Drain));
+    cr_assert(isAction(decisions, high, PlanAction::Wait));
+}
+
+Test(planner, group_of_the_same_priority_does_not_give_way)
+{
+    Situation situation;
+    situation.service("one", 1);
+    situation.service("two", 1);
+    const GroupId one = situation.group("one");
+    situation.group("two", 1);
+
+    cr_assert(decisionOn(situation.plan(), one) == nullptr);
+}
+
+Test(planner, of_two_broken_groups_without_spares_one_is_dissolved_for_the_other)
+{
+    Situation situation;
+    situation.service("lm", 2);
+    const GroupId one = situation.group("lm", 1);
+    const GroupId two = situation.group("lm", 1);
+
+    const auto decisions = situation.plan();
+
+    const int dissolved = (isAction(decisions, one, PlanAction::Dissolve) ? 1 : 0)
+                          + (isAction(decisions, two, PlanAction::Dissolve) ? 1 : 0);
+    cr_assert_eq(dissolved, 1);
+}
+
+Test(planner, slot_is_vacated_for_another_domain_that_has_the_vms)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    situation.state_.policy_.returnProbability_ = 0.1;
+    const GroupId group = situation.group("lm", 1);
+    situation.spares(3, other);
+
+    cr_assert(isAction(situation.plan(), group, PlanAction::Dissolve));
+}
+
+Test(planner, slot_of_a_dark_domain_is_taken_over_once)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    situation.state_.policy_.returnProbability_ = 0.1;
+    const GroupId group = situation.group("lm", 3, seconds(60), other);
+    situation.spares(3);
+
+    const auto decisions = situation.plan();
+
+    cr_assert_eq(decisions.size(), 1U);
+    cr_assert(isAction(decisions, group, PlanAction::Move));
+}
+
+Test(planner, leaving_vm_is_never_a_spare)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    situation.spares(3);
+    situation.state_.vms_.front().isLeaving_ = true;
+
+    cr_assert(situation.plan().empty());
+}
+
+Test(planner, straggler_is_the_last_spare_to_be_taken)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    situation.spares(4);
+    const VmId straggler = situation.state_.vms_.back().vm_;
+    situation.state_.vms_.back().isStraggler_ = true;
+
+    const auto decisions = situation.plan();
+
+    cr_assert_eq(decisions.size(), 1U);
+    const auto &members = decisions.front().members_;
+    cr_assert(std::find(members.begin(), members.end(), straggler) == members.end());
+}
+
+Test(planner, always_wait_and_always_replace_do_what_they_say)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    const GroupId group = situation.group("lm", 1);
+    situation.spares(1);
+
+    cr_assert(
+        isAction(situation.plan(Planner(std::make_shared<AlwaysWait>())), group, PlanAction::Wait));
+    cr_assert(isAction(situation.plan(Planner(std::make_shared<AlwaysReplace>())), group,
+                       PlanAction::Replace));
+}
+
+Test(planner, group_whose_transaction_is_under_way_is_left_alone)
+{
+    Situation situation;
+    situation.service("lm", 1);
+    const GroupId group = situation.group("lm", 1);
+    situation.spares(1);
+    situation.groupOf(group).isBusy_ = true;
+
+    cr_assert(decisionOn(situation.plan(), group) == nullptr);
+}
