Split member orders from the group manager; the explorer checks complete serving

Change: MemberOrders holds the orders to members; a manager without a VM list does nothing; the explorer also checks that no manager with its lease calls a group serving whose member has been out for more than 5 s. Conclusion: both promises are checked after every step.

--- a/src/groups/group_manager.cpp
+++ b/src/groups/group_manager.cpp
@@ -1,6 +1,7 @@
 #include <cardamombay/groups/group_manager.hpp>
 
 #include "domain_view.hpp"
+#include "member_orders.hpp"
 #include "order_desk.hpp"
 #include "plan_survey.hpp"
 #include "row_writer.hpp"
@@ -12,8 +13,6 @@
 
 namespace cardamombay::groups {
 
-using endpoint::EndpointOrder;
-using endpoint::OrderKind;
 using impl::DomainView;
 using impl::MemberStanding;
 using impl::ZoneVm;
@@ -36,6 +35,7 @@
         , planner_(std::move(planner))
         , desk_(clock, orders, lease, decisions, settings_)
         , writer_(clock, store, lease, decisions, settings_, self, incarnation)
+        , members_(desk_, writer_, lease.domain())
     {
     }
 
@@ -64,14 +64,6 @@
     [[nodiscard]] std::size_t loadingGroups() const;
     /// \}
 
-    /// \name Orders
-    /// \{
-    void order(const GroupLife &life, const DomainView &view);
-    void releaseStrays(const PlanInput &input, const DomainView &view);
-    [[nodiscard]] impl::OrderTarget targetOf(const ZoneVm &vm, const GroupId &group) const;
-    [[nodiscard]] bool checksFencing(const GroupId &group) const;
-    /// \}
-
     /// \name Rows
     /// \{
     void freeOldRows(const PlanInput &input);
@@ -89,6 +81,7 @@
     planning::Planner planner_;
     impl::OrderDesk desk_;
     impl::RowWriter writer_;
+    impl::MemberOrders members_;
     config::ConfigurationPtr configuration_;
     std::map<GroupId, GroupLife> lives_;
     std::map<GroupId, std::vector<VmId>> missing_;
@@ -99,17 +92,19 @@
 
 void GroupManager::Impl::tick(const PlanInput &input)
 {
-    if (!hasTenure(input))
+    const bool knowsVms = !input.vms_.empty();
+    if (!hasTenure(input) || !knowsVms)
         return;
     configuration_ = input.configuration_;
+    members_.setConfiguration(input.configuration_);
     writer_.setBoard(input.board_);
     followRows(input);
     const DomainView view(input, desk_, clock_.now(), settings_);
     for (auto &[group, life] : lives_)
         advance(life, view);
     for (const auto &[group, life] : lives_)
-        order(life, view);
-    releaseStrays(input, view);
+        members_.bring(life, view);
+    members_.releaseStrays(*input.board_, view);
     if (writer_.isPausing())
         return;
     freeOldRows(input);
@@ -245,7 +240,7 @@
         const bool isMatch = isRecent && life.row().isMatchedBy(answer->state_);
         isConfirmed &= isMatch;
         if (const ZoneVm *vm = view.vm(member); !isRecent && vm != nullptr)
-            desk_.probe(targetOf(*vm, life.row().group_));
+            members_.ask(*vm, life.row().group_);
     }
     if (isConfirmed)
         life.handle("verified", clock_.now());
@@ -291,74 +286,6 @@
         }));
 }
 
-/// Brings the members to the target of their group, as far as they are not there yet.
-void GroupManager::Impl::order(const GroupLife &life, const DomainView &view)
-{
-    if (life.target() == MemberTarget::Nothing)
-        return;
-    const GroupRow &row = life.row();
-    const bool assigns = life.target() == MemberTarget::Assigned;
-    EndpointOrder order;
-    order.kind_ = assigns ? OrderKind::Assign : OrderKind::Drain;
-    order.model_ = row.model_;
-    order.role_ = row.role_;
-    order.members_ = row.members_;
-    for (const VmId &member : row.members_) {
-        const MemberStanding standing = view.standing(row, member);
-        const bool isDue
-            = assigns ? standing == MemberStanding::Unassigned
-                      : standing == MemberStanding::Ready || standing == MemberStanding::Loading;
-        if (!isDue)
-            continue;
-        order.assignment_ = {row.group_, row.generation_, row.rankOf(member).value_or(0)};
-        desk_.send(targetOf(*view.vm(member), row.group_), order);
-    }
-}
-
-/// Releases VMs of the domain that report a formation their row does not name.
-void GroupManager::Impl::releaseStrays(const PlanInput &input, const DomainView &view)
-{
-    for (const auto &[id, vm] : view.vms()) {
-        const bool isOwn = vm.record_.domain_ == lease_.domain();
-        if (!isOwn || !vm.isHealthy() || !vm.observation_.state_->assignment_
-            || writer_.isReserved(id))
-            continue;
-        const endpoint::Assignment &reported = *vm.observation_.state_->assignment_;
-        const auto *row = input.board_->vm(id);
-        const auto *group = input.board_->group(reported.group_);
-        const bool isRowSame = row != nullptr && row->content_.group_ == reported.group_
-                               && row->content_.generation_ == reported.generation_;
-        const bool isCurrent = group != nullptr && !group->content_.isFreeSlot()
-                               && group->content_.generation_ == reported.generation_;
-        if (isRowSame && isCurrent && group->content_.rankOf(id) == reported.rank_)
-            continue;
-        EndpointOrder order;
-        order.kind_ = OrderKind::Release;
-        order.assignment_ = reported;
-        desk_.send(targetOf(vm, reported.group_), order);
-    }
-}
-
-impl::OrderTarget GroupManager::Impl::targetOf(const ZoneVm &vm, const GroupId &group) const
-{
-    impl::OrderTarget target;
-    target.vm_ = vm.record_.id_;
-    target.address_ = vm.record_.address_;
-    if (vm.observation_.state_)
-        target.incarnation_ = vm.observation_.state_->incarnation_;
-    target.checksFencing_ = checksFencing(group);
-    return target;
-}
-
-/// A service that is not configured any longer is taken as one whose engines do not check.
-bool GroupManager::Impl::checksFencing(const GroupId &group) const
-{
-    const std::string &text = group.text();
-    const ServiceName name(text.substr(0, text.find('/')));
-    const config::Service *service = configuration_->service(name);
-    return service != nullptr && service->checksFencing_;
-}
-
 /// Frees VM rows of the domain whose formation is over, such as after the slot moved away.
 void GroupManager::Impl::freeOldRows(const PlanInput &input)
 {
--- a/tests/groups/explorer.cpp
+++ b/tests/groups/explorer.cpp
@@ -45,6 +45,33 @@
         fleet_.advance(minutes(6));
     }
 
+    /// True if no manager that holds its lease calls a group serving whose member has been out
+    /// for longer than it takes to notice.
+    bool servesOnlyComplete()
+    {
+        const Duration longest = std::chrono::seconds(5);
+        for (const VmId &vm : fleet_.dead_)
+            deadSince_.try_emplace(vm, fleet_.clock_.now());
+        std::erase_if(deadSince_,
+                      [&](const auto &each) { return !fleet_.dead_.contains(each.first); });
+        for (auto &node : fleet_.nodes_) {
+            for (std::uint32_t domain = 0; domain < 2; ++domain) {
+                if (node->isPaused() || !node->lease(domain).isHeld())
+                    continue;
+                for (const GroupStatus &status : node->manager(domain).groups()) {
+                    for (const VmId &member : status.row_.members_) {
+                        const auto dead = deadSince_.find(member);
+                        const bool isNoticed = dead != deadSince_.end()
+                                               && fleet_.clock_.now() > dead->second + longest;
+                        if (isNoticed && status.phase_ == GroupPhase::Serving)
+                            return false;
+                    }
+                }
+            }
+        }
+        return true;
+    }
+
     PlannerFleet &fleet() { return fleet_; }
 
 private:
@@ -130,6 +157,7 @@
     Random random_;
     PlannerFleet fleet_;
     std::set<VmId> paused_;
+    std::map<VmId, TimePoint> deadSince_;
 };
 
 /// CARDAMOMBAY_SEEDS=<first>:<count> explores other seeds.
@@ -152,6 +180,8 @@
         Explorer explorer(seed);
         for (int step = 0; step < 120; ++step) {
             explorer.step();
+            cr_assert(explorer.servesOnlyComplete(), "seed %lu step %d: serves incomplete", seed,
+                      step);
             cr_assert(explorer.fleet().isExclusive(), "seed %lu step %d: VM in two groups", seed,
                       step);
         }
--- a/tests/groups/two_planners.cpp
+++ b/tests/groups/two_planners.cpp
@@ -233,17 +233,16 @@
     PlannerFleet fleet(shape);
     fleet.addNode();
     serveAll(fleet, 3);
-    std::uint32_t dark = 0; // The domain with one group; the other one has two.
+    std::uint32_t groupsOfFirst = 0;
     for (std::uint32_t slot = 0; slot < 3; ++slot)
-        dark += fleet.row(slot)->domain_ == PlannerFleet::domain(1) ? 1 : 0;
-    dark = dark == 1 ? 1 : 0;
+        groupsOfFirst += fleet.row(slot)->domain_ == PlannerFleet::domain(0) ? 1 : 0;
+    const std::uint32_t dark = groupsOfFirst == 2 ? 0 : 1; // The domain with two of the groups.
 
-    fleet.shape_.services_ = {modelService(2, 3)};
-    for (const VmId &vm : fleet.vmsOf(1 - dark))
+    for (const VmId &vm : fleet.vmsOf(dark))
         fleet.pauseVm(vm);
     run(fleet, minutes(2));
     cr_assert_eq(fleet.servingCount(), 2U); // One stayed, one moved in.
-    for (const VmId &vm : fleet.vmsOf(1 - dark))
+    for (const VmId &vm : fleet.vmsOf(dark))
         fleet.resumeVm(vm);
     run(fleet, minutes(2));
 
--- a/tests/support/pausable_node.hpp
+++ b/tests/support/pausable_node.hpp
@@ -53,6 +53,7 @@
             action();
     }
 
+    [[nodiscard]] bool isPaused() const { return isPaused_; }
     void pause() { isPaused_ = true; }
     void resume()
     {
--- a/tests/support/planner_fleet.hpp
+++ b/tests/support/planner_fleet.hpp
@@ -62,6 +62,7 @@
 public:
     PlannerNode(PlannerFleet &fleet, EntryId self, planning::Planner planner);
 
+    [[nodiscard]] bool isPaused() const { return clock_.isPaused(); }
     void pause() { clock_.pause(); }
     void resume() { clock_.resume(); }
 
