--- a/src/limits/service_limits.cpp
+++ b/src/limits/service_limits.cpp
@@ -12,12 +12,18 @@
 
 namespace {
 
-constexpr double newSampleWeight = 0.05;
+constexpr double newSampleWeight = 0.01;
 constexpr Duration outageRetryAfter = std::chrono::seconds(5);
 
 /// A queued request is given up only if it is this much later than allowed, as estimates waver.
 constexpr double hopelessFactor = 1.5;
 
+/// \brief Slots above a share that a team may use for a time: as much as its demand wavers.
+[[nodiscard]] double burst(double share)
+{
+    return std::sqrt(share);
+}
+
 [[nodiscard]] Duration seconds(double value)
 {
     constexpr double longest = 3600;
@@ -30,8 +36,10 @@
 TeamLimits &ServiceLimits::team(const TeamName &name)
 {
     const auto [found, isNew] = teams_.try_emplace(name);
-    if (isNew)
+    if (isNew) {
         found->second.name_ = name;
+        found->second.share_ = shares_.of(name);
+    }
     return found->second;
 }
 
@@ -96,8 +104,8 @@
     --team.running_;
     team.usage_.set(now, team.running_);
     const double taken = std::chrono::duration<double>(now - admittedAt).count();
-    serviceTime_
-        = serviceTime_ == 0 ? taken : serviceTime_ + newSampleWeight * (taken - serviceTime_);
+    ++served_;
+    serviceTime_ += std::max(newSampleWeight, 1.0 / double(served_)) * (taken - serviceTime_);
 }
 
 void ServiceLimits::withdraw(TeamLimits &team, const QueueKey &key)
@@ -118,7 +126,6 @@
     displaced_.clear();
     if (waiting_ == 0)
         return;
-    const auto sharesBefore = sharesAt_;
     refresh(service, snapshot, now);
     if (isOut(now)) {
         dropAll(out);
@@ -132,7 +139,7 @@
         withdraw(next, QueueKey(first->first));
         admit(next, now);
     }
-    if (sharesAt_ != sharesBefore)
+    if (std::exchange(hasNewShares_, false))
         dropHopeless(now, out);
 }
 
@@ -143,10 +150,13 @@
     for (auto &[name, candidate] : teams_) {
         if (candidate.queue_.empty())
             continue;
-        // The average keeps a share below one slot honest; the count keeps a newcomer from taking
-        // more than its share at first.
-        const double used = std::max(candidate.usage_.average(now), double(candidate.running_));
-        const double ratio = used / share(candidate);
+        // The average lets a team make up for moments without demand and keeps a share below one
+        // slot honest; the count bounds what it can make up at once.
+        const double share = candidate.share_;
+        const bool isOver = candidate.running_ >= share + burst(share);
+        const double average = candidate.usage_.average(now);
+        const double used = isOver ? std::max(average, double(candidate.running_)) : average;
+        const double ratio = used / share;
         const bool isBetter
             = !best || ratio < bestRatio || (ratio == bestRatio && name < best->name_);
         if (!isBetter)
@@ -157,18 +167,36 @@
     return best;
 }
 
-double ServiceLimits::share(const TeamLimits &team) const
+Duration ServiceLimits::expectedWait(const TeamLimits &team, std::size_t ahead) const
 {
-    const auto found = shares_.byTeam_.find(team.name_);
-    const double known = found == shares_.byTeam_.end() ? 0 : found->second;
-    // A team that no digest has shown yet is taken for one of equal weight.
-    const double unknown = double(shares_.slots_) / double(shares_.byTeam_.size() + 1);
-    return std::max(known > 0 ? known : unknown, 0.01);
+    const Rivals rivals = rivalsOf(team);
+    const double turns = double(ahead + 1);
+    const double share = team.share_;
+    const double atRest = turns * serviceTime_ / std::max(share, rivals.slotsLeft_);
+    if (team.running_ + double(ahead) >= share + burst(share))
+        return seconds(atRest);
+    // Below its share, a team gets every slot that comes free, in turn with others below theirs.
+    const double slots = std::max(shares_.slots_, 1U);
+    const double inTurn = turns * (rivals.teamsBelowShare_ + 1) * serviceTime_ / slots;
+    return seconds(std::min(atRest, inTurn));
 }
 
-Duration ServiceLimits::expectedWait(const TeamLimits &team, std::size_t ahead) const
+ServiceLimits::Rivals ServiceLimits::rivalsOf(const TeamLimits &team) const
 {
-    return seconds(double(ahead + 1) * serviceTime_ / share(team));
+    Rivals rivals;
+    rivals.slotsLeft_ = double(shares_.slots_) - double(running_ - team.running_);
+    if (waiting_ == team.queue_.size())
+        return rivals;
+    for (const auto &[name, other] : teams_) {
+        if (&other == &team || other.queue_.empty())
+            continue;
+        const double below = other.share_ - other.running_;
+        if (below <= 0)
+            continue;
+        rivals.slotsLeft_ -= below;
+        rivals.teamsBelowShare_ += 1;
+    }
+    return rivals;
 }
 
 Duration ServiceLimits::serviceTimeNeeded(bool isNonIdempotent) const
@@ -246,10 +274,13 @@
     const std::uint32_t capacity = servingCapacity(snapshot, service, now);
     const auto own = ownDemand(snapshot.peerDemand_.empty(), now);
     shares_ = divideCapacity(snapshot, name_, capacity, own, policy_);
+    for (auto &[name, owner] : teams_)
+        owner.share_ = shares_.of(name);
     sharesOf_ = snapshot.sequence_;
     sharesAt_ = now;
     if (capacity > 0)
         servedAt_ = now;
+    hasNewShares_ = true;
 }
 
 std::vector<OwnDemand> ServiceLimits::ownDemand(bool isAlone, TimePoint now) const
@@ -257,7 +288,7 @@
     std::vector<OwnDemand> own;
     own.reserve(teams_.size());
     for (const auto &[name, owner] : teams_)
-        own.push_back({name, isAlone ? liveDemand(owner, now) : owner.digested_});
+        own.push_back({name, isAlone ? liveDemand(owner, now) : owner.heard_});
     return own;
 }
 
@@ -272,6 +303,8 @@
 void ServiceLimits::reportDemand(TimePoint now, std::vector<routing::DemandReport> &out)
 {
     for (auto &[name, owner] : teams_) {
+        // Peers divide by what they heard last, which is what was said before this.
+        owner.heard_ = owner.digested_;
         owner.digested_ = liveDemand(owner, now);
         if (owner.digested_ <= 0)
             continue;
