Let another trial start beside a long one

Cause: the first request after an outage is the trial of its group; if it is a long stream, the group would get no other request from that entry VM until its end. Conclusion: a repaired group is back after seconds also where answers take minutes.

--- a/include/cardamombay/retries/circuit.hpp
+++ b/include/cardamombay/retries/circuit.hpp
@@ -26,6 +26,7 @@
     Duration openTime_ = std::chrono::seconds(1); ///< Doubles with each failed trial; half of it
                                                   ///< at least, as the wait is jittered.
     Duration maximumOpenTime_ = std::chrono::seconds(8);
+    Duration trialTime_ = std::chrono::seconds(2); ///< Then another trial may start beside it.
 };
 
 /// \brief Circuit breaker fed by attempts and time; single-threaded.
@@ -52,6 +53,8 @@
     /// \name Events
     /// \{
     void started(TimePoint now) { handle("started", now); }
+    /// \brief The group answers; best called when the head of an answer arrives, as a stream may
+    /// go on for minutes.
     void succeeded(TimePoint now) { handle("succeeded", now); }
     void failed(TimePoint now) { handle("failed", now); }
 
@@ -72,6 +75,7 @@
     void passTime(TimePoint now);
     [[nodiscard]] double jitter() const;
     void startWait();
+    void startTrial() { trialUntil_ = now_ + policy_.trialTime_; }
     void forgetFailures();
 
     CircuitPolicy policy_;
@@ -81,6 +85,7 @@
     std::uint32_t openings_ = 0; ///< Without a success between them.
     std::uint64_t waits_ = 0;    ///< Ever started.
     TimePoint openUntil_{};
+    TimePoint trialUntil_{};
     TimePoint now_{}; ///< Instant of the event being handled.
 };
 
--- a/include/cardamombay/retries/circuit_board.hpp
+++ b/include/cardamombay/retries/circuit_board.hpp
@@ -29,7 +29,9 @@
     /// \returns a view that holds until the next call.
     [[nodiscard]] std::span<const GroupId> blocked(TimePoint now);
 
-    /// \name Events; each started() is followed by one of the others
+    /// \name Events
+    /// Each started() is followed by one of the others; succeeded() may come more than once, and
+    /// is best called when the head of an answer arrives.
     /// \{
     void started(const GroupId &group, TimePoint now);
     void succeeded(const GroupId &group, TimePoint now);
--- a/src/retries/circuit.cpp
+++ b/src/retries/circuit.cpp
@@ -20,13 +20,14 @@
 {
     chart::Binding<Circuit> binding;
     binding.state(closedState).state(openState).state(trialState);
-    binding.events({"started", "succeeded", "failed", "abandoned", "wait-over"});
+    binding.events({"started", "succeeded", "failed", "abandoned", "wait-over", "trial-over"});
     binding.guard("limit-reached", [](const Circuit &circuit) {
         return circuit.failuresInRow_ + 1 >= circuit.policy_.failures_;
     });
     binding.action("count-failure", [](Circuit &circuit) { ++circuit.failuresInRow_; });
     binding.action("forget-failures", [](Circuit &circuit) { circuit.forgetFailures(); });
     binding.action("start-wait", [](Circuit &circuit) { circuit.startWait(); });
+    binding.action("start-trial", [](Circuit &circuit) { circuit.startTrial(); });
     return chart::bind(chart, std::move(binding));
 }
 
@@ -70,6 +71,8 @@
 {
     if (now >= nextTrial())
         machine_.handle(*this, "wait-over");
+    if (machine_.isIn(trialState) && now >= trialUntil_)
+        machine_.handle(*this, "trial-over");
 }
 
 /// A number in [0, 1) for this wait; a hash, as a generator for each circuit would be large.
--- a/tests/retries/circuit.cpp
+++ b/tests/retries/circuit.cpp
@@ -99,3 +99,15 @@
 
     cr_assert(circuit.allows(start));
 }
+
+Test(circuit, trial_that_streams_for_long_does_not_keep_the_group_out)
+{
+    Circuit circuit(program());
+    for (int i = 0; i < 3; ++i)
+        circuit.failed(start);
+    const TimePoint trial = start + seconds(1);
+    circuit.started(trial);
+
+    cr_assert_not(circuit.allows(trial + milliseconds(1999)));
+    cr_assert(circuit.allows(trial + seconds(2)));
+}
