--- a/bench/endpoint_model.hpp
+++ b/bench/endpoint_model.hpp
@@ -9,7 +9,6 @@
 #include <functional>
 #include <list>
 #include <memory>
-#include <ranges>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -47,8 +46,8 @@
         while (held < blocks.size() && places_.contains(blocks[held]))
             ++held;
         // The last block first, so that the start of a prompt is the most recently used.
-        for (const std::uint64_t block : blocks | std::views::reverse)
-            touch(block);
+        for (std::size_t left = blocks.size(); left > 0; --left)
+            touch(blocks[left - 1]);
         while (order_.size() > limit_) {
             evicted.push_back(order_.back());
             places_.erase(order_.back());
