Give a claim back that comes after its request's deadline

Cause: a session that ended while its claim was under way was forgotten, so a claim granted later was never completed and the key stayed taken.

--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -64,13 +64,10 @@
     stepSpan_ = span_.child("claim");
     ClaimRequest claim{request_.team_, request_.key_, request_.service_, request_.id_,
                        contentHash(request_)};
-    context_.control_.claim(std::move(claim),
-                            [weak = weak_from_this(), &context = context_](ClaimAnswer answer) {
-                                context.post_([weak, answer = std::move(answer)] {
-                                    if (const auto self = weak.lock())
-                                        self->takeClaim(answer);
-                                });
-                            });
+    // The session is kept until the answer is there, since a granted claim has to be completed.
+    context_.control_.claim(std::move(claim), [self = shared_from_this()](ClaimAnswer answer) {
+        self->context_.post_([self, answer = std::move(answer)] { self->takeClaim(answer); });
+    });
 }
 
 void Session::takeClaim(const ClaimAnswer &answer)
--- a/tests/traffic/fake_control_link.hpp
+++ b/tests/traffic/fake_control_link.hpp
@@ -30,6 +30,10 @@
         {
             const std::lock_guard lock(mutex_);
             claims_.push_back(std::move(request));
+            if (holdsClaims_) {
+                heldClaim_ = std::move(done);
+                return;
+            }
             answer = claimAnswer_;
         }
         done(answer);
@@ -44,6 +48,8 @@
     std::mutex mutex_;
     traffic::TrafficReport lastReport_;
     traffic::ClaimAnswer claimAnswer_;
+    bool holdsClaims_ = false; ///< The test answers through heldClaim_.
+    traffic::ClaimCallback heldClaim_;
     std::vector<traffic::ClaimRequest> claims_;
     std::vector<traffic::ClaimCompletion> completions_;
 };
