--- a/src/routing/group_book.hpp
+++ b/src/routing/group_book.hpp
@@ -46,10 +46,12 @@
     GroupId group_;
     Generation generation_;
     StepHistory ownInFlight_;
-    double timeToFirstToken_ = 0; ///< Seconds, moving average.
+    double answerTime_ = 0; ///< Moving average, seconds; compares the speed of groups.
+    bool streamsTokens_ = false;
     std::uint32_t samples_ = 0;
     TimePoint ejectedUntil_{};
-    TimePoint seenAt_{}; ///< When a snapshot last held the group.
+    std::uint32_t ejections_ = 0; ///< Without a time of good speed between them.
+    TimePoint seenAt_{};          ///< When a snapshot last held the group.
     std::optional<std::uint64_t> cacheSequence_;
     bool isUsed_ = false;
 };
@@ -85,6 +87,8 @@
     void forgetUnseen(TimePoint now);
 
 private:
+    static void learnSpeed(GroupState &state, const RequestSample &sample);
+
     PrefixIndex &index_;
     std::unordered_map<GroupId, OwnerIndex> indexes_;
     std::vector<GroupState> states_;
