Find the group of a running attempt without a search

Cause: every 20 ms each running attempt searched its service's groups by name: sessions x groups string compares. Measured result: test_traffic 66 of 66, test_thin_path 6 of 6; the tick's time was not measured. Conclusion: the tick costs one hash lookup for each running attempt.

--- a/include/cardamombay/traffic/worker.hpp
+++ b/include/cardamombay/traffic/worker.hpp
@@ -14,6 +14,7 @@
 namespace cardamombay::traffic {
 
 namespace impl {
+class GroupWatch;
 class Session;
 } // namespace impl
 
@@ -57,6 +58,7 @@
     std::size_t number_;
     std::uint64_t nextRequest_ = 1;
     std::uint64_t ticks_ = 0;
+    std::unique_ptr<impl::GroupWatch> watch_;
     std::unordered_map<impl::Session *, std::shared_ptr<impl::Session>> sessions_;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
--- a/src/traffic/group_watch.hpp
+++ b/src/traffic/group_watch.hpp
@@ -4,6 +4,8 @@
 
 #include <cardamombay/routing/routing_snapshot.hpp>
 
+#include <unordered_map>
+
 namespace cardamombay::traffic::impl {
 
 /// \brief What the latest snapshot says of a group that was chosen from an earlier one.
@@ -18,4 +20,18 @@
                                        const ServiceName &service,
                                        const routing::RoutingSnapshot &snapshot, TimePoint now);
 
+/// \brief standingOf() for many attempts: finds a group without a search.
+class GroupWatch
+{
+public:
+    /// \brief Takes the latest snapshot.
+    void update(routing::RoutingSnapshotPtr snapshot);
+
+    [[nodiscard]] GroupStanding standing(const routing::SnapshotGroup &chosen, TimePoint now) const;
+
+private:
+    routing::RoutingSnapshotPtr snapshot_;
+    std::unordered_map<GroupId, const routing::SnapshotGroup *> groups_; ///< Of snapshot_.
+};
+
 } // namespace cardamombay::traffic::impl
--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -2,7 +2,6 @@
 
 #include <cardamombay/log/events.hpp>
 #include <cardamombay/log/log.hpp>
-#include <traffic/group_watch.hpp>
 #include <traffic/session_problems.hpp>
 
 #include <utility>
@@ -337,13 +336,13 @@
     return mayHaveRun_ ? outcomes::Outcome::Unknown : outcomes::Outcome::NotRun;
 }
 
-void Session::checkGroup(const routing::RoutingSnapshot &snapshot, TimePoint now)
+void Session::checkGroup(const GroupWatch &watch, TimePoint now)
 {
     const bool isModel = request_.kind_ == config::ServiceKind::Model;
     if (!run_ || isClosed_ || !isModel || run_->attempt().isSettled())
         return;
     const auto &plan = run_->plan();
-    const auto standing = standingOf(plan.group_, request_.service_, snapshot, now);
+    const auto standing = watch.standing(plan.group_, now);
     const bool isStalled = run_->silence(now) > longestSilence;
     if (standing != GroupStanding::NotWhole && !isStalled)
         return;
--- a/src/traffic/session.hpp
+++ b/src/traffic/session.hpp
@@ -10,6 +10,7 @@
 #include <cardamombay/traffic/traffic_context.hpp>
 #include <traffic/attempt_run.hpp>
 #include <traffic/caller_answer.hpp>
+#include <traffic/group_watch.hpp>
 
 #include <functional>
 #include <memory>
@@ -32,7 +33,7 @@
     void start();
 
     /// \brief Stops the attempt if its group may not serve any longer or its stream has stalled.
-    void checkGroup(const routing::RoutingSnapshot &snapshot, TimePoint now);
+    void checkGroup(const GroupWatch &watch, TimePoint now);
 
     /// \brief Ends the session now and tells the caller, at the limit of a shutdown.
     void cut();
--- a/src/traffic/worker.cpp
+++ b/src/traffic/worker.cpp
@@ -60,6 +60,7 @@
     : context_(std::move(context))
     , state_(state)
     , number_(number)
+    , watch_(std::make_unique<impl::GroupWatch>())
 {
 }
 
@@ -74,9 +75,10 @@
 {
     const auto snapshot = context_.control_.snapshot();
     const auto now = context_.clock_.now();
-    const auto sessions = sessions_;
-    for (const auto &[key, session] : sessions)
-        session->checkGroup(*snapshot, now);
+    watch_->update(snapshot);
+    // Sessions leave the map by a posted action only, so it does not change under the loop.
+    for (const auto &[key, session] : sessions_)
+        session->checkGroup(*watch_, now);
     context_.dispatcher_.releaseWaiting(*snapshot, now);
     if (number_ == 0 && ticks_++ % ticksPerReport == 0)
         context_.control_.postTraffic(context_.dispatcher_.report(*snapshot, now));
@@ -88,8 +90,7 @@
 
 void Worker::cutSessions()
 {
-    const auto sessions = sessions_;
-    for (const auto &[key, session] : sessions)
+    for (const auto &[key, session] : sessions_)
         session->cut();
 }
 
