--- a/apps/cardamombayd/daemon.cpp
+++ b/apps/cardamombayd/daemon.cpp
@@ -81,7 +81,10 @@
     auto lifecycle = makeLifecycle();
     if (!isOk(lifecycle))
         return lifecycle;
-    control_ = makeControlSide({context_, clock_, settings_, incarnation_, registry_});
+    // Before anything listens: whoever can reach the daemon may also ask it to stop.
+    waitForSignal();
+    control_ = makeControlSide({context_, clock_, settings_, incarnation_, registry_,
+                                [this] { return std::string(lifecycle_->state()); }});
     const auto bound = startTraffic();
     if (!isOk(bound))
         return errorOf(bound);
@@ -91,7 +94,6 @@
     });
     if (!isOk(control))
         return control;
-    waitForSignal();
     log::info(log::event::daemonStarted, {{"entry", settings_.entry_.text()},
                                           {"zone", settings_.zone_.text()},
                                           {"callers", valueOf(bound).text()},
