Take decision records by reference

Cause: clang-tidy on ControlLink::recordDecision and TrafficService. Change: parameters by const reference (nobody overrides recordDecision yet).

--- a/include/cardamombay/traffic/control_link.hpp
+++ b/include/cardamombay/traffic/control_link.hpp
@@ -42,7 +42,7 @@
     virtual void completeClaim(ClaimCompletion completion) = 0;
 
     /// \brief Keeps why a request was refused or failed, for "cardamombayctl explain".
-    virtual void recordDecision(DecisionRecord /*record*/) {}
+    virtual void recordDecision(const DecisionRecord &) {}
 
     /// \brief True if the table service answered lately.
     [[nodiscard]] virtual bool isStoreReachable() const { return snapshot()->isStoreReachable_; }
--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -326,7 +326,7 @@
     record.subject_ = request_.id_.text();
     record.choice_ = choice;
     record.inputs_ = std::move(inputs);
-    context_.control_.recordDecision(std::move(record));
+    context_.control_.recordDecision(record);
 }
 
 outcomes::Outcome Session::overallOutcome() const
--- a/src/traffic/traffic_service.cpp
+++ b/src/traffic/traffic_service.cpp
@@ -37,7 +37,7 @@
 public:
     Impl(TrafficSettings settings, ControlLink &control, metrics::Registry &registry,
          const trace::Tracer &tracer, retries::CircuitProgramPtr circuits,
-         outcomes::AttemptProgramPtr attempts);
+         const outcomes::AttemptProgramPtr &attempts);
     ~Impl();
     Impl(const Impl &) = delete;
     Impl &operator=(const Impl &) = delete;
@@ -63,7 +63,7 @@
 TrafficService::Impl::Impl(TrafficSettings settings, ControlLink &control,
                            metrics::Registry &registry, const trace::Tracer &tracer,
                            retries::CircuitProgramPtr circuits,
-                           outcomes::AttemptProgramPtr attempts)
+                           const outcomes::AttemptProgramPtr &attempts)
     : settings_(std::move(settings))
     , metrics_(registry)
     , dispatcher_(settings_.incarnation_.value(), std::move(circuits), settings_.dispatch_)
@@ -144,14 +144,14 @@
     const auto circuitChart = charts.load("circuit");
     if (!isOk(circuitChart))
         return errorOf(circuitChart);
-    auto attempts = outcomes::makeAttemptProgram(valueOf(attemptChart));
+    const auto attempts = outcomes::makeAttemptProgram(valueOf(attemptChart));
     if (!isOk(attempts))
         return errorOf(attempts);
     auto circuits = retries::makeCircuitProgram(valueOf(circuitChart));
     if (!isOk(circuits))
         return errorOf(circuits);
     auto impl = std::make_unique<Impl>(settings, control, registry, tracer,
-                                       valueOf(std::move(circuits)), valueOf(std::move(attempts)));
+                                       valueOf(std::move(circuits)), valueOf(attempts));
     return std::unique_ptr<TrafficService>(new TrafficService(std::move(impl)));
 }
 
