--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -2,7 +2,6 @@
 
 #include <cardamombay/log/events.hpp>
 #include <cardamombay/log/log.hpp>
-#include <traffic/group_watch.hpp>
 #include <traffic/session_problems.hpp>
 
 #include <utility>
@@ -64,13 +63,10 @@
     stepSpan_ = span_.child("claim");
     ClaimRequest claim{request_.team_, request_.key_, request_.service_, request_.id_,
                        contentHash(request_)};
-    context_.control_.claim(std::move(claim),
-                            [weak = weak_from_this(), &context = context_](ClaimAnswer answer) {
-                                context.post_([weak, answer = std::move(answer)] {
-                                    if (const auto self = weak.lock())
-                                        self->takeClaim(answer);
-                                });
-                            });
+    // The session is kept until the answer is there, since a granted claim has to be completed.
+    context_.control_.claim(std::move(claim), [self = shared_from_this()](ClaimAnswer answer) {
+        self->context_.post_([self, answer = std::move(answer)] { self->takeClaim(answer); });
+    });
 }
 
 void Session::takeClaim(const ClaimAnswer &answer)
@@ -330,7 +326,7 @@
     record.subject_ = request_.id_.text();
     record.choice_ = choice;
     record.inputs_ = std::move(inputs);
-    context_.control_.recordDecision(std::move(record));
+    context_.control_.recordDecision(record);
 }
 
 outcomes::Outcome Session::overallOutcome() const
@@ -340,13 +336,13 @@
     return mayHaveRun_ ? outcomes::Outcome::Unknown : outcomes::Outcome::NotRun;
 }
 
-void Session::checkGroup(const routing::RoutingSnapshot &snapshot, TimePoint now)
+void Session::checkGroup(const GroupWatch &watch, TimePoint now)
 {
     const bool isModel = request_.kind_ == config::ServiceKind::Model;
     if (!run_ || isClosed_ || !isModel || run_->attempt().isSettled())
         return;
     const auto &plan = run_->plan();
-    const auto standing = standingOf(plan.group_, request_.service_, snapshot, now);
+    const auto standing = watch.standing(plan.group_, now);
     const bool isStalled = run_->silence(now) > longestSilence;
     if (standing != GroupStanding::NotWhole && !isStalled)
         return;
