--- /dev/null
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -0,0 +1,295 @@
+#include "fuzz_targets.hpp"
+
+#include <cardamombay/admin/admin_ack.hpp>
+#include <cardamombay/admin/admin_config.hpp>
+#include <cardamombay/admin/admin_event.hpp>
+#include <cardamombay/admin/admin_group.hpp>
+#include <cardamombay/admin/admin_status.hpp>
+#include <cardamombay/admin/admin_vm.hpp>
+#include <cardamombay/chart/chart.hpp>
+#include <cardamombay/config/config_parser.hpp>
+#include <cardamombay/endpoint/endpoint_codec.hpp>
+#include <cardamombay/groups/group_row.hpp>
+#include <cardamombay/groups/vm_row.hpp>
+#include <cardamombay/leases/lease_row.hpp>
+#include <cardamombay/net/asio_http_client.hpp>
+#include <cardamombay/platform/http_object_store.hpp>
+#include <cardamombay/platform/http_table_store.hpp>
+#include <cardamombay/platform/http_vm_directory.hpp>
+#include <cardamombay/rpc/digest_codec.hpp>
+#include <cardamombay/rpc/json_rpc_dispatcher.hpp>
+#include <cardamombay/rpc/json_rpc_peer_transport.hpp>
+#include <cardamombay/settings/settings.hpp>
+#include <cardamombay/traffic/request_parser.hpp>
+
+#include <array>
+#include <stdexcept>
+#include <utility>
+
+namespace cardamombay::fuzz {
+
+namespace {
+
+constexpr std::string_view fileMark = "\n%%%\n"; ///< Between the files of a configuration.
+constexpr const char *exampleConfiguration = R"(
+deployment = "fuzz"
+[services.lm]
+kind = "model"
+model = { name = "m", version = "1" }
+replicas = 1
+[services.app]
+kind = "plain"
+path_prefix = "/app"
+replicas = 1
+[[services.app.routes]]
+method = "POST"
+path = "/app/orders"
+idempotent = false
+[teams.a]
+weight = 1.0
+token_sha256 = ["f51ca8ca9ec467d84346662c5b891a98abf13a8e0614735c5577fd2c3be7b899"]
+)";
+constexpr const char *exampleOverlay = "site = \"z1\"\nregion = \"r1\"\n";
+
+void require(bool holds, const char *property)
+{
+    if (!holds)
+        throw std::logic_error(property);
+}
+
+/// Calls \p take with each piece of \p text between marks.
+template<typename Take>
+void split(std::string_view text, std::string_view mark, Take take)
+{
+    for (;;) {
+        const auto end = text.find(mark);
+        take(text.substr(0, end));
+        if (end == std::string_view::npos)
+            return;
+        text.remove_prefix(end + mark.size());
+    }
+}
+
+config::ConfigSources toSources(std::string_view text)
+{
+    config::ConfigSources sources;
+    split(text, fileMark, [&](std::string_view piece) {
+        config::SourceFile file{"overlay-" + std::to_string(sources.overlays_.size()) + ".toml",
+                                std::string(piece)};
+        if (sources.base_.file_.empty())
+            sources.base_ = {"base.toml", std::move(file.text_)};
+        else
+            sources.overlays_.push_back(std::move(file));
+    });
+    return sources;
+}
+
+void runConfiguration(std::string_view text)
+{
+    const auto sources = toSources(text);
+    const auto result = config::parse(sources, ConfigVersion{1});
+    require(isOk(result) == config::check(sources).empty(), "parse and check agree");
+    (void)config::decodeSources(text);
+    const auto decoded = config::decodeSources(config::encode(sources));
+    require(isOk(decoded), "encoded sources can be read");
+    require(config::encode(valueOf(decoded)) == config::encode(sources), "sources are kept");
+}
+
+void runSettings(std::string_view text)
+{
+    const auto result = settings::parse(text, "cardamombayd.toml");
+    require(isOk(result) == settings::check(text, "cardamombayd.toml").empty(),
+            "parse and check agree");
+}
+
+void runChart(std::string_view text)
+{
+    const auto result = chart::parseChart(text, "fuzz.toml");
+    if (!isOk(result))
+        return;
+    const auto &chart = valueOf(result);
+    for (const auto &cell : chart.cells())
+        require(cell.isIgnored_ || !cell.transitions_.empty(), "no cell is open");
+}
+
+void runDigest(std::string_view text)
+{
+    const auto digest = rpc::decodeDigest(text, "fuzz");
+    if (!isOk(digest))
+        return;
+    const auto again = rpc::decodeDigest(rpc::encodeDigest(valueOf(digest)), "fuzz");
+    require(isOk(again), "encoded digest can be read");
+}
+
+/// Answers every request with the same text.
+class OneAnswerClient final : public net::HttpClient
+{
+public:
+    explicit OneAnswerClient(std::string_view text)
+        : text_(text)
+    {
+    }
+
+    void send(net::HttpRequest request, std::function<void(net::HttpResult)> done) override
+    {
+        net::HttpResponse response;
+        response.status_ = status_;
+        for (const auto &field : request.fields_) {
+            if (field.name_ == net::requestIdField)
+                response.fields_.push_back(field);
+        }
+        response.fields_.push_back({"Retry-After", std::string(text_.substr(0, 20))});
+        response.body_ = text_;
+        done(std::move(response));
+    }
+
+    std::uint32_t status_ = 200;
+
+private:
+    std::string_view text_;
+};
+
+void runJsonRpc(std::string_view text)
+{
+    rpc::JsonRpcDispatcher dispatcher;
+    dispatcher.setExchangeHandler([](const membership::Digest &digest) { return digest; });
+    (void)dispatcher.handle(std::string(text));
+    OneAnswerClient client(text);
+    rpc::JsonRpcPeerTransport transport(client);
+    transport.exchange({"127.0.0.1", 1}, {}, [](const auto &) {});
+}
+
+const config::Configuration &configuration()
+{
+    static const auto parsed = config::parse(
+        {{"base.toml", exampleConfiguration}, {{"z1.toml", exampleOverlay}}}, ConfigVersion{1});
+    require(isOk(parsed), "the example is valid");
+    return valueOf(parsed);
+}
+
+/// First line "METHOD target", then lines "Name: value", an empty line and the body.
+net::ServerRequest toRequest(std::string_view text)
+{
+    net::ServerRequest request;
+    const auto headEnd = text.find("\n\n");
+    if (headEnd != std::string_view::npos)
+        request.body_ = text.substr(headEnd + 2);
+    split(text.substr(0, headEnd), "\n", [&](std::string_view line) {
+        if (request.target_.empty()) {
+            const auto space = line.find(' ');
+            request.method_ = line.substr(0, space);
+            request.target_ = space == std::string_view::npos ? "/" : line.substr(space + 1);
+            return;
+        }
+        const auto colon = line.find(": ");
+        if (colon != std::string_view::npos)
+            request.fields_.push_back(
+                {std::string(line.substr(0, colon)), std::string(line.substr(colon + 2))});
+    });
+    return request;
+}
+
+void runHttpRequest(std::string_view text)
+{
+    const TimePoint now{std::chrono::hours(1)};
+    const auto result
+        = traffic::parseRequest(toRequest(text), RequestId("r-1"), configuration(), now);
+    const auto *request = std::get_if<traffic::ParsedRequest>(&result);
+    if (!request)
+        return;
+    require(configuration().service(request->service_) != nullptr, "the service is known");
+    require(request->deadline_ >= now, "the deadline is not past");
+    (void)traffic::contentHash(*request);
+    (void)traffic::attemptBody(*request, 3);
+}
+
+void runEndpoint(std::string_view text)
+{
+    const auto state = endpoint::decodeState("fuzz", text);
+    if (isOk(state)) {
+        const auto again = endpoint::decodeState("fuzz", endpoint::encodeState(valueOf(state)));
+        require(isOk(again), "encoded state can be read");
+    }
+    const auto order = endpoint::decodeOrder("fuzz", text);
+    if (isOk(order)) {
+        const auto again = endpoint::decodeOrder("fuzz", endpoint::encodeOrder(valueOf(order)));
+        require(isOk(again), "encoded order can be read");
+    }
+    (void)endpoint::decodeRefusal(text);
+}
+
+void runPlatform(std::string_view text)
+{
+    OneAnswerClient client(text);
+    platform::HttpTableStore tables(client, {});
+    platform::HttpVmDirectory directory(client, {});
+    platform::HttpObjectStore objects(client, {});
+    for (const std::uint32_t status : {200U, 409U, 429U}) {
+        client.status_ = status;
+        tables.commit({}, [](const Result<platform::CommitReceipt> &result) {
+            require(!isOk(result) || !valueOf(result).version_.isNone(), "a commit has a number");
+        });
+        tables.read({}, [](const auto &) {});
+        tables.scan({}, [](const Result<platform::ScanPage> &result) {
+            require(!isOk(result) || valueOf(result).isLast_ || !valueOf(result).rows_.empty(),
+                    "paging ends");
+        });
+        directory.list([](const auto &) {});
+        objects.fetch(std::string(text), [](const auto &) {});
+    }
+}
+
+void runRows(std::string_view text)
+{
+    const std::string value(text);
+    if (const auto row = groups::decodeVmRow(value); isOk(row))
+        require(valueOf(groups::decodeVmRow(groups::encode(valueOf(row)))) == valueOf(row),
+                "a VM row is kept");
+    if (const auto row = groups::decodeGroupRow(value); isOk(row))
+        require(valueOf(groups::decodeGroupRow(groups::encode(valueOf(row)))) == valueOf(row),
+                "a group row is kept");
+    if (const auto row = leases::decodeLeaseRow(value); isOk(row))
+        require(valueOf(leases::decodeLeaseRow(leases::encode(valueOf(row)))) == valueOf(row),
+                "a lease row is kept");
+}
+
+void runAdmin(std::string_view text)
+{
+    (void)admin::decodeAck(text);
+    (void)admin::decodeConfig(text);
+    (void)admin::decodeEvents(text);
+    (void)admin::decodeGroups(text);
+    (void)admin::decodeStatus(text);
+    (void)admin::decodeVms(text);
+}
+
+constexpr std::array<FuzzTarget, 10> allTargets{{
+    {"configuration", runConfiguration},
+    {"settings", runSettings},
+    {"chart", runChart},
+    {"digest", runDigest},
+    {"json_rpc", runJsonRpc},
+    {"http_request", runHttpRequest},
+    {"endpoint", runEndpoint},
+    {"platform", runPlatform},
+    {"rows", runRows},
+    {"admin", runAdmin},
+}};
+
+} // namespace
+
+std::span<const FuzzTarget> targets()
+{
+    return allTargets;
+}
+
+const FuzzTarget *findTarget(std::string_view name)
+{
+    for (const auto &target : allTargets) {
+        if (target.name_ == name)
+            return &target;
+    }
+    return nullptr;
+}
+
+} // namespace cardamombay::fuzz
