Fuzz what untrusted text reaches, and mend what that found

Cause: Nothing tried configuration, settings, charts, digests, JSON-RPC, requests, endpoint bodies, store answers, rows and admin bodies with wrong text. (2) The term of a lease row overflowed the type of durations; it is now bounded. These two touch src/config, src/chart and src/leases. Conclusion: A wrong configuration can no longer end a daemon; other TOML must use core/toml as well.

--- a/src/chart/chart_reader.cpp
+++ b/src/chart/chart_reader.cpp
@@ -264,14 +264,13 @@
 Result<Chart> parseChart(std::string_view text, std::string_view file)
 {
     try {
-        const auto root = toml::parse(text, file);
+        const auto root = cardamombay::impl::parseToml(text, file);
         return ChartReader(file).read(root);
     } catch (const ChartFault &fault) {
         return Error(fault.error_);
-    } catch (const toml::parse_error &error) {
-        const auto &begin = error.source().begin;
-        return Error(InvalidInput{SourcePosition{std::string(file), begin.line, begin.column}, "",
-                                  std::string(error.description()), "correct the TOML syntax"});
+    } catch (const cardamombay::impl::TomlFault &fault) {
+        return Error(
+            InvalidInput{fault.position_, "", fault.description_, "correct the TOML syntax"});
     }
 }
 
--- a/src/chart/chart_reader.hpp
+++ b/src/chart/chart_reader.hpp
@@ -2,9 +2,9 @@
 /// \brief Turns the TOML of a chart into a Chart and checks it.
 #pragma once
 
-#include <cardamombay/chart/chart.hpp>
+#include "core/toml.hpp"
 
-#include <toml++/toml.h>
+#include <cardamombay/chart/chart.hpp>
 
 #include <set>
 
--- a/src/config/toml_reader.cpp
+++ b/src/config/toml_reader.cpp
@@ -41,9 +41,9 @@
                                      Problems &problems)
 {
     try {
-        return toml::parse(text, file);
-    } catch (const toml::parse_error &error) {
-        problems.add(positionOf(error.source(), file), "", std::string(error.description()),
+        return cardamombay::impl::parseToml(text, file);
+    } catch (const cardamombay::impl::TomlFault &fault) {
+        problems.add(fault.position_, "", fault.description_,
                      "correct the TOML syntax at this place");
         return std::nullopt;
     }
--- a/src/config/toml_reader.hpp
+++ b/src/config/toml_reader.hpp
@@ -3,12 +3,11 @@
 #pragma once
 
 #include "config/problems.hpp"
+#include "core/toml.hpp"
 
 #include <cardamombay/core/address.hpp>
 #include <cardamombay/core/time.hpp>
 
-#include <toml++/toml.h>
-
 #include <cstdint>
 #include <optional>
 #include <string>
--- a/src/leases/lease_row.cpp
+++ b/src/leases/lease_row.cpp
@@ -2,10 +2,26 @@
 
 #include <boost/json.hpp>
 
+#include <stdexcept>
+
 namespace cardamombay::leases {
 
 namespace json = boost::json;
 
+namespace {
+
+/// A longer term cannot be meant, and far longer ones do not fit into a Duration.
+constexpr std::int64_t longestTermMilliseconds = 86'400'000;
+
+Duration termFrom(std::int64_t milliseconds)
+{
+    if (milliseconds < 0 || milliseconds > longestTermMilliseconds)
+        throw std::out_of_range("duration_ms is out of range");
+    return std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace
+
 platform::RowKey leaseKey(const FabricDomain &domain)
 {
     return {"leases", domain.text()};
@@ -34,8 +50,7 @@
         row.holder_ = EntryId(json::value_to<std::string>(object.at("holder")));
         row.incarnation_ = Incarnation(object.at("incarnation").to_number<std::uint64_t>());
         row.epoch_ = Epoch(object.at("epoch").to_number<std::uint64_t>());
-        row.duration_
-            = std::chrono::milliseconds(object.at("duration_ms").to_number<std::int64_t>());
+        row.duration_ = termFrom(object.at("duration_ms").to_number<std::int64_t>());
         row.renewal_ = object.at("renewal").to_number<std::uint64_t>();
         return row;
     } catch (const std::exception &failure) {
--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -90,6 +90,8 @@
     const auto result = config::parse(sources, ConfigVersion{1});
     require(isOk(result) == config::check(sources).empty(), "parse and check agree");
     (void)config::decodeSources(text);
+    if (!isOk(result))
+        return;
     const auto decoded = config::decodeSources(config::encode(sources));
     require(isOk(decoded), "encoded sources can be read");
     require(config::encode(valueOf(decoded)) == config::encode(sources), "sources are kept");
--- /dev/null
+++ b/tests/fuzz/regressions.cpp
@@ -0,0 +1,50 @@
+// Faults that fuzzing has found; each test names the text that showed it.
+#include <cardamombay/chart/chart.hpp>
+#include <cardamombay/config/config_parser.hpp>
+#include <cardamombay/leases/lease_row.hpp>
+#include <cardamombay/settings/settings.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+
+// The assertion "!is_value_terminator(*cp)" of the TOML parser ended the process.
+Test(fuzz_regressions, bracket_in_place_of_a_toml_value_is_an_error_with_its_line)
+{
+    const auto result = settings::parse("entry = \"a\"\nzone = [\"b\", }\"c\"]\n", "entry.toml");
+
+    cr_assert(isError<InvalidInput>(result));
+    const auto &problem = std::get<InvalidInput>(errorOf(result));
+    cr_assert_eq(problem.position_.line_, 2U);
+    cr_assert_eq(problem.position_.file_, "entry.toml");
+}
+
+Test(fuzz_regressions, bracket_in_place_of_a_configuration_value_is_an_error)
+{
+    const config::ConfigSources sources{{"base.toml", "deployment = [1, }2]"}, {}};
+
+    const auto result = config::parse(sources, ConfigVersion{1});
+
+    cr_assert(isError<InvalidInput>(result));
+}
+
+// The assertion "is_bare_key_character(*cp) || is_string_delimiter(*cp)" ended the process.
+Test(fuzz_regressions, wrong_character_in_a_toml_array_header_is_an_error_with_its_line)
+{
+    const auto result = chart::parseChart("states = [\"a\"]\n\n[[(x]]\n", "fuzz.toml");
+
+    cr_assert(isError<InvalidInput>(result));
+    cr_assert_eq(std::get<InvalidInput>(errorOf(result)).position_.line_, 3U);
+}
+
+// The term overflowed the type of durations and became another one.
+Test(fuzz_regressions, lease_term_out_of_range_is_malformed)
+{
+    for (const char *term : {"184464294967295", "-1", "9223372036854775807"}) {
+        const auto row = leases::decodeLeaseRow(
+            std::string(R"({"holder":"e","incarnation":5,"epoch":9,"duration_ms":)") + term
+            + R"(,"renewal":0})");
+
+        cr_expect(isError<MalformedMessage>(row), "%s", term);
+    }
+}
