--- a/scripts/sanitize.sh
+++ b/scripts/sanitize.sh
@@ -31,6 +31,13 @@
     target=all
     [ -z "$label" ] || target=test_${label//-/_}
     cmake --build --preset "$preset" -j "$jobs" --target "$target" -- --quiet
+    rm -f "build-$preset"/report.*
     ctest --preset "$preset" ${label:+-L "^$label\$"} || status=1
+    # Reports of started programs, and of leaks at the end of a test, do not fail a test.
+    for report in "build-$preset"/report.*; do
+        [ -e "$report" ] || continue
+        cat "$report" >&2
+        status=1
+    done
 done
 exit "$status"
