Check the callers' ledger with real processes under faults

Cause: the promises had been checked in parts; the whole path now serves. Change: eight cases with three daemons, six engines, two plain endpoints and eight callers: no fault, engines killed, engines paused, entry VMs killed, an entry VM paused past its lease, store down and losing answers, endpoints misbehaving, and a graceful shutdown. At the end both ledgers are compared; under killed and paused engines no repeatable stream may break. In a first run with a lease term of 3 s no entry VM served within 60 s, so that case takes 6 s now.

--- /dev/null
+++ b/tests/ledger/real_processes.cpp
@@ -0,0 +1,165 @@
+#include "ledger/caller_crowd.hpp"
+
+#include <algorithm>
+#include <functional>
+#include <span>
+#include <thread>
+
+#include <criterion/criterion.h>
+#include <criterion/logging.h>
+
+using namespace cardamombay;
+using namespace cardamombay::support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t callers = 8;
+constexpr std::uint64_t seed = 11;
+
+FleetPlan sparePlan()
+{
+    FleetPlan plan;
+    plan.enginesPerDomain_ = 6; // Two replicas of two VMs, and two spares.
+    plan.plainsPerZone_ = 2;
+    return plan;
+}
+
+void wait(Duration time)
+{
+    std::this_thread::sleep_for(time);
+}
+
+/// Streams that callers saw break off although they may be repeated.
+std::size_t brokenStreams(std::span<const ToldRecord> told)
+{
+    return static_cast<std::size_t>(std::count_if(told.begin(), told.end(), [](const auto &record) {
+        const bool isBroken = record.status_ == 200 && !(record.isWhole_ && record.hasEnd_);
+        return isBroken && !record.isNonIdempotent_;
+    }));
+}
+
+/// Lets callers work while \p harm is done, then until calls succeed again, and compares ledgers.
+std::vector<ToldRecord> checkUnder(FleetPlan plan, const std::function<void(Fleet &)> &harm)
+{
+    Fleet fleet(PROGRAM_FOLDER, SOURCE_FOLDER, std::move(plan));
+    fleet.start();
+    CallerCrowd crowd(fleet, seed, callers);
+    cr_assert(waitUntil([&] { return crowd.successes() > 50; }));
+
+    harm(fleet);
+
+    const auto before = crowd.successes();
+    const bool hasRecovered = waitUntil([&] { return crowd.successes() > before + 50; });
+    auto told = crowd.stop();
+    const auto findings = compareLedgers(fleet.runs(), told);
+    cr_log_info("seed %llu, %s", static_cast<unsigned long long>(seed), summarize(told).c_str());
+    cr_expect(hasRecovered, "callers had no success after the harm");
+    cr_assert(findings.empty(), "seed %llu, %s\n%s", static_cast<unsigned long long>(seed),
+              summarize(told).c_str(), describe(findings).c_str());
+    return told;
+}
+
+} // namespace
+
+Test(ledger, holds_without_any_fault)
+{
+    checkUnder(sparePlan(), [](Fleet &) { wait(seconds(2)); });
+}
+
+Test(ledger, holds_when_engines_are_killed_and_come_back)
+{
+    const auto told = checkUnder(sparePlan(), [](Fleet &fleet) {
+        for (const std::size_t victim : {0, 3, 1}) {
+            fleet.harness().kill(fleet.engines()[victim].process_);
+            wait(milliseconds(1500));
+            fleet.restart(fleet.engines()[victim]);
+        }
+    });
+    cr_assert_eq(brokenStreams(told), 0, "streams with a seed did not go on elsewhere");
+}
+
+Test(ledger, holds_when_engines_are_paused_and_wake)
+{
+    const auto told = checkUnder(sparePlan(), [](Fleet &fleet) {
+        for (const std::size_t victim : {0, 2}) {
+            fleet.harness().pause(fleet.engines()[victim].process_);
+            wait(seconds(4));
+            fleet.harness().resume(fleet.engines()[victim].process_);
+            wait(milliseconds(500));
+        }
+    });
+    cr_assert_eq(brokenStreams(told), 0, "streams with a seed did not go on elsewhere");
+}
+
+Test(ledger, holds_when_entry_vms_are_killed_and_replaced)
+{
+    checkUnder(sparePlan(), [](Fleet &fleet) {
+        for (const std::size_t victim : {0, 1}) {
+            fleet.harness().kill(fleet.entries()[victim].process_);
+            wait(seconds(1));
+            fleet.restart(fleet.entries()[victim]);
+            wait(seconds(2));
+        }
+    });
+}
+
+Test(ledger, holds_when_an_entry_vm_is_paused_past_its_lease)
+{
+    auto plan = sparePlan();
+    plan.settings_ = "[intervals]\nlease_term = \"6s\"\n";
+    checkUnder(plan, [](Fleet &fleet) {
+        fleet.harness().pause(fleet.entries()[0].process_);
+        wait(seconds(9));
+        fleet.harness().resume(fleet.entries()[0].process_);
+        wait(seconds(1));
+    });
+}
+
+Test(ledger, holds_when_the_store_is_down_and_loses_answers)
+{
+    checkUnder(sparePlan(), [](Fleet &fleet) {
+        Caller platform(fleet.platform().address_);
+        platform.post("/test/faults", R"({"lose_answers":true})");
+        wait(seconds(2));
+        platform.post("/test/faults", R"({"lose_answers":false,"down":true})");
+        wait(seconds(3));
+        platform.post("/test/faults", R"({"down":false})");
+    });
+}
+
+Test(ledger, holds_when_endpoints_misbehave)
+{
+    checkUnder(sparePlan(), [](Fleet &fleet) {
+        for (const char *kind : {"wrong-attempt", "no-attempt", "truncated", "cut",
+                                 "duplicated-events", "skipped-event", "refuse"}) {
+            const std::string body = std::string(R"({"count":6,"kind":")") + kind + "\"}";
+            for (auto *nodes : {&fleet.engines(), &fleet.plains()}) {
+                for (const auto &node : *nodes)
+                    Caller(node.address_).post("/test/behaviour", body);
+            }
+            wait(milliseconds(700));
+        }
+    });
+}
+
+Test(ledger, graceful_shutdown_of_an_entry_vm_cuts_off_no_call)
+{
+    Fleet fleet(PROGRAM_FOLDER, SOURCE_FOLDER, sparePlan());
+    fleet.start();
+    CallerCrowd crowd(fleet, seed, callers);
+    cr_assert(waitUntil([&] { return crowd.successes() > 50; }));
+
+    fleet.harness().terminate(fleet.entries()[0].process_);
+    const int status = fleet.harness().waitForExit(fleet.entries()[0].process_);
+    const auto told = crowd.stop();
+
+    std::size_t cut = 0;
+    for (const auto &record : told)
+        cut += record.status_ == 200 && !(record.isWhole_ && record.hasEnd_) ? 1 : 0;
+    const auto findings = compareLedgers(fleet.runs(), told);
+    cr_expect_eq(status, 0);
+    cr_expect_eq(cut, 0, "%s", summarize(told).c_str());
+    cr_assert(findings.empty(), "%s", describe(findings).c_str());
+}
