--- a/src/limits/service_limits.cpp
+++ b/src/limits/service_limits.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr double newSampleWeight = 0.01;
+constexpr double allowanceSeconds = 3;
 constexpr Duration outageRetryAfter = std::chrono::seconds(5);
 
 /// A queued request is given up only if it is this much later than allowed, as estimates waver.
@@ -68,7 +69,10 @@
     const QueueKey key{request.priority_, ++arrivals_};
     const auto ahead = std::distance(team.queue_.begin(), team.queue_.lower_bound(key));
     const Duration wait = expectedWait(team, static_cast<std::size_t>(ahead));
-    if (wait > service.queueTimeout_)
+    // Estimates waver; a team that has its share already can wait for a surer place.
+    const bool hasShare = team.running_ + double(team.queue_.size()) >= team.share_;
+    const double margin = hasShare ? policy_.waitMargin_ : 1;
+    if (double(wait.count()) > margin * double(service.queueTimeout_.count()))
         return shed(request.request_, ShedReason::TooLate, wait);
     if (request.deadline_ - now < wait + serviceTimeNeeded(request.isNonIdempotent_))
         return shed(request.request_, ShedReason::TooLate, wait);
@@ -274,6 +278,7 @@
     const std::uint32_t capacity = servingCapacity(snapshot, service, now);
     const auto own = ownDemand(snapshot.peerDemand_.empty(), now);
     shares_ = divideCapacity(snapshot, name_, capacity, own, policy_);
+    reduceSlots(allowanceByReports(snapshot, name_, now), now);
     for (auto &[name, owner] : teams_)
         owner.share_ = shares_.of(name);
     sharesOf_ = snapshot.sequence_;
@@ -283,6 +288,14 @@
     hasNewShares_ = true;
 }
 
+void ServiceLimits::reduceSlots(double allowance, TimePoint now)
+{
+    // Smoothed, as the reports lag: the slots would swing between all and few.
+    const double passed = sharesAt_ ? std::chrono::duration<double>(now - *sharesAt_).count() : 0;
+    allowance_ += (allowance - allowance_) * std::min(passed / allowanceSeconds, 1.0);
+    shares_.reduce(allowance_);
+}
+
 std::vector<OwnDemand> ServiceLimits::ownDemand(bool isAlone, TimePoint now) const
 {
     std::vector<OwnDemand> own;
