--- a/include/cardamombay/control/zone_planner.hpp
+++ b/include/cardamombay/control/zone_planner.hpp
@@ -56,6 +56,9 @@
     /// \brief Leases held at this moment.
     [[nodiscard]] std::vector<const leases::LeaseKeeper *> heldLeases() const;
 
+    /// \brief This entry VM's side of a lease, held or not; null if it never was a candidate.
+    [[nodiscard]] const leases::LeaseKeeper *lease(const FabricDomain &domain) const;
+
 private:
     struct Domain
     {
--- a/src/control/zone_planner.cpp
+++ b/src/control/zone_planner.cpp
@@ -145,4 +145,10 @@
     return held;
 }
 
+const leases::LeaseKeeper *ZonePlanner::lease(const FabricDomain &domain) const
+{
+    const auto found = domains_.find(domain);
+    return found == domains_.end() ? nullptr : found->second.lease_.get();
+}
+
 } // namespace cardamombay::control
--- a/tests/recovery/explorer.cpp
+++ b/tests/recovery/explorer.cpp
@@ -13,9 +13,6 @@
 
 namespace {
 
-constexpr Duration freshness = watching::WatchSettings().freshnessWindow_;
-constexpr Duration granularity = milliseconds(100); ///< Truth is renewed in steps of time.
-constexpr Duration leavingLimit = seconds(3);
 constexpr Duration versionLimit = seconds(5);
 constexpr Duration formingLimit = minutes(3);
 constexpr Duration servingLimit = minutes(10);
@@ -35,6 +32,7 @@
 ControlExplorer::ControlExplorer(std::uint64_t seed)
     : random_(seed)
     , fleet_(explorerShape(seed), seed)
+    , promises_(fleet_)
 {
 }
 
@@ -48,7 +46,7 @@
         const auto end = fleet_.clock_.now() + milliseconds(random_.below(4000));
         while (fleet_.clock_.now() <= end) {
             fleet_.run(milliseconds(500));
-            const auto fault = check();
+            const auto fault = promises_.check();
             if (!fault.empty()) {
                 std::string text = "step " + std::to_string(step) + ": " + fault + "; after:";
                 for (const auto &each : trail_)
@@ -57,7 +55,7 @@
             }
         }
     }
-    heal();
+    fleet_.heal();
     return finish();
 }
 
@@ -100,7 +98,7 @@
         fleet_.jump(seconds(random_.below(20)));
     } else {
         note("heal");
-        heal();
+        fleet_.heal();
     }
 }
 
@@ -212,30 +210,6 @@
         fleet_.applyConfiguration("change " + std::to_string(++notes_), 1);
 }
 
-void ControlExplorer::heal()
-{
-    fleet_.platform_.faults_ = StoreFaults{};
-    fleet_.healCuts();
-    for (std::size_t index = 0; index < fleet_.size(); ++index) {
-        fleet_.resumeEntry(index);
-        if (!fleet_.entry(index).node_)
-            fleet_.restartEntry(index);
-        fleet_.store(index).isCutOff_ = false;
-        fleet_.orders(index).isCutOff_ = false;
-        fleet_.orders(index).losesAnswers_ = false;
-        fleet_.process(index).losesStoreAnswers_ = false;
-        fleet_.process(index).extraStoreLatency_ = {};
-    }
-    for (const VmId &vm : fleet_.vms()) {
-        fleet_.endpoints_.faults(vm) = {};
-        fleet_.resumeVm(vm);
-        const bool isReplaced = fleet_.truth(vm).isDead_ || fleet_.leaving().contains(vm);
-        if (isReplaced)
-            fleet_.restartVm(vm);
-        fleet_.setLeaving(vm, false);
-    }
-}
-
 /// Rows and VMs that are not in order, for people who look into a seed.
 std::string ControlExplorer::describe() const
 {
@@ -284,13 +258,7 @@
     if (!serves)
         return "after healing " + std::to_string(fleet_.wholeGroups()) + " of "
                + std::to_string(fleet_.declaredReplicas()) + " replicas are whole" + describe();
-    const auto isInForce = [this] {
-        for (std::size_t index = 0; index < fleet_.size(); ++index) {
-            if (fleet_.entry(index).node_->configuration().version() != fleet_.stored())
-                return false;
-        }
-        return true;
-    };
+    const auto isInForce = [this] { return fleet_.isInForce(); };
     if (!fleet_.runUntil(isInForce, seconds(30)))
         return "after healing an entry VM lacks the accepted version";
     const auto before = fleet_.stored();
@@ -300,93 +268,7 @@
         return "the store takes no configuration after healing";
     if (!fleet_.runUntil(isInForce, versionLimit))
         return "an accepted version is not in force everywhere after 5 s";
-    return check();
-}
-
-// ---- promises ------------------------------------------------------------------------------
-
-std::string ControlExplorer::check()
-{
-    for (std::size_t index = 0; index < fleet_.size(); ++index) {
-        const auto &entry = fleet_.entry(index);
-        if (!entry.isRunning())
-            continue;
-        const auto fault = checkUsable(entry);
-        if (!fault.empty())
-            return entry.id_.text() + " " + fault;
-    }
-    const auto fault = checkExclusive();
-    return fault.empty() ? checkVersions() : fault;
-}
-
-std::string ControlExplorer::checkUsable(const ControlEntry &entry) const
-{
-    for (const auto &service : entry.node_->snapshot()->services_) {
-        for (const auto &group : service.groups_) {
-            if (!group.isUsable(fleet_.clock_.now()))
-                continue;
-            for (const VmId &member : group.members_) {
-                const auto fault = checkMember(entry, group, member);
-                if (!fault.empty())
-                    return "uses " + group.group_.text() + " generation "
-                           + std::to_string(group.generation_.value()) + " although "
-                           + member.text() + " " + fault;
-            }
-        }
-    }
-    return {};
-}
-
-std::string ControlExplorer::checkMember(const ControlEntry &entry,
-                                         const routing::SnapshotGroup &group,
-                                         const VmId &member) const
-{
-    const TimePoint now = fleet_.clock_.now();
-    const auto &truth = fleet_.truth(member);
-    const auto &held = truth.state_.assignment_;
-    const bool isHeld = held && held->group_ == group.group_
-                        && held->generation_ == group.generation_
-                        && truth.state_.phase_ == endpoint::EnginePhase::Ready;
-    const bool isOut = truth.isDead_ || truth.isPaused_ || !isHeld;
-    if (isOut && now - truth.changedAt_ > freshness + granularity)
-        return truth.isDead_     ? "is dead"
-               : truth.isPaused_ ? "stands still"
-                                 : "holds something else";
-    const auto leaving = fleet_.leaving().find(member);
-    if (leaving == fleet_.leaving().end())
-        return {};
-    const TimePoint couldHear = std::max(leaving->second, entry.runsSince_);
-    return now - couldHear > leavingLimit ? "is leaving" : "";
-}
-
-std::string ControlExplorer::checkExclusive() const
-{
-    std::map<VmId, GroupId> groupOf;
-    for (const auto &row : fleet_.groupRows()) {
-        if (row.isFreeSlot())
-            continue;
-        for (const VmId &member : row.members_) {
-            const auto [place, isNew] = groupOf.emplace(member, row.group_);
-            if (!isNew)
-                return member.text() + " is in " + place->second.text() + " and in "
-                       + row.group_.text();
-        }
-    }
-    return {};
-}
-
-std::string ControlExplorer::checkVersions()
-{
-    for (std::size_t index = 0; index < fleet_.size(); ++index) {
-        const auto &entry = fleet_.entry(index);
-        if (!entry.node_ || !entry.node_->configuration().current())
-            continue;
-        const auto version = entry.node_->configuration().version();
-        if (version < seen_[index])
-            return entry.id_.text() + " went back to version " + std::to_string(version.value());
-        seen_[index] = version;
-    }
-    return {};
+    return promises_.check();
 }
 
 } // namespace cardamombay::support
--- a/tests/recovery/explorer.hpp
+++ b/tests/recovery/explorer.hpp
@@ -2,10 +2,9 @@
 /// \brief Random interleavings of faults over whole control nodes, with the promises checked.
 #pragma once
 
-#include "support/control_fleet.hpp"
+#include "support/promise_check.hpp"
 
 #include <cstdint>
-#include <map>
 #include <string>
 #include <vector>
 
@@ -33,25 +32,16 @@
     void actOnNodeLinks();
     void partition();
     void applyConfiguration();
-    void heal();
     [[nodiscard]] std::string finish();
     [[nodiscard]] std::string describe() const;
     [[nodiscard]] std::string describe(const VmId &vm) const;
-    [[nodiscard]] std::string check();
-    [[nodiscard]] std::string checkUsable(const ControlEntry &entry) const;
-    [[nodiscard]] std::string checkMember(const ControlEntry &entry,
-                                          const routing::SnapshotGroup &group,
-                                          const VmId &member) const;
-    [[nodiscard]] std::string checkExclusive() const;
-    [[nodiscard]] std::string checkVersions();
-
     [[nodiscard]] std::size_t below(std::size_t bound) { return random_.below(bound); }
     void note(std::string fault);
 
     Random random_;
     ControlFleet fleet_;
     std::vector<std::string> trail_;
-    std::map<std::size_t, ConfigVersion> seen_; ///< Highest version in force, by entry VM.
+    PromiseCheck promises_;
     std::uint64_t notes_ = 0;
     Duration recoveryTime_{};
 };
--- a/tests/support/control_fleet.cpp
+++ b/tests/support/control_fleet.cpp
@@ -9,6 +9,7 @@
 
 constexpr Duration stepOfTime = std::chrono::milliseconds(50);
 constexpr Duration callLatency = std::chrono::milliseconds(2);
+constexpr Duration peerTimeout = std::chrono::seconds(1);
 constexpr std::uint32_t replicasPerZone = 3; ///< Two of lm and one of sm.
 
 std::string zoneName(std::size_t zone)
@@ -43,7 +44,10 @@
 model = { name = "s", version = "1" }
 vms_per_replica = 3
 replicas = 1
-)"};
+
+[planner]
+concurrent_loads = )" + std::to_string(shape.concurrentLoads_)
+                                  + "\n"};
     for (std::size_t zone = 0; zone < shape.entriesPerZone_.size(); ++zone) {
         const auto name = zoneName(zone);
         all.overlays_.push_back({name + ".toml", "site = \"" + name + "\"\nregion = \"r\"\n"});
@@ -205,20 +209,29 @@
 
     void fetch(Address address, Callback<std::string> done) override
     {
+        const std::size_t peer = fleet_.indexAt(address);
+        const bool isCut
+            = fleet_.cuts_.contains({self_, peer}) || fleet_.cuts_.contains({peer, self_});
+        const bool isSilent = isCut || !fleet_.entry(peer).isRunning();
         fleet_.clock_.schedule(
-            callLatency, [this, address, answer = answerTo(process_, std::move(done))] {
-                const std::size_t peer = fleet_.indexAt(address);
-                const auto &entry = fleet_.entry(peer);
-                const bool isCut
-                    = fleet_.cuts_.contains({self_, peer}) || fleet_.cuts_.contains({peer, self_});
-                if (entry.isRunning() && !isCut && entry.node_->configuration().encodedCurrent())
-                    answer(*entry.node_->configuration().encodedCurrent());
-                else
-                    answer(Error(PeerUnreachable{entry.id_, "no answer"}));
+            isSilent ? peerTimeout : callLatency,
+            [this, peer, isSilent, answer = answerTo(process_, std::move(done))] {
+                answer(isSilent ? noAnswer(peer) : contentAt(peer));
             });
     }
 
 private:
+    [[nodiscard]] Result<std::string> noAnswer(std::size_t peer) const
+    {
+        return Error(PeerUnreachable{fleet_.entry(peer).id_, "no answer"});
+    }
+    [[nodiscard]] Result<std::string> contentAt(std::size_t peer) const
+    {
+        const auto &node = fleet_.entry(peer).node_;
+        const auto content = node ? node->configuration().encodedCurrent() : std::nullopt;
+        return content ? Result<std::string>(*content) : noAnswer(peer);
+    }
+
     ControlFleet &fleet_;
     std::size_t self_;
     std::shared_ptr<NodeProcess> process_;
@@ -519,6 +532,15 @@
         leaving_.erase(vm);
 }
 
+Address ControlFleet::addressOf(const VmId &vm) const
+{
+    for (const auto &record : list_) {
+        if (record.id_ == vm)
+            return record.address_;
+    }
+    throw std::runtime_error("no VM has that name");
+}
+
 std::vector<VmId> ControlFleet::vmsOf(const FabricDomain &domain) const
 {
     std::vector<VmId> all;
@@ -529,6 +551,30 @@
     return all;
 }
 
+void ControlFleet::heal()
+{
+    platform_.faults_ = StoreFaults{};
+    healCuts();
+    for (std::size_t index = 0; index < entries_.size(); ++index) {
+        resumeEntry(index);
+        if (!entry(index).node_)
+            restartEntry(index);
+        store(index).isCutOff_ = false;
+        orders(index).isCutOff_ = false;
+        orders(index).losesAnswers_ = false;
+        process(index).losesStoreAnswers_ = false;
+        process(index).extraStoreLatency_ = {};
+    }
+    for (const VmId &vm : vms()) {
+        endpoints_.faults(vm) = {};
+        resumeVm(vm);
+        const bool isReplaced = truth(vm).isDead_ || leaving().contains(vm);
+        if (isReplaced)
+            restartVm(vm);
+        setLeaving(vm, false);
+    }
+}
+
 // ---- configuration -------------------------------------------------------------------------
 
 void ControlFleet::applyConfiguration(const std::string &note, std::size_t operatorIndex)
@@ -586,6 +632,13 @@
     return shape_.entriesPerZone_.size() * replicasPerZone;
 }
 
+bool ControlFleet::isInForce() const
+{
+    return std::all_of(entries_.begin(), entries_.end(), [&](const auto &entry) {
+        return entry->isRunning() && entry->node_->configuration().version() == stored();
+    });
+}
+
 bool ControlFleet::isServing() const
 {
     if (wholeGroups() < declaredReplicas())
--- a/tests/support/control_fleet.hpp
+++ b/tests/support/control_fleet.hpp
@@ -26,7 +26,8 @@
     std::vector<std::uint32_t> entriesPerZone_ = {3, 2};
     std::uint32_t domainsPerZone_ = 2;
     std::uint32_t vmsPerDomain_ = 5;
-    std::string charts_ = "charts"; ///< Folder of the state charts.
+    std::uint32_t concurrentLoads_ = 4; ///< In one fabric domain.
+    std::string charts_ = "charts";     ///< Folder of the state charts.
 };
 
 /// \brief Process of one entry VM: runs, stands still or is dead; answers wait while it stands.
@@ -100,6 +101,9 @@
     /// \brief Runs until \p condition holds; false if it does not within \p limit.
     bool runUntil(const std::function<bool()> &condition, Duration limit);
 
+    /// \brief Ends all faults; dead VMs come back, leaving ones are replaced.
+    void heal();
+
     /// \name Entry VMs
     /// \{
     void killEntry(std::size_t index, bool isSilent = true);
@@ -124,6 +128,7 @@
     void resumeVm(const VmId &vm);
     void setLeaving(const VmId &vm, bool isLeaving);
     [[nodiscard]] const std::vector<VmId> &vms() const { return vms_; }
+    [[nodiscard]] Address addressOf(const VmId &vm) const;
     [[nodiscard]] std::vector<VmId> vmsOf(const FabricDomain &domain) const;
     [[nodiscard]] const std::vector<FabricDomain> &domains() const { return domains_; }
     [[nodiscard]] const EndpointTruth &truth(const VmId &vm) const { return truths_.at(vm); }
@@ -151,6 +156,8 @@
     [[nodiscard]] std::size_t wholeGroups() const;
     /// \brief Replicas declared over all zones.
     [[nodiscard]] std::size_t declaredReplicas() const;
+    /// \brief True if every entry VM runs and has the stored version in force.
+    [[nodiscard]] bool isInForce() const;
     /// \brief True if every declared replica is whole and usable at each node of its zone.
     [[nodiscard]] bool isServing() const;
     /// \}
