--- a/tests/support/control_fleet.cpp
+++ b/tests/support/control_fleet.cpp
@@ -110,15 +110,17 @@
 class ControlFleet::Table final : public platform::TableStore
 {
 public:
-    Table(FakePlatform &platform, std::shared_ptr<NodeProcess> process)
-        : inner_(platform)
-        , clock_(platform.clock())
+    Table(ControlFleet &fleet, std::shared_ptr<NodeProcess> process)
+        : inner_(fleet.platform_)
+        , clock_(fleet.clock_)
+        , calls_(fleet.storeCalls_)
         , process_(std::move(process))
     {
     }
 
     void commit(platform::Transaction transaction, Callback<platform::CommitReceipt> done) override
     {
+        ++calls_.commits_;
         auto answer = late(std::move(done));
         inner_.commit(std::move(transaction),
                       [process = process_, answer](Result<platform::CommitReceipt> result) {
@@ -130,10 +132,12 @@
     void read(std::vector<platform::RowKey> keys,
               Callback<std::vector<platform::Row>> done) override
     {
+        ++calls_.reads_;
         inner_.read(std::move(keys), late(std::move(done)));
     }
     void scan(platform::Scan scan, Callback<platform::ScanPage> done) override
     {
+        ++calls_.reads_;
         inner_.scan(std::move(scan), late(std::move(done)));
     }
 
@@ -150,6 +154,7 @@
     }
 
     Clock &clock_;
+    StoreCalls &calls_;
     std::shared_ptr<NodeProcess> process_;
 };
 
@@ -333,7 +338,7 @@
     entry.links_ = std::make_shared<ControlEntry::Links>();
     auto &links = *entry.links_;
     links.process_ = std::make_shared<NodeProcess>(network_.clock(entry.id_));
-    auto table = std::make_unique<Table>(platform_, links.process_);
+    auto table = std::make_unique<Table>(*this, links.process_);
     links.store_ = &table->inner_;
     links.table_ = std::move(table);
     links.objects_ = std::make_unique<Objects>(platform_, links.process_);
--- a/tests/support/control_fleet.hpp
+++ b/tests/support/control_fleet.hpp
@@ -73,6 +73,13 @@
     [[nodiscard]] bool isRunning() const { return node_ && !isPaused_; }
 };
 
+/// \brief Calls of the entry VMs to the table service, answered or not.
+struct StoreCalls
+{
+    std::uint64_t commits_ = 0;
+    std::uint64_t reads_ = 0; ///< Scans too.
+};
+
 /// \brief What is true of an endpoint VM, for checks; the nodes cannot see it.
 struct EndpointTruth
 {
@@ -164,6 +171,7 @@
 
     ManualClock clock_;
     FakePlatform platform_;
+    StoreCalls storeCalls_;
     FakeEndpoints endpoints_;
     FakePeerNetwork network_;
     control::NodeCharts charts_;
