Make the linter pass over the control side

Cause: scripts/check.sh found three points in src/control, and one check takes a defaulted three-way comparison for a null pointer everywhere.

--- a/src/control/config_peers.cpp
+++ b/src/control/config_peers.cpp
@@ -60,7 +60,7 @@
     search->done_ = std::move(done);
     search->open_ = addresses.size();
     for (const Address &address : addresses)
-        peers.fetch(address, [search](Result<std::string> answer) { search->take(answer); });
+        peers.fetch(address, [search](const Result<std::string> &answer) { search->take(answer); });
 }
 
 } // namespace cardamombay::control
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -189,6 +189,7 @@
     if (peers.size() > configPeersAsked)
         peers.resize(configPeersAsked);
     std::vector<Address> addresses;
+    addresses.reserve(peers.size());
     for (const auto &peer : peers)
         addresses.push_back(peer.address_);
     if (addresses.empty()) {
--- a/src/control/hosted_node.cpp
+++ b/src/control/hosted_node.cpp
@@ -157,7 +157,7 @@
     node_ = std::make_unique<ControlNode>(links, controlSettings(parts_), valueOf(charts));
     claims_ = std::make_unique<impl::ClaimDesk>(node_->claims());
     connect(std::move(ready));
-    const auto listening = listen();
+    auto listening = listen();
     if (!isOk(listening))
         return listening;
     node_->start();
