Split the ends of a session off

Cause: src/traffic/session.cpp had grown to 445 lines. Change: accounts, records, claim completion and closing stand in src/traffic/session_end.cpp; nothing else changed. Conclusion: the steps of a session and its ends can be read apart.

--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -15,11 +15,6 @@
 constexpr Duration longestSilence = std::chrono::seconds(10); ///< Of a stream that has begun.
 constexpr Duration groupPoll = std::chrono::milliseconds(50);
 
-std::string numberText(std::int64_t number)
-{
-    return std::to_string(number);
-}
-
 } // namespace
 
 Session::Session(TrafficContext &context, ParsedRequest request,
@@ -219,38 +214,6 @@
     }
 }
 
-void Session::accountAttempt(const outcomes::AttemptVerdict &verdict)
-{
-    lastVerdict_ = verdict;
-    mayHaveRun_ = mayHaveRun_ || verdict.outcome_ == outcomes::Outcome::Unknown;
-    hasRun_ = verdict.outcome_ == outcomes::Outcome::Ran;
-    const bool isOurDoing = verdict.cause_ == outcomes::Cause::CallerGone
-                            || verdict.cause_ == outcomes::Cause::Refused || endProblem_;
-    auto result = GroupResult::Failed;
-    if (hasRun_)
-        result = GroupResult::Succeeded;
-    else if (isOurDoing)
-        result = GroupResult::Abandoned;
-    const auto &plan = run_->plan();
-    context_.dispatcher_.finishAttempt(plan.group_.group_, result, run_->timeToFirstToken(), now());
-    context_.metrics_.attemptEnded(request_.service_, verdict.cause_);
-    context_.metrics_.answersDropped(run_->attempt().dropped());
-    if (run_->timeToFirstToken() > Duration::zero())
-        context_.metrics_.firstToken(request_.service_, run_->timeToFirstToken());
-    stepSpan_.setTag("outcome", outcomes::nameOf(verdict.outcome_));
-    stepSpan_.setTag("cause", outcomes::nameOf(verdict.cause_));
-    stepSpan_.finish();
-    if (hasRun_)
-        return;
-    log::info(log::event::attemptFailed,
-              {{"request", request_.id_.text()},
-               {"attempt", plan.id_.text()},
-               {"group", plan.group_.group_.text()},
-               {"cause", std::string(outcomes::nameOf(verdict.cause_))},
-               {"outcome", std::string(outcomes::nameOf(verdict.outcome_))},
-               {"tokens", numberText(run_->tokens())}});
-}
-
 bool Session::canResume(const outcomes::AttemptVerdict &verdict) const
 {
     const bool hasRunNothing = verdict.outcome_ == outcomes::Outcome::NotRun;
@@ -305,37 +268,6 @@
     retryTimer_ = context_.clock_.schedule(delay, guarded(&Session::attempt));
 }
 
-void Session::giveUp(const outcomes::AttemptVerdict &verdict, Duration retryAfter)
-{
-    record({{"outcome", std::string(outcomes::nameOf(overallOutcome()))},
-            {"attempts", std::to_string(attempts_)},
-            {"last-group", tried_.empty() ? std::string() : tried_.back().text()}},
-           outcomes::nameOf(verdict.cause_));
-    fail(failureProblem(overallOutcome(), verdict.cause_, request_.safety(), retryAfter));
-}
-
-void Session::record(std::vector<Detail> inputs, std::string_view choice)
-{
-    if (!context_.dispatcher_.mayRecord(now()))
-        return;
-    inputs.push_back({"service", request_.service_.text()});
-    inputs.push_back({"team", request_.team_.text()});
-    DecisionRecord record;
-    record.when_ = now();
-    record.event_ = log::event::requestRefused;
-    record.subject_ = request_.id_.text();
-    record.choice_ = choice;
-    record.inputs_ = std::move(inputs);
-    context_.control_.recordDecision(record);
-}
-
-outcomes::Outcome Session::overallOutcome() const
-{
-    if (hasRun_)
-        return outcomes::Outcome::Ran;
-    return mayHaveRun_ ? outcomes::Outcome::Unknown : outcomes::Outcome::NotRun;
-}
-
 void Session::checkGroup(const GroupWatch &watch, TimePoint now)
 {
     const bool isModel = request_.kind_ == config::ServiceKind::Model;
@@ -393,53 +325,4 @@
     fail(last);
 }
 
-void Session::fail(const Problem &problem)
-{
-    answer_.fail(problem);
-    close();
-}
-
-void Session::completeClaim()
-{
-    if (!std::exchange(hasClaim_, false))
-        return;
-    ClaimCompletion completion;
-    completion.team_ = request_.team_;
-    completion.key_ = request_.key_;
-    completion.request_ = request_.id_;
-    completion.outcome_ = overallOutcome();
-    if (hasRun_)
-        completion.answer_ = answer_.copy();
-    context_.control_.completeClaim(std::move(completion));
-}
-
-void Session::close()
-{
-    if (std::exchange(isClosed_, true))
-        return;
-    context_.clock_.cancel(deadlineTimer_);
-    context_.clock_.cancel(retryTimer_);
-    completeClaim();
-    if (isAdmitted_)
-        context_.dispatcher_.finished(request_.id_, *context_.control_.snapshot(), now());
-    const auto took = now() - startedAt_;
-    const auto outcome = overallOutcome();
-    context_.metrics_.inFlightChanged(-1);
-    context_.metrics_.requestFinished(request_.service_, answer_.status(), outcome, took);
-    span_.setTag("outcome", outcomes::nameOf(outcome));
-    span_.setTag("status", std::uint64_t{answer_.status()});
-    span_.finish();
-    log::info(log::event::requestFinished, {{"request", request_.id_.text()},
-                                            {"team", request_.team_.text()},
-                                            {"service", request_.service_.text()},
-                                            {"status", std::to_string(answer_.status())},
-                                            {"outcome", std::string(outcomes::nameOf(outcome))},
-                                            {"attempts", std::to_string(attempts_)},
-                                            {"ms", numberText(toMilliseconds(took))}});
-    context_.post_([weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-            self->closed_(self.get());
-    });
-}
-
 } // namespace cardamombay::traffic::impl
