--- a/include/cardamombay/membership/membership.hpp
+++ b/include/cardamombay/membership/membership.hpp
@@ -102,6 +102,8 @@
     /// \name What is known
     /// \{
     [[nodiscard]] const MemberEntry &self() const { return self_; }
+    /// \brief The entry of another member, or null if it is unknown.
+    [[nodiscard]] const MemberEntry *member(const EntryId &id) const;
     /// \brief All members that are known, self included, by identifier.
     [[nodiscard]] std::vector<MemberEntry> members() const;
     /// \brief Members that may be alive (Alive or Suspect), self included unless it left.
@@ -128,9 +130,10 @@
     {
         PeerLink link_;
         TimePoint nextExchangeAt_{};
-        TimePoint probeDeadline_{}; ///< Zero: no probe is awaited.
+        TimePoint probeDeadline_{}; ///< Of the probe that is awaited.
         bool isIndirect_ = false;   ///< The indirect probes have left.
         TimePoint probeSentAt_{};
+        TimePoint askedAt_{}; ///< Last digest that was sent to it unasked.
     };
     struct SentDigest
     {
@@ -157,6 +160,8 @@
     void rejoin();
     void join();
     void checkProbes();
+    void checkProbe(const EntryId &id);
+    void forgetOld();
     void checkSuspicions();
     void probeIndirectly(const EntryId &target);
 
@@ -166,11 +171,13 @@
     void returnTable(const Digest &answer);
     void sendToSeed(const Address &seed);
     [[nodiscard]] Digest makeDigest(const EntryId &to, Channel channel, bool hasPayload);
+    void appendCleared(Digest &digest, const MemberEntry &entry);
     void appendUpdates(Digest &digest, Channel channel);
     void appendSummaries(Digest &digest) const;
     void appendTable(Digest &digest, const RegionName &region) const;
 
     void receive(const Digest &digest, std::optional<TimePoint> madeAfter);
+    void noteHeard(const EntryId &id, Incarnation incarnation, TimePoint when);
     void applyReport(const MemberEntry &report);
     void refute(const MemberEntry &report);
     void takeReachRequests(const Digest &digest);
@@ -201,8 +208,11 @@
     std::map<EntryId, Peer> peers_;
     std::set<EntryId> scope_;
     std::set<EntryId> extraPeers_;
+    std::set<EntryId> probed_; ///< Members from whom an answer is awaited.
     std::vector<EntryId> probeOrder_;
+    std::size_t regionSize_ = 0; ///< Other live members of the region.
     std::map<EntryId, std::vector<EntryId>> reachRequesters_;
+    std::map<EntryId, Incarnation> cleared_; ///< Suspicions ended here that spread before.
     std::map<AvailabilityZone, RemoteSite> remoteSites_;
     std::vector<Address> seeds_;
     std::uint64_t nextSequence_;
@@ -219,6 +229,7 @@
     TimePoint nextRejoinAt_{};
     TimePoint nextSyncAt_{};
     TimePoint nextFlushAt_{};
+    TimePoint nextForgetAt_{};
     TimePoint wokeAt_{};
     Duration lastWakeGap_{};
     bool isAwaitingPeers_ = false;
