--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -94,7 +94,8 @@
         const Duration firstByte = result.firstByteAt_ - intended;
         figures.firstByte_.record(firstByte);
         figures.total_.record(result.endedAt_ - intended);
-        for (std::size_t i = 1; i < result.readAt_.size(); ++i)
+        const bool isStream = workload_.requests_[arrival.class_].isStream_;
+        for (std::size_t i = 1; isStream && i < result.readAt_.size(); ++i)
             figures.gap_.record(result.readAt_[i] - result.readAt_[i - 1]);
         report_.teams_[arrival.team_].tokens_ += arrival.tokens_;
         auto &longest = secondOf(arrival).longestFirstByte_;
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -22,10 +22,12 @@
 struct FleetPlan
 {
     std::vector<AvailabilityZone> zones_{AvailabilityZone{"zone-a"}};
+    std::string region_ = "region-1"; ///< Of all zones; must be the one in the overlays.
     std::uint32_t domainsPerZone_ = 1;
     std::uint32_t enginesPerDomain_ = 4;
     std::uint32_t plainsPerZone_ = 1;
-    std::uint32_t entries_ = 3; ///< Spread over the zones in turn.
+    std::string plainService_ = "app"; ///< What the VM list says they serve.
+    std::uint32_t entries_ = 3;        ///< Spread over the zones in turn.
     std::vector<std::string> engineArguments_{"--tokens-per-second", "400"};
     std::vector<std::string> platformArguments_{"--vm-list-lag-ms", "200", "--weight-time-ms",
                                                 "100"};
