--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+constexpr Duration forgetPeriod = std::chrono::seconds(10);
+/// By then a change has gone out on every channel this node uses; what missed it is found by the
+/// comparison of tables.
+constexpr Duration updateLifetime = std::chrono::seconds(60);
+
 /// Sequence numbers of two runs of one entry VM must not meet: an echo of the former run would
 /// give a digest a wrong age.
 std::uint64_t firstSequence(Random &random)
@@ -74,7 +79,7 @@
         return;
     self_.isDraining_ = isDraining;
     self_.incarnation_ = self_.incarnation_.next();
-    updates_.add(self_.id_);
+    updates_.add(self_.id_, clock_.now());
     flushSoon();
 }
 
@@ -83,7 +88,7 @@
     if (self_.status_ == MemberStatus::Left)
         return;
     self_.status_ = MemberStatus::Left;
-    updates_.add(self_.id_);
+    updates_.add(self_.id_, clock_.now());
     rebuildScope();
     for (const EntryId &id : scope_) {
         if (const Member *member = table_.find(id))
@@ -136,8 +141,20 @@
     probeNext();
     bridge();
     rejoin();
-    table_.forgetBefore(clock_.now() - settings_.tombstoneTime_);
-    std::erase_if(peers_, [this](const auto &item) { return table_.find(item.first) == nullptr; });
+    forgetOld();
+}
+
+void Membership::forgetOld()
+{
+    const TimePoint now = clock_.now();
+    if (now < nextForgetAt_)
+        return;
+    nextForgetAt_ = now + forgetPeriod;
+    table_.forgetBefore(now - settings_.tombstoneTime_);
+    updates_.dropBefore(now - updateLifetime);
+    const auto isUnknown = [this](const auto &item) { return table_.find(item.first) == nullptr; };
+    std::erase_if(peers_, isUnknown);
+    std::erase_if(cleared_, isUnknown);
 }
 
 bool Membership::isTrusted() const
@@ -168,17 +185,15 @@
     wokeAt_ = clock_.now();
     isAwaitingPeers_ = table_.aliveCount() > 0;
     table_.postpone(gap);
-    for (auto &[id, peer] : peers_) {
-        if (peer.probeDeadline_ != TimePoint{})
-            peer.probeDeadline_ += gap;
-    }
+    for (const EntryId &id : probed_)
+        peer(id).probeDeadline_ += gap;
     refresh();
 }
 
 void Membership::refresh()
 {
-    for (auto &[id, peer] : peers_)
-        peer.nextExchangeAt_ = TimePoint{};
+    for (auto &[id, other] : peers_)
+        other.nextExchangeAt_ = TimePoint{};
     nextProbeAt_ = TimePoint{};
     isFlushWanted_ = true;
 }
@@ -303,28 +318,33 @@
 void Membership::checkProbes()
 {
     const TimePoint now = clock_.now();
-    for (auto &[id, other] : peers_) {
-        if (other.probeDeadline_ == TimePoint{} || now < other.probeDeadline_)
-            continue;
-        const Member *member = table_.find(id);
-        const bool isHeard = member != nullptr && member->heardAt_ >= other.probeSentAt_;
-        if (member == nullptr || isHeard || member->entry_.status_ != MemberStatus::Alive
-            || member->entry_.region_ != self_.region_) {
-            other.probeDeadline_ = TimePoint{};
-            continue;
-        }
-        if (!other.isIndirect_) {
-            other.isIndirect_ = true;
-            other.probeDeadline_ = now + settings_.indirectTimeout_;
-            probeIndirectly(id);
-            continue;
-        }
-        other.probeDeadline_ = TimePoint{};
-        if (table_.suspect(id, now)) {
-            ++counters_.suspicions_;
-            changed(member->entry_);
-        }
+    std::vector<EntryId> due;
+    for (const EntryId &id : probed_) {
+        if (now >= peer(id).probeDeadline_)
+            due.push_back(id);
     }
+    for (const EntryId &id : due)
+        checkProbe(id);
+}
+
+void Membership::checkProbe(const EntryId &id)
+{
+    const TimePoint now = clock_.now();
+    Peer &other = peer(id);
+    const Member *member = table_.find(id);
+    const bool isSilent = member != nullptr && member->heardAt_ < other.probeSentAt_;
+    const bool isOurs = isSilent && member->entry_.region_ == self_.region_;
+    if (isOurs && !other.isIndirect_) {
+        other.isIndirect_ = true;
+        other.probeDeadline_ = now + settings_.indirectTimeout_;
+        probeIndirectly(id);
+        return;
+    }
+    probed_.erase(id);
+    if (!isOurs || !table_.suspect(id, now))
+        return;
+    ++counters_.suspicions_;
+    changed(member->entry_);
 }
 
 void Membership::checkSuspicions()
@@ -332,11 +352,16 @@
     const TimePoint now = clock_.now();
     const Duration timeout = suspicionTimeout();
     std::vector<EntryId> lapsed;
-    for (const auto &[id, member] : table_.members()) {
-        const bool isSuspect = member.entry_.status_ == MemberStatus::Suspect;
-        if (isSuspect && member.entry_.region_ == self_.region_
-            && now - member.statusSince_ >= timeout)
+    for (const EntryId &id : table_.suspects()) {
+        const Member &member = *table_.find(id);
+        if (member.entry_.region_ != self_.region_)
+            continue;
+        const Duration held = now - member.statusSince_;
+        if (held >= timeout)
             lapsed.push_back(id);
+        // Nobody is declared dead on hearsay alone: it is asked once more, at half-time.
+        else if (held >= timeout / 2 && peer(id).askedAt_ < member.statusSince_)
+            send(member, Channel::Region, false);
     }
     for (const EntryId &id : lapsed) {
         if (!table_.declareDead(id, now))
@@ -376,8 +401,9 @@
     Peer &other = peer(id);
     const Duration jitter = settings_.tick_ / 2;
     other.nextExchangeAt_ = now + settings_.exchangePeriod_ - jitter;
+    other.askedAt_ = now;
     const bool isProbe = target.entry_.status_ == MemberStatus::Alive;
-    if (isProbe && other.probeDeadline_ == TimePoint{}) {
+    if (isProbe && probed_.insert(id).second) {
         other.probeDeadline_ = now + settings_.probeTimeout_;
         other.probeSentAt_ = now;
         other.isIndirect_ = false;
@@ -477,6 +503,8 @@
         const Member *member = table_.find(to);
         if (member != nullptr && member->entry_.status_ != MemberStatus::Alive)
             digest.members_.push_back(member->entry_);
+        else if (member != nullptr)
+            appendCleared(digest, member->entry_);
     }
     appendUpdates(digest, channel);
     if (channel != Channel::Scope)
@@ -486,6 +514,20 @@
     return digest;
 }
 
+void Membership::appendCleared(Digest &digest, const MemberEntry &entry)
+{
+    const auto found = cleared_.find(entry.id_);
+    if (found == cleared_.end())
+        return;
+    if (entry.incarnation_ > found->second) {
+        cleared_.erase(found);
+        return;
+    }
+    MemberEntry suspected = entry;
+    suspected.status_ = MemberStatus::Suspect;
+    digest.members_.push_back(std::move(suspected));
+}
+
 void Membership::appendUpdates(Digest &digest, Channel channel)
 {
     for (const EntryId &id : updates_.take(channel, settings_.updatesPerDigest_, retransmits())) {
@@ -523,10 +565,8 @@
     peer(from.id_).link_.noteReceived(digest.sequence_, now);
     applyReport(from);
     noteConfigVersion(std::max(from.configVersion_, digest.newestConfig_));
-    if (madeAfter && table_.heard(from.id_, from.incarnation_, *madeAfter, now)) {
-        if (const Member *member = table_.find(from.id_))
-            changed(member->entry_);
-    }
+    if (madeAfter)
+        noteHeard(from.id_, from.incarnation_, *madeAfter);
     for (const MemberEntry &report : digest.members_)
         applyReport(report);
     takeReachReports(digest, madeAfter);
@@ -536,6 +576,17 @@
     passOn(digest, *madeAfter);
 }
 
+void Membership::noteHeard(const EntryId &id, Incarnation incarnation, TimePoint when)
+{
+    if (!table_.heard(id, incarnation, when, clock_.now()))
+        return;
+    const Member *member = table_.find(id);
+    // The suspicion may have reached others, who have no evidence of their own: only the member
+    // can refute it there, so it has to hear of it.
+    cleared_[id] = member->entry_.incarnation_;
+    changed(member->entry_);
+}
+
 void Membership::applyReport(const MemberEntry &report)
 {
     if (report.id_.isEmpty())
@@ -557,7 +608,7 @@
         return;
     ++counters_.refutations_;
     self_.incarnation_ = report.incarnation_.next();
-    updates_.add(self_.id_);
+    updates_.add(self_.id_, clock_.now());
     flushSoon();
 }
 
@@ -600,11 +651,7 @@
     if (!madeAfter)
         return;
     for (const ReachReport &report : digest.reachReports_) {
-        const TimePoint when = *madeAfter - report.age_;
-        if (!table_.heard(report.target_, report.incarnation_, when, clock_.now()))
-            continue;
-        if (const Member *member = table_.find(report.target_))
-            changed(member->entry_);
+        noteHeard(report.target_, report.incarnation_, *madeAfter - report.age_);
     }
 }
 
@@ -630,6 +677,8 @@
         counted.watch_->age_ += flight;
     for (ObservationEntry &observation : counted.observations_)
         observation.age_ += flight;
+    for (GoneEntry &gone : counted.gone_)
+        gone.age_ += flight;
     for (LeavingEntry &leaving : counted.leaving_)
         leaving.age_ += flight;
     sink_(counted);
@@ -660,7 +709,7 @@
 
 void Membership::changed(const MemberEntry &entry)
 {
-    updates_.add(entry.id_);
+    updates_.add(entry.id_, clock_.now());
     isScopeStale_ = true;
     if (onChange_)
         onChange_(entry);
@@ -678,6 +727,7 @@
         if (member.entry_.zone_ == self_.zone_)
             site.insert(id);
     }
+    regionSize_ = region.size();
     const bool isSmall = region.size() < settings_.wholeRegionLimit_;
     scope_ = isSmall || site.empty() ? std::move(region) : std::move(site);
 }
@@ -710,7 +760,8 @@
 
 Duration Membership::suspicionTimeout() const
 {
-    const double factor = settings_.suspicionFactor_ * sizeFactor(table_.aliveCount());
+    // Only members of the region suspect each other, so only they need time to hear of it.
+    const double factor = settings_.suspicionFactor_ * sizeFactor(regionSize_);
     return std::chrono::duration_cast<Duration>(factor * settings_.probePeriod_);
 }
 
@@ -725,6 +776,12 @@
     return peers_[id];
 }
 
+const MemberEntry *Membership::member(const EntryId &id) const
+{
+    const Member *found = table_.find(id);
+    return found == nullptr ? nullptr : &found->entry_;
+}
+
 std::vector<MemberEntry> Membership::members() const
 {
     std::vector<MemberEntry> all;
