--- a/bench/planner_traces.cpp
+++ b/bench/planner_traces.cpp
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Group downtime and stranded VM time of repair policies on the same fault traces.
-/// \details Usage: bench_planner_traces [charts folder] [hours]. Real leases, boards and group
-/// managers on in-memory endpoints and store with the paused clock. Seeds 1 to 8 were used for
-/// tuning, seeds 101 to 108 were not.
+/// \details Usage: bench_planner_traces [charts folder] [hours] [deployment]. Real leases, boards
+/// and group managers on in-memory endpoints and store with the paused clock. Seeds 1 to 8 were
+/// used for tuning, seeds 101 to 108 were not.
 #include "support/planner_fleet.hpp"
 
 #include <cmath>
@@ -218,7 +218,10 @@
     const Duration length = std::chrono::hours(count > 2 ? std::atol(arguments[2]) : 2);
     std::printf("| deployment | load time | seeds | policy | group downtime (s) "
                 "| stranded (VM s) | weighted cost |\n|---|---|---|---|---|---|---|\n");
+    const std::string only = count > 3 ? arguments[3] : "";
     for (const Deployment &deployment : {quieteSonora, wasata}) {
+        if (!only.empty() && only != deployment.name_)
+            continue;
         for (const Duration loadTime : {seconds(30), seconds(60), seconds(240)})
             report({deployment, loadTime, length, folder});
     }
--- a/src/groups/group_manager.cpp
+++ b/src/groups/group_manager.cpp
@@ -7,6 +7,7 @@
 #include "row_writer.hpp"
 
 #include <cardamombay/groups/events.hpp>
+#include <cardamombay/planning/return_history.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -36,6 +37,7 @@
         , desk_(clock, orders, lease, decisions, settings_)
         , writer_(clock, store, lease, decisions, settings_, self, incarnation)
         , members_(desk_, writer_, lease.domain())
+        , returns_(lease.domain())
     {
     }
 
@@ -82,6 +84,7 @@
     impl::OrderDesk desk_;
     impl::RowWriter writer_;
     impl::MemberOrders members_;
+    planning::ReturnHistory returns_;
     config::ConfigurationPtr configuration_;
     std::map<GroupId, GroupLife> lives_;
     std::map<GroupId, std::vector<VmId>> missing_;
@@ -148,6 +151,7 @@
     noted_.clear();
     desk_.clear();
     writer_.clear();
+    returns_.clear();
 }
 
 void GroupManager::Impl::followRows(const PlanInput &input)
@@ -309,8 +313,10 @@
 
 void GroupManager::Impl::plan(const PlanInput &input, const DomainView &view)
 {
-    const planning::PlanState state = impl::surveyOf(
+    planning::PlanState state = impl::surveyOf(
         {input, view, writer_, lives_, lease_.domain(), clock_.now(), tenureSince_});
+    returns_.observe(state, clock_.now());
+    state.policy_ = returns_.corrected(state.policy_);
     for (const PlanDecision &decision : planner_.plan(state)) {
         note(decision);
         carryOut(decision, input);
