--- a/tests/net/asio_clock.cpp
+++ b/tests/net/asio_clock.cpp
@@ -16,10 +16,10 @@
     boost::asio::io_context context;
     AsioClock clock(context);
     std::vector<int> order;
+    const auto start = clock.now();
     clock.schedule(milliseconds(30), [&] { order.push_back(3); });
     clock.schedule(milliseconds(10), [&] { order.push_back(1); });
     clock.schedule(milliseconds(20), [&] { order.push_back(2); });
-    const auto start = clock.now();
 
     context.run();
 
