--- a/include/cardamombay/traffic/snapshot_holder.hpp
+++ b/include/cardamombay/traffic/snapshot_holder.hpp
@@ -4,13 +4,16 @@
 
 #include <cardamombay/routing/routing_snapshot.hpp>
 
-#include <atomic>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace cardamombay::traffic {
 
 /// \brief Latest routing snapshot; written by the control thread, read by traffic threads.
+/// \details A mutex held for the copy of one pointer. std::atomic<std::shared_ptr> would do, but
+/// that of libstdc++ 12 releases its internal lock in relaxed order after a load, which the thread
+/// sanitizer rightly reports as a race with the next store.
 class SnapshotHolder
 {
 public:
@@ -22,17 +25,21 @@
     /// \brief Replaces the snapshot; \p snapshot is not null.
     void publish(routing::RoutingSnapshotPtr snapshot)
     {
-        snapshot_.store(std::move(snapshot), std::memory_order_release);
+        const std::lock_guard guard(mutex_);
+        // Swapped, so that the former snapshot is destroyed after the lock is released.
+        snapshot_.swap(snapshot);
     }
 
     /// \brief The latest snapshot; never null.
     [[nodiscard]] routing::RoutingSnapshotPtr snapshot() const
     {
-        return snapshot_.load(std::memory_order_acquire);
+        const std::lock_guard guard(mutex_);
+        return snapshot_;
     }
 
 private:
-    std::atomic<routing::RoutingSnapshotPtr> snapshot_;
+    mutable std::mutex mutex_;
+    routing::RoutingSnapshotPtr snapshot_;
 };
 
 } // namespace cardamombay::traffic
--- a/src/admin/json_fields.hpp
+++ b/src/admin/json_fields.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <span>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -51,10 +52,16 @@
     return value && value->as_bool();
 }
 
+/// Longest duration a message may state; longer ones would not fit a Duration.
+inline constexpr std::int64_t longestMilliseconds = std::int64_t{100} * 365 * 24 * 3600 * 1000;
+
 inline Duration millisecondsAt(const json::object &object, std::string_view key)
 {
     const json::value *value = object.if_contains(key);
-    return std::chrono::milliseconds(value ? json::value_to<std::int64_t>(*value) : 0);
+    const auto count = value ? json::value_to<std::int64_t>(*value) : 0;
+    if (count < 0 || count > longestMilliseconds)
+        throw std::out_of_range(std::string(key));
+    return std::chrono::milliseconds(count);
 }
 
 template<typename Item>
--- a/tests/fuzz/regressions.cpp
+++ b/tests/fuzz/regressions.cpp
@@ -1,4 +1,5 @@
 // Faults that fuzzing has found; each test names the text that showed it.
+#include <cardamombay/admin/admin_vm.hpp>
 #include <cardamombay/chart/chart.hpp>
 #include <cardamombay/config/config_parser.hpp>
 #include <cardamombay/leases/lease_row.hpp>
@@ -48,3 +49,15 @@
         cr_expect(isError<MalformedMessage>(row), "%s", term);
     }
 }
+
+// The age overflowed the type of durations.
+Test(fuzz_regressions, age_of_a_vm_out_of_range_is_malformed)
+{
+    for (const char *age : {"1844674294967295", "-1", "9223372036854775807"}) {
+        const auto vms = admin::decodeVms(
+            std::string(R"({"vms":[{"id":"v","zone":"z","domain":"d","service":"","group":"",)")
+            + R"("phase":"idle","age_ms":)" + age + R"(,"leaving":false,"straggler":false}]})");
+
+        cr_expect(isError<MalformedMessage>(vms), "%s", age);
+    }
+}
