Check the time limit of a claim before the first byte leaves

Cause: a claim is granted with a time after which other entry VMs may decide its row without the holder, but nothing compared the clock with it, so a thread paused between grant and hand-over could still hand over. Change: Session passes the limit to the attempt, which reads the clock last before it sends. If the limit has passed nothing is sent, the claim is freed, and the caller gets 503, not-run and Retry-After (type claim-lapsed). A repeated attempt is not started after the limit either. The fake control link grants without a limit unless the test sets one. A session that is over when its grant arrives already kept itself alive and gave the claim back (claim_that_comes_after_the_deadline_is_given_back). Conclusion: a late thread cannot hand a keyed request over.

--- a/src/traffic/attempt_run.cpp
+++ b/src/traffic/attempt_run.cpp
@@ -89,7 +89,10 @@
     const auto now = context_.clock_.now();
     const auto snapshot = context_.control_.snapshot();
     const auto standing = standingOf(plan_.group_, request_.service_, *snapshot, now);
-    if (standing == GroupStanding::Usable)
+    // Read last: this thread may have been paused up to here, and the claim's row may by now be
+    // decided without this attempt.
+    isTooLate_ = context_.clock_.now() >= plan_.handOverBefore_;
+    if (standing == GroupStanding::Usable && !isTooLate_)
         return attempt_.startSending();
     attempt_.groupLost();
     over();
--- a/src/traffic/attempt_run.hpp
+++ b/src/traffic/attempt_run.hpp
@@ -21,6 +21,7 @@
     AttemptId id_;
     routing::SnapshotGroup group_;
     std::uint64_t resumeFrom_ = 0;
+    TimePoint handOverBefore_{TimePoint::max()}; ///< Of its claim; nothing leaves from then on.
 };
 
 /// \brief Why this side stops an attempt.
@@ -59,6 +60,8 @@
 
     [[nodiscard]] const outcomes::Attempt &attempt() const { return attempt_; }
     [[nodiscard]] const AttemptPlan &plan() const { return plan_; }
+    /// \brief True if the claim ran out before the hand-over, so that nothing left.
+    [[nodiscard]] bool isTooLate() const { return isTooLate_; }
     [[nodiscard]] std::uint32_t tokens() const { return tokens_; }
     /// \brief Zero if no token came, or if the answer was not streamed and so shows no first one.
     [[nodiscard]] Duration timeToFirstToken() const { return timeToFirstToken_; }
@@ -108,6 +111,7 @@
     bool isUnheard_ = false;
     bool hasConnectionEnded_ = false;
     bool isCancelled_ = false;
+    bool isTooLate_ = false;
     bool isOver_ = false;
 };
 
--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -67,6 +67,8 @@
 void Session::takeClaim(const ClaimAnswer &answer)
 {
     hasClaim_ = answer.verdict_ == ClaimVerdict::Granted;
+    if (hasClaim_)
+        handOverBefore_ = answer.handOverBefore_;
     if (isClosed_) {
         // The deadline passed meanwhile, so the claim is given back: nothing was handed over.
         completeClaim();
@@ -139,6 +141,10 @@
 void Session::attempt()
 {
     retryTimer_ = TimerId::None;
+    if (now() >= handOverBefore_) {
+        fail(lateClaimProblem(overallOutcome()));
+        return;
+    }
     auto routeSpan = span_.child("route");
     RouteQuery query;
     query.service_ = request_.service_;
@@ -169,6 +175,7 @@
     plan.id_ = outcomes::makeAttemptId(request_.id_, attempts_, context_.incarnation_);
     plan.group_ = group;
     plan.resumeFrom_ = relay_->continuity().nextIndex();
+    plan.handOverBefore_ = handOverBefore_;
     stepSpan_ = span_.child("attempt");
     stepSpan_.setTag("attempt", plan.id_.text());
     stepSpan_.setTag("group", group.group_.text());
@@ -203,6 +210,8 @@
 void Session::onAttemptOver()
 {
     const auto verdict = run_->attempt().verdict();
+    if (run_->isTooLate() && !endProblem_)
+        endProblem_ = lateClaimProblem(overallOutcome());
     accountAttempt(verdict);
     if (endProblem_) {
         endProblem_->outcome_ = overallOutcome();
--- a/src/traffic/session.hpp
+++ b/src/traffic/session.hpp
@@ -87,6 +87,7 @@
     TimerId deadlineTimer_ = TimerId::None;
     TimerId retryTimer_ = TimerId::None;
     TimePoint groupMissingSince_{TimePoint::max()};
+    TimePoint handOverBefore_{TimePoint::max()}; ///< Of the granted claim.
     std::uint32_t attempts_ = 0;
     std::uint32_t resumes_ = 0;
     outcomes::AttemptVerdict lastVerdict_{outcomes::Outcome::NotRun};
--- a/src/traffic/session_problems.cpp
+++ b/src/traffic/session_problems.cpp
@@ -71,6 +71,19 @@
     return problem;
 }
 
+Problem lateClaimProblem(outcomes::Outcome outcome)
+{
+    Problem problem;
+    problem.status_ = unavailable;
+    problem.type_ = "claim-lapsed";
+    problem.title_ = "The time for handing the request over had passed";
+    problem.detail_ = "the claim on its idempotency key ran out first, so nothing was handed over";
+    problem.remedy_ = "send it again with the same key after the time in Retry-After";
+    problem.outcome_ = outcome;
+    problem.retryAfter_ = shortRetry;
+    return problem;
+}
+
 Problem failureProblem(outcomes::Outcome outcome, outcomes::Cause cause,
                        outcomes::RequestSafety safety, Duration retryAfter)
 {
--- a/src/traffic/session_problems.hpp
+++ b/src/traffic/session_problems.hpp
@@ -14,6 +14,8 @@
 [[nodiscard]] Problem noGroupProblem(routing::RouteReason reason);
 /// \param answer any verdict but Granted and Finished.
 [[nodiscard]] Problem claimProblem(const ClaimAnswer &answer);
+/// \brief The claim was granted, but its time for the hand-over had passed.
+[[nodiscard]] Problem lateClaimProblem(outcomes::Outcome outcome);
 [[nodiscard]] Problem failureProblem(outcomes::Outcome outcome, outcomes::Cause cause,
                                      outcomes::RequestSafety safety, Duration retryAfter);
 [[nodiscard]] Problem drainProblem();
--- a/tests/traffic/fake_control_link.hpp
+++ b/tests/traffic/fake_control_link.hpp
@@ -47,7 +47,8 @@
     traffic::SnapshotHolder holder_;
     std::mutex mutex_;
     traffic::TrafficReport lastReport_;
-    traffic::ClaimAnswer claimAnswer_;
+    /// Unless the test says otherwise a grant has no time limit.
+    traffic::ClaimAnswer claimAnswer_{traffic::ClaimVerdict::Unavailable, {}, {}, TimePoint::max()};
     bool holdsClaims_ = false; ///< The test answers through heldClaim_.
     traffic::ClaimCallback heldClaim_;
     std::vector<traffic::ClaimRequest> claims_;
--- a/tests/traffic/sessions.cpp
+++ b/tests/traffic/sessions.cpp
@@ -241,3 +241,57 @@
     const auto report = bench.dispatcher_.report(*bench.control_.snapshot(), bench.clock_.now());
     cr_assert(report.inFlight_.empty());
 }
+
+namespace {
+
+/// A keyed call that may run only once; its claim has to be used within 500 ms.
+struct KeyedCall : TwoGroups
+{
+    KeyedCall()
+    {
+        control_.claimAnswer_.verdict_ = traffic::ClaimVerdict::Granted;
+        control_.claimAnswer_.handOverBefore_ = clock_.now() + milliseconds(500);
+        exchange_ = send(true, {{"X-Non-Idempotent", "true"}, {"Idempotency-Key", "k"}});
+    }
+
+    std::shared_ptr<FakeExchange> exchange_;
+};
+
+} // namespace
+
+Test(sessions, claim_that_lapses_before_the_first_byte_hands_nothing_over)
+{
+    KeyedCall bench;
+    bench.advance(milliseconds(500));
+
+    cr_assert_not(bench.call(0).begin());
+    bench.runPosted();
+
+    cr_assert_eq(bench.exchange_->head_.status_, 503u);
+    cr_assert_eq(bench.exchange_->outcome_, "not-run");
+    cr_assert_neq(bench.exchange_->head_.field("Retry-After"), "");
+    cr_assert_eq(bench.upstream_.calls_.size(), 1u);
+    cr_assert_eq(bench.control_.completions_.size(), 1u);
+    cr_assert(bench.control_.completions_[0].outcome_ == outcomes::Outcome::NotRun);
+}
+
+Test(sessions, claim_in_time_hands_over)
+{
+    KeyedCall bench;
+    bench.advance(milliseconds(480));
+
+    cr_assert(bench.call(0).begin());
+}
+
+Test(sessions, claim_that_lapses_between_two_attempts_starts_no_other)
+{
+    KeyedCall bench;
+    bench.advance(milliseconds(480));
+
+    bench.call(0).fail(false);
+    bench.advance(seconds(2));
+
+    cr_assert_eq(bench.upstream_.calls_.size(), 1u);
+    cr_assert_eq(bench.exchange_->outcome_, "not-run");
+    cr_assert(bench.control_.completions_[0].outcome_ == outcomes::Outcome::NotRun);
+}
