--- a/include/cardamombay/watching/endpoint_watcher.hpp
+++ b/include/cardamombay/watching/endpoint_watcher.hpp
@@ -157,6 +157,7 @@
         std::uint64_t acknowledged_ = 0; ///< Revision of the own set that the peer has.
     };
 
+    [[nodiscard]] Duration periodOf(const OwnWatch &watch) const;
     void scheduleTick();
     void tick();
     void probeNeeded();
--- a/include/cardamombay/watching/watch_settings.hpp
+++ b/include/cardamombay/watching/watch_settings.hpp
@@ -13,6 +13,7 @@
 {
     Duration tick_ = std::chrono::milliseconds(100);
     Duration probePeriod_ = std::chrono::seconds(1);
+    Duration loadingProbePeriod_ = std::chrono::milliseconds(250); ///< While a VM loads.
     Duration probeTimeout_ = std::chrono::milliseconds(900);
     Duration freshnessWindow_ = std::chrono::seconds(3);  ///< An older observation is not used.
     Duration lateTime_ = std::chrono::milliseconds(1500); ///< A VM silent for longer is not told.
--- a/src/watching/endpoint_watcher.cpp
+++ b/src/watching/endpoint_watcher.cpp
@@ -71,9 +71,10 @@
     for (auto &[vm, watch] : own_) {
         if (now < watch.nextProbeAt_)
             continue;
-        watch.nextProbeAt_ += settings_.probePeriod_;
+        const Duration period = periodOf(watch);
+        watch.nextProbeAt_ += period;
         if (watch.nextProbeAt_ <= now)
-            watch.nextProbeAt_ = now + settings_.probePeriod_;
+            watch.nextProbeAt_ = now + period;
         probe(vm);
     }
     removeLateRows();
@@ -84,6 +85,13 @@
     }
 }
 
+/// A group serves as soon as its last member is seen ready, so the end of a load is looked for.
+Duration EndpointWatcher::periodOf(const OwnWatch &watch) const
+{
+    const bool isLoading = watch.last_.state_.phase_ == endpoint::EnginePhase::Loading;
+    return isLoading ? settings_.loadingProbePeriod_ : settings_.probePeriod_;
+}
+
 void EndpointWatcher::probeNow(const VmId &vm)
 {
     probe(vm);
--- a/tests/watching/failures.cpp
+++ b/tests/watching/failures.cpp
@@ -87,6 +87,34 @@
     cr_assert_eq(fleet.freshAt(WatchFleet::vm(6)), 7);
 }
 
+Test(watching, loading_vm_is_probed_four_times_as_often)
+{
+    WatchFleet fleet(shape(7), 1);
+    const VmId vm = WatchFleet::vm(0);
+    const auto probesIn = [&](Duration time) {
+        const auto before = fleet.endpoints_.probes();
+        fleet.run(time);
+        return fleet.endpoints_.probes() - before;
+    };
+    fleet.run(seconds(8));
+    const auto idle = probesIn(seconds(10));
+    fleet.endpoints_.loadTime_ = minutes(1);
+    endpoint::EndpointOrder order;
+    order.id_ = OrderId("order-1");
+    order.vm_ = vm;
+    order.fencing_ = Epoch(1);
+    order.assignment_ = {GroupId("lm/zone/0"), Generation(1), 0};
+    order.members_ = {vm};
+    fleet.orders(0).send(fleet.vms_[0].address_, order,
+                         [](const Result<endpoint::EndpointState> &) {});
+    fleet.run(seconds(2));
+
+    const auto loading = probesIn(seconds(10));
+
+    cr_assert_eq(idle, 20U);
+    cr_assert_eq(loading, 80U);
+}
+
 Test(watching, refusal_is_overruled_by_a_later_answer)
 {
     WatchFleet fleet(shape(7), vmCount);
