--- a/tests/faults/control_checks.cpp
+++ b/tests/faults/control_checks.cpp
@@ -174,13 +174,6 @@
     std::string settle()
     {
         fleet_.heal();
-        for (std::size_t index = 0; index < fleet_.size(); ++index) {
-            // A process that drained or left is replaced by a new one.
-            const auto &node = fleet_.entry(index).node_;
-            const auto &self = node->membership().self();
-            if (self.isDraining_ || self.status_ == membership::MemberStatus::Left)
-                fleet_.restartEntry(index);
-        }
         fleet_.endpoints_.latency_ = milliseconds(1);
         const TimePoint end = fleet_.clock_.now() + settleLimit;
         while (!isSettled() && fleet_.clock_.now() < end)
--- a/tests/recovery/explorer.cpp
+++ b/tests/recovery/explorer.cpp
@@ -22,6 +22,7 @@
 {
     ControlFleetShape shape;
     shape.charts_ = SOURCE_FOLDER "/charts";
+    shape.checksFencing_ = seed % 2 == 0;
     if (seed % 3 == 0)
         shape.entriesPerZone_ = {2, 2, 1};
     return shape;
@@ -105,7 +106,7 @@
 void ControlExplorer::actOnEntry()
 {
     const std::size_t index = below(fleet_.size());
-    const std::size_t kind = below(4);
+    const std::size_t kind = below(6);
     note("entry " + std::to_string(index) + " kind " + std::to_string(kind));
     if (kind == 0)
         fleet_.killEntry(index, below(2) == 0);
@@ -115,12 +116,17 @@
         fleet_.pauseEntry(index);
     if (kind == 3)
         fleet_.resumeEntry(index);
+    const bool isPlanned = kind >= 4 && fleet_.entry(index).isRunning();
+    if (isPlanned)
+        fleet_.entry(index).node_->drain();
+    if (isPlanned && kind == 5)
+        fleet_.entry(index).node_->leave();
 }
 
 void ControlExplorer::actOnVm()
 {
     const VmId vm = fleet_.vms()[below(fleet_.vms().size())];
-    const std::size_t kind = below(6);
+    const std::size_t kind = below(9);
     note("vm " + vm.text() + " kind " + std::to_string(kind));
     if (kind == 0)
         fleet_.killVm(vm);
@@ -134,6 +140,12 @@
         fleet_.setLeaving(vm, true);
     if (kind == 5)
         fleet_.endpoints_.faults(vm).loseNextAnswers_ = 2;
+    if (kind == 6)
+        fleet_.endpoints_.faults(vm).loseNextOrders_ = 2;
+    if (kind == 7)
+        fleet_.endpoints_.faults(vm).failsLoading_ = true;
+    if (kind == 8)
+        fleet_.endpoints_.faults(vm).extraLatency_ = milliseconds(below(600));
 }
 
 void ControlExplorer::actOnDomain()
@@ -180,9 +192,16 @@
 
 void ControlExplorer::partition()
 {
-    const std::size_t kind = below(3);
+    const std::size_t kind = below(4);
     note("partition kind " + std::to_string(kind));
     fleet_.healCuts();
+    if (kind == 3) {
+        auto &faults = fleet_.network_.faults_;
+        faults.loss_ = 0.1;
+        faults.duplication_ = 0.1;
+        faults.jitter_ = milliseconds(300);
+        return;
+    }
     if (kind == 2)
         return;
     std::set<std::size_t> side;
--- a/tests/support/control_fleet.cpp
+++ b/tests/support/control_fleet.cpp
@@ -28,6 +28,7 @@
 config::ConfigSources sources(const ControlFleetShape &shape, const std::string &note)
 {
     config::ConfigSources all;
+    const std::string fencing = shape.checksFencing_ ? "" : "checks_fencing = false";
     all.base_ = {"base.toml", "# " + note + R"(
 deployment = "fleet"
 
@@ -38,12 +39,14 @@
 model = { name = "m", version = "1" }
 vms_per_replica = 2
 replicas = 2
+)" + fencing + R"(
 
 [services.sm]
 kind = "model"
 model = { name = "s", version = "1" }
 vms_per_replica = 3
 replicas = 1
+)" + fencing + R"(
 
 [planner]
 concurrent_loads = )" + std::to_string(shape.concurrentLoads_)
@@ -63,6 +66,13 @@
     };
 }
 
+/// A process that drained or left ends; a new one takes its place.
+bool isOnItsWayOut(const control::ControlNode &node)
+{
+    const auto &self = node.membership().self();
+    return self.isDraining_ || self.status_ == membership::MemberStatus::Left;
+}
+
 class Orders final : public endpoint::EndpointOrders
 {
 public:
@@ -290,7 +300,7 @@
                 const Address address{
                     "10.1." + std::to_string(domains_.size()) + "." + std::to_string(vm), 9000};
                 vms_.push_back(id);
-                endpoints_.addVm(id, address);
+                endpoints_.addVm(id, address, shape_.checksFencing_);
                 platform::VmRecord record;
                 record.id_ = id;
                 record.address_ = address;
@@ -560,9 +570,10 @@
 {
     platform_.faults_ = StoreFaults{};
     healCuts();
+    network_.faults_ = PeerFaults{};
     for (std::size_t index = 0; index < entries_.size(); ++index) {
         resumeEntry(index);
-        if (!entry(index).node_)
+        if (!entry(index).node_ || isOnItsWayOut(*entry(index).node_))
             restartEntry(index);
         store(index).isCutOff_ = false;
         orders(index).isCutOff_ = false;
--- a/tests/support/control_fleet.hpp
+++ b/tests/support/control_fleet.hpp
@@ -27,6 +27,7 @@
     std::uint32_t domainsPerZone_ = 2;
     std::uint32_t vmsPerDomain_ = 5;
     std::uint32_t concurrentLoads_ = 4; ///< In one fabric domain.
+    bool checksFencing_ = true;         ///< Engines refuse an old fencing number.
     std::string charts_ = "charts";     ///< Folder of the state charts.
 };
 
