End the veto of a VM that was down when it was listed as leaving

Cause: A veto that began while no entry VM had ever seen the VM running took the incarnation of its replacement, so the replacement stayed vetoed until it restarted once more or an operator acted. Change: An incarnation learnt after the veto is kept apart and not told to peers; a later list that says the VM is live ends such a veto. Conclusion: Lists still end no veto whose VM was seen running.

--- a/include/cardamombay/watching/veto_table.hpp
+++ b/include/cardamombay/watching/veto_table.hpp
@@ -19,7 +19,8 @@
 /// veto carries a count of its changes: odd is leaving, even is lifted, and the highest count wins,
 /// so that a late digest cannot bring back what was lifted. A veto ends by lift() only: an operator
 /// undrains the VM, or the VM was replaced (it restarted and a later VM list says it is live). A VM
-/// list that merely stops saying that the VM leaves does not end it, for lists lag.
+/// list that merely stops saying that the VM leaves does not end it, for lists lag; but if nobody
+/// knew the incarnation when the veto began, a restart cannot be told and the list decides.
 class VetoTable
 {
 public:
@@ -41,6 +42,8 @@
     /// \brief True if \p vm, live in a list of \p listTakenAt, was replaced since its veto.
     [[nodiscard]] bool isReplaced(const VmId &vm, Incarnation incarnation,
                                   TimePoint listTakenAt) const;
+    /// \brief True if \p vm leaves and its incarnation was not known when the veto began.
+    [[nodiscard]] bool isOfUnknownIncarnation(const VmId &vm) const;
     /// \brief Since when \p vm leaves; the zero instant if it does not.
     [[nodiscard]] TimePoint leavingSince(const VmId &vm) const;
     [[nodiscard]] std::vector<VmId> leaving() const;
@@ -60,6 +63,7 @@
     {
         std::uint64_t count_ = 0;
         Incarnation incarnation_; ///< At the time of the veto.
+        bool isLate_ = false;     ///< The incarnation was learnt here after the veto began.
         TimePoint since_{};
         std::map<EntryId, Told> told_;
     };
--- a/src/watching/veto_table.cpp
+++ b/src/watching/veto_table.cpp
@@ -23,6 +23,7 @@
         return false;
     ++veto.count_;
     veto.incarnation_ = incarnation;
+    veto.isLate_ = false;
     veto.since_ = when;
     veto.told_.clear();
     return true;
@@ -49,6 +50,7 @@
         isChanged |= isOdd(entry.count_) != isOdd(veto.count_);
         veto.count_ = entry.count_;
         veto.incarnation_ = entry.incarnation_;
+        veto.isLate_ = false;
         veto.since_ = now - entry.age_;
         veto.told_.clear();
     }
@@ -64,8 +66,17 @@
 void VetoTable::noteIncarnation(const VmId &vm, Incarnation incarnation)
 {
     const auto found = vetoes_.find(vm);
-    if (found != vetoes_.end() && found->second.incarnation_.isNone())
-        found->second.incarnation_ = incarnation;
+    if (found == vetoes_.end() || !found->second.incarnation_.isNone())
+        return;
+    found->second.incarnation_ = incarnation;
+    found->second.isLate_ = true;
+}
+
+bool VetoTable::isOfUnknownIncarnation(const VmId &vm) const
+{
+    const auto found = vetoes_.find(vm);
+    return found != vetoes_.end() && isOdd(found->second.count_)
+           && (found->second.isLate_ || found->second.incarnation_.isNone());
 }
 
 bool VetoTable::isReplaced(const VmId &vm, Incarnation incarnation, TimePoint listTakenAt) const
@@ -101,8 +112,9 @@
             continue;
         ++told.times_;
         told.at_ = now;
+        const Incarnation known = veto.isLate_ ? Incarnation() : veto.incarnation_;
         digest.leaving_.push_back(
-            membership::LeavingEntry{vm, now - veto.since_, veto.count_, veto.incarnation_});
+            membership::LeavingEntry{vm, now - veto.since_, veto.count_, known});
     }
 }
 
--- a/src/watching/watcher_choice.cpp
+++ b/src/watching/watcher_choice.cpp
@@ -18,6 +18,7 @@
     std::map<VmId, Endpoint> listed;
     std::set<VmId> names;
     std::vector<VmId> newlyLeaving;
+    std::vector<VmId> newlyLive;
     for (const platform::VmRecord &record : vms) {
         if (record.role_ == platform::VmRole::Entry)
             continue;
@@ -27,6 +28,8 @@
         const bool wasLeaving = known != endpoints_.end() && known->second.isListedLeaving_;
         if (isLeavingNow && !wasLeaving)
             newlyLeaving.push_back(record.id_);
+        if (!isLeavingNow && wasLeaving)
+            newlyLive.push_back(record.id_);
         listed.emplace(record.id_, Endpoint{record, isLeavingNow});
     }
     endpoints_ = std::move(listed);
@@ -37,6 +40,10 @@
     rebuildOwn();
     for (const VmId &vm : newlyLeaving)
         markLeaving(vm);
+    for (const VmId &vm : newlyLive) {
+        if (vetoes_.isOfUnknownIncarnation(vm))
+            clearLeaving(vm);
+    }
     for (const VmId &vm : vetoes_.leaving())
         liftIfReplaced(vm);
     vetoes_.forget(names, now - settings_.vetoRetention_);
