--- a/tests/faults/control_checks.cpp
+++ b/tests/faults/control_checks.cpp
@@ -207,23 +207,16 @@
             count += leaseOf(index) && leaseOf(index)->isHeld() ? 1 : 0;
         return count;
     }
-    [[nodiscard]] bool isEveryoneAlive() const
-    {
-        for (std::size_t index = 0; index < fleet_.size(); ++index) {
-            const auto &node = fleet_.entry(index).node_;
-            if (!node || node->membership().aliveMembers().size() != fleet_.size())
-                return false;
-        }
-        return true;
-    }
     [[nodiscard]] std::string whyUnsettled() const
     {
         if (!fleet_.isServing())
             return "not every declared replica serves after healing";
         if (!fleet_.isInForce())
             return "the accepted configuration is not in force everywhere after healing";
-        if (!isEveryoneAlive())
+        if (!fleet_.isEveryoneAlive())
             return "an entry VM that runs is not seen alive after healing";
+        if (fleet_.strandedVm())
+            return "a VM holds an assignment that no group row has, after healing";
         return holders() == 1 ? "" : "the lease has no single holder after healing";
     }
     [[nodiscard]] bool isSettled() const { return whyUnsettled().empty(); }
@@ -425,7 +418,8 @@
               "something else for longer than the freshness window, nor one that leaves for longer "
               "than 3 s; no VM is in two group rows; the lease has at most one holder; no entry VM "
               "goes back to an earlier configuration. After healing, within 8 min: every declared "
-              "replica serves, one entry VM holds the lease, all see all alive, and the accepted "
+              "replica serves, no VM holds an assignment without a row, one entry VM holds the "
+              "lease, all see all alive, and the accepted "
               "configuration is in force at all.";
         addChecks<ControlBench>(checks, injections(chart == "group"),
                                 [chart] { return std::make_unique<ControlBench>(chart); });
--- a/tests/recovery/explorer.cpp
+++ b/tests/recovery/explorer.cpp
@@ -34,6 +34,7 @@
     : random_(seed)
     , fleet_(explorerShape(seed), seed)
     , promises_(fleet_)
+    , isWithoutHealing_(seed % 4 == 1)
 {
 }
 
@@ -98,6 +99,8 @@
         note("jump");
         fleet_.jump(seconds(random_.below(20)));
     } else {
+        if (isWithoutHealing_)
+            return;
         note("heal");
         fleet_.heal();
     }
@@ -280,6 +283,10 @@
     const auto isInForce = [this] { return fleet_.isInForce(); };
     if (!fleet_.runUntil(isInForce, seconds(30)))
         return "after healing an entry VM lacks the accepted version";
+    if (!fleet_.runUntil([this] { return fleet_.isEveryoneAlive(); }, minutes(1)))
+        return "after healing an entry VM that runs is not seen alive";
+    if (!fleet_.runUntil([this] { return !fleet_.strandedVm(); }, minutes(2)))
+        return "after healing a VM holds an assignment that no group row has" + describe();
     const auto before = fleet_.stored();
     fleet_.applyConfiguration("last");
     fleet_.runUntil([&] { return fleet_.stored() > before; }, seconds(5));
--- a/tests/recovery/explorer.hpp
+++ b/tests/recovery/explorer.hpp
@@ -42,6 +42,7 @@
     ControlFleet fleet_;
     std::vector<std::string> trail_;
     PromiseCheck promises_;
+    bool isWithoutHealing_; ///< Faults pile up until the end.
     std::uint64_t notes_ = 0;
     Duration recoveryTime_{};
 };
--- a/tests/support/control_fleet.cpp
+++ b/tests/support/control_fleet.cpp
@@ -628,6 +628,39 @@
     return all;
 }
 
+bool ControlFleet::isRowOf(const VmId &vm, const groups::GroupRow &row) const
+{
+    const auto *found = platform_.row(groups::vmKey(vm));
+    if (!found)
+        return false;
+    const auto content = groups::decodeVmRow(found->value_);
+    return isOk(content) && valueOf(content).group_ == row.group_
+           && valueOf(content).generation_ == row.generation_;
+}
+
+std::optional<VmId> ControlFleet::strandedVm() const
+{
+    const auto rows = groupRows();
+    for (const auto &[vm, truth] : truths_) {
+        const auto &held = truth.state_.assignment_;
+        const bool isInRow = std::any_of(rows.begin(), rows.end(), [&](const auto &row) {
+            return held && row.group_ == held->group_ && row.generation_ == held->generation_
+                   && !row.isFreeSlot() && row.rankOf(vm);
+        });
+        if (held && !isInRow)
+            return vm;
+    }
+    return std::nullopt;
+}
+
+bool ControlFleet::isEveryoneAlive() const
+{
+    return std::all_of(entries_.begin(), entries_.end(), [&](const auto &entry) {
+        return entry->isRunning()
+               && entry->node_->membership().aliveMembers().size() == entries_.size();
+    });
+}
+
 bool ControlFleet::isWhole(const groups::GroupRow &row) const
 {
     return std::all_of(row.members_.begin(), row.members_.end(), [&](const VmId &vm) {
--- a/tests/support/control_fleet.hpp
+++ b/tests/support/control_fleet.hpp
@@ -158,6 +158,12 @@
     /// \name What the platform and the VMs say
     /// \{
     [[nodiscard]] std::vector<groups::GroupRow> groupRows() const;
+    /// \brief True if the VM's row names that formation.
+    [[nodiscard]] bool isRowOf(const VmId &vm, const groups::GroupRow &row) const;
+    /// \brief A VM that holds an assignment which no group row has; none if all is in order.
+    [[nodiscard]] std::optional<VmId> strandedVm() const;
+    /// \brief True if every entry VM runs and sees all others alive.
+    [[nodiscard]] bool isEveryoneAlive() const;
     /// \brief True if every member of the formation is alive, ready and holds it.
     [[nodiscard]] bool isWhole(const groups::GroupRow &row) const;
     /// \brief Formations that are active and whole.
--- a/tests/support/promise_check.cpp
+++ b/tests/support/promise_check.cpp
@@ -80,6 +80,8 @@
             if (!isNew)
                 return member.text() + " is in " + place->second.text() + " and in "
                        + row.group_.text();
+            if (!fleet_.isRowOf(member, row))
+                return "the row of " + member.text() + " does not name " + row.group_.text();
         }
     }
     return {};
