Refuse a lease term and a freshness that can never work

Cause: a lease term of 3 s was taken, although clock margin (1 s) and order margin (2 s) use it up, so its holder never plans; a freshness of twice the probe period leaves no time for the digest that carries an observation. Change: lease_term has to leave both margins at the latest renewal (5/12 of the term, so 5143 ms at least), freshness has to be twice probe and once exchange. The remedy names the least value. Conclusion: such a file stops the start instead of a fleet that never forms a group.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -2,7 +2,10 @@
 
 #include "config/toml_reader.hpp"
 
+#include <cardamombay/config/duration_text.hpp>
 #include <cardamombay/config/text_file.hpp>
+#include <cardamombay/groups/manager_settings.hpp>
+#include <cardamombay/leases/lease_settings.hpp>
 
 namespace cardamombay::settings {
 
@@ -90,6 +93,29 @@
     reader.finish();
 }
 
+/// A lease is renewed after a third of its term, or a quarter later than that by jitter. By then
+/// the clock margin and what an order needs must still be left, or its holder never plans.
+Duration shortestLeaseTerm()
+{
+    const Duration needed
+        = leases::LeaseSettings().margin_ + groups::ManagerSettings().orderMargin_;
+    const auto exact = needed * 12 / 7;
+    return std::chrono::ceil<milliseconds>(exact);
+}
+
+void checkIntervals(TableReader &reader, const Intervals &intervals)
+{
+    // An observation comes with a digest and must outlive one probe that fails.
+    const Duration leastFreshness = 2 * intervals.probe_ + intervals.exchange_;
+    if (intervals.freshness_ < leastFreshness)
+        reader.report("freshness", "an observation would lapse before the second probe is known",
+                      "make freshness at least twice probe and once exchange: "
+                          + config::textOf(leastFreshness));
+    if (intervals.leaseTerm_ < shortestLeaseTerm())
+        reader.report("lease_term", "its holder would never have time left for an order",
+                      "make lease_term at least " + config::textOf(shortestLeaseTerm()));
+}
+
 void readIntervals(TableReader &root, Intervals &intervals)
 {
     const auto *table = root.table("intervals");
@@ -104,9 +130,7 @@
     reader.read("config_poll", intervals.configPoll_, intervalRange);
     reader.read("plan", intervals.plan_, intervalRange);
     reader.read("lease_term", intervals.leaseTerm_, leaseRange);
-    if (intervals.freshness_ < 2 * intervals.probe_)
-        reader.report("freshness", "an observation would lapse before the second probe",
-                      "make freshness at least twice probe");
+    checkIntervals(reader, intervals);
     reader.finish();
 }
 
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -112,6 +112,26 @@
     cr_assert_eq(problem.key_, "intervals.freshness");
 }
 
+Test(settings, freshness_that_one_failed_probe_would_lapse_is_refused)
+{
+    const auto problem = problemOf(std::string(smallest)
+                                   + "[intervals]\nprobe = \"500ms\"\nfreshness = \"1200ms\"\n");
+
+    cr_assert_eq(problem.key_, "intervals.freshness");
+    cr_assert(problem.remedy_.find("1500ms") != std::string::npos, "%s", problem.remedy_.c_str());
+}
+
+Test(settings, lease_term_that_leaves_no_time_for_an_order_is_refused)
+{
+    const std::string intervals = std::string(smallest) + "[intervals]\nlease_term = ";
+
+    const auto problem = problemOf(intervals + "\"3s\"\n");
+
+    cr_assert_eq(problem.key_, "intervals.lease_term");
+    cr_assert(problem.remedy_.find("5143ms") != std::string::npos, "%s", problem.remedy_.c_str());
+    cr_assert(isOk(settings::parse(intervals + "\"5143ms\"\n", "entry.toml")));
+}
+
 Test(settings, broken_syntax_names_its_line)
 {
     cr_assert_eq(problemOf("entry = \"a\"\nzone = \n").position_.line_, 2);
