Tell routing, circuits and shares what the request path sees

Cause: routing never got the time between tokens, so it could not take a slow group out; a circuit on trial stayed closed to others until a stream's end; all boards drew the same trial times; demand was taken ten times a second though shares are worked out from what was digested; and every thread asked for releases each 20 ms with nothing new. Conclusion: slow groups are ejected on what streams show.

--- a/apps/cardamombayd/daemon.cpp
+++ b/apps/cardamombayd/daemon.cpp
@@ -125,6 +125,7 @@
     settings.chartsFolder_ = settings_.chartsFolder_;
     settings.incarnation_ = incarnation_;
     settings.limits_ = limitsOf(settings_.limits_);
+    settings.dispatch_.digestEvery_ = settings_.intervals_.exchange_;
     auto made = traffic::TrafficService::make(settings, *control_, registry_, tracer_);
     if (!isOk(made))
         return errorOf(made);
--- a/include/cardamombay/traffic/dispatcher.hpp
+++ b/include/cardamombay/traffic/dispatcher.hpp
@@ -29,6 +29,9 @@
     routing::RouterPolicy router_;
     retries::RetrySettings retries_;
     retries::CircuitPolicy circuits_;
+    /// Period of the digests to peers: shares are worked out from what was digested, so the demand
+    /// is taken once for each.
+    Duration digestEvery_ = std::chrono::milliseconds(500);
 };
 
 /// \brief What an attempt needs of a group.
@@ -56,6 +59,13 @@
     Abandoned ///< Stopped by this side; says nothing of the group.
 };
 
+/// \brief What an attempt showed of its group's speed; zero if it showed nothing.
+struct AttemptTimes
+{
+    Duration timeToFirstToken_{};
+    Duration timePerToken_{}; ///< Without the time that the caller needed to take them.
+};
+
 /// \brief Final answer to a request that waited for admission.
 using AdmissionAnswer = std::variant<limits::Admitted, limits::Shed>;
 
@@ -83,7 +93,8 @@
     void finished(const RequestId &request, const routing::RoutingSnapshot &snapshot,
                   TimePoint now);
 
-    /// \brief Gives waiting requests their answers that time or a new snapshot brought.
+    /// \brief Gives waiting requests their answers that time or a new snapshot brought; cheap if
+    /// neither did.
     void releaseWaiting(const routing::RoutingSnapshot &snapshot, TimePoint now);
     /// \}
 
@@ -92,7 +103,9 @@
     /// \brief Chooses a group and counts the attempt as started there.
     [[nodiscard]] RouteChoice startAttempt(const routing::RoutingSnapshot &snapshot,
                                            const RouteQuery &query, TimePoint now);
-    void finishAttempt(const GroupId &group, GroupResult result, Duration timeToFirstToken,
+    /// \brief The head of an answer came; closes a circuit on trial without waiting for the end.
+    void attemptAnswered(const GroupId &group, TimePoint now);
+    void finishAttempt(const GroupId &group, GroupResult result, const AttemptTimes &times,
                        TimePoint now);
     void freshRequest(const ServiceName &service, TimePoint now);
     [[nodiscard]] retries::RetryDecision retry(const retries::FailedAttempt &attempt,
@@ -127,6 +140,10 @@
     retries::RetryPolicy retries_;
     retries::CircuitBoard circuits_;
     std::unordered_map<RequestId, AdmissionCallback> waiting_;
+    std::uint64_t releasedFor_ = 0; ///< Snapshot of the last release; zero asks for another.
+    Duration digestEvery_;
+    std::optional<TimePoint> demandAt_;
+    std::vector<routing::DemandReport> demand_; ///< Of the present digest.
     TimePoint recordPeriod_{};
     std::uint32_t records_ = 0;
 };
--- a/src/traffic/attempt_run.cpp
+++ b/src/traffic/attempt_run.cpp
@@ -12,6 +12,8 @@
 constexpr std::uint32_t statusOk = 200;
 constexpr std::string_view eventStreamType = "text/event-stream";
 constexpr std::size_t mostHeldBytes = std::size_t{256} * 1024;
+constexpr std::uint32_t leastTimedTokens = 4;
+constexpr std::uint32_t leastErrorStatus = 500;
 constexpr auto cancelTimeout = std::chrono::seconds(2);
 
 Duration secondsIn(const std::string &text)
@@ -115,6 +117,8 @@
         over();
         return;
     }
+    if (head.status_ < leastErrorStatus)
+        context_.dispatcher_.attemptAnswered(plan_.group_.group_, context_.clock_.now());
     const bool isEventStream = head.field("Content-Type").starts_with(eventStreamType);
     isEventStream_ = request_.isStream_ && head.status_ == statusOk && isEventStream;
     head_ = headForCaller(std::move(head));
@@ -152,11 +156,10 @@
 
 void AttemptRun::relayEvents(std::string_view data)
 {
-    lastDataAt_ = context_.clock_.now();
     step_ = relay_.take(data, attempt_);
     if (step_.tokens_ != 0)
-        noteFirstToken();
-    tokens_ += step_.tokens_;
+        noteTokens(context_.clock_.now());
+    lastDataAt_ = context_.clock_.now();
     if (step_.parts_.empty()) {
         afterWrite();
         return;
@@ -298,6 +301,23 @@
         timeToFirstToken_ = context_.clock_.now() - startedAt_;
 }
 
+/// Time is counted from the end of a write, so a slow caller does not make its group look slow.
+void AttemptRun::noteTokens(TimePoint now)
+{
+    if (tokens_ == 0) {
+        noteFirstToken();
+    } else {
+        tokenTime_ += now - lastDataAt_;
+        timedTokens_ += step_.tokens_;
+    }
+    tokens_ += step_.tokens_;
+}
+
+Duration AttemptRun::timePerToken() const
+{
+    return timedTokens_ < leastTimedTokens ? Duration::zero() : tokenTime_ / timedTokens_;
+}
+
 void AttemptRun::cancelAtEngine()
 {
     const bool isModel = request_.kind_ == config::ServiceKind::Model;
--- a/src/traffic/attempt_run.hpp
+++ b/src/traffic/attempt_run.hpp
@@ -65,6 +65,8 @@
     [[nodiscard]] std::uint32_t tokens() const { return tokens_; }
     /// \brief Zero if no token came, or if the answer was not streamed and so shows no first one.
     [[nodiscard]] Duration timeToFirstToken() const { return timeToFirstToken_; }
+    /// \brief Mean time between tokens; zero if there were too few to tell.
+    [[nodiscard]] Duration timePerToken() const;
     /// \brief For how long a stream that has begun has brought nothing.
     [[nodiscard]] Duration silence(TimePoint now) const;
     [[nodiscard]] Duration retryAfter() const { return retryAfter_; }
@@ -87,6 +89,7 @@
     void endPassThrough();
     void takeWholeAnswer(std::string_view body);
     void noteFirstToken();
+    void noteTokens(TimePoint now);
     void cancelAtEngine();
     void over();
 
@@ -103,6 +106,8 @@
     TimePoint lastDataAt_{};
     Duration timeToFirstToken_{};
     Duration retryAfter_{};
+    Duration tokenTime_{}; ///< Waited for the tokens behind the first.
+    std::uint32_t timedTokens_ = 0;
     std::uint32_t tokens_ = 0;
     RelayStep step_; ///< Being written to the caller.
     bool isEventStream_ = false;
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -15,7 +15,8 @@
     : admission_(policy.limits_)
     , router_(seed, policy.router_)
     , retries_(seed, policy.retries_)
-    , circuits_(std::move(circuits), policy.circuits_)
+    , circuits_(std::move(circuits), policy.circuits_, seed)
+    , digestEvery_(policy.digestEvery_)
 {
 }
 
@@ -49,8 +50,10 @@
     std::vector<PendingAnswer> answers;
     {
         const std::lock_guard lock(mutex_);
-        if (waiting_.empty())
+        const bool isNew = snapshot.sequence_ == 0 || snapshot.sequence_ != releasedFor_;
+        if (waiting_.empty() || (!isNew && now < admission_.nextWake()))
             return;
+        releasedFor_ = snapshot.sequence_;
         answers = takeReleased(snapshot, now);
     }
     for (auto &pending : answers)
@@ -105,12 +108,18 @@
     return router_.choose(snapshot, request, now);
 }
 
-void Dispatcher::finishAttempt(const GroupId &group, GroupResult result, Duration timeToFirstToken,
+void Dispatcher::attemptAnswered(const GroupId &group, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    circuits_.succeeded(group, now);
+}
+
+void Dispatcher::finishAttempt(const GroupId &group, GroupResult result, const AttemptTimes &times,
                                TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     const bool isOk = result != GroupResult::Failed;
-    router_.finished(group, {timeToFirstToken, isOk}, now);
+    router_.finished(group, {times.timeToFirstToken_, isOk, times.timePerToken_}, now);
     switch (result) {
     case GroupResult::Succeeded:
         circuits_.succeeded(group, now);
@@ -156,7 +165,12 @@
 {
     const std::lock_guard lock(mutex_);
     TrafficReport report;
-    report.demand_ = admission_.demand(now);
+    if (!demandAt_ || now - *demandAt_ >= digestEvery_) {
+        demandAt_ = now;
+        demand_ = admission_.demand(now);
+        releasedFor_ = 0; // The own share may have grown with it.
+    }
+    report.demand_ = demand_;
     for (const auto &service : snapshot.services_) {
         for (const auto &group : service.groups_) {
             if (const auto inFlight = router_.inFlight(group.group_))
--- a/src/traffic/session_end.cpp
+++ b/src/traffic/session_end.cpp
@@ -22,7 +22,8 @@
     else if (isOurDoing)
         result = GroupResult::Abandoned;
     const auto &plan = run_->plan();
-    context_.dispatcher_.finishAttempt(plan.group_.group_, result, run_->timeToFirstToken(), now());
+    const AttemptTimes times{run_->timeToFirstToken(), run_->timePerToken()};
+    context_.dispatcher_.finishAttempt(plan.group_.group_, result, times, now());
     context_.metrics_.attemptEnded(request_.service_, verdict.cause_);
     context_.metrics_.answersDropped(run_->attempt().dropped());
     if (run_->timeToFirstToken() > Duration::zero())
