Show what became of a request with explain request

Cause: the traffic side built records only of refusals, and the control side threw them away, so 'cardamombayctl explain request ID' was always empty. Change: a session keeps its decisions (claim, admission, route with the groups weighed, each attempt, retry, resumption, end) and hands them over at its end, for at most 50 smooth and 50 eventful requests a second. HostedNode takes them to the control thread, 512 on their way at most, into a log of 2048 apart from that of the groups. scripts/demo.sh explains its completion and fails if it cannot. Conclusion: a request is followed from X-Request-Id to its groups at the entry VM that took it.

--- a/include/cardamombay/control/hosted_node.hpp
+++ b/include/cardamombay/control/hosted_node.hpp
@@ -58,6 +58,8 @@
     void postTraffic(traffic::TrafficReport report) override;
     void claim(traffic::ClaimRequest request, traffic::ClaimCallback done) override;
     void completeClaim(traffic::ClaimCompletion completion) override;
+    /// \brief Drops the record if the control thread is far behind.
+    void recordDecision(const DecisionRecord &record) override;
     /// \}
 
 private:
--- a/include/cardamombay/log/events.hpp
+++ b/include/cardamombay/log/events.hpp
@@ -21,6 +21,10 @@
 /// \{
 inline constexpr std::string_view requestFinished = "request-finished";
 inline constexpr std::string_view requestRefused = "request-refused";
+inline constexpr std::string_view requestAdmitted = "request-admitted"; ///< Recorded only.
+inline constexpr std::string_view requestClaimed = "request-claimed";   ///< Recorded only.
+inline constexpr std::string_view requestRetried = "request-retried";   ///< Recorded only.
+inline constexpr std::string_view attemptFinished = "attempt-finished"; ///< Recorded only.
 inline constexpr std::string_view attemptFailed = "attempt-failed";
 inline constexpr std::string_view attemptStopped = "attempt-stopped";
 inline constexpr std::string_view foreignAnswerDropped = "foreign-answer-dropped";
--- a/include/cardamombay/traffic/claim.hpp
+++ b/include/cardamombay/traffic/claim.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 namespace cardamombay::traffic {
 
@@ -39,6 +40,9 @@
     Unavailable ///< The store gave no claim; nothing was granted.
 };
 
+/// \brief Short name, for records and metrics, such as "granted".
+[[nodiscard]] std::string_view nameOf(ClaimVerdict verdict);
+
 /// \brief Answer to a ClaimRequest.
 struct ClaimAnswer
 {
--- a/include/cardamombay/traffic/dispatcher.hpp
+++ b/include/cardamombay/traffic/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <cardamombay/routing/router.hpp>
 #include <cardamombay/traffic/control_link.hpp>
 
+#include <array>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -49,7 +50,7 @@
 {
     std::optional<routing::SnapshotGroup> group_;
     routing::RouteReason reason_ = routing::RouteReason::NoGroups;
-    DecisionRecord record_; ///< Only if there is no group.
+    DecisionRecord record_; ///< With the groups that were weighed.
 };
 
 /// \brief How an attempt ended for its group.
@@ -69,6 +70,12 @@
 /// \brief Final answer to a request that waited for admission.
 using AdmissionAnswer = std::variant<limits::Admitted, limits::Shed>;
 
+/// \brief What became of a request whose decisions may be recorded; each kind has its own limit.
+enum class RecordKind {
+    Smooth,  ///< Answered by its first attempt.
+    Eventful ///< Refused, failed, retried or resumed.
+};
+
 /// \brief The shared decisions; every function may be called from any thread.
 class Dispatcher
 {
@@ -115,9 +122,9 @@
     /// \brief Slots of \p service, for records.
     [[nodiscard]] limits::ServiceLoad load(const ServiceName &service);
 
-    /// \brief True if one more decision may be recorded: an overload refuses thousands of requests
-    /// for the same reason, and a few of them explain it.
-    [[nodiscard]] bool mayRecord(TimePoint now);
+    /// \brief True if the decisions of one more request may be recorded: an overload refuses
+    /// thousands for the same reason, and a few of them explain it.
+    [[nodiscard]] bool mayRecord(RecordKind kind, TimePoint now);
 
     /// \brief Demand and in-flight requests for the control thread.
     [[nodiscard]] TrafficReport report(const routing::RoutingSnapshot &snapshot, TimePoint now);
@@ -145,7 +152,7 @@
     std::optional<TimePoint> demandAt_;
     std::vector<routing::DemandReport> demand_; ///< Of the present digest.
     TimePoint recordPeriod_{};
-    std::uint32_t records_ = 0;
+    std::array<std::uint32_t, 2> records_{}; ///< In this period, by kind.
 };
 
 } // namespace cardamombay::traffic
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -127,6 +127,12 @@
     -d '{"model":"writer","prompt":"Breathe in, and","max_tokens":8,"stream":true}'
 grep -i -E '^(HTTP|x-outcome|x-request-id)' "$work/head"
 
+say "why it went where it did"
+request=$(sed -n 's/^[Xx]-[Rr]equest-[Ii]d: *//p' "$work/head" | tr -d '\r')
+explained() { ctl explain request "$request" | grep -q request-finished; }
+wait_for 5 explained
+ctl explain request "$request"
+
 say "a call to the plain service that may run only once, sent twice with one key"
 for i in 1 2; do
     curl -sS "http://127.0.0.1:$((base + 5 + i))/library/entries" -H 'X-Team: guests' \
--- a/src/control/hosted_node.cpp
+++ b/src/control/hosted_node.cpp
@@ -19,6 +19,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <atomic>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,8 @@
 constexpr const char *noParameter = "{}";
 constexpr Duration releasePoll = std::chrono::milliseconds(50);
 constexpr int releaseTurns = 60; ///< Three seconds; then the leases lapse by themselves.
+constexpr std::size_t requestRecords = 2048;     ///< Kept for "explain request".
+constexpr std::uint32_t mostPostedRecords = 512; ///< On their way to the control thread.
 constexpr std::size_t peerBodyBytes = std::size_t{8} * 1024 * 1024;
 
 /// Keeps decision records and writes each as one log line.
@@ -119,6 +122,7 @@
     void tellPeers();
     void returnLeases(std::function<void()> done);
     void post(std::function<void()> action);
+    void postDecision(const DecisionRecord &record);
 
     [[nodiscard]] traffic::SnapshotHolder &holder() { return holder_; }
     [[nodiscard]] ControlNode *node() { return node_.get(); }
@@ -138,6 +142,9 @@
     rpc::JsonRpcPeerTransport peers_;
     RpcConfigPeers configPeers_;
     LoggedDecisions decisions_;
+    // Apart, so that requests do not push out what was decided on groups.
+    DecisionLog requestDecisions_{requestRecords};
+    std::atomic<std::uint32_t> postedDecisions_ = 0;
     rpc::JsonRpcDispatcher dispatcher_;
     traffic::SnapshotHolder holder_;
     // The node uses the links above, so it goes before them.
@@ -186,8 +193,8 @@
 Result<Done> HostedNode::Impl::listen()
 {
     listener_ = std::make_unique<impl::PeerListener>(
-        impl::ListenerParts{*node_, dispatcher_, decisions_.log(), parts_.registry_,
-                            parts_.lifecycleState_, parts_.requestStop_});
+        impl::ListenerParts{*node_, dispatcher_, decisions_.log(), requestDecisions_,
+                            parts_.registry_, parts_.lifecycleState_, parts_.requestStop_});
     net::HttpServerLimits limits;
     limits.bodyBytes_ = peerBodyBytes;
     server_ = std::make_unique<net::HttpServer>(
@@ -226,6 +233,18 @@
     boost::asio::post(parts_.context_, std::move(action));
 }
 
+void HostedNode::Impl::postDecision(const DecisionRecord &record)
+{
+    if (postedDecisions_.fetch_add(1) >= mostPostedRecords) {
+        postedDecisions_.fetch_sub(1);
+        return;
+    }
+    post([this, record]() mutable {
+        postedDecisions_.fetch_sub(1);
+        requestDecisions_.record(std::move(record));
+    });
+}
+
 HostedNode::HostedNode(const HostParts &parts)
     : impl_(std::make_unique<Impl>(parts))
 {
@@ -279,4 +298,9 @@
     });
 }
 
+void HostedNode::recordDecision(const DecisionRecord &record)
+{
+    impl_->postDecision(record);
+}
+
 } // namespace cardamombay::control
--- a/src/control/peer_listener.cpp
+++ b/src/control/peer_listener.cpp
@@ -89,7 +89,7 @@
     if (const auto group = behind(path, "/admin/explain/group/"))
         return respond(events(*group));
     if (const auto request = behind(path, "/admin/explain/request/"))
-        return respond(events(*request));
+        return respond(requestEvents(*request));
     return notFound(path);
 }
 
@@ -117,6 +117,12 @@
     return notFound(path);
 }
 
+std::string PeerListener::requestEvents(std::string_view request) const
+{
+    return admin::encode(
+        admin::eventsOf(parts_.requestDecisions_.forSubject(request), parts_.node_.now()));
+}
+
 std::string PeerListener::events(std::string_view subject) const
 {
     return admin::encode(
--- a/src/control/peer_listener.hpp
+++ b/src/control/peer_listener.hpp
@@ -20,6 +20,7 @@
     ControlNode &node_;
     rpc::JsonRpcDispatcher &dispatcher_;
     const DecisionLog &decisions_;
+    const DecisionLog &requestDecisions_;
     const metrics::Registry &registry_;
     std::function<std::string()> lifecycleState_;
     std::function<void()> requestStop_;
@@ -42,6 +43,7 @@
     [[nodiscard]] net::HttpResponse show(std::string_view path);
     [[nodiscard]] net::HttpResponse change(std::string_view path);
     [[nodiscard]] std::string events(std::string_view subject) const;
+    [[nodiscard]] std::string requestEvents(std::string_view request) const;
 
     ListenerParts parts_;
 };
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::uint32_t recordsPerSecond = 20;
+constexpr std::uint32_t recordsPerSecond = 50; ///< Requests of each kind.
 
 } // namespace
 
@@ -77,17 +77,22 @@
 RouteChoice Dispatcher::startAttempt(const routing::RoutingSnapshot &snapshot,
                                      const RouteQuery &query, TimePoint now)
 {
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     const auto decision = choose(snapshot, query, now);
-    if (decision.group_ == nullptr) {
-        routing::RouteRequest request;
-        request.service_ = query.service_;
-        return {std::nullopt, decision.reason_,
-                decision.record(request, std::string(query.subject_), now)};
+    if (decision.group_ != nullptr) {
+        router_.started(decision.group_->group_, query.prefixHashes_, now);
+        circuits_.started(decision.group_->group_, now);
     }
-    router_.started(decision.group_->group_, query.prefixHashes_, now);
-    circuits_.started(decision.group_->group_, now);
-    return {*decision.group_, decision.reason_, {}};
+    lock.unlock();
+    routing::RouteRequest request;
+    request.service_ = query.service_;
+    request.prefixHashes_ = query.prefixHashes_;
+    RouteChoice choice;
+    choice.reason_ = decision.reason_;
+    choice.record_ = decision.record(request, std::string(query.subject_), now);
+    if (decision.group_ != nullptr)
+        choice.group_ = *decision.group_;
+    return choice;
 }
 
 routing::RouteDecision Dispatcher::choose(const routing::RoutingSnapshot &snapshot,
@@ -151,14 +156,14 @@
     return admission_.load(service);
 }
 
-bool Dispatcher::mayRecord(TimePoint now)
+bool Dispatcher::mayRecord(RecordKind kind, TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     if (now - recordPeriod_ >= std::chrono::seconds(1)) {
         recordPeriod_ = now;
-        records_ = 0;
+        records_ = {};
     }
-    return records_++ < recordsPerSecond;
+    return records_.at(static_cast<std::size_t>(kind))++ < recordsPerSecond;
 }
 
 TrafficReport Dispatcher::report(const routing::RoutingSnapshot &snapshot, TimePoint now)
--- a/src/traffic/session.cpp
+++ b/src/traffic/session.cpp
@@ -75,6 +75,7 @@
         return;
     }
     stepSpan_.finish();
+    note(log::event::requestClaimed, nameOf(answer.verdict_), {});
     if (hasClaim_) {
         admit();
         return;
@@ -126,14 +127,17 @@
         isAdmitted_ = false;
         context_.metrics_.requestRefused(limits::nameOf(shed->reason_));
         const auto load = context_.dispatcher_.load(request_.service_);
-        record({{"capacity", std::to_string(load.capacity_)},
-                {"share", std::to_string(load.share_)},
-                {"running", std::to_string(load.running_)},
-                {"waiting", std::to_string(load.waiting_)}},
-               limits::nameOf(shed->reason_));
+        isEventful_ = true;
+        note(log::event::requestRefused, limits::nameOf(shed->reason_),
+             {{"capacity", std::to_string(load.capacity_)},
+              {"share", std::to_string(load.share_)},
+              {"running", std::to_string(load.running_)},
+              {"waiting", std::to_string(load.waiting_)}});
         fail(shedProblem(*shed));
         return;
     }
+    const auto waited = toMilliseconds(now() - startedAt_);
+    note(log::event::requestAdmitted, "admitted", {{"waited_ms", std::to_string(waited)}});
     context_.dispatcher_.freshRequest(request_.service_, now());
     attempt();
 }
@@ -154,7 +158,9 @@
     if (answer_.hasStreamStarted())
         query.requiredModel_ = &model_;
     const auto snapshot = context_.control_.snapshot();
-    const auto choice = context_.dispatcher_.startAttempt(*snapshot, query, now());
+    auto choice = context_.dispatcher_.startAttempt(*snapshot, query, now());
+    if (choice.group_ || decisions_.empty() || decisions_.back().choice_ != choice.record_.choice_)
+        decisions_.push_back(std::move(choice.record_));
     routeSpan.setTag("reason", routing::nameOf(choice.reason_));
     routeSpan.finish();
     if (choice.group_)
@@ -199,8 +205,7 @@
         retryLater(groupPoll);
         return;
     }
-    if (context_.dispatcher_.mayRecord(now()))
-        context_.control_.recordDecision(choice.record_);
+    isEventful_ = true;
     if (mayHaveRun_ || answer_.hasStreamStarted())
         giveUp(lastVerdict_, Duration::zero());
     else
@@ -242,6 +247,8 @@
     const bool hasProgress = run_->tokens() != 0 && resumes_ < resumeLimit;
     if (answer_.hasStreamStarted() && hasProgress && canResume(verdict)) {
         ++resumes_;
+        note(log::event::streamResumed, "resume",
+             {{"tokens", std::to_string(relay_->continuity().nextIndex())}});
         context_.metrics_.streamResumed();
         log::info(log::event::streamResumed,
                   {{"request", request_.id_.text()},
@@ -266,10 +273,13 @@
     failed.retryAfter_ = attempts_ > 1 ? run_->retryAfter() : Duration::zero();
     failed.outcome_ = verdict.outcome_;
     const auto decision = context_.dispatcher_.retry(failed, now());
-    if (const auto *again = std::get_if<retries::Retry>(&decision))
+    if (const auto *again = std::get_if<retries::Retry>(&decision)) {
+        const auto delay = toMilliseconds(again->delay_);
+        note(log::event::requestRetried, "retry", {{"delay_ms", std::to_string(delay)}});
         retryLater(again->delay_);
-    else
-        giveUp(verdict, std::get<retries::GiveUp>(decision).retryAfter_);
+        return;
+    }
+    giveUp(verdict, std::get<retries::GiveUp>(decision).retryAfter_);
 }
 
 void Session::retryLater(Duration delay)
--- a/src/traffic/session.hpp
+++ b/src/traffic/session.hpp
@@ -65,7 +65,9 @@
     void fail(const Problem &problem);
     void close();
     void completeClaim();
-    void record(std::vector<Detail> inputs, std::string_view choice);
+    /// \brief Keeps a decision until the end of the session, which tells whether it is recorded.
+    void note(std::string_view event, std::string_view choice, std::vector<Detail> inputs);
+    void recordDecisions();
     void accountAttempt(const outcomes::AttemptVerdict &verdict);
     [[nodiscard]] bool canResume(const outcomes::AttemptVerdict &verdict) const;
     [[nodiscard]] outcomes::Outcome overallOutcome() const;
@@ -92,6 +94,8 @@
     std::uint32_t resumes_ = 0;
     outcomes::AttemptVerdict lastVerdict_{outcomes::Outcome::NotRun};
     std::optional<Problem> endProblem_; ///< Set when this side ends the session.
+    std::vector<DecisionRecord> decisions_;
+    bool isEventful_ = false; ///< Refused, failed, retried or resumed.
     bool mayHaveRun_ = false;
     bool hasRun_ = false;
     bool hasClaim_ = false;
--- a/src/traffic/session_end.cpp
+++ b/src/traffic/session_end.cpp
@@ -31,8 +31,15 @@
     stepSpan_.setTag("outcome", outcomes::nameOf(verdict.outcome_));
     stepSpan_.setTag("cause", outcomes::nameOf(verdict.cause_));
     stepSpan_.finish();
+    note(hasRun_ ? log::event::attemptFinished : log::event::attemptFailed,
+         outcomes::nameOf(verdict.cause_),
+         {{"attempt", plan.id_.text()},
+          {"group", plan.group_.group_.text()},
+          {"outcome", std::string(outcomes::nameOf(verdict.outcome_))},
+          {"tokens", std::to_string(run_->tokens())}});
     if (hasRun_)
         return;
+    isEventful_ = true;
     log::info(log::event::attemptFailed,
               {{"request", request_.id_.text()},
                {"attempt", plan.id_.text()},
@@ -44,26 +51,35 @@
 
 void Session::giveUp(const outcomes::AttemptVerdict &verdict, Duration retryAfter)
 {
-    record({{"outcome", std::string(outcomes::nameOf(overallOutcome()))},
-            {"attempts", std::to_string(attempts_)},
-            {"last-group", tried_.empty() ? std::string() : tried_.back().text()}},
-           outcomes::nameOf(verdict.cause_));
     fail(failureProblem(overallOutcome(), verdict.cause_, request_.safety(), retryAfter));
 }
 
-void Session::record(std::vector<Detail> inputs, std::string_view choice)
+void Session::note(std::string_view event, std::string_view choice, std::vector<Detail> inputs)
 {
-    if (!context_.dispatcher_.mayRecord(now()))
-        return;
     inputs.push_back({"service", request_.service_.text()});
     inputs.push_back({"team", request_.team_.text()});
     DecisionRecord record;
     record.when_ = now();
-    record.event_ = log::event::requestRefused;
+    record.event_ = event;
     record.subject_ = request_.id_.text();
     record.choice_ = choice;
     record.inputs_ = std::move(inputs);
-    context_.control_.recordDecision(record);
+    decisions_.push_back(std::move(record));
+}
+
+void Session::recordDecisions()
+{
+    const auto outcome = overallOutcome();
+    note(log::event::requestFinished, outcomes::nameOf(outcome),
+         {{"status", std::to_string(answer_.status())},
+          {"attempts", std::to_string(attempts_)},
+          {"ms", std::to_string(toMilliseconds(now() - startedAt_))}});
+    const bool isSmooth = !isEventful_ && outcome == outcomes::Outcome::Ran;
+    const auto kind = isSmooth ? RecordKind::Smooth : RecordKind::Eventful;
+    if (!context_.dispatcher_.mayRecord(kind, now()))
+        return;
+    for (const auto &decision : decisions_)
+        context_.control_.recordDecision(decision);
 }
 
 outcomes::Outcome Session::overallOutcome() const
@@ -100,6 +116,7 @@
     context_.clock_.cancel(deadlineTimer_);
     context_.clock_.cancel(retryTimer_);
     completeClaim();
+    recordDecisions();
     if (isAdmitted_)
         context_.dispatcher_.finished(request_.id_, *context_.control_.snapshot(), now());
     const auto took = now() - startedAt_;
--- a/tests/traffic/fake_control_link.hpp
+++ b/tests/traffic/fake_control_link.hpp
@@ -44,6 +44,12 @@
         completions_.push_back(std::move(completion));
     }
 
+    void recordDecision(const DecisionRecord &record) override
+    {
+        const std::lock_guard lock(mutex_);
+        decisions_.push_back(record);
+    }
+
     traffic::SnapshotHolder holder_;
     std::mutex mutex_;
     traffic::TrafficReport lastReport_;
@@ -53,6 +59,7 @@
     traffic::ClaimCallback heldClaim_;
     std::vector<traffic::ClaimRequest> claims_;
     std::vector<traffic::ClaimCompletion> completions_;
+    std::vector<DecisionRecord> decisions_;
 };
 
 } // namespace cardamombay::test
