Measure group downtime and stranded VMs, and warn of a place that is no site

Cause: nothing on /metrics said what the control side does, nor the two figures that the deployment is judged by; and a daemon whose zone or region is no site of the configuration stayed silent.

--- a/include/cardamombay/admin/admin_status.hpp
+++ b/include/cardamombay/admin/admin_status.hpp
@@ -53,6 +53,7 @@
     Duration uptime_{};
     std::vector<AdminMember> members_;
     std::vector<AdminService> services_;
+    std::string warning_; ///< What an operator has to put right; empty if there is nothing.
 
     friend bool operator==(const AdminStatus &, const AdminStatus &) = default;
 };
--- a/include/cardamombay/control/admin_view.hpp
+++ b/include/cardamombay/control/admin_view.hpp
@@ -10,6 +10,7 @@
 #include <cardamombay/admin/admin_vm.hpp>
 #include <cardamombay/control/control_node.hpp>
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -27,4 +28,8 @@
 /// \brief The configuration in force.
 [[nodiscard]] admin::AdminConfig configOf(const ControlNode &node);
 
+/// \brief Says that the place of this entry VM is no site of \p configuration; empty if it is one.
+[[nodiscard]] std::string siteWarning(const AvailabilityZone &zone, const RegionName &region,
+                                      const config::Configuration &configuration);
+
 } // namespace cardamombay::control
--- a/include/cardamombay/log/events.hpp
+++ b/include/cardamombay/log/events.hpp
@@ -14,6 +14,7 @@
 inline constexpr std::string_view drainRefusing = "drain-refusing";
 inline constexpr std::string_view drainLimitReached = "drain-limit-reached";
 inline constexpr std::string_view daemonStopped = "daemon-stopped";
+inline constexpr std::string_view siteUnknown = "site-unknown";
 inline constexpr std::string_view daemonFailed = "daemon-failed";
 /// \}
 
--- a/src/admin/admin_status.cpp
+++ b/src/admin/admin_status.cpp
@@ -89,6 +89,8 @@
     status.uptime_ = millisecondsAt(object, "uptime_ms");
     status.members_ = listAt(object, "members", readMember);
     status.services_ = listAt(object, "services", readService);
+    if (object.contains("warning")) // Daemons before it do not tell it.
+        status.warning_ = textAt(object, "warning");
     return status;
 }
 
@@ -106,7 +108,8 @@
                      {"store_reachable", status.isStoreReachable_},
                      {"uptime_ms", toMilliseconds(status.uptime_)},
                      {"members", listOf(std::span(status.members_), writeMember)},
-                     {"services", listOf(std::span(status.services_), writeService)}});
+                     {"services", listOf(std::span(status.services_), writeService)},
+                     {"warning", status.warning_}});
 }
 
 Result<AdminStatus> decodeStatus(std::string_view text)
--- a/src/cli/daemon_commands.cpp
+++ b/src/cli/daemon_commands.cpp
@@ -69,8 +69,10 @@
         << "state           " << status.state_ << ", up " << ageText(status.uptime_)
         << ", incarnation " << status.incarnation_ << '\n'
         << "configuration   version " << status.configVersion_ << '\n'
-        << "table service   " << (status.isStoreReachable_ ? "reachable" : "not reachable")
-        << "\n\n";
+        << "table service   " << (status.isStoreReachable_ ? "reachable" : "not reachable") << '\n';
+    if (!status.warning_.empty())
+        out << "warning         " << status.warning_ << '\n';
+    out << '\n';
     TextTable members({"ENTRY VM", "PEERS", "ZONE", "STATUS", "CONFIGURATION", "DRAINING"});
     for (const auto &member : status.members_)
         members.add({member.id_.text(), member.peers_.text(), member.zone_.text(),
--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -135,6 +135,7 @@
     if (const auto configuration = node.configuration().current()) {
         for (const auto &service : configuration->services_)
             status.services_.push_back(serviceOf(node, service));
+        status.warning_ = siteWarning(self.zone_, self.region_, *configuration);
     }
     return status;
 }
@@ -192,4 +193,20 @@
     return shown;
 }
 
+std::string siteWarning(const AvailabilityZone &zone, const RegionName &region,
+                        const config::Configuration &configuration)
+{
+    const auto &sites = configuration.sites_;
+    const auto site = std::find_if(sites.begin(), sites.end(),
+                                   [&](const config::Site &each) { return each.zone_ == zone; });
+    if (site == sites.end())
+        return "the configuration has no site for zone '" + zone.text()
+               + "': add an overlay for it, or correct zone in this entry VM's settings";
+    if (site->region_ != region)
+        return "zone '" + zone.text() + "' is in region '" + site->region_.text()
+               + "' by the configuration, but in '" + region.text()
+               + "' by this entry VM's settings: correct one of them";
+    return {};
+}
+
 } // namespace cardamombay::control
--- a/src/control/hosted_node.cpp
+++ b/src/control/hosted_node.cpp
@@ -4,8 +4,11 @@
 #include "peer_listener.hpp"
 
 #include <cardamombay/chart/chart.hpp>
+#include <cardamombay/control/admin_view.hpp>
+#include <cardamombay/control/control_metrics.hpp>
 #include <cardamombay/control/control_node.hpp>
 #include <cardamombay/endpoint/http_endpoint_orders.hpp>
+#include <cardamombay/log/events.hpp>
 #include <cardamombay/log/log.hpp>
 #include <cardamombay/net/asio_http_client.hpp>
 #include <cardamombay/net/http_server.hpp>
@@ -29,6 +32,7 @@
 
 constexpr const char *configMethod = "config";
 constexpr const char *noParameter = "{}";
+constexpr Duration metricsEvery = std::chrono::seconds(1);
 constexpr Duration releasePoll = std::chrono::milliseconds(50);
 constexpr int releaseTurns = 60; ///< Three seconds; then the leases lapse by themselves.
 constexpr std::size_t requestRecords = 2048;     ///< Kept for "explain request".
@@ -115,8 +119,12 @@
         , orders_(http_)
         , peers_(http_)
         , configPeers_(peers_)
+        , metrics_(parts_.registry_, parts_.settings_.zone_)
     {
     }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+    ~Impl() { parts_.clock_.cancel(metricsTimer_); }
 
     Result<Done> start(std::function<void()> ready);
     void tellPeers();
@@ -126,12 +134,22 @@
 
     [[nodiscard]] traffic::SnapshotHolder &holder() { return holder_; }
     [[nodiscard]] ControlNode *node() { return node_.get(); }
+    /// \brief \p done, with its verdict counted.
+    [[nodiscard]] traffic::ClaimCallback counted(traffic::ClaimCallback done)
+    {
+        return [this, done = std::move(done)](traffic::ClaimAnswer answer) {
+            metrics_.claimAnswered(answer.verdict_);
+            done(std::move(answer));
+        };
+    }
     [[nodiscard]] impl::ClaimDesk *claims() { return claims_.get(); }
 
 private:
     void connect(std::function<void()> ready);
     Result<Done> listen();
     void waitForRelease(int turnsLeft, std::function<void()> done);
+    void warnOfSite(const routing::RoutingSnapshot &snapshot);
+    void tickMetrics();
 
     HostParts parts_;
     net::AsioHttpClient http_;
@@ -147,6 +165,9 @@
     std::atomic<std::uint32_t> postedDecisions_ = 0;
     rpc::JsonRpcDispatcher dispatcher_;
     traffic::SnapshotHolder holder_;
+    ConfigVersion siteCheckedFor_;
+    ControlMetrics metrics_;
+    TimerId metricsTimer_ = TimerId::None;
     // The node uses the links above, so it goes before them.
     std::unique_ptr<ControlNode> node_;
     std::unique_ptr<impl::ClaimDesk> claims_;
@@ -168,6 +189,7 @@
     if (!isOk(listening))
         return listening;
     node_->start();
+    tickMetrics();
     return Done{};
 }
 
@@ -183,6 +205,7 @@
     });
     node_->onSnapshot(
         [this, ready = std::move(ready)](routing::RoutingSnapshotPtr snapshot) mutable {
+            warnOfSite(*snapshot);
             const bool isConfigured = snapshot->configuration_ != nullptr;
             holder_.publish(std::move(snapshot));
             if (isConfigured && ready)
@@ -190,6 +213,25 @@
         });
 }
 
+/// Once for each version, not for each snapshot.
+void HostedNode::Impl::warnOfSite(const routing::RoutingSnapshot &snapshot)
+{
+    const auto &configuration = snapshot.configuration_;
+    if (!configuration || configuration->version_ == siteCheckedFor_)
+        return;
+    siteCheckedFor_ = configuration->version_;
+    const settings::Settings &own = parts_.settings_;
+    const auto warning = siteWarning(own.zone_, own.region_, *configuration);
+    if (!warning.empty())
+        log::warning(log::event::siteUnknown, {{"entry", own.entry_.text()}, {"problem", warning}});
+}
+
+void HostedNode::Impl::tickMetrics()
+{
+    metricsTimer_ = parts_.clock_.schedule(metricsEvery, [this] { tickMetrics(); });
+    metrics_.update(*node_);
+}
+
 Result<Done> HostedNode::Impl::listen()
 {
     listener_ = std::make_unique<impl::PeerListener>(
@@ -284,7 +326,7 @@
 {
     impl_->post([impl = impl_.get(), request = std::move(request), done = std::move(done)] {
         if (auto *claims = impl->claims())
-            claims->claim(request, done);
+            claims->claim(request, impl->counted(done));
         else
             done({});
     });
--- a/tests/config/admin.cpp
+++ b/tests/config/admin.cpp
@@ -27,6 +27,7 @@
                         ConfigVersion{4},
                         true}};
     status.services_ = {{ServiceName("lm"), 8, 7, 6}};
+    status.warning_ = "no site is called lac";
 
     const auto decoded = admin::decodeStatus(admin::encode(status));
 
