Keep one way of taking the configuration from peers

Cause: asking peers for the configuration was written twice: over HTTP GET /config/current (tested, never served nor used) and by the JSON-RPC method config (used, search untested); admin::configOf and control::configOf did the same. Change: the JSON-RPC way stays; its search takes nobody to ask into account itself, and the choice of peers is a function of its own.

--- a/include/cardamombay/control/admin_view.hpp
+++ b/include/cardamombay/control/admin_view.hpp
@@ -4,7 +4,6 @@
 /// nothing; the reason why a group is not usable follows the rules of the snapshot.
 #pragma once
 
-#include <cardamombay/admin/admin_config.hpp>
 #include <cardamombay/admin/admin_group.hpp>
 #include <cardamombay/admin/admin_status.hpp>
 #include <cardamombay/admin/admin_vm.hpp>
@@ -25,9 +24,6 @@
 /// \brief Every endpoint VM.
 [[nodiscard]] std::vector<admin::AdminVm> vmsOf(const ControlNode &node);
 
-/// \brief The configuration in force.
-[[nodiscard]] admin::AdminConfig configOf(const ControlNode &node);
-
 /// \brief Says that the place of this entry VM is no site of \p configuration; empty if it is one.
 [[nodiscard]] std::string siteWarning(const AvailabilityZone &zone, const RegionName &region,
                                       const config::Configuration &configuration);
--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -179,20 +179,6 @@
     return all;
 }
 
-admin::AdminConfig configOf(const ControlNode &node)
-{
-    const auto &agent = node.configuration();
-    admin::AdminConfig shown;
-    shown.version_ = agent.version();
-    shown.hash_ = agent.hash();
-    shown.state_ = agent.state();
-    if (const auto &refused = agent.refused()) {
-        shown.refusedVersion_ = refused->version_;
-        shown.refusal_ = messageOf(refused->error_) + " (" + remedyOf(refused->error_) + ")";
-    }
-    return shown;
-}
-
 std::string siteWarning(const AvailabilityZone &zone, const RegionName &region,
                         const config::Configuration &configuration)
 {
--- a/src/control/config_peers.cpp
+++ b/src/control/config_peers.cpp
@@ -2,6 +2,7 @@
 
 #include <cardamombay/config/config_record.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
@@ -9,6 +10,8 @@
 
 namespace {
 
+constexpr std::size_t peersAsked = 3;
+
 /// One search over several peers.
 struct Search
 {
@@ -30,6 +33,15 @@
             finish();
     }
 
+    void finish()
+    {
+        const auto done = std::exchange(done_, nullptr);
+        if (best_.isNone())
+            done(Error(PeerUnreachable{EntryId("any"), "no peer gave its configuration"}));
+        else
+            done(std::move(text_));
+    }
+
 private:
     void consider(const std::string &text)
     {
@@ -39,26 +51,38 @@
         best_ = valueOf(record).version_;
         text_ = text;
     }
-
-    void finish()
-    {
-        const auto done = std::exchange(done_, nullptr);
-        if (best_.isNone())
-            done(Error(PeerUnreachable{EntryId("any"), "no peer gave its configuration"}));
-        else
-            done(std::move(text_));
-    }
 };
 
 } // namespace
 
-void fetchHighest(ConfigPeers &peers, std::span<const Address> addresses, ConfigVersion atLeast,
-                  Callback<std::string> done)
+std::vector<Address> configPeersOf(std::span<const membership::MemberEntry> alive,
+                                   const EntryId &self)
+{
+    std::vector<const membership::MemberEntry *> peers;
+    for (const auto &member : alive) {
+        if (member.id_ != self)
+            peers.push_back(&member);
+    }
+    std::stable_sort(peers.begin(), peers.end(), [](const auto *left, const auto *right) {
+        return left->configVersion_ > right->configVersion_;
+    });
+    peers.resize(std::min(peers.size(), peersAsked));
+    std::vector<Address> addresses;
+    addresses.reserve(peers.size());
+    for (const auto *peer : peers)
+        addresses.push_back(peer->address_);
+    return addresses;
+}
+
+void fetchHighest(ConfigPeers &peers, Clock &clock, std::span<const Address> addresses,
+                  ConfigVersion atLeast, Callback<std::string> done)
 {
     auto search = std::make_shared<Search>();
     search->atLeast_ = atLeast;
     search->done_ = std::move(done);
     search->open_ = addresses.size();
+    if (addresses.empty())
+        clock.schedule({}, [search] { search->finish(); });
     for (const Address &address : addresses)
         peers.fetch(address, [search](const Result<std::string> &answer) { search->take(answer); });
 }
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -21,9 +21,6 @@
 /// Groups of other zones asked about when the own zone has none to offer.
 constexpr std::size_t elsewhereLimit = 4;
 
-/// Peers asked for the configuration at once.
-constexpr std::size_t configPeersAsked = 3;
-
 membership::MemberEntry memberOf(const ControlSettings &settings)
 {
     membership::MemberEntry self;
@@ -178,27 +175,10 @@
     return ahead < count;
 }
 
-/// Asks the live peers that have the highest versions, a few at once.
 void ControlNode::fetchFromPeers(ConfigVersion atLeast, Callback<std::string> done)
 {
-    auto peers = membership_.aliveMembers();
-    std::erase_if(peers, [&](const auto &peer) { return peer.id_ == settings_.self_; });
-    std::stable_sort(peers.begin(), peers.end(), [](const auto &left, const auto &right) {
-        return left.configVersion_ > right.configVersion_;
-    });
-    if (peers.size() > configPeersAsked)
-        peers.resize(configPeersAsked);
-    std::vector<Address> addresses;
-    addresses.reserve(peers.size());
-    for (const auto &peer : peers)
-        addresses.push_back(peer.address_);
-    if (addresses.empty()) {
-        clock_.schedule({}, [done = std::move(done)] {
-            done(Error(PeerUnreachable{EntryId("any"), "no live peer is known"}));
-        });
-        return;
-    }
-    fetchHighest(configPeers_, addresses, atLeast, std::move(done));
+    const auto addresses = configPeersOf(membership_.aliveMembers(), settings_.self_);
+    fetchHighest(configPeers_, clock_, addresses, atLeast, std::move(done));
 }
 
 // ---- digests -------------------------------------------------------------------------------
--- a/src/control/peer_listener.cpp
+++ b/src/control/peer_listener.cpp
@@ -1,6 +1,7 @@
 #include "peer_listener.hpp"
 
 #include <cardamombay/admin/admin_ack.hpp>
+#include <cardamombay/admin/admin_config.hpp>
 #include <cardamombay/admin/admin_event.hpp>
 #include <cardamombay/rpc/json_rpc_peer_transport.hpp>
 #include <cardamombay/traffic/problem.hpp>
@@ -83,7 +84,7 @@
     if (path == "/admin/vms")
         return respond(admin::encode(vmsOf(node)));
     if (path == "/admin/config")
-        return respond(admin::encode(configOf(node)));
+        return respond(admin::encode(admin::configOf(node.configuration())));
     if (path == "/admin/events")
         return respond(events({}));
     if (const auto group = behind(path, "/admin/explain/group/"))
