--- a/include/cardamombay/control/admin_view.hpp
+++ b/include/cardamombay/control/admin_view.hpp
@@ -4,12 +4,12 @@
 /// nothing; the reason why a group is not usable follows the rules of the snapshot.
 #pragma once
 
-#include <cardamombay/admin/admin_config.hpp>
 #include <cardamombay/admin/admin_group.hpp>
 #include <cardamombay/admin/admin_status.hpp>
 #include <cardamombay/admin/admin_vm.hpp>
 #include <cardamombay/control/control_node.hpp>
 
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -24,7 +24,8 @@
 /// \brief Every endpoint VM.
 [[nodiscard]] std::vector<admin::AdminVm> vmsOf(const ControlNode &node);
 
-/// \brief The configuration in force.
-[[nodiscard]] admin::AdminConfig configOf(const ControlNode &node);
+/// \brief Says that the place of this entry VM is no site of \p configuration; empty if it is one.
+[[nodiscard]] std::string siteWarning(const AvailabilityZone &zone, const RegionName &region,
+                                      const config::Configuration &configuration);
 
 } // namespace cardamombay::control
--- a/src/control/peer_listener.cpp
+++ b/src/control/peer_listener.cpp
@@ -1,6 +1,7 @@
 #include "peer_listener.hpp"
 
 #include <cardamombay/admin/admin_ack.hpp>
+#include <cardamombay/admin/admin_config.hpp>
 #include <cardamombay/admin/admin_event.hpp>
 #include <cardamombay/rpc/json_rpc_peer_transport.hpp>
 #include <cardamombay/traffic/problem.hpp>
@@ -83,13 +84,13 @@
     if (path == "/admin/vms")
         return respond(admin::encode(vmsOf(node)));
     if (path == "/admin/config")
-        return respond(admin::encode(configOf(node)));
+        return respond(admin::encode(admin::configOf(node.configuration())));
     if (path == "/admin/events")
         return respond(events({}));
     if (const auto group = behind(path, "/admin/explain/group/"))
         return respond(events(*group));
     if (const auto request = behind(path, "/admin/explain/request/"))
-        return respond(events(*request));
+        return respond(requestEvents(*request));
     return notFound(path);
 }
 
@@ -117,6 +118,12 @@
     return notFound(path);
 }
 
+std::string PeerListener::requestEvents(std::string_view request) const
+{
+    return admin::encode(
+        admin::eventsOf(parts_.requestDecisions_.forSubject(request), parts_.node_.now()));
+}
+
 std::string PeerListener::events(std::string_view subject) const
 {
     return admin::encode(
--- a/src/traffic/dispatcher.cpp
+++ b/src/traffic/dispatcher.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr std::uint32_t recordsPerSecond = 20;
+constexpr std::uint32_t recordsPerSecond = 50; ///< Requests of each kind.
 
 } // namespace
 
@@ -15,7 +15,8 @@
     : admission_(policy.limits_)
     , router_(seed, policy.router_)
     , retries_(seed, policy.retries_)
-    , circuits_(std::move(circuits), policy.circuits_)
+    , circuits_(std::move(circuits), policy.circuits_, seed)
+    , digestEvery_(policy.digestEvery_)
 {
 }
 
@@ -49,8 +50,10 @@
     std::vector<PendingAnswer> answers;
     {
         const std::lock_guard lock(mutex_);
-        if (waiting_.empty())
+        const bool isNew = snapshot.sequence_ == 0 || snapshot.sequence_ != releasedFor_;
+        if (waiting_.empty() || (!isNew && now < admission_.nextWake()))
             return;
+        releasedFor_ = snapshot.sequence_;
         answers = takeReleased(snapshot, now);
     }
     for (auto &pending : answers)
@@ -74,17 +77,22 @@
 RouteChoice Dispatcher::startAttempt(const routing::RoutingSnapshot &snapshot,
                                      const RouteQuery &query, TimePoint now)
 {
-    const std::lock_guard lock(mutex_);
+    std::unique_lock lock(mutex_);
     const auto decision = choose(snapshot, query, now);
-    if (decision.group_ == nullptr) {
-        routing::RouteRequest request;
-        request.service_ = query.service_;
-        return {std::nullopt, decision.reason_,
-                decision.record(request, std::string(query.subject_), now)};
+    if (decision.group_ != nullptr) {
+        router_.started(decision.group_->group_, query.prefixHashes_, now);
+        circuits_.started(decision.group_->group_, now);
     }
-    router_.started(decision.group_->group_, query.prefixHashes_, now);
-    circuits_.started(decision.group_->group_, now);
-    return {*decision.group_, decision.reason_, {}};
+    lock.unlock();
+    routing::RouteRequest request;
+    request.service_ = query.service_;
+    request.prefixHashes_ = query.prefixHashes_;
+    RouteChoice choice;
+    choice.reason_ = decision.reason_;
+    choice.record_ = decision.record(request, std::string(query.subject_), now);
+    if (decision.group_ != nullptr)
+        choice.group_ = *decision.group_;
+    return choice;
 }
 
 routing::RouteDecision Dispatcher::choose(const routing::RoutingSnapshot &snapshot,
@@ -105,12 +113,18 @@
     return router_.choose(snapshot, request, now);
 }
 
-void Dispatcher::finishAttempt(const GroupId &group, GroupResult result, Duration timeToFirstToken,
+void Dispatcher::attemptAnswered(const GroupId &group, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    circuits_.succeeded(group, now);
+}
+
+void Dispatcher::finishAttempt(const GroupId &group, GroupResult result, const AttemptTimes &times,
                                TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     const bool isOk = result != GroupResult::Failed;
-    router_.finished(group, {timeToFirstToken, isOk}, now);
+    router_.finished(group, {times.timeToFirstToken_, isOk, times.timePerToken_}, now);
     switch (result) {
     case GroupResult::Succeeded:
         circuits_.succeeded(group, now);
@@ -142,21 +156,26 @@
     return admission_.load(service);
 }
 
-bool Dispatcher::mayRecord(TimePoint now)
+bool Dispatcher::mayRecord(RecordKind kind, TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     if (now - recordPeriod_ >= std::chrono::seconds(1)) {
         recordPeriod_ = now;
-        records_ = 0;
+        records_ = {};
     }
-    return records_++ < recordsPerSecond;
+    return records_.at(static_cast<std::size_t>(kind))++ < recordsPerSecond;
 }
 
 TrafficReport Dispatcher::report(const routing::RoutingSnapshot &snapshot, TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     TrafficReport report;
-    report.demand_ = admission_.demand(now);
+    if (!demandAt_ || now - *demandAt_ >= digestEvery_) {
+        demandAt_ = now;
+        demand_ = admission_.demand(now);
+        releasedFor_ = 0; // The own share may have grown with it.
+    }
+    report.demand_ = demand_;
     for (const auto &service : snapshot.services_) {
         for (const auto &group : service.groups_) {
             if (const auto inFlight = router_.inFlight(group.group_))
