Join the peers before the fault matrix asks them for the configuration

Cause: with other timing of probes the matrix never saw the state asking-peers: the restarted node knew no peer yet, so the state ended in the turn it began. Change: the node joins first, then its peers are paused. Conclusion: the step is reached whatever the timing.

--- a/tests/faults/control_checks.cpp
+++ b/tests/faults/control_checks.cpp
@@ -306,6 +306,9 @@
             fleet_.restartEntry(entry_);
         if (state == "asking-peers") {
             fleet_.platform_.faults_.isDown_ = true;
+            const auto &membership = fleet_.entry(entry_).node_->membership();
+            // It asks whom it knows, so it joins first; the store's refusal comes later.
+            fleet_.runUntil([&] { return membership.aliveMembers().size() > 1; }, reachLimit);
             for (std::size_t other = 0; other < fleet_.size(); ++other) {
                 if (other != entry_)
                     fleet_.pauseEntry(other); // The peers' answers are under way for longer.
