--- a/include/cardamombay/settings/settings.hpp
+++ b/include/cardamombay/settings/settings.hpp
@@ -71,6 +71,7 @@
     Address peers_;                 ///< Listener for peers and operators.
     std::vector<Address> platform_; ///< The platform's service; the first that answers is used.
     std::vector<Address> seeds_;    ///< Peer listeners of some other entry VMs.
+    Address advertised_;            ///< Where peers reach this entry VM; peers_ unless set.
     std::uint32_t trafficThreads_ = 2;
     std::string chartsFolder_ = "charts";
     std::string logLevel_ = "info"; ///< "trace", "debug", "info", "warn" or "error".
--- a/src/control/hosted_node.cpp
+++ b/src/control/hosted_node.cpp
@@ -74,7 +74,7 @@
     ControlSettings settings;
     settings.self_ = given.entry_;
     settings.incarnation_ = parts.incarnation_;
-    settings.peerAddress_ = given.peers_;
+    settings.peerAddress_ = given.advertised_;
     settings.zone_ = given.zone_;
     settings.region_ = given.region_;
     settings.seeds_ = given.seeds_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -56,11 +56,13 @@
 
 void readPeers(TableReader &root, Settings &result)
 {
+    result.advertised_ = result.peers_;
     const auto *table = root.table("peers");
     if (!table)
         return;
     auto reader = root.child(*table, "peers");
     reader.read("seeds", result.seeds_);
+    reader.read("advertise", result.advertised_);
     reader.finish();
 }
 
--- a/tests/ledger/real_processes.cpp
+++ b/tests/ledger/real_processes.cpp
@@ -1,4 +1,4 @@
-#include "ledger/caller_crowd.hpp"
+#include "support/caller_crowd.hpp"
 
 #include <algorithm>
 #include <functional>
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -39,6 +39,7 @@
     const auto &read = valueOf(result);
     cr_assert(read.entry_ == EntryId("entry-a1"));
     cr_assert(read.peers_ == (Address{"10.1.0.11", 8090}));
+    cr_assert(read.advertised_ == read.peers_);
     cr_assert(read.intervals_ == settings::Intervals{});
     cr_assert_eq(read.trafficThreads_, 2);
 }
@@ -48,7 +49,8 @@
     const auto result = settings::parse(std::string("traffic_threads = 4\n") + smallest
                                             + "[intervals]\nprobe = \"250ms\"\n"
                                               "[drain]\nin_flight = \"1m\"\n"
-                                              "[peers]\nseeds = [\"10.1.0.12:8090\"]\n",
+                                              "[peers]\nseeds = [\"10.1.0.12:8090\"]\n"
+                                              "advertise = \"10.9.0.11:8090\"\n",
                                         "entry.toml");
 
     cr_assert(isOk(result));
@@ -57,6 +59,7 @@
     cr_assert(read.intervals_.probe_ == milliseconds(250));
     cr_assert(read.drain_.inFlight_ == seconds(60));
     cr_assert_eq(read.seeds_.size(), 1);
+    cr_assert(read.advertised_ == (Address{"10.9.0.11", 8090}));
 }
 
 Test(settings, unknown_key_names_its_place_and_the_nearest_key)
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -92,6 +92,7 @@
         entry.zone_ = plan_.zones_[i % plan_.zones_.size()];
         entry.address_ = {std::string(loopback), freePort()};
         entry.peers_ = {std::string(loopback), freePort()};
+        entry.reached_ = routed("caller", entry, entry.address_);
         entries_.push_back(std::move(entry));
     }
     postVms();
@@ -129,7 +130,7 @@
         if (other.name_ != entry.name_)
             out << "\"" << routed(entry.name_, other, other.peers_) << "\", ";
     }
-    out << "]\n" << plan_.settings_;
+    out << "]\nadvertise = \"" << routed("entry", entry, entry.peers_) << "\"\n" << plan_.settings_;
     return out.str();
 }
 
@@ -181,7 +182,7 @@
     apply(plan_.base_.empty() ? defaultBase() : plan_.base_);
 }
 
-std::string Fleet::apply(std::string_view base, std::vector<std::string> overlays)
+std::string Fleet::apply(std::string_view base, std::vector<std::string> overlays, std::uint64_t on)
 {
     if (overlays.empty()) {
         for (const auto &zone : plan_.zones_)
@@ -190,6 +191,8 @@
     }
     std::vector<std::string> arguments{"--store", platform_.address_.text(), "config", "apply",
                                        harness_.writeFile("base.toml", base)};
+    if (on > 0)
+        arguments.insert(arguments.end(), {"--on", std::to_string(on)});
     for (std::size_t i = 0; i < overlays.size(); ++i) {
         const std::string name = "overlay-" + std::to_string(i) + ".toml";
         arguments.push_back(harness_.writeFile(name, overlays[i]));
@@ -266,7 +269,7 @@
 
 Caller Fleet::caller(std::size_t entry) const
 {
-    return Caller(entries_.at(entry).address_);
+    return Caller(entries_.at(entry).reached_);
 }
 
 std::string Fleet::entryLogs()
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -36,7 +36,10 @@
     std::uint32_t replicas_ = 2; ///< Of "lm" in each zone, in the default configuration.
     std::uint32_t vmsPerReplica_ = 2;
     bool checksFencing_ = true;
-    /// Puts a proxy into a link: the address at which \p client shall reach \p server.
+    /// Puts a proxy into a link: the address at which \p client shall reach \p server. Clients are
+    /// "caller", "entry" (any entry VM, to endpoints and peers), "engine", and each entry VM by
+    /// name (to the platform and its seeds). Asked again for the same link, it gives the same
+    /// address.
     std::function<Address(std::string_view client, std::string_view server, Address)> route_;
 };
 
@@ -46,7 +49,8 @@
     std::string name_;
     ProcessId process_{};
     Address address_; ///< Entry VMs: the callers' listener.
-    Address peers_;   ///< Entry VMs only.
+    Address peers_;   ///< Entry VMs only: listener of peers and operators.
+    Address reached_; ///< Entry VMs only: where callers send to.
     AvailabilityZone zone_;
     std::string domain_;
 };
@@ -74,8 +78,10 @@
     /// \}
 
     /// \brief Stores a configuration; empty overlays takes one for each zone.
+    /// \param on version that the files were made on; zero if there is none yet.
     /// \returns what cardamombayctl printed; throws if it failed.
-    std::string apply(std::string_view base, std::vector<std::string> overlays = {});
+    std::string apply(std::string_view base, std::vector<std::string> overlays = {},
+                      std::uint64_t on = 0);
 
     /// \name Changes
     /// \{
--- a/tests/support/process_harness.cpp
+++ b/tests/support/process_harness.cpp
@@ -1,7 +1,9 @@
 #include "support/process_harness.hpp"
 
+#include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <cstddef>
 #include <cstdlib>
 #include <fstream>
 #include <random>
@@ -15,6 +17,7 @@
 #include <netinet/in.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
+#include <sys/un.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -66,6 +69,23 @@
     return isBound;
 }
 
+/// Takes a port for this process until it ends, so that no other test gets it before a program
+/// listens on it: a name in the abstract socket namespace has one owner on the machine.
+bool reserve(std::uint16_t port)
+{
+    const std::string name = "cardamombay-test-port-" + std::to_string(port);
+    const int socket = ::socket(AF_UNIX, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    std::copy(name.begin(), name.end(), &address.sun_path[1]);
+    const auto size = static_cast<socklen_t>(offsetof(sockaddr_un, sun_path) + 1 + name.size());
+    const auto *generic = reinterpret_cast<const sockaddr *>(&address);
+    if (socket >= 0 && ::bind(socket, generic, size) == 0)
+        return true; // The socket stays open.
+    ::close(socket);
+    return false;
+}
+
 } // namespace
 
 bool waitUntil(const std::function<bool()> &condition, Duration limit)
@@ -90,7 +110,7 @@
     std::uniform_int_distribution<int> pick(first, last);
     for (int i = 0; i < tries; ++i) {
         const auto port = static_cast<std::uint16_t>(pick(seed));
-        if (canListen(port))
+        if (reserve(port) && canListen(port))
             return port;
     }
     throw std::runtime_error("no free port");
--- a/tests/support/process_harness.hpp
+++ b/tests/support/process_harness.hpp
@@ -22,7 +22,7 @@
 /// \returns whether it held.
 bool waitUntil(const std::function<bool()> &condition, Duration limit = processLimit);
 
-/// \brief A port on 127.0.0.1 that nobody listened on just now.
+/// \brief A port on 127.0.0.1 that nobody listens on and no other test process was given.
 [[nodiscard]] std::uint16_t freePort();
 
 /// \brief Handle of a started process.
