--- a/tests/support/control_fleet.cpp
+++ b/tests/support/control_fleet.cpp
@@ -641,8 +641,8 @@
 std::optional<VmId> ControlFleet::strandedVm() const
 {
     const auto rows = groupRows();
-    for (const auto &[vm, truth] : truths_) {
-        const auto &held = truth.state_.assignment_;
+    for (const VmId &vm : vms_) {
+        const auto &held = truths_.at(vm).state_.assignment_;
         const bool isInRow = std::any_of(rows.begin(), rows.end(), [&](const auto &row) {
             return held && row.group_ == held->group_ && row.generation_ == held->generation_
                    && !row.isFreeSlot() && row.rankOf(vm);
