Record requests that are refused before they become sessions

Cause: malformed requests, and those that come during a drain or before a configuration, were logged but not shown by explain request; and the copy of a record to the control thread was copied again. Change: Worker records them within the same limit; the posted record is moved into the log.

--- a/include/cardamombay/traffic/worker.hpp
+++ b/include/cardamombay/traffic/worker.hpp
@@ -50,6 +50,7 @@
     [[nodiscard]] bool handleOwnPath(const net::ServerRequest &request,
                                      net::ServerExchange &exchange);
     void refuse(const Problem &problem, const RequestId &id, net::ServerExchange &exchange);
+    void recordRefusal(const Problem &problem, const RequestId &id);
     void tick();
     void closed(impl::Session *session);
 
--- a/src/control/hosted_node.cpp
+++ b/src/control/hosted_node.cpp
@@ -281,7 +281,7 @@
         postedDecisions_.fetch_sub(1);
         return;
     }
-    post([this, record]() mutable {
+    post([this, record = DecisionRecord(record)]() mutable {
         postedDecisions_.fetch_sub(1);
         requestDecisions_.record(std::move(record));
     });
--- a/src/traffic/worker.cpp
+++ b/src/traffic/worker.cpp
@@ -165,9 +165,24 @@
     context_.metrics_.requestRefused(problem.type_);
     log::info(log::event::requestRefused,
               {{"request", id.text()}, {"type", problem.type_}, {"detail", problem.detail_}});
+    recordRefusal(problem, id);
     exchange.respond(problemResponse(problem, id));
 }
 
+void Worker::recordRefusal(const Problem &problem, const RequestId &id)
+{
+    const auto now = context_.clock_.now();
+    if (!context_.dispatcher_.mayRecord(RecordKind::Eventful, now))
+        return;
+    DecisionRecord record;
+    record.when_ = now;
+    record.event_ = log::event::requestRefused;
+    record.subject_ = id.text();
+    record.choice_ = problem.type_;
+    record.inputs_ = {{"status", std::to_string(problem.status_)}, {"detail", problem.detail_}};
+    context_.control_.recordDecision(record);
+}
+
 void Worker::closed(impl::Session *session)
 {
     sessions_.erase(session);
--- a/tests/traffic/decisions.cpp
+++ b/tests/traffic/decisions.cpp
@@ -75,6 +75,18 @@
     cr_assert_eq(count("attempt-finished"), 1);
 }
 
+Test(decisions, request_refused_before_its_session_tells_why)
+{
+    Recorded bench;
+    bench.state_.isRefusing_ = true;
+
+    const auto exchange = bench.send(false);
+
+    cr_assert_eq(bench.control_.decisions_.size(), 1u);
+    cr_assert_eq(bench.control_.decisions_[0].choice_, "draining");
+    cr_assert_eq(bench.control_.decisions_[0].subject_, exchange->head_.field("X-Request-Id"));
+}
+
 Test(decisions, flood_of_requests_records_a_limited_number)
 {
     Recorded bench;
