Choose watchers and planning candidates once in place of once a VM

Change: the planner looks at each fabric domain once and lists a zone's candidates once a tick; the watcher keeps its choice until the list, the sites or the live entry VMs change.

--- a/include/cardamombay/control/zone_planner.hpp
+++ b/include/cardamombay/control/zone_planner.hpp
@@ -67,9 +67,14 @@
         std::unique_ptr<groups::GroupManager> manager_;
     };
 
-    void addDomains(const PlanPicture &picture);
+    /// Results of planningEntries() for one tick.
+    using ZoneEntries = std::map<AvailabilityZone, std::vector<EntryId>>;
+
+    static const std::vector<EntryId> &entriesOf(const AvailabilityZone &zone,
+                                                 const PlanPicture &picture, ZoneEntries &entries);
+    void addDomains(const PlanPicture &picture, ZoneEntries &entries);
     Domain makeDomain(const platform::VmRecord &record);
-    void rank(const FabricDomain &name, Domain &domain, const PlanPicture &picture);
+    void rank(const FabricDomain &name, Domain &domain, std::span<const EntryId> entries);
     void plan(Domain &domain, const PlanPicture &picture);
 
     Clock &clock_;
--- a/include/cardamombay/watching/endpoint_watcher.hpp
+++ b/include/cardamombay/watching/endpoint_watcher.hpp
@@ -21,8 +21,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
+#include <unordered_map>
 #include <vector>
 
 namespace cardamombay::watching {
@@ -75,7 +77,7 @@
     /// of its region if the site has fewer than two.
     void setWatchers(std::span<const membership::MemberEntry> alive);
     /// \brief The entry VMs that watch \p vm, highest rank first.
-    [[nodiscard]] std::vector<EntryId> watchersOf(const VmId &vm) const;
+    [[nodiscard]] const std::vector<EntryId> &watchersOf(const VmId &vm) const;
     /// \brief True if this entry VM is one of them.
     [[nodiscard]] bool isWatched(const VmId &vm) const { return own_.contains(vm); }
     /// \}
@@ -163,6 +165,7 @@
     void applyRows(PeerSet &set, const membership::Digest &digest);
     void urgent();
     void rebuildOwn();
+    [[nodiscard]] const std::vector<EntryId> &candidatesFor(const AvailabilityZone &zone) const;
     void probe(const VmId &vm);
     void answered(const VmId &vm, TimePoint sentAt, const endpoint::EndpointState &state);
     void failed(const VmId &vm, TimePoint sentAt, const Result<endpoint::EndpointState> &result);
@@ -187,7 +190,11 @@
     EntryId self_;
     std::map<VmId, Endpoint> endpoints_;
     std::map<AvailabilityZone, RegionName> regions_;
-    std::vector<membership::MemberEntry> watchers_;
+    std::vector<EntryId> everyone_; ///< Live entry VMs.
+    std::map<AvailabilityZone, std::vector<EntryId>> bySite_;
+    std::map<RegionName, std::vector<EntryId>> byRegion_;
+    std::optional<RegionName> ownRegion_;
+    mutable std::unordered_map<VmId, std::vector<EntryId>> choices_; ///< Of watchersOf().
     std::map<VmId, OwnWatch> own_;
     std::deque<Removal> removals_;
     std::uint64_t revision_ = 0;
--- a/src/control/zone_planner.cpp
+++ b/src/control/zone_planner.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <string_view>
+#include <unordered_set>
 #include <utility>
 
 namespace cardamombay::control {
@@ -51,24 +53,39 @@
 {
     if (isReleasing_ || !picture.configuration_)
         return;
-    addDomains(picture);
+    ZoneEntries entries;
+    addDomains(picture, entries);
     for (auto &[name, domain] : domains_) {
-        rank(name, domain, picture);
+        rank(name, domain, entriesOf(domain.zone_, picture, entries));
         if (domain.lease_->isHeld())
             plan(domain, picture);
     }
 }
 
-void ZonePlanner::addDomains(const PlanPicture &picture)
+const std::vector<EntryId> &ZonePlanner::entriesOf(const AvailabilityZone &zone,
+                                                   const PlanPicture &picture, ZoneEntries &entries)
 {
+    const auto known = entries.find(zone);
+    if (known != entries.end())
+        return known->second;
+    auto found = planningEntries(zone, *picture.configuration_, picture.alive_);
+    return entries.emplace(zone, std::move(found)).first->second;
+}
+
+/// Looks at each fabric domain once, however many VMs it has.
+void ZonePlanner::addDomains(const PlanPicture &picture, ZoneEntries &entries)
+{
+    std::unordered_set<std::string_view> seen;
     for (const auto &record : picture.vms_) {
         const bool isEngine = record.role_ == platform::VmRole::Engine;
-        if (!isEngine || record.domain_.isEmpty() || domains_.contains(record.domain_))
+        if (!isEngine || record.domain_.isEmpty() || !seen.insert(record.domain_.text()).second)
+            continue;
+        if (domains_.contains(record.domain_))
             continue;
-        const auto entries = planningEntries(record.zone_, *picture.configuration_, picture.alive_);
+        const auto &candidates = entriesOf(record.zone_, picture, entries);
         const bool isCandidate
-            = leases::candidateRank(record.domain_, settings_.self_, entries).has_value()
-              && std::find(entries.begin(), entries.end(), settings_.self_) != entries.end();
+            = std::find(candidates.begin(), candidates.end(), settings_.self_) != candidates.end()
+              && leases::candidateRank(record.domain_, settings_.self_, candidates).has_value();
         if (isCandidate)
             domains_.emplace(record.domain_, makeDomain(record));
     }
@@ -88,9 +105,8 @@
     return domain;
 }
 
-void ZonePlanner::rank(const FabricDomain &name, Domain &domain, const PlanPicture &picture)
+void ZonePlanner::rank(const FabricDomain &name, Domain &domain, std::span<const EntryId> entries)
 {
-    const auto entries = planningEntries(domain.zone_, *picture.configuration_, picture.alive_);
     const bool mayPlan
         = std::find(entries.begin(), entries.end(), settings_.self_) != entries.end();
     domain.lease_->setCandidateRank(mayPlan ? leases::candidateRank(name, settings_.self_, entries)
--- a/src/watching/watcher_choice.cpp
+++ b/src/watching/watcher_choice.cpp
@@ -30,6 +30,7 @@
         listed.emplace(record.id_, Endpoint{record, isLeavingNow});
     }
     endpoints_ = std::move(listed);
+    choices_.clear();
     const auto isAbsent = [&](const auto &item) { return !names.contains(item.first); };
     std::erase_if(best_, isAbsent);
     std::erase_if(latencies_, isAbsent);
@@ -47,52 +48,70 @@
     regions_.clear();
     for (const config::Site &site : sites)
         regions_[site.zone_] = site.region_;
+    choices_.clear();
     rebuildOwn();
 }
 
 void EndpointWatcher::setWatchers(std::span<const membership::MemberEntry> alive)
 {
-    watchers_.assign(alive.begin(), alive.end());
+    everyone_.clear();
+    bySite_.clear();
+    byRegion_.clear();
+    choices_.clear();
+    ownRegion_.reset();
     std::set<EntryId> present;
-    for (const membership::MemberEntry &entry : watchers_)
+    for (const membership::MemberEntry &entry : alive) {
         present.insert(entry.id_);
+        everyone_.push_back(entry.id_);
+        bySite_[entry.zone_].push_back(entry.id_);
+        byRegion_[entry.region_].push_back(entry.id_);
+        if (entry.id_ == self_)
+            ownRegion_ = entry.region_;
+    }
     std::erase_if(peerSets_, [&](const auto &item) { return !present.contains(item.first); });
     rebuildOwn();
 }
 
 bool EndpointWatcher::isInOwnRegion(const AvailabilityZone &zone) const
 {
-    const auto self
-        = std::find_if(watchers_.begin(), watchers_.end(),
-                       [this](const membership::MemberEntry &e) { return e.id_ == self_; });
     const auto region = regions_.find(zone);
-    return self == watchers_.end() || region == regions_.end() || region->second == self->region_;
+    return !ownRegion_ || region == regions_.end() || region->second == *ownRegion_;
+}
+
+const std::vector<EntryId> &EndpointWatcher::candidatesFor(const AvailabilityZone &zone) const
+{
+    static const std::vector<EntryId> none;
+    const auto site = bySite_.find(zone);
+    if (site != bySite_.end() && site->second.size() >= settings_.watchersPerVm_)
+        return site->second;
+    const auto region = regions_.find(zone);
+    if (region == regions_.end())
+        return everyone_;
+    const auto members = byRegion_.find(region->second);
+    return members == byRegion_.end() ? none : members->second;
 }
 
-std::vector<EntryId> EndpointWatcher::watchersOf(const VmId &vm) const
+const std::vector<EntryId> &EndpointWatcher::watchersOf(const VmId &vm) const
 {
+    const auto known = choices_.find(vm);
+    if (known != choices_.end())
+        return known->second;
+    static const std::vector<EntryId> none;
     const auto found = endpoints_.find(vm);
     if (found == endpoints_.end())
-        return {};
-    const AvailabilityZone &zone = found->second.record_.zone_;
+        return none;
     using Ranked = std::pair<std::uint64_t, const EntryId *>;
-    std::vector<Ranked> site;
-    std::vector<Ranked> region;
-    const auto regionName = regions_.find(zone);
-    for (const membership::MemberEntry &entry : watchers_) {
-        const Ranked ranked{rendezvousWeight(vm.text(), entry.id_.text()), &entry.id_};
-        if (entry.zone_ == zone)
-            site.push_back(ranked);
-        if (regionName == regions_.end() || regionName->second == entry.region_)
-            region.push_back(ranked);
-    }
-    auto &ranking = site.size() >= settings_.watchersPerVm_ ? site : region;
-    std::sort(ranking.begin(), ranking.end(), [](const Ranked &left, const Ranked &right) {
-        return left.first != right.first ? left.first > right.first : *left.second < *right.second;
-    });
-    ranking.resize(std::min<std::size_t>(ranking.size(), settings_.watchersPerVm_));
-    std::vector<EntryId> chosen;
-    chosen.reserve(ranking.size());
+    std::vector<Ranked> ranking;
+    for (const EntryId &entry : candidatesFor(found->second.record_.zone_))
+        ranking.emplace_back(rendezvousWeight(vm.text(), entry.text()), &entry);
+    const std::size_t count = std::min<std::size_t>(ranking.size(), settings_.watchersPerVm_);
+    std::partial_sort(ranking.begin(), ranking.begin() + static_cast<std::ptrdiff_t>(count),
+                      ranking.end(), [](const Ranked &left, const Ranked &right) {
+                          return left.first != right.first ? left.first > right.first
+                                                           : *left.second < *right.second;
+                      });
+    ranking.resize(count);
+    std::vector<EntryId> &chosen = choices_[vm];
     for (const auto &[weight, id] : ranking)
         chosen.push_back(*id);
     return chosen;
@@ -105,7 +124,7 @@
     for (const auto &[vm, endpoint] : endpoints_) {
         if (!isInOwnRegion(endpoint.record_.zone_))
             continue;
-        const std::vector<EntryId> chosen = watchersOf(vm);
+        const std::vector<EntryId> &chosen = watchersOf(vm);
         if (std::find(chosen.begin(), chosen.end(), self_) == chosen.end())
             continue;
         auto known = own_.extract(vm);
@@ -128,7 +147,7 @@
     for (const auto &[vm, until] : needed_) {
         if (own_.contains(vm))
             continue;
-        const std::vector<EntryId> watchers = watchersOf(vm);
+        const std::vector<EntryId> &watchers = watchersOf(vm);
         const bool isCovered = std::any_of(watchers.begin(), watchers.end(), [&](const auto &id) {
             return std::find(scope.begin(), scope.end(), id) != scope.end();
         });
