Find observations by hash

Change: observations, refusals and latencies of the watcher are hashed; nothing depends on their order.

--- a/include/cardamombay/watching/endpoint_watcher.hpp
+++ b/include/cardamombay/watching/endpoint_watcher.hpp
@@ -200,9 +200,9 @@
     std::uint64_t revision_ = 0;
     std::uint64_t removalFloor_ = 0; ///< Changes up to here cannot be told one by one.
     std::map<EntryId, PeerSet> peerSets_;
-    std::map<VmId, Observation> best_;
-    std::map<VmId, TimePoint> gone_; ///< When a VM last refused a connection.
-    std::map<VmId, Latency> latencies_;
+    std::unordered_map<VmId, Observation> best_;
+    std::unordered_map<VmId, TimePoint> gone_; ///< When a VM last refused a connection.
+    std::unordered_map<VmId, Latency> latencies_;
     std::map<VmId, TimePoint> needed_;
     Duration medianLatency_{};
     TimePoint listTakenAt_{};
