Ask for the VM list only if it has changed

Cause: at 340 nodes the list is about 466 KB, read every 2 s by three pollers a zone. Change: the answer of GET /v1/vms has a tag; a client asks unless=<tag> and is told that nothing changed. Additive: a platform without tags sends the whole list as before. Conclusion: the list costs only when it changes; then it is still sent whole.

--- a/bench/capacity_fleet.hpp
+++ b/bench/capacity_fleet.hpp
@@ -357,6 +357,10 @@
             vms_.push_back(record);
         }
         listText_ = support::encodeVms(vms_, std::chrono::seconds(1));
+        const auto tagAt = listText_.find("\"tag\":\"") + 7;
+        const std::string tag = listText_.substr(tagAt, listText_.find('"', tagAt) - tagAt);
+        listTarget_ = "/v1/vms?unless=" + tag;
+        unchangedText_ = support::encodeVms(vms_, std::chrono::seconds(1), tag);
     }
 
     [[nodiscard]] config::ConfigSources sources(unsigned number) const
@@ -411,11 +415,13 @@
         case Message::Order:
             serveEndpoint(kind, request, orders, std::move(receive));
             return;
-        case Message::VmList:
-            clock_.schedule(platform_.faults_.latency_, [this, receive = std::move(receive)] {
-                receive({200, {}, listText_});
+        case Message::VmList: {
+            const std::string &text = request.target_ == listTarget_ ? unchangedText_ : listText_;
+            clock_.schedule(platform_.faults_.latency_, [&text, receive = std::move(receive)] {
+                receive({200, {}, text});
             });
             return;
+        }
         default:
             serveStore(kind, request, std::move(receive));
         }
@@ -510,6 +516,8 @@
     control::NodeCharts charts_;
     std::vector<platform::VmRecord> vms_;
     std::string listText_;
+    std::string unchangedText_;
+    std::string listTarget_; ///< Of a node that has the list.
     std::map<Address, std::size_t> addresses_ = addressBook();
     std::vector<std::unique_ptr<Node>> nodes_;
     std::unique_ptr<Operator> operator_;
--- a/src/platform/platform_codec.cpp
+++ b/src/platform/platform_codec.cpp
@@ -233,16 +233,21 @@
     });
 }
 
-std::optional<VmList> decodeVmList(std::string_view text)
+std::optional<VmListAnswer> decodeVmList(std::string_view text)
 {
     return decode(text, [](const json::object &object) {
-        VmList list;
+        VmListAnswer answer;
+        VmList &list = answer.list_;
+        answer.tag_ = textMemberOrEmpty(object, "tag");
+        answer.isUnchanged_ = object.contains("unchanged") && boolMember(object, "unchanged");
         const auto age = numberMember(object, "age_ms");
         constexpr std::uint64_t longestAge = std::uint64_t{1} << 40U;
         list.age_ = std::chrono::milliseconds(std::min(age, longestAge));
+        if (answer.isUnchanged_)
+            return answer;
         for (const auto &value : arrayMember(object, "vms"))
             list.vms_.push_back(toVm(value));
-        return list;
+        return answer;
     });
 }
 
--- a/src/platform/platform_codec.hpp
+++ b/src/platform/platform_codec.hpp
@@ -11,6 +11,14 @@
 
 namespace cardamombay::platform::impl {
 
+/// \brief Answer to a question for the VM list.
+struct VmListAnswer
+{
+    VmList list_;              ///< Without VMs if it is unchanged.
+    std::string tag_;          ///< Names the content; empty if the platform gives none.
+    bool isUnchanged_ = false; ///< The content is the one whose tag was asked with.
+};
+
 [[nodiscard]] std::string encode(const Transaction &transaction);
 [[nodiscard]] std::string encode(const std::vector<RowKey> &keys);
 [[nodiscard]] std::string encode(const Scan &scan);
@@ -22,7 +30,7 @@
 [[nodiscard]] std::optional<StoreConflict> decodeConflict(std::string_view text);
 [[nodiscard]] std::optional<std::vector<Row>> decodeRows(std::string_view text);
 [[nodiscard]] std::optional<ScanPage> decodePage(std::string_view text);
-[[nodiscard]] std::optional<VmList> decodeVmList(std::string_view text);
+[[nodiscard]] std::optional<VmListAnswer> decodeVmList(std::string_view text);
 /// \}
 
 } // namespace cardamombay::platform::impl
--- a/tests/support/platform_protocol.cpp
+++ b/tests/support/platform_protocol.cpp
@@ -1,5 +1,7 @@
 #include "support/platform_protocol.hpp"
 
+#include <cardamombay/core/hash.hpp>
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
@@ -256,13 +258,18 @@
                                         {"store_version", page.storeVersion_.value()}});
 }
 
-std::string encodeVms(const std::vector<VmRecord> &vms, Duration age)
+std::string encodeVms(const std::vector<VmRecord> &vms, Duration age, std::string_view known)
 {
     json::array array;
     for (const auto &vm : vms)
         array.push_back(toJson(vm));
-    return json::serialize(
-        json::object{{"age_ms", toMilliseconds(age)}, {"vms", std::move(array)}});
+    const std::string tag = std::to_string(stableHash(json::serialize(array)));
+    json::object answer{{"age_ms", toMilliseconds(age)}, {"tag", tag}};
+    if (tag == known)
+        answer["unchanged"] = true;
+    else
+        answer["vms"] = std::move(array);
+    return json::serialize(answer);
 }
 
 std::string encodeCounters(const PlatformCounters &counters, std::size_t rows)
--- a/tests/support/platform_protocol.hpp
+++ b/tests/support/platform_protocol.hpp
@@ -39,7 +39,9 @@
 [[nodiscard]] std::string encodeConflict(const StoreConflict &conflict);
 [[nodiscard]] std::string encodeRows(const std::vector<platform::Row> &rows);
 [[nodiscard]] std::string encodePage(const platform::ScanPage &page);
-[[nodiscard]] std::string encodeVms(const std::vector<platform::VmRecord> &vms, Duration age);
+/// \brief The list with its tag; without the VMs if \p known is that tag.
+[[nodiscard]] std::string encodeVms(const std::vector<platform::VmRecord> &vms, Duration age,
+                                    std::string_view known = {});
 [[nodiscard]] std::string encodeCounters(const PlatformCounters &counters, std::size_t rows);
 /// \}
 
--- a/tests/support/platform_standin.cpp
+++ b/tests/support/platform_standin.cpp
@@ -23,6 +23,7 @@
 constexpr std::size_t bodyLimit = std::size_t{8} << 20U;
 constexpr std::size_t requestLimit = std::size_t{1} << 20U;
 constexpr std::string_view objectPrefix = "/v1/objects/";
+constexpr std::string_view listTarget = "/v1/vms";
 
 enum Status : std::uint32_t {
     Ok = 200,
@@ -174,8 +175,8 @@
                 return read(request);
             if (request.target_ == "/v1/scan" && request.method_ == "POST")
                 return scan(request);
-            if (request.target_ == "/v1/vms" && request.method_ == "GET")
-                return listVms();
+            if (request.target_.starts_with(listTarget) && request.method_ == "GET")
+                return listVms(request.target_);
             return {Missing, {}, "{}"};
         } catch (const std::exception &) {
             return {BadRequest, {}, "{}"};
@@ -272,15 +273,18 @@
         });
     }
 
-    HttpResponse listVms()
+    HttpResponse listVms(std::string_view target)
     {
+        constexpr std::string_view unless = "?unless=";
+        const auto query = target.substr(listTarget.size());
+        const auto known = query.starts_with(unless) ? query.substr(unless.size()) : "";
         ++counters_.listings_;
         const TimePoint newest = clock_.now() - settings_.vmListLag_;
         const auto isVisible = [&](const ListedVms &list) { return list.when_ <= newest; };
         // Only the newest list that shows is needed; older ones can go.
         while (lists_.size() > 1 && isVisible(lists_[1]))
             lists_.erase(lists_.begin());
-        return {Ok, {}, encodeVms(lists_.front().vms_, settings_.vmListLag_)};
+        return {Ok, {}, encodeVms(lists_.front().vms_, settings_.vmListLag_, known)};
     }
 
     HttpResponse control(const HttpRequest &request)
