--- a/bench/capacity_page.cpp
+++ b/bench/capacity_page.cpp
@@ -83,13 +83,14 @@
 std::string tableOf(const Results &results, const std::vector<std::string> &figures)
 {
     std::ostringstream out;
-    out << "| | 7 | 21 | 35 | 70 | 140 | fit over n nodes | residual | fit at 340 | measured at "
+    out << "| | 7 | 21 | 35 | 49 | 70 | 140 | fit over n nodes | residual | fit at 340 | measured "
+           "at "
            "340 "
-           "|\n|---|---|---|---|---|---|---|---|---|---|\n";
+           "|\n|---|---|---|---|---|---|---|---|---|---|---|\n";
     for (const std::string &figure : figures) {
         const Series &series = results.series(figure);
         out << "| " << figure << " |";
-        for (const double nodes : {7.0, 21.0, 35.0, 70.0, 140.0})
+        for (const double nodes : {7.0, 21.0, 35.0, 49.0, 70.0, 140.0})
             out << " " << (series.contains(nodes) ? number(series.at(nodes)) : "") << " |";
         const LinearFit line = fitBelowTarget(series);
         out << " " << number(line.intercept_) << " + " << number(line.slope_) << " n | "
