Keep conversions of seconds, HTTP status codes and rendezvous ranks in one place

Cause: seven files had their own conversion between durations and seconds, seven their own HTTP status codes, and two their own rank by rendezvous hashing; charts kept ignored events as bare pairs. Change: toSeconds() and fromSeconds() in core/time, net/http_status.hpp, rendezvousRank() in core/hash; the events are a struct. Conclusion: no behaviour changed; one place less to search for each of them.

--- a/bench/endpoint_model.hpp
+++ b/bench/endpoint_model.hpp
@@ -19,16 +19,6 @@
 using cardamombay::ManualClock;
 using cardamombay::TimePoint;
 
-inline Duration ofSeconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
-inline double inSeconds(Duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
-
 /// \brief Prefix cache that drops the least recently used block.
 class BlockCache
 {
@@ -149,7 +139,8 @@
         if (onCache_)
             onCache_(request.blocks_, evicted);
         const double missing = double(request.blocks_.size() - held) + 1;
-        const Duration time = ofSeconds(missing * shape_.secondsPerBlock_ * shape_.slowness_);
+        const Duration time
+            = cardamombay::fromSeconds(missing * shape_.secondsPerBlock_ * shape_.slowness_);
         clock_.schedule(time, [this, request = std::move(request), held]() mutable {
             isPrefilling_ = false;
             if (*request.isCancelled_) {
@@ -173,9 +164,9 @@
     {
         const double batch = 1 + shape_.batchCost_ * running_ / shape_.slots_;
         const double time = request.tokens_ * shape_.secondsPerToken_ * batch * shape_.slowness_;
-        clock_.schedule(ofSeconds(time), [this, time, request = std::move(request)] {
+        clock_.schedule(cardamombay::fromSeconds(time), [this, time, request = std::move(request)] {
             --running_;
-            request.onEnd_(ofSeconds(time / request.tokens_));
+            request.onEnd_(cardamombay::fromSeconds(time / request.tokens_));
             startWaiting();
         });
     }
--- a/bench/limits_fairness.cpp
+++ b/bench/limits_fairness.cpp
@@ -118,7 +118,7 @@
         const double perSecond = scenario_.load_ * scenario_.capacity();
         for (double at = 0; at < scenario_.seconds_;) {
             at += -std::log(1 - random_.unit()) / perSecond;
-            clock_.advance(start_ + ofSeconds(at) - clock_.now());
+            clock_.advance(start_ + cardamombay::fromSeconds(at) - clock_.now());
             arrive();
         }
     }
@@ -208,22 +208,24 @@
 
     void scheduleLoss()
     {
-        clock_.schedule(ofSeconds(scenario_.seconds_ / 3), [this] { loseEntry(0); });
-        clock_.schedule(ofSeconds(scenario_.seconds_ * 2 / 3), [this] { replaceEntry(0); });
+        clock_.schedule(cardamombay::fromSeconds(scenario_.seconds_ / 3), [this] { loseEntry(0); });
+        clock_.schedule(cardamombay::fromSeconds(scenario_.seconds_ * 2 / 3),
+                        [this] { replaceEntry(0); });
     }
 
     /// \brief The part that counts now, if any.
     Part *counted()
     {
         const double length = scenario_.seconds_ / partCount;
-        const double passed = inSeconds(clock_.now() - start_);
+        const double passed = cardamombay::toSeconds(clock_.now() - start_);
         const auto part = std::min(static_cast<std::size_t>(passed / length), partCount - 1);
         return passed - double(part) * length < warmUp ? nullptr : &parts_[part];
     }
 
     [[nodiscard]] bool canHear(std::size_t entry, std::size_t peer) const
     {
-        const double passed = inSeconds(clock_.now() - start_) * partCount / scenario_.seconds_;
+        const double passed
+            = cardamombay::toSeconds(clock_.now() - start_) * partCount / scenario_.seconds_;
         const bool isApart = scenario_.isSplit_ && passed >= 1 && passed < 2;
         return !isApart || (entry < splitAt) == (peer < splitAt);
     }
@@ -277,7 +279,7 @@
         if (!part)
             return;
         part->shed_ += 1;
-        part->refusals_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
+        part->refusals_.push_back(cardamombay::toSeconds(clock_.now() - request.arrivedAt_));
     }
 
     void start(const RequestId &id)
@@ -286,9 +288,9 @@
         ++running_;
         ++runningAt_[request.entry_];
         if (Part *part = counted())
-            part->waits_.push_back(inSeconds(clock_.now() - request.arrivedAt_));
+            part->waits_.push_back(cardamombay::toSeconds(clock_.now() - request.arrivedAt_));
         const double time = -std::log(1 - random_.unit()) * scenario_.serviceTime_;
-        clock_.schedule(ofSeconds(time), [this, id] { finish(id); });
+        clock_.schedule(cardamombay::fromSeconds(time), [this, id] { finish(id); });
     }
 
     void finish(const RequestId &id)
--- a/bench/routing_policies.cpp
+++ b/bench/routing_policies.cpp
@@ -274,7 +274,7 @@
     {
         const TimePoint start = clock_.now();
         for (const Arrival &arrival : arrivals) {
-            clock_.advance(start + ofSeconds(arrival.at_) - clock_.now());
+            clock_.advance(start + cardamombay::fromSeconds(arrival.at_) - clock_.now());
             submit(arrival);
         }
         return std::move(results_);
@@ -371,7 +371,7 @@
         attempt(request);
         if (scenario_.hedgeAfter_ <= 0)
             return;
-        clock_.schedule(ofSeconds(scenario_.hedgeAfter_), [this, request] {
+        clock_.schedule(cardamombay::fromSeconds(scenario_.hedgeAfter_), [this, request] {
             if (!request->hasToken_)
                 attempt(request);
         });
@@ -401,7 +401,7 @@
                 *request->cancels_[i] = i != number;
             if (!request->counts_)
                 return;
-            results_.times_.push_back(inSeconds(taken));
+            results_.times_.push_back(cardamombay::toSeconds(taken));
             results_.blocks_ += double(request->arrival_->blocks_.size());
             results_.hits_ += double(held);
         };
--- a/bench/routing_retries.cpp
+++ b/bench/routing_retries.cpp
@@ -76,7 +76,7 @@
         start_ = clock_.now();
         for (double at = 0; at < runEnd;) {
             at += -std::log(1 - random_.unit()) / perSecond_;
-            clock_.advance(start_ + ofSeconds(at) - clock_.now());
+            clock_.advance(start_ + cardamombay::fromSeconds(at) - clock_.now());
             Entry &entry = *entries_[random_.below(entryCount)];
             entry.retries_.freshRequest(serviceName, clock_.now());
             if (isOut())
@@ -111,7 +111,7 @@
     };
     using RequestPtr = std::shared_ptr<Request>;
 
-    [[nodiscard]] double second() const { return inSeconds(clock_.now() - start_); }
+    [[nodiscard]] double second() const { return cardamombay::toSeconds(clock_.now() - start_); }
     [[nodiscard]] bool isOut() const { return second() >= outageStart && second() < outageEnd; }
 
     void attempt(Entry &entry, const RequestPtr &request)
--- a/include/cardamombay/chart/chart.hpp
+++ b/include/cardamombay/chart/chart.hpp
@@ -83,6 +83,13 @@
 private:
     friend class ChartReader;
 
+    /// An event that changes nothing in a state, by declaration.
+    struct IgnoredEvent
+    {
+        std::string state_;
+        std::string event_;
+    };
+
     std::string file_;
     std::vector<std::string> states_;
     std::vector<std::string> finalStates_;
@@ -91,7 +98,7 @@
     std::vector<std::string> actions_;
     std::string initial_;
     std::vector<Transition> transitions_;
-    std::vector<std::pair<std::string, std::string>> ignored_; ///< State and event.
+    std::vector<IgnoredEvent> ignored_;
 };
 
 /// \brief Reads and checks a chart.
--- a/include/cardamombay/core/hash.hpp
+++ b/include/cardamombay/core/hash.hpp
@@ -2,7 +2,11 @@
 /// \brief Stable hashing (xxHash) and rendezvous ranking.
 #pragma once
 
+#include <cardamombay/core/ids.hpp>
+
+#include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string_view>
 
 namespace cardamombay {
@@ -13,4 +17,13 @@
 /// \brief Rendezvous weight of \p node for \p key; the highest weights own the key.
 [[nodiscard]] std::uint64_t rendezvousWeight(std::string_view key, std::string_view node);
 
+/// \brief Place of \p self among \p nodes for \p key: the number of nodes that come before it.
+/// \details Every node that sees the same nodes computes the same order, without a message between
+/// them. Equal weights are ordered by name.
+/// \param key what the nodes share out among them.
+/// \param self node that asks; it counts whether or not it is in \p nodes.
+/// \param nodes the other nodes, in any order.
+[[nodiscard]] std::size_t rendezvousRank(std::string_view key, const EntryId &self,
+                                         std::span<const EntryId> nodes);
+
 } // namespace cardamombay
--- a/include/cardamombay/core/time.hpp
+++ b/include/cardamombay/core/time.hpp
@@ -19,4 +19,17 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// \brief A duration in seconds, with fractions; for figures, rates and costs.
+[[nodiscard]] constexpr double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+/// \brief The duration of \p seconds, cut to whole nanoseconds.
+/// \param seconds in the range of Duration, about 292 years either way.
+[[nodiscard]] constexpr Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
 } // namespace cardamombay
--- a/src/chart/chart.cpp
+++ b/src/chart/chart.cpp
@@ -18,8 +18,8 @@
         if (transition.from_ == state && transition.event_ == event)
             cell.transitions_.push_back(transition);
     }
-    for (const auto &[ignoringState, ignoredEvent] : ignored_) {
-        if (ignoringState == state && ignoredEvent == event)
+    for (const auto &ignored : ignored_) {
+        if (ignored.state_ == state && ignored.event_ == event)
             cell.isIgnored_ = true;
     }
     return cell;
--- a/src/chart/chart_reader.cpp
+++ b/src/chart/chart_reader.cpp
@@ -203,7 +203,7 @@
                  "remove the line or take the state out of final");
         }
         for (auto &event : knownNames(table, state, chart_.events_, "events"))
-            chart_.ignored_.emplace_back(state, std::move(event));
+            chart_.ignored_.push_back({state, std::move(event)});
     }
 }
 
--- a/src/cli/control_session.cpp
+++ b/src/cli/control_session.cpp
@@ -1,6 +1,7 @@
 #include "cli/control_session.hpp"
 
 #include <cardamombay/cli/exit_code.hpp>
+#include <cardamombay/net/http_status.hpp>
 
 #include <boost/json.hpp>
 
@@ -14,9 +15,6 @@
 namespace {
 
 constexpr Duration longestStoreCall = std::chrono::seconds(3);
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusBadRequest = 400;
-constexpr std::uint32_t statusNotFound = 404;
 
 std::uint64_t randomBits()
 {
@@ -55,9 +53,9 @@
 Error errorOfStatus(const Address &entry, const net::HttpResponse &response)
 {
     const Problem problem = problemOf(response);
-    if (response.status_ == statusNotFound)
+    if (response.status_ == net::statusNotFound)
         return NotFound{problem.detail_};
-    if (response.status_ == statusBadRequest)
+    if (response.status_ == net::statusBadRequest)
         return InvalidInput{
             {"entry VM " + entry.text(), 0, 0}, "", problem.detail_, problem.remedy_};
     return PeerUnreachable{EntryId(entry.text()), problem.detail_};
@@ -124,7 +122,7 @@
     if (const auto *failure = std::get_if<net::HttpFailure>(&result))
         return Error(PeerUnreachable{EntryId(entry.text()), failure->detail_});
     const auto &response = std::get<net::HttpResponse>(result);
-    if (response.status_ != statusOk)
+    if (response.status_ != net::statusOk)
         return errorOfStatus(entry, response);
     return response.body_;
 }
--- a/src/config/peer_config_fetch.cpp
+++ b/src/config/peer_config_fetch.cpp
@@ -1,12 +1,13 @@
 #include <cardamombay/config/peer_config_fetch.hpp>
 
+#include <cardamombay/net/http_status.hpp>
+
 #include <utility>
 
 namespace cardamombay::config {
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
 constexpr Duration longestExchange = std::chrono::milliseconds(1500); // below the agent's step
 
 } // namespace
@@ -22,7 +23,7 @@
     void take(const net::HttpResult &result)
     {
         const auto *response = std::get_if<net::HttpResponse>(&result);
-        const bool hasBody = response && response->status_ == statusOk;
+        const bool hasBody = response && response->status_ == net::statusOk;
         const auto record = hasBody ? decodeRecord(response->body_)
                                     : Result<ConfigRecord>(Error(NotFound{"configuration"}));
         if (isOk(record) && valueOf(record).version_.value() > best_.value()) {
--- a/src/core/hash.cpp
+++ b/src/core/hash.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace cardamombay {
 
 std::uint64_t stableHash(std::string_view text, std::uint64_t seed)
@@ -14,4 +16,15 @@
     return stableHash(key, stableHash(node));
 }
 
+std::size_t rendezvousRank(std::string_view key, const EntryId &self,
+                           std::span<const EntryId> nodes)
+{
+    const std::uint64_t own = rendezvousWeight(key, self.text());
+    const auto isBefore = [&](const EntryId &node) {
+        const std::uint64_t weight = rendezvousWeight(key, node.text());
+        return weight != own ? weight > own : node > self;
+    };
+    return static_cast<std::size_t>(std::count_if(nodes.begin(), nodes.end(), isBefore));
+}
+
 } // namespace cardamombay
--- a/src/endpoint/http_endpoint_orders.cpp
+++ b/src/endpoint/http_endpoint_orders.cpp
@@ -1,6 +1,7 @@
 #include <cardamombay/endpoint/http_endpoint_orders.hpp>
 
 #include <cardamombay/endpoint/endpoint_codec.hpp>
+#include <cardamombay/net/http_status.hpp>
 
 #include <utility>
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusConflict = 409;
-
 bool isPublishedReason(std::string_view reason)
 {
     return reason == "stale-fencing" || reason == "busy" || reason == "wrong-generation";
@@ -27,8 +25,9 @@
 Error statusError(const VmId &vm, const net::HttpResponse &response)
 {
     const std::string reason = decodeRefusal(response.body_);
-    const bool saysNotRun = response.field("X-Not-Run") == "true"
-                            || (response.status_ == statusConflict && isPublishedReason(reason));
+    const bool saysNotRun
+        = response.field("X-Not-Run") == "true"
+          || (response.status_ == net::statusConflict && isPublishedReason(reason));
     if (saysNotRun)
         return EndpointRefused{vm, response.status_, reason};
     return MalformedMessage{vm.text(), "status " + std::to_string(response.status_)
@@ -37,7 +36,7 @@
 
 Result<EndpointState> readAnswer(const VmId &vm, const net::HttpResponse &response)
 {
-    if (response.status_ != statusOk)
+    if (response.status_ != net::statusOk)
         return statusError(vm, response);
     auto state = decodeState(vm.text(), response.body_);
     // An address can pass to another VM; its answer must not count for this one.
--- a/src/limits/moving.cpp
+++ b/src/limits/moving.cpp
@@ -12,7 +12,7 @@
 
 [[nodiscard]] double decay(TimePoint from, TimePoint to, double timeConstant)
 {
-    const double passed = std::chrono::duration<double>(to - from).count();
+    const double passed = toSeconds(to - from);
     return std::exp(-std::max(passed, 0.0) / timeConstant);
 }
 
--- a/src/limits/service_limits.cpp
+++ b/src/limits/service_limits.cpp
@@ -25,11 +25,10 @@
     return std::sqrt(share);
 }
 
-[[nodiscard]] Duration seconds(double value)
+[[nodiscard]] Duration boundedSeconds(double value)
 {
     constexpr double longest = 3600;
-    return std::chrono::duration_cast<Duration>(
-        std::chrono::duration<double>(std::min(value, longest)));
+    return fromSeconds(std::min(value, longest));
 }
 
 } // namespace
@@ -107,7 +106,7 @@
     --running_;
     --team.running_;
     team.usage_.set(now, team.running_);
-    const double taken = std::chrono::duration<double>(now - admittedAt).count();
+    const double taken = toSeconds(now - admittedAt);
     ++served_;
     serviceTime_ += std::max(newSampleWeight, 1.0 / double(served_)) * (taken - serviceTime_);
 }
@@ -178,11 +177,11 @@
     const double share = team.share_;
     const double atRest = turns * serviceTime_ / std::max(share, rivals.slotsLeft_);
     if (team.running_ + double(ahead) >= share + burst(share))
-        return seconds(atRest);
+        return boundedSeconds(atRest);
     // Below its share, a team gets every slot that comes free, in turn with others below theirs.
     const double slots = std::max(shares_.slots_, 1U);
     const double inTurn = turns * (rivals.teamsBelowShare_ + 1) * serviceTime_ / slots;
-    return seconds(std::min(atRest, inTurn));
+    return boundedSeconds(std::min(atRest, inTurn));
 }
 
 ServiceLimits::Rivals ServiceLimits::rivalsOf(const TeamLimits &team) const
@@ -208,7 +207,7 @@
     // A non-idempotent request that times out leaves its caller with "unknown", so it is let in
     // only with time to finish; others may still be short ones.
     constexpr double shortRequest = 0.25;
-    return seconds(isNonIdempotent ? serviceTime_ : shortRequest * serviceTime_);
+    return boundedSeconds(isNonIdempotent ? serviceTime_ : shortRequest * serviceTime_);
 }
 
 void ServiceLimits::dropExpired(TimePoint now, std::vector<Released> &out)
@@ -291,7 +290,7 @@
 void ServiceLimits::reduceSlots(double allowance, TimePoint now)
 {
     // Smoothed, as the reports lag: the slots would swing between all and few.
-    const double passed = sharesAt_ ? std::chrono::duration<double>(now - *sharesAt_).count() : 0;
+    const double passed = sharesAt_ ? toSeconds(now - *sharesAt_) : 0;
     allowance_ += (allowance - allowance_) * std::min(passed / allowanceSeconds, 1.0);
     shares_.reduce(allowance_);
 }
--- a/src/load/arrivals.cpp
+++ b/src/load/arrivals.cpp
@@ -19,11 +19,6 @@
     "breath", "slow",  "light", "room",  "voice", "hearing", "date", "office",
     "letter", "quiet", "water", "night", "clerk", "summary", "meet", "answer"};
 
-double seconds(Duration time)
-{
-    return std::chrono::duration<double>(time).count();
-}
-
 /// Word \p index of a text; a pure function, so that equal prefixes are equal texts.
 std::string_view wordOf(std::uint64_t text, std::uint32_t index)
 {
@@ -82,14 +77,14 @@
 double Arrivals::rateAt(Duration time) const
 {
     const auto &profile = workload_.profile_;
-    const double span = seconds(profile.back().at_ - profile.front().at_);
-    const double share = seconds(time) / seconds(workload_.duration_);
-    const double at = seconds(profile.front().at_) + share * span;
+    const double span = toSeconds(profile.back().at_ - profile.front().at_);
+    const double share = toSeconds(time) / toSeconds(workload_.duration_);
+    const double at = toSeconds(profile.front().at_) + share * span;
     for (std::size_t i = 1; i < profile.size(); ++i) {
-        const double end = seconds(profile[i].at_);
+        const double end = toSeconds(profile[i].at_);
         if (at > end)
             continue;
-        const double start = seconds(profile[i - 1].at_);
+        const double start = toSeconds(profile[i - 1].at_);
         const double part = (at - start) / (end - start);
         return profile[i - 1].rate_ + part * (profile[i].rate_ - profile[i - 1].rate_);
     }
@@ -102,7 +97,7 @@
         return false;
     do {
         const double gap = -std::log(1 - random_.unit()) / highestRate_;
-        time_ += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap));
+        time_ += fromSeconds(gap);
         if (time_ >= workload_.duration_)
             return false;
     } while (random_.unit() * highestRate_ >= rateAt(time_));
--- a/src/planning/repair_policy.cpp
+++ b/src/planning/repair_policy.cpp
@@ -12,11 +12,6 @@
 /// Share of returning VMs that have lost their weights, so that the group loads again.
 constexpr double reloadShare = 0.5;
 
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 Duration scaled(Duration duration, double factor)
 {
     return std::chrono::duration_cast<Duration>(duration * factor);
@@ -62,7 +57,7 @@
             idle += repair_.missing_; // The spares that stay unused meanwhile.
         else if (repair_.canVacate_)
             idle += repair_.missing_ + repair_.survivors_;
-        return total(RepairWay::Wait, own_.down_, idle * secondsOf(own_.incomplete_));
+        return total(RepairWay::Wait, own_.down_, idle * toSeconds(own_.incomplete_));
     }
 
     [[nodiscard]] RepairEstimate replace() const
@@ -72,7 +67,7 @@
 
     [[nodiscard]] RepairEstimate vacate() const
     {
-        const double stranded = repair_.survivors_ * secondsOf(own_.incomplete_);
+        const double stranded = repair_.survivors_ * toSeconds(own_.incomplete_);
         return total(RepairWay::Vacate, repair_.loadTime_, stranded);
     }
 
@@ -86,7 +81,7 @@
             = waitingFor(all, repair_.loadTime_, hopelessDowntime + repair_.loadTime_);
         const std::uint32_t left = repair_.otherSurvivors_ - repair_.missing_;
         return priced(RepairWay::Merge, repair_.loadTime_ + rest.down_,
-                      left * secondsOf(rest.incomplete_));
+                      left * toSeconds(rest.incomplete_));
     }
 
 private:
@@ -94,14 +89,14 @@
     {
         if (!repair_.canMerge_)
             return priced(way, downtime, stranded);
-        const double others = repair_.otherSurvivors_ * secondsOf(other_.incomplete_);
+        const double others = repair_.otherSurvivors_ * toSeconds(other_.incomplete_);
         return priced(way, downtime + other_.down_, stranded + others);
     }
 
     [[nodiscard]] RepairEstimate priced(RepairWay way, Duration downtime, double stranded) const
     {
         const double cost
-            = policy_.downtimeWeight_ * secondsOf(downtime) + policy_.strandedWeight_ * stranded;
+            = policy_.downtimeWeight_ * toSeconds(downtime) + policy_.strandedWeight_ * stranded;
         return {way, downtime, stranded, cost};
     }
 
--- a/src/planning/return_model.cpp
+++ b/src/planning/return_model.cpp
@@ -4,19 +4,10 @@
 
 namespace cardamombay::planning {
 
-namespace {
-
-double secondsOf(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
-} // namespace
-
 double ReturnModel::probabilityAfter(Duration lostFor) const
 {
-    const double mean = secondsOf(returnTime_);
-    const double stillAway = mean > 0 ? std::exp(-secondsOf(lostFor) / mean) : 0;
+    const double mean = toSeconds(returnTime_);
+    const double stillAway = mean > 0 ? std::exp(-toSeconds(lostFor) / mean) : 0;
     const double returning = probability_ * stillAway;
     const double total = returning + 1 - probability_;
     return total > 0 ? returning / total : 0;
--- a/src/platform/call_lane.cpp
+++ b/src/platform/call_lane.cpp
@@ -9,11 +9,6 @@
 
 constexpr double waitJitter = 0.1;
 
-Duration seconds(double value)
-{
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
-}
-
 } // namespace
 
 CallLane::CallLane(Clock &clock, Random &random, LaneLimits limits)
@@ -103,7 +98,7 @@
         return;
     Duration wait = untilToken();
     // Without jitter, nodes that were stopped together would stay in step.
-    wait += seconds(std::chrono::duration<double>(wait).count() * waitJitter * random_.unit());
+    wait += fromSeconds(toSeconds(wait) * waitJitter * random_.unit());
     for (const auto *queue : {&urgent_, &ordinary_}) {
         if (!queue->empty())
             wait = std::min(wait, queue->front().expiry_ - clock_.now());
@@ -117,7 +112,7 @@
 Duration CallLane::untilToken() const
 {
     constexpr auto shortest = std::chrono::milliseconds(1);
-    const Duration token = seconds(std::max(0.0, 1 - tokens_) / perSecond_);
+    const Duration token = fromSeconds(std::max(0.0, 1 - tokens_) / perSecond_);
     return std::max<Duration>({shortest, token, pausedUntil_ - clock_.now()});
 }
 
--- a/src/platform/http_object_store.cpp
+++ b/src/platform/http_object_store.cpp
@@ -3,6 +3,7 @@
 #include "platform/platform_call.hpp"
 
 #include <cardamombay/net/http_client.hpp>
+#include <cardamombay/net/http_status.hpp>
 
 #include <cctype>
 #include <utility>
@@ -16,9 +17,6 @@
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusNotFound = 404;
-
 std::string targetOf(const std::string &name)
 {
     constexpr std::string_view digits = "0123456789ABCDEF";
@@ -40,7 +38,7 @@
 {
     if (auto error = impl::commonError(call, result))
         return *std::move(error);
-    if (std::get<HttpResponse>(result).status_ == statusOk)
+    if (std::get<HttpResponse>(result).status_ == net::statusOk)
         return Done{};
     return Error(StoreUnavailable{call.operation_, "the service refused the object"});
 }
@@ -50,9 +48,9 @@
     if (auto error = impl::commonError(call, result))
         return *std::move(error);
     const auto &response = std::get<HttpResponse>(result);
-    if (response.status_ == statusOk)
+    if (response.status_ == net::statusOk)
         return response.body_;
-    if (response.status_ == statusNotFound)
+    if (response.status_ == net::statusNotFound)
         return Error(NotFound{"object " + name});
     return impl::unreadable(call, "the answer cannot be read");
 }
--- a/src/platform/http_table_store.cpp
+++ b/src/platform/http_table_store.cpp
@@ -4,6 +4,7 @@
 #include "platform/platform_codec.hpp"
 
 #include <cardamombay/net/http_client.hpp>
+#include <cardamombay/net/http_status.hpp>
 
 #include <utility>
 
@@ -16,21 +17,18 @@
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusConflict = 409;
-
 Result<CommitReceipt> readCommit(const Call &call, const HttpResult &result)
 {
     if (auto error = impl::commonError(call, result))
         return *std::move(error);
     const auto &response = std::get<HttpResponse>(result);
-    if (response.status_ == statusConflict) {
+    if (response.status_ == net::statusConflict) {
         if (auto conflict = impl::decodeConflict(response.body_))
             return Error(*std::move(conflict));
         return impl::unreadable(call, "the conflict cannot be read");
     }
     const auto receipt = impl::decodeReceipt(response.body_);
-    if (response.status_ == statusOk && receipt)
+    if (response.status_ == net::statusOk && receipt)
         return *receipt;
     return impl::unreadable(call, "the answer cannot be read");
 }
@@ -42,7 +40,7 @@
     if (auto error = impl::commonError(call, result))
         return *std::move(error);
     const auto &response = std::get<HttpResponse>(result);
-    if (response.status_ == statusOk) {
+    if (response.status_ == net::statusOk) {
         if (auto value = decode(response.body_))
             return *std::move(value);
     }
--- a/src/platform/http_vm_directory.cpp
+++ b/src/platform/http_vm_directory.cpp
@@ -4,6 +4,7 @@
 #include "platform/platform_codec.hpp"
 
 #include <cardamombay/net/http_client.hpp>
+#include <cardamombay/net/http_status.hpp>
 
 #include <utility>
 
@@ -21,8 +22,7 @@
         return *std::move(error);
     const auto &response = std::get<HttpResponse>(result);
     auto list = impl::decodeVmList(response.body_);
-    constexpr std::uint32_t statusOk = 200;
-    if (response.status_ == statusOk && list)
+    if (response.status_ == net::statusOk && list)
         return *std::move(list);
     return Error(MalformedMessage{"VM list", "status " + std::to_string(response.status_)});
 }
--- a/src/platform/platform_call.cpp
+++ b/src/platform/platform_call.cpp
@@ -1,6 +1,7 @@
 #include "platform/platform_call.hpp"
 
 #include <cardamombay/net/asio_http_client.hpp>
+#include <cardamombay/net/http_status.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -10,12 +11,6 @@
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusNotFound = 404;
-constexpr std::uint32_t statusConflict = 409;
-constexpr std::uint32_t statusThrottled = 429;
-constexpr std::uint32_t statusServerError = 500;
-constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::int64_t defaultRetryAfterSeconds = 1;
 constexpr std::int64_t longestRetryAfterSeconds = 60;
 
@@ -71,19 +66,20 @@
     if (response.field(net::requestIdField) != call.requestId_)
         return unreadable(call, "the answer does not echo the request id");
     switch (response.status_) {
-    case statusOk:
-    case statusNotFound:
-    case statusConflict:
+    case net::statusOk:
+    case net::statusNotFound:
+    case net::statusConflict:
         return std::nullopt;
-    case statusThrottled:
+    case net::statusThrottled:
         return StoreThrottled{call.operation_, retryAfter(response)};
-    case statusUnavailable:
+    case net::statusUnavailable:
         return StoreUnavailable{call.operation_, statusText(response)};
     default:
         break;
     }
     constexpr std::uint32_t firstRefusal = 400;
-    const bool isRefusal = response.status_ >= firstRefusal && response.status_ < statusServerError;
+    const bool isRefusal
+        = response.status_ >= firstRefusal && response.status_ < net::statusServerError;
     if (isRefusal)
         return StoreUnavailable{call.operation_, statusText(response)};
     return unreadable(call, statusText(response));
--- a/src/routing/group_book.cpp
+++ b/src/routing/group_book.cpp
@@ -83,7 +83,7 @@
                                                  : sample.timeToFirstToken_;
     if (time <= Duration::zero())
         return;
-    const double seconds = std::chrono::duration<double>(time).count();
+    const double seconds = toSeconds(time);
     const double weight = std::max(newSampleWeight, 1.0 / (state.samples_ + 1));
     state.answerTime_ += weight * (seconds - state.answerTime_);
     ++state.samples_;
--- a/src/routing/service_view.cpp
+++ b/src/routing/service_view.cpp
@@ -45,7 +45,7 @@
 
 [[nodiscard]] bool isSlow(const GroupState &state, double median, const RouterPolicy &policy)
 {
-    const double minimum = std::chrono::duration<double>(policy.stragglerMinimum_).count();
+    const double minimum = toSeconds(policy.stragglerMinimum_);
     return state.answerTime_ > std::max(policy.stragglerRatio_ * median, minimum);
 }
 
