--- a/src/net/asio_http_client.cpp
+++ b/src/net/asio_http_client.cpp
@@ -1,5 +1,7 @@
 #include <cardamombay/net/asio_http_client.hpp>
 
+#include "net/http_messages.hpp"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -26,6 +28,7 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
+using impl::RequestMessage;
 
 namespace {
 
@@ -52,7 +55,7 @@
     }
 
     Address address_;
-    http::request<http::string_body> message_;
+    RequestMessage message_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::function<void(HttpResult)> done_;
     asio::steady_timer timer_;
@@ -72,50 +75,6 @@
     std::deque<ExchangePointer> waiting_;
 };
 
-bool hasControlCharacter(std::string_view text)
-{
-    return std::any_of(text.begin(), text.end(), [](char c) {
-        const auto byte = static_cast<unsigned char>(c);
-        return (byte < 0x20 && c != '\t') || byte == 0x7f;
-    });
-}
-
-/// Characters that would end the line they stand on could forge fields or a second request.
-bool isWellFormed(const HttpRequest &request)
-{
-    const bool hasBadTarget
-        = hasControlCharacter(request.target_) || request.target_.find(' ') != std::string::npos;
-    const bool hasBadField
-        = std::any_of(request.fields_.begin(), request.fields_.end(), [](const HttpField &field) {
-              return hasControlCharacter(field.name_) || hasControlCharacter(field.value_);
-          });
-    return !hasBadTarget && !hasBadField && !hasControlCharacter(request.method_);
-}
-
-http::request<http::string_body> toMessage(HttpRequest &request)
-{
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string(request.method_);
-    message.target(request.target_);
-    message.set(http::field::host, request.address_.text());
-    for (const auto &field : request.fields_)
-        message.set(field.name_, field.value_);
-    message.body() = std::move(request.body_);
-    message.prepare_payload();
-    return message;
-}
-
-HttpResponse toResponse(http::response<http::string_body> message)
-{
-    HttpResponse response;
-    response.status_ = message.result_int();
-    for (const auto &field : message)
-        response.fields_.push_back({std::string(field.name_string()), std::string(field.value())});
-    response.body_ = std::move(message.body());
-    return response;
-}
-
 /// False if the peer closed the kept connection or sent bytes that nobody asked for.
 bool isQuiet(tcp::socket &socket)
 {
@@ -124,15 +83,6 @@
     return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
-/// True if the response says that it answers another request.
-bool isCrossed(const http::request<http::string_body> &request,
-               const http::response<http::string_body> &response)
-{
-    const auto asked = request.find(requestIdField);
-    const auto echoed = response.find(requestIdField);
-    return asked != request.end() && echoed != response.end() && asked->value() != echoed->value();
-}
-
 } // namespace
 
 class AsioHttpClient::Impl : public std::enable_shared_from_this<AsioHttpClient::Impl>
@@ -172,7 +122,7 @@
 
 void AsioHttpClient::Impl::send(HttpRequest request, std::function<void(HttpResult)> done)
 {
-    if (!isWellFormed(request)) {
+    if (!impl::isWellFormed(request)) {
         asio::post(context_, [done = std::move(done)] {
             done(HttpFailure{false, false, "the request has a control character in its head"});
         });
@@ -181,7 +131,7 @@
     const auto exchange = std::make_shared<Exchange>(context_);
     exchange->address_ = request.address_;
     exchange->done_ = std::move(done);
-    exchange->message_ = toMessage(request);
+    exchange->message_ = impl::toMessage(request);
     exchanges_.insert(exchange);
     startTimer(exchange, request.timeout_);
     asio::post(context_, [self = shared_from_this(), exchange] { self->enqueue(exchange); });
@@ -306,7 +256,7 @@
 void AsioHttpClient::Impl::takeResponse(const ExchangePointer &exchange)
 {
     auto message = exchange->parser_->release();
-    if (isCrossed(exchange->message_, message)) {
+    if (impl::isCrossed(exchange->message_, message)) {
         fail(exchange, {true, false, "the answer belongs to another request"});
         return;
     }
@@ -318,7 +268,7 @@
         closeSocket(*connection);
         --pools_[exchange->address_].open_;
     }
-    finish(exchange, toResponse(std::move(message)));
+    finish(exchange, impl::toResponse(std::move(message)));
     dispatch(exchange->address_);
 }
 
