Say on each public header what it decides, never does and guards

Cause: most public headers had a one-line page-top. Conclusion: the headers can be read alone; those of commands and load tools still have one line.

--- a/include/cardamombay/admin/admin_ack.hpp
+++ b/include/cardamombay/admin/admin_ack.hpp
@@ -1,5 +1,6 @@
 /// \file
 /// \brief Answer to POST /admin/drain/... and /admin/undrain/...
+/// \details One line for the operator. It decides nothing.
 #pragma once
 
 #include <cardamombay/core/result.hpp>
--- a/include/cardamombay/admin/admin_config.hpp
+++ b/include/cardamombay/admin/admin_config.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Answer to GET /admin/config: the configuration in force at one entry VM.
+/// \details A reading of one entry VM only; what is in force elsewhere is told by that entry VM. It
+/// decides nothing.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/admin/admin_event.hpp
+++ b/include/cardamombay/admin/admin_event.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Answer to GET /admin/events and /admin/explain/...: decisions with their reasons.
+/// \details Decision records as they were kept in memory; older ones are dropped. It decides
+/// nothing; ages travel as whole milliseconds.
 #pragma once
 
 #include <cardamombay/core/decision_log.hpp>
--- a/include/cardamombay/admin/admin_group.hpp
+++ b/include/cardamombay/admin/admin_group.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Answer to GET /admin/groups: the groups of VMs and why one is not in use.
+/// \details What this entry VM knows of the groups, with the reason why it would not use one. It
+/// decides nothing.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/admin/admin_status.hpp
+++ b/include/cardamombay/admin/admin_status.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Answer to GET /admin/status: one entry VM and what it knows of the others.
+/// \details What this entry VM knows of itself and of its peers. It decides nothing; the uptime
+/// travels as whole milliseconds.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/admin/admin_vm.hpp
+++ b/include/cardamombay/admin/admin_vm.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Answer to GET /admin/vms: the endpoint VMs.
+/// \details What this entry VM observed of each endpoint VM. It decides nothing; ages travel as
+/// whole milliseconds.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/chart/binding.hpp
+++ b/include/cardamombay/chart/binding.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Ties the names of a chart to code and checks that both sides know the same names.
+/// \details Decides whether chart and code fit together, once at start: a guard or an action that
+/// only one side knows is an error with file, line and remedy. It runs nothing.
 #pragma once
 
 #include <cardamombay/chart/chart.hpp>
--- a/include/cardamombay/chart/machine.hpp
+++ b/include/cardamombay/chart/machine.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief Runs a chart: holds the state and handles events.
+/// \details Decides which transition an event takes, from the chart alone; code holds no second
+/// copy of the transitions. It has no clock and does no I/O; actions do what the object that owns
+/// the machine binds to them.
 #pragma once
 
 #include <cardamombay/chart/binding.hpp>
--- a/include/cardamombay/claims/claim_row.hpp
+++ b/include/cardamombay/claims/claim_row.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The row of a claim in the table service.
+/// \details Decides what of a claim is kept in the table service and how it is read back; a row
+/// that cannot be read is an error, never an absent claim. It writes nothing itself.
 #pragma once
 
 #include <cardamombay/claims/claim.hpp>
--- a/include/cardamombay/config/config_poller.hpp
+++ b/include/cardamombay/config/config_poller.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief Which entry VMs of a site poll the store for a new configuration.
+/// \details Decides who polls at the short interval, the same on every entry VM that sees the same
+/// members. It reads nothing itself; a wrong choice costs a poll more or less, never a wrong
+/// version.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/config/config_record.hpp
+++ b/include/cardamombay/config/config_record.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief One accepted version of the configuration, as it is kept and handed on.
+/// \details Decides what an accepted version consists of and whether a record from elsewhere is
+/// whole: its texts must have the hash that it names. It decides not which version is in force.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/config/config_sources.hpp
+++ b/include/cardamombay/config/config_sources.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The texts of a configuration: one base file and one overlay for each site.
+/// \details Keeps the operators' texts as they wrote them, so that errors can name file and line.
+/// It checks nothing; config_parser.hpp does.
 #pragma once
 
 #include <cardamombay/core/result.hpp>
--- a/include/cardamombay/config/configuration.hpp
+++ b/include/cardamombay/config/configuration.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The operators' configuration after base and overlays were merged and checked.
+/// \details Values only, valid by construction: config_parser.hpp refuses an invalid configuration
+/// whole. Durations are Duration, capacities are counts of replicas.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/config/peer_config_fetch.hpp
+++ b/include/cardamombay/config/peer_config_fetch.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief Takes the configuration from other entry VMs over HTTP.
+/// \details Decides which peers are asked and which answer is the newest that can be read. It
+/// guards the promise that versions only rise, as ConfigAgent still judges what it returns; it puts
+/// nothing in force.
 #pragma once
 
 #include <cardamombay/config/config_agent.hpp>
--- a/include/cardamombay/core/decision_log.hpp
+++ b/include/cardamombay/core/decision_log.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Records of decisions: inputs, choice, alternatives and their costs.
+/// \details Keeps what was decided and why; nothing reads the records back to decide again. Memory
+/// is bounded by the capacity of the log.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/core/error.hpp
+++ b/include/cardamombay/core/error.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief Typed errors; each kind carries its data and a remedy for the reader.
+/// \details Decides nothing. Errors of libraries are turned into these kinds where they occur; an
+/// error that says that nothing happened is only used where that is known, else the kind is an
+/// "answer lost" or a timeout.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/core/random.hpp
+++ b/include/cardamombay/core/random.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Seeded random numbers; all randomness of decision logic comes through here.
+/// \details Guards reproducibility: the same seed gives the same decisions. It is no source of
+/// secrets.
 #pragma once
 
 #include <cstdint>
--- a/include/cardamombay/endpoint/endpoint_codec.hpp
+++ b/include/cardamombay/endpoint/endpoint_codec.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief JSON of endpoint states and orders, as docs/ENDPOINTS.md publishes it.
+/// \details Decides which bodies follow the published protocol; others are MalformedMessage. It
+/// never fills in a missing field that a promise depends on, such as the group or the fencing
+/// number.
 #pragma once
 
 #include <cardamombay/core/result.hpp>
--- a/include/cardamombay/endpoint/endpoint_orders.hpp
+++ b/include/cardamombay/endpoint/endpoint_orders.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Probing endpoint VMs and giving them orders.
+/// \details The seam through which all orders leave. Implementations decide nothing: whether an
+/// order may be sent is decided, and the lease checked, by the caller right before.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/endpoint/endpoint_state.hpp
+++ b/include/cardamombay/endpoint/endpoint_state.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief What an endpoint VM says of itself, and what it can be ordered to do.
+/// \details Values only, as an endpoint VM reports them of itself. They are claims of that VM,
+/// compared with the group's row before the group serves.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/endpoint/http_endpoint_orders.hpp
+++ b/include/cardamombay/endpoint/http_endpoint_orders.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Probes and orders over HTTP, as docs/ENDPOINTS.md publishes them.
+/// \details Decides only which error an answer stands for: refused by the endpoint, no byte left,
+/// or unknown. It never repeats an order and does not check leases.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/groups/group_life.hpp
+++ b/include/cardamombay/groups/group_life.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief The state machine of one formation of a group.
+/// \details Decides the phase of a formation from events, by charts/group.toml. It guards the
+/// promise that no incomplete group serves: a lost or contradicting member ends the phase Serving.
+/// It gives no orders and writes no rows.
 #pragma once
 
 #include <cardamombay/chart/machine.hpp>
--- a/include/cardamombay/groups/group_row.hpp
+++ b/include/cardamombay/groups/group_row.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The row of a group slot: its present formation.
+/// \details Decides what of a group is kept in the table service. One row for each slot, and one
+/// for each VM, are written in one transaction; this keeps a VM out of two groups.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/groups/manager_settings.hpp
+++ b/include/cardamombay/groups/manager_settings.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Durations of the group manager.
+/// \details Values only; the waits among them keep orders of two planners and work for a group that
+/// drains apart.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/groups/plan_input.hpp
+++ b/include/cardamombay/groups/plan_input.hpp
@@ -1,5 +1,6 @@
 /// \file
 /// \brief What a group manager is given at each tick.
+/// \details Values and references that stay valid during the tick only. It decides nothing.
 #pragma once
 
 #include <cardamombay/config/configuration.hpp>
--- a/include/cardamombay/groups/vm_row.hpp
+++ b/include/cardamombay/groups/vm_row.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The row of an endpoint VM: the group it is assigned to.
+/// \details Decides what of a VM's assignment is kept in the table service. A VM is free only if
+/// its row says so; this keeps it out of two groups.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/groups/vm_view.hpp
+++ b/include/cardamombay/groups/vm_view.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief What the watching of endpoint VMs tells the group planner.
+/// \details Seam between watching and planning. It only reports; an observation that lapsed is
+/// reported as none.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/leases/lease_row.hpp
+++ b/include/cardamombay/leases/lease_row.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The rows of a planner lease in the table service.
+/// \details Decides what of a lease is kept in the table service and how it is read back. The epoch
+/// only rises and is the fencing number of orders; a row out of range is an error.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/leases/lease_settings.hpp
+++ b/include/cardamombay/leases/lease_settings.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Durations of a planner lease.
+/// \details Values only. The margins among them make the holder stop before others may take the
+/// lease.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/limits/fair_share.hpp
+++ b/include/cardamombay/limits/fair_share.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Division of capacity: weighted max-min, and whole slots by largest remainder.
+/// \details Pure functions of demand and weights, so that all entry VMs with the same digests
+/// compute the same shares. They admit nothing themselves.
 #pragma once
 
 #include <cstddef>
--- a/include/cardamombay/membership/digest.hpp
+++ b/include/cardamombay/membership/digest.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief What entry VMs tell each other: changes plus a short heartbeat.
+/// \details Values only. Times travel as ages, as no clock is shared. A digest carries what peers
+/// need for the promises on freshness, on leaving VMs and on rising configuration versions.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/membership/member_table.hpp
+++ b/include/cardamombay/membership/member_table.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The members as this entry VM knows them; charts/member.toml holds the rules.
+/// \details Decides which report of a member is newer, by incarnation and status. It sends nothing
+/// and has no timers.
 #pragma once
 
 #include <cardamombay/chart/machine.hpp>
--- a/include/cardamombay/membership/membership_settings.hpp
+++ b/include/cardamombay/membership/membership_settings.hpp
@@ -1,5 +1,6 @@
 /// \file
 /// \brief Times and bounds of the membership protocol.
+/// \details Values only; every duration and bound of the protocol stands here.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/membership/peer_link.hpp
+++ b/include/cardamombay/membership/peer_link.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Sequence numbers of the digests exchanged with one peer.
+/// \details Decides how old an incoming digest can be at most, from its echo of a digest sent
+/// before, so that no clock is shared. It sends nothing.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/membership/peer_transport.hpp
+++ b/include/cardamombay/membership/peer_transport.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief How a digest reaches another entry VM.
+/// \details The seam through which digests leave. Implementations neither retry nor judge; a lost
+/// digest is an error of the callback.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/membership/update_queue.hpp
+++ b/include/cardamombay/membership/update_queue.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Changes of members that wait to be piggybacked on digests.
+/// \details Decides which changes ride on the next digest: those sent the fewest times first. It
+/// sends nothing and keeps no content; the member table has it.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/net/asio_clock.hpp
+++ b/include/cardamombay/net/asio_clock.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The real clock, on a Boost.Asio event loop.
+/// \details The only clock of the running programs; tests use ManualClock. Timers run on the thread
+/// of the event loop, never inline.
 #pragma once
 
 #include <cardamombay/core/clock.hpp>
--- a/include/cardamombay/net/asio_http_client.hpp
+++ b/include/cardamombay/net/asio_http_client.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief HTTP client for control traffic, on a Boost.Asio event loop.
+/// \details Decides whether a kept connection may be used again and whether a response belongs to
+/// its request. It never repeats a request, and says that no byte left only if that is so: what
+/// callers say about outcomes rests on it.
 #pragma once
 
 #include <cardamombay/net/http_client.hpp>
--- a/include/cardamombay/net/http_client.hpp
+++ b/include/cardamombay/net/http_client.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief HTTP exchange for control traffic: store, orders, probes and peers.
+/// \details The seam for control traffic. A failure tells whether a byte of the request may have
+/// left; implementations never repeat a request.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/net/server_exchange.hpp
+++ b/include/cardamombay/net/server_exchange.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief One request of a caller and the way to answer it.
+/// \details The seam between the HTTP server and those who answer. An exchange is answered once;
+/// what comes after the caller left is dropped.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/net/upstream.hpp
+++ b/include/cardamombay/net/upstream.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Requests to endpoints whose answers are taken as they come.
+/// \details The seam for callers' requests. It reports bytes as they come and decides nothing about
+/// outcomes; an implementation never repeats a request.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/outcomes/outcome.hpp
+++ b/include/cardamombay/outcomes/outcome.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief What became of a request, and what its caller is told.
+/// \details Decides which outcome a cause allows. It guards the promise that "not run" is said only
+/// of a request that no endpoint ran; what is in doubt is unknown.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/planning/repair_policy.hpp
+++ b/include/cardamombay/planning/repair_policy.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief The choice between the ways to repair a group that lost members.
+/// \details Decides among the ways that are open by expected downtime and expected stranded VMs,
+/// both in seconds, weighted by the configuration. It is a pure function; the planner carries
+/// nothing out by itself.
 #pragma once
 
 #include <cardamombay/config/configuration.hpp>
--- a/include/cardamombay/planning/return_history.hpp
+++ b/include/cardamombay/planning/return_history.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Learns from observed losses whether and when lost VMs come back.
+/// \details Decides how far the configured expectation is corrected by what a planner saw. It never
+/// decides on a repair and keeps nothing beyond a tenure of the lease.
 #pragma once
 
 #include <cardamombay/config/configuration.hpp>
--- a/include/cardamombay/planning/return_model.hpp
+++ b/include/cardamombay/planning/return_model.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Whether and when a lost VM comes back.
+/// \details Pure estimates; times are durations since the loss, probabilities lie between 0 and 1.
+/// It decides nothing.
 #pragma once
 
 #include <cardamombay/config/configuration.hpp>
--- a/include/cardamombay/platform/object_store.hpp
+++ b/include/cardamombay/platform/object_store.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The platform's object store, as the library sees it.
+/// \details The seam to the platform. A put whose answer was lost is StoreAnswerLost, never a
+/// failure; content is opaque text.
 #pragma once
 
 #include <cardamombay/core/result.hpp>
--- a/include/cardamombay/platform/paced_table_store.hpp
+++ b/include/cardamombay/platform/paced_table_store.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Keeps a node's calls to the table service within its share and stops them in an outage.
+/// \details Decides when a call may be sent and which calls fail at once while the store is down.
+/// It never changes or repeats a call.
 #pragma once
 
 #include <cardamombay/core/clock.hpp>
--- a/include/cardamombay/platform/reliable_commit.hpp
+++ b/include/cardamombay/platform/reliable_commit.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief Commits whose effect is known: resolves lost answers by the writer token.
+/// \details Decides whether a transaction took effect, by reading back its unique writer token; it
+/// never assumes. It guards the promises that rest on transactions: one group for each VM, at most
+/// one hand-over, one winner among configurations.
 #pragma once
 
 #include <cardamombay/core/clock.hpp>
--- a/include/cardamombay/platform/table_store.hpp
+++ b/include/cardamombay/platform/table_store.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The platform's transactional table service, as the library sees it.
+/// \details The seam to the platform: conditional transactions over rows of opaque text. A write
+/// whose answer was lost is StoreAnswerLost, never a failure.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/platform/vm_directory.hpp
+++ b/include/cardamombay/platform/vm_directory.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The platform's list of VMs; it lags behind the truth.
+/// \details The seam to the platform. Each list tells its age; a VM that it shows as live may have
+/// left meanwhile.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
--- a/include/cardamombay/retries/backoff.hpp
+++ b/include/cardamombay/retries/backoff.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Jittered exponential back-off.
+/// \details Decides how long the next attempt waits, with jitter from a seeded Random so that entry
+/// VMs do not retry in step. It starts nothing.
 #pragma once
 
 #include <cardamombay/core/random.hpp>
--- a/include/cardamombay/retries/circuit_board.hpp
+++ b/include/cardamombay/retries/circuit_board.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief The circuits of all groups.
+/// \details Decides which groups new attempts leave out. It never ends an attempt, and it is local
+/// to one entry VM.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/retries/retry_budget.hpp
+++ b/include/cardamombay/retries/retry_budget.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Bounds retries to a share of fresh requests.
+/// \details Decides whether a retry may be spent, so that retries cannot multiply an overload. It
+/// knows nothing of safety; RetryPolicy decides on that.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/routing/prefix_index.hpp
+++ b/include/cardamombay/routing/prefix_index.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Approximate index of which group holds which prompt prefix in its cache.
+/// \details Estimates only: a wrong entry costs a cache miss, never a wrong answer. Memory is fixed
+/// at construction; old entries lapse.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/routing/routing_snapshot.hpp
+++ b/include/cardamombay/routing/routing_snapshot.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief What the control thread hands to the traffic threads: an immutable picture.
+/// \brief What the control thread hands to the traffic threads: an immutable state of the fleet.
 #pragma once
 
 #include <cardamombay/config/configuration.hpp>
@@ -66,7 +66,7 @@
     std::vector<DemandReport> demand_;
 };
 
-/// \brief Immutable picture of the fleet; replaced whole, read without locks.
+/// \brief Immutable state of the fleet; replaced whole, read without locks.
 struct RoutingSnapshot
 {
     std::uint64_t sequence_ = 0;
--- a/include/cardamombay/rpc/digest_codec.hpp
+++ b/include/cardamombay/rpc/digest_codec.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief JSON form of digests; docs/design/peer_protocol.md describes it.
+/// \details Decides which texts are digests; others are MalformedMessage. Ages are rounded up so
+/// that nothing looks fresher than it is.
 #pragma once
 
 #include <cardamombay/core/result.hpp>
--- a/include/cardamombay/rpc/json_rpc_peer_transport.hpp
+++ b/include/cardamombay/rpc/json_rpc_peer_transport.hpp
@@ -1,5 +1,6 @@
 /// \file
 /// \brief Client half of the link between entry VMs: digests over JSON-RPC 2.0 over HTTP.
+/// \details Decides which answer belongs to which digest; it neither retries nor judges content.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
--- a/include/cardamombay/trace/trace_context.hpp
+++ b/include/cardamombay/trace/trace_context.hpp
@@ -1,5 +1,6 @@
 /// \file
 /// \brief Identity of a span as W3C Trace Context carries it.
+/// \details Values only; a header field that does not follow the specification gives none.
 #pragma once
 
 #include <cstdint>
--- a/include/cardamombay/traffic/problem.hpp
+++ b/include/cardamombay/traffic/problem.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Error answers to callers: RFC 9457 problem bodies that name the outcome.
+/// \details Decides status and body of an error from its outcome. It guards the promise that "not
+/// run" means not run: an unknown outcome is told as unknown.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/traffic/snapshot_holder.hpp
+++ b/include/cardamombay/traffic/snapshot_holder.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Place where the control thread publishes routing snapshots.
+/// \details One writer, many readers, no locks held while a snapshot is read. It decides nothing;
+/// freshness is judged by readers against their clock.
 #pragma once
 
 #include <cardamombay/routing/routing_snapshot.hpp>
--- a/include/cardamombay/watching/observation.hpp
+++ b/include/cardamombay/watching/observation.hpp
@@ -1,5 +1,6 @@
 /// \file
 /// \brief What is known of one endpoint VM.
+/// \details Values only. Instants are of the local clock; between processes they travel as ages.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/watching/veto_table.hpp
+++ b/include/cardamombay/watching/veto_table.hpp
@@ -1,5 +1,8 @@
 /// \file
 /// \brief Endpoint VMs that take no new work because they leave.
+/// \details Decides which VMs get no new work: a veto begins with the first report that a VM leaves
+/// and ends only when an operator lifts it or the VM was replaced. It guards the promise on leaving
+/// VMs and never ends work in flight.
 #pragma once
 
 #include <cardamombay/core/ids.hpp>
--- a/include/cardamombay/watching/watch_settings.hpp
+++ b/include/cardamombay/watching/watch_settings.hpp
@@ -1,5 +1,7 @@
 /// \file
 /// \brief Times and bounds of watching endpoint VMs.
+/// \details Values only; the freshness among them bounds how long a group serves after a member
+/// fell silent.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
