--- a/src/admin/json_fields.hpp
+++ b/src/admin/json_fields.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <span>
 #include <string>
@@ -54,7 +55,10 @@
 inline Duration millisecondsAt(const json::object &object, std::string_view key)
 {
     const json::value *value = object.if_contains(key);
-    return std::chrono::milliseconds(value ? json::value_to<std::int64_t>(*value) : 0);
+    // Bounded, since a larger count would overflow the type of durations.
+    constexpr std::int64_t longest = toMilliseconds(Duration::max());
+    const std::int64_t count = value ? json::value_to<std::int64_t>(*value) : 0;
+    return std::chrono::milliseconds(std::clamp(count, -longest, longest));
 }
 
 template<typename Item>
