Share fixtures of group, membership and watching tests; split large test files

Change: fixture.hpp in the three folders; vetoes.cpp and partitions.cpp; engine_completion. No test was changed or dropped.

--- a/tests/groups/store_faults.cpp
+++ b/tests/groups/store_faults.cpp
@@ -1,4 +1,4 @@
-#include "support/planner_fleet.hpp"
+#include "fixture.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -8,40 +8,16 @@
 using namespace cardamombay;
 using namespace cardamombay::groups;
 using namespace cardamombay::support;
+using fixture::run;
+using fixture::serveAll;
+using fixture::shapeOf;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-namespace {
-
-FleetShape shapeOf(std::uint32_t vms, std::uint32_t replicas)
-{
-    FleetShape shape;
-    shape.vmsPerDomain_ = vms;
-    shape.services_ = {modelService(replicas, 3)};
-    shape.chartFolder_ = SOURCE_FOLDER "/charts";
-    return shape;
-}
-
-void run(PlannerFleet &fleet, Duration time)
-{
-    for (const Duration step = milliseconds(250); time > Duration::zero(); time -= step) {
-        fleet.advance(step);
-        cr_assert(fleet.isExclusive(), "a VM is in two groups");
-    }
-}
-
-void serveAll(PlannerFleet &fleet, std::uint32_t groups)
-{
-    cr_assert(fleet.advanceUntil([&] { return fleet.servingCount() == groups; }, minutes(3)));
-    fleet.advance(seconds(5));
-}
-
-} // namespace
-
 Test(store_faults, every_answer_lost_for_a_while_still_leads_to_exclusive_groups)
 {
-    PlannerFleet fleet(shapeOf(7, 2));
+    PlannerFleet fleet(shapeOf(1, 7, 2));
     fleet.platform_.faults_.loseNextAnswers_ = 40;
     fleet.addNode();
 
@@ -54,7 +30,7 @@
 Test(store_faults, lost_answer_at_any_commit_of_a_repair_does_no_harm)
 {
     for (std::uint32_t nth = 1; nth <= 8; ++nth) {
-        PlannerFleet fleet(shapeOf(7, 2));
+        PlannerFleet fleet(shapeOf(1, 7, 2));
         fleet.addNode();
         serveAll(fleet, 2);
         fleet.kill(fleet.row(0)->members_[0]);
@@ -71,7 +47,7 @@
 
 Test(store_faults, outage_leaves_serving_groups_alone_and_decides_nothing)
 {
-    PlannerFleet fleet(shapeOf(7, 2));
+    PlannerFleet fleet(shapeOf(1, 7, 2));
     fleet.addNode();
     serveAll(fleet, 2);
     fleet.platform_.faults_.isDown_ = true;
@@ -97,7 +73,7 @@
 Test(store_faults, outage_in_any_phase_ends_well)
 {
     for (int quarter = 0; quarter < 140; quarter += 7) {
-        PlannerFleet fleet(shapeOf(9, 2));
+        PlannerFleet fleet(shapeOf(1, 9, 2));
         fleet.addNode();
         serveAll(fleet, 2);
         fleet.leaving_.insert(fleet.row(0)->members_[0]);
@@ -115,7 +91,7 @@
 
 Test(store_faults, slow_store_delays_but_does_not_break_formation)
 {
-    PlannerFleet fleet(shapeOf(7, 2));
+    PlannerFleet fleet(shapeOf(1, 7, 2));
     fleet.platform_.faults_.latency_ = seconds(1);
     fleet.addNode();
 
@@ -148,7 +124,7 @@
 
 Test(store_faults, formation_fails_whole_if_another_writer_took_one_of_its_vms)
 {
-    PlannerFleet fleet(shapeOf(7, 2));
+    PlannerFleet fleet(shapeOf(1, 7, 2));
     PlannerNode &node = fleet.addNode();
     serveAll(fleet, 2);
     VmId taken;
@@ -171,7 +147,7 @@
 
 Test(store_faults, formation_fails_whole_if_another_planner_has_the_lease)
 {
-    PlannerFleet fleet(shapeOf(7, 2));
+    PlannerFleet fleet(shapeOf(1, 7, 2));
     PlannerNode &node = fleet.addNode();
     serveAll(fleet, 2);
 
@@ -185,7 +161,7 @@
 
 Test(store_faults, formation_fails_whole_if_the_slot_was_formed_elsewhere)
 {
-    PlannerFleet fleet(shapeOf(7, 2));
+    PlannerFleet fleet(shapeOf(1, 7, 2));
     PlannerNode &node = fleet.addNode();
     serveAll(fleet, 2);
     GroupRow other;
@@ -203,7 +179,7 @@
 
 Test(store_faults, planner_that_cannot_read_what_was_committed_before_it_does_nothing)
 {
-    PlannerFleet fleet(shapeOf(7, 2));
+    PlannerFleet fleet(shapeOf(1, 7, 2));
     PlannerNode &first = fleet.addNode();
     PlannerNode &second = fleet.addNode(1);
     second.nodeStore_.losesScans_ = true;
--- a/tests/groups/two_planners.cpp
+++ b/tests/groups/two_planners.cpp
@@ -1,40 +1,19 @@
-#include "support/planner_fleet.hpp"
+#include "fixture.hpp"
 
 #include <criterion/criterion.h>
 
 using namespace cardamombay;
 using namespace cardamombay::groups;
 using namespace cardamombay::support;
+using fixture::run;
+using fixture::serveAll;
+using fixture::shapeOf;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 using std::chrono::seconds;
 
 namespace {
 
-FleetShape shapeOf(std::uint32_t domains, std::uint32_t vmsPerDomain, std::uint32_t replicas)
-{
-    FleetShape shape;
-    shape.domains_ = domains;
-    shape.vmsPerDomain_ = vmsPerDomain;
-    shape.services_ = {modelService(replicas, 3)};
-    shape.chartFolder_ = SOURCE_FOLDER "/charts";
-    return shape;
-}
-
-void run(PlannerFleet &fleet, Duration time)
-{
-    for (const Duration step = milliseconds(250); time > Duration::zero(); time -= step) {
-        fleet.advance(step);
-        cr_assert(fleet.isExclusive(), "a VM is in two groups");
-    }
-}
-
-void serveAll(PlannerFleet &fleet, std::uint32_t groups)
-{
-    cr_assert(fleet.advanceUntil([&] { return fleet.servingCount() == groups; }, minutes(3)));
-    fleet.advance(seconds(5));
-}
-
 /// An order as the holder of \p epoch would have sent it for another formation.
 endpoint::EndpointOrder staleAssign(const VmId &vm, std::uint64_t epoch)
 {
--- a/tests/support/engine_standin.cpp
+++ b/tests/support/engine_standin.cpp
@@ -1,6 +1,5 @@
 #include "support/engine_standin.hpp"
 
-#include <cardamombay/core/hash.hpp>
 #include <cardamombay/endpoint/endpoint_codec.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -26,47 +25,6 @@
 
 namespace {
 
-constexpr std::uint32_t defaultTokens = 16;
-constexpr std::string_view attemptHeader = "X-Attempt-Id";
-
-std::string textOf(const json::object &object, std::string_view key)
-{
-    const auto *value = object.if_contains(key);
-    return value && value->is_string() ? std::string(value->as_string()) : "";
-}
-
-std::int64_t numberOf(const json::object &object, std::string_view key, std::int64_t fallback)
-{
-    const auto *value = object.if_contains(key);
-    json::error_code error;
-    if (!value)
-        return fallback;
-    const auto number = value->to_number<std::int64_t>(error);
-    return error ? fallback : number;
-}
-
-std::string promptOf(const json::object &body)
-{
-    const auto *messages = body.if_contains("messages");
-    if (!messages || !messages->is_array())
-        return textOf(body, "prompt");
-    std::string prompt;
-    for (const auto &message : messages->as_array()) {
-        if (!prompt.empty())
-            prompt += '\n';
-        prompt += message.is_object() ? textOf(message.as_object(), "content") : "";
-    }
-    return prompt;
-}
-
-std::uint32_t resumePoint(const json::object &body)
-{
-    const auto *resume = body.if_contains("resume_from");
-    if (!resume || !resume->is_object())
-        return 0;
-    return static_cast<std::uint32_t>(numberOf(resume->as_object(), "tokens", 0));
-}
-
 json::value parsed(const std::string &text)
 {
     json::error_code error;
@@ -75,99 +33,6 @@
 
 } // namespace
 
-/// One completion being answered.
-struct EngineStandin::Completion
-{
-    CompletionInput input_;
-    bool isChat_ = false;
-    bool isStream_ = false;
-    std::int64_t priority_ = 0;
-    std::uint32_t last_ = 0; ///< Tokens are numbered up to, not including, this.
-    std::string shownAttempt_;
-    Behaviour behaviour_;
-    std::shared_ptr<EngineRun> run_;
-
-    [[nodiscard]] bool is(std::string_view kind) const { return behaviour_.kind_ == kind; }
-    [[nodiscard]] std::uint32_t next() const { return run_->firstToken_ + run_->tokens_; }
-
-    void read(const StandinRequest &request, const json::object &body)
-    {
-        isChat_ = request.target().find("/chat/") != beast::string_view::npos;
-        const auto *wanted = body.if_contains("stream");
-        isStream_ = wanted && wanted->is_bool() && wanted->as_bool();
-        input_.prompt_ = promptOf(body);
-        input_.seed_ = static_cast<std::uint64_t>(numberOf(body, "seed", 0));
-        priority_ = numberOf(body, "priority", 0);
-        last_ = static_cast<std::uint32_t>(numberOf(body, "max_tokens", defaultTokens));
-        run_ = std::make_shared<EngineRun>();
-        run_->attempt_ = headerOf(request, attemptHeader);
-        run_->bodyHash_ = std::to_string(stableHash(request.body()));
-        run_->idempotencyKey_ = headerOf(request, "Idempotency-Key");
-        run_->user_ = textOf(body, "user");
-        run_->firstToken_ = resumePoint(body);
-        shownAttempt_ = run_->attempt_;
-    }
-
-    [[nodiscard]] std::string event(std::uint32_t index) const
-    {
-        const std::string text = tokenText(input_, index);
-        json::object choice{{"index", 0}};
-        if (isChat_)
-            choice["delta"] = json::object{{"content", text}};
-        else
-            choice["text"] = text;
-        choice["finish_reason"] = nullptr;
-        if (index + 1 >= last_)
-            choice["finish_reason"] = "length";
-        json::object event;
-        if (!shownAttempt_.empty())
-            event["id"] = shownAttempt_;
-        event["index"] = index;
-        event["choices"] = json::array{choice};
-        return "data: " + json::serialize(event) + "\n\n";
-    }
-
-    [[nodiscard]] std::string whole() const
-    {
-        const std::string text = completionText(input_, run_->firstToken_, last_);
-        json::object choice{{"index", 0}, {"finish_reason", "length"}};
-        if (isChat_)
-            choice["message"] = json::object{{"role", "assistant"}, {"content", text}};
-        else
-            choice["text"] = text;
-        json::object body{{"object", isChat_ ? "chat.completion" : "text_completion"},
-                          {"model", input_.model_},
-                          {"choices", json::array{choice}},
-                          {"usage", {{"completion_tokens", run_->tokens_}}}};
-        if (!shownAttempt_.empty())
-            body["id"] = shownAttempt_;
-        return json::serialize(body);
-    }
-
-    [[nodiscard]] StandinResponse head() const
-    {
-        StandinResponse response = jsonResponse(200, "");
-        if (!shownAttempt_.empty())
-            response.set("X-Attempt-Id", shownAttempt_);
-        return response;
-    }
-};
-
-std::string tokenText(const CompletionInput &input, std::uint32_t index)
-{
-    const std::string key = input.model_ + '\n' + input.modelVersion_ + '\n' + input.prompt_;
-    const auto hash = stableHash(key, stableHash(std::to_string(index), input.seed_));
-    return " t" + std::to_string(index) + "-" + std::to_string(hash % 10000);
-}
-
-std::string completionText(const CompletionInput &input, std::uint32_t first, std::uint32_t count)
-{
-    std::string text;
-    for (std::uint32_t index = first; index < count; ++index)
-        text += tokenText(input, index);
-    return text;
-}
-
 EngineStandin::EngineStandin(asio::io_context &context, EngineSettings settings)
     : context_(context)
     , settings_(std::move(settings))
@@ -323,7 +188,7 @@
         co_return;
     }
     const auto &body = value.as_object();
-    Behaviour behaviour;
+    EngineBehaviour behaviour;
     behaviour.kind_ = textOf(body, "kind");
     behaviour.count_ = static_cast<std::uint32_t>(numberOf(body, "count", 0));
     behaviour.afterTokens_ = static_cast<std::uint32_t>(numberOf(body, "after_tokens", 2));
@@ -332,9 +197,9 @@
     co_await exchange.respond(jsonResponse(200, "{}"));
 }
 
-EngineStandin::Behaviour EngineStandin::takeBehaviour()
+EngineBehaviour EngineStandin::takeBehaviour()
 {
-    Behaviour taken = behaviour_;
+    EngineBehaviour taken = behaviour_;
     if (behaviour_.count_ > 0 && --behaviour_.count_ == 0)
         behaviour_ = {};
     return taken;
@@ -365,7 +230,7 @@
         co_await refuse(exchange, 409, reason);
         co_return;
     }
-    Completion completion;
+    EngineCompletion completion;
     completion.read(exchange.request(), body.as_object());
     completion.behaviour_ = takeBehaviour();
     completion.input_.model_ = member_.state().model_.name_.text();
@@ -389,7 +254,8 @@
     }
 }
 
-EngineStandin::Task EngineStandin::runCompletion(StandinExchange &exchange, Completion &completion)
+EngineStandin::Task EngineStandin::runCompletion(StandinExchange &exchange,
+                                                 EngineCompletion &completion)
 {
     if (completion.is("hang"))
         co_await pauseFor(std::chrono::hours(1));
@@ -408,7 +274,7 @@
     releaseSlot();
 }
 
-EngineStandin::Task EngineStandin::generate(Completion &completion)
+EngineStandin::Task EngineStandin::generate(EngineCompletion &completion)
 {
     const bool isSlow = completion.is("slow");
     co_await pauseFor(isSlow ? completion.behaviour_.delay_ : settings_.tokenTime_);
@@ -418,7 +284,7 @@
         ++completion.run_->tokens_;
 }
 
-EngineStandin::Task EngineStandin::stream(StandinExchange &exchange, Completion &completion)
+EngineStandin::Task EngineStandin::stream(StandinExchange &exchange, EngineCompletion &completion)
 {
     auto head = completion.head();
     head.set(http::field::content_type, "text/event-stream");
@@ -453,7 +319,8 @@
     co_await exchange.finishStream();
 }
 
-EngineStandin::Task EngineStandin::answerWhole(StandinExchange &exchange, Completion &completion)
+EngineStandin::Task EngineStandin::answerWhole(StandinExchange &exchange,
+                                               EngineCompletion &completion)
 {
     EngineRun &run = *completion.run_;
     while (completion.next() < completion.last_ && run.outcome_ == "running")
--- a/tests/support/engine_standin.hpp
+++ b/tests/support/engine_standin.hpp
@@ -2,6 +2,7 @@
 /// \brief A model engine as docs/ENDPOINTS.md publishes it, without a model.
 #pragma once
 
+#include "support/engine_completion.hpp"
 #include "support/engine_member.hpp"
 #include "support/run_ledger.hpp"
 #include "support/standin_server.hpp"
@@ -37,34 +38,6 @@
     std::string ledgerFile_; ///< Runs are appended here before they start; empty writes none.
 };
 
-/// \brief What the text of a completion depends on.
-struct CompletionInput
-{
-    std::string model_;
-    std::string modelVersion_;
-    std::string prompt_; ///< Chats: contents of all messages, joined by line feeds.
-    std::uint64_t seed_ = 0;
-};
-
-/// \brief Token \p index of the completion; a pure function, so that any part can be checked.
-[[nodiscard]] std::string tokenText(const CompletionInput &input, std::uint32_t index);
-
-/// \brief Tokens [first, count) joined.
-[[nodiscard]] std::string completionText(const CompletionInput &input, std::uint32_t first,
-                                         std::uint32_t count);
-
-/// \brief One request that an engine ran, whole or in part.
-struct EngineRun
-{
-    std::string attempt_;
-    std::string bodyHash_;
-    std::string idempotencyKey_;
-    std::string user_; ///< Field "user" of the body: the caller's own mark.
-    std::uint32_t firstToken_ = 0;
-    std::uint32_t tokens_ = 0;        ///< Generated, whether delivered or not.
-    std::string outcome_ = "running"; ///< Then "complete", "cancelled" or "cut".
-};
-
 /// \brief Stand-in engine: orders, loading, streaming, cancelling, ledger and switchable faults.
 class EngineStandin
 {
@@ -74,8 +47,6 @@
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
 
 private:
-    struct Completion;
-
     /// A request that waits for a slot.
     struct Waiter
     {
@@ -83,15 +54,6 @@
         std::shared_ptr<boost::asio::steady_timer> timer_;
     };
 
-    /// Fault switched by POST /test/behaviour.
-    struct Behaviour
-    {
-        std::string kind_ = "normal";
-        std::uint32_t count_ = 0; ///< Requests it holds for; zero is all.
-        std::uint32_t afterTokens_ = 2;
-        Duration delay_ = std::chrono::milliseconds(500);
-    };
-
     using Task = boost::asio::awaitable<void>;
 
     Task handle(StandinExchange &exchange);
@@ -103,21 +65,21 @@
     Task load(endpoint::EndpointOrder order);
     Task fetchWeights(const endpoint::EndpointOrder &order, bool &isLoaded);
     Task reportLoad();
-    Task runCompletion(StandinExchange &exchange, Completion &completion);
-    Task stream(StandinExchange &exchange, Completion &completion);
-    Task answerWhole(StandinExchange &exchange, Completion &completion);
-    Task generate(Completion &completion);
+    Task runCompletion(StandinExchange &exchange, EngineCompletion &completion);
+    Task stream(StandinExchange &exchange, EngineCompletion &completion);
+    Task answerWhole(StandinExchange &exchange, EngineCompletion &completion);
+    Task generate(EngineCompletion &completion);
     Task waitForSlot(std::int64_t priority);
     void releaseSlot();
     void cancelAll();
     [[nodiscard]] std::string refusalOf(const StandinRequest &request) const;
-    [[nodiscard]] Behaviour takeBehaviour();
+    [[nodiscard]] EngineBehaviour takeBehaviour();
     [[nodiscard]] std::string ledger() const;
 
     boost::asio::io_context &context_;
     EngineSettings settings_;
     EngineMember member_;
-    Behaviour behaviour_;
+    EngineBehaviour behaviour_;
     std::vector<std::shared_ptr<EngineRun>> runs_;
     RunLedgerFile ledgerFile_;
     std::set<std::string> cancelled_;
--- a/tests/watching/failures.cpp
+++ b/tests/watching/failures.cpp
@@ -1,4 +1,4 @@
-#include "support/fake_watch_fleet.hpp"
+#include "fixture.hpp"
 
 #include <algorithm>
 #include <set>
@@ -7,8 +7,9 @@
 
 using namespace cardamombay;
 using cardamombay::support::Fleet;
-using cardamombay::support::FleetShape;
 using cardamombay::support::WatchFleet;
+using fixture::shape;
+using fixture::vmCount;
 using platform::VmStatus;
 using std::chrono::milliseconds;
 using std::chrono::minutes;
@@ -16,13 +17,6 @@
 
 namespace {
 
-FleetShape shape(std::size_t nodes, std::size_t zones = 3, std::size_t regions = 1)
-{
-    return FleetShape{nodes, zones, regions, SOURCE_FOLDER "/charts"};
-}
-
-constexpr std::size_t vmCount = 54;
-
 /// A node that watches neither \p vm nor is among \p others.
 std::size_t bystander(WatchFleet &fleet, const VmId &vm)
 {
@@ -398,97 +392,3 @@
     for (std::size_t i = 0; i < vmCount; ++i)
         cr_assert_not(fleet.watcher(0).isStraggler(WatchFleet::vm(i)));
 }
-
-Test(watching, leaving_vm_is_vetoed_everywhere_within_half_a_second)
-{
-    WatchFleet fleet(shape(7), vmCount);
-    const VmId vm = WatchFleet::vm(5);
-    fleet.run(seconds(8));
-
-    fleet.watcher(3).markLeaving(vm);
-    fleet.run(milliseconds(500));
-
-    for (const std::size_t node : fleet.fleet_.all())
-        cr_assert(fleet.watcher(node).isLeaving(vm));
-}
-
-Test(watching, list_that_stops_saying_leaving_does_not_lift_the_veto)
-{
-    WatchFleet fleet(shape(7), vmCount);
-    const VmId vm = WatchFleet::vm(5);
-    fleet.run(seconds(8));
-    fleet.list(vm, VmStatus::Leaving);
-    fleet.run(seconds(2));
-
-    fleet.list(vm, VmStatus::Live);
-    fleet.run(seconds(5));
-
-    for (const std::size_t node : fleet.fleet_.all())
-        cr_assert(fleet.watcher(node).isLeaving(vm));
-}
-
-Test(watching, undrain_lifts_the_veto_and_a_late_digest_does_not_bring_it_back)
-{
-    WatchFleet fleet(shape(7), vmCount);
-    const VmId vm = WatchFleet::vm(5);
-    fleet.run(seconds(8));
-    fleet.watcher(3).markLeaving(vm);
-    membership::Digest late;
-    late.from_.id_ = Fleet::id(3);
-    late.to_ = Fleet::id(0);
-    fleet.watcher(3).appendTo(late);
-    fleet.run(seconds(2));
-
-    fleet.watcher(1).clearLeaving(vm);
-    fleet.run(milliseconds(500));
-    fleet.watcher(0).merge(late);
-
-    for (const std::size_t node : fleet.fleet_.all())
-        cr_assert_not(fleet.watcher(node).isLeaving(vm));
-}
-
-Test(watching, replaced_vm_is_usable_again_once_a_later_list_says_so)
-{
-    WatchFleet fleet(shape(7), vmCount);
-    const VmId vm = WatchFleet::vm(5);
-    fleet.run(seconds(8));
-    fleet.list(vm, VmStatus::Leaving);
-    fleet.run(seconds(5));
-
-    fleet.endpoints_.kill(vm);
-    fleet.endpoints_.restart(vm);
-    fleet.run(seconds(3));
-    cr_assert(fleet.watcher(0).isLeaving(vm), "the list still says that it leaves");
-    fleet.list(vm, VmStatus::Live);
-    fleet.run(seconds(1));
-
-    for (const std::size_t node : fleet.fleet_.all())
-        cr_assert_not(fleet.watcher(node).isLeaving(vm));
-}
-
-Test(watching, older_vm_list_is_passed_over)
-{
-    WatchFleet fleet(shape(7), vmCount);
-    const VmId vm = WatchFleet::vm(5);
-    fleet.run(seconds(20));
-    fleet.list(vm, VmStatus::Live);
-    fleet.run(seconds(1));
-
-    fleet.list(vm, VmStatus::Leaving, seconds(15));
-
-    cr_assert_not(fleet.watcher(0).isLeaving(vm));
-}
-
-Test(watching, joining_node_learns_the_vetoes)
-{
-    WatchFleet fleet(shape(7), vmCount);
-    const VmId vm = WatchFleet::vm(5);
-    fleet.run(seconds(8));
-    fleet.watcher(3).markLeaving(vm);
-    fleet.run(minutes(1));
-
-    fleet.restart(6, Incarnation(50));
-    fleet.run(seconds(3));
-
-    cr_assert(fleet.watcher(6).isLeaving(vm));
-}
