--- a/tests/regressions/regressions.cpp
+++ b/tests/regressions/regressions.cpp
@@ -1,6 +1,6 @@
 // Faults that were found outside the tests of a module; each test names the failure it came from.
-// Faults that fuzzing found are in tests/fuzz/regressions.cpp. A new test is first run with its fault
-// put back, to see that it fails.
+// Faults that fuzzing found are in tests/fuzz/regressions.cpp. A new test is first run with its
+// fault put back, to see that it fails.
 #include "support/planner_fleet.hpp"
 #include "support/process_harness.hpp"
 
