--- a/include/cardamombay/traffic/dispatcher.hpp
+++ b/include/cardamombay/traffic/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include <cardamombay/routing/router.hpp>
 #include <cardamombay/traffic/control_link.hpp>
 
+#include <array>
 #include <functional>
 #include <mutex>
 #include <optional>
@@ -29,6 +30,9 @@
     routing::RouterPolicy router_;
     retries::RetrySettings retries_;
     retries::CircuitPolicy circuits_;
+    /// Period of the digests to peers: shares are worked out from what was digested, so the demand
+    /// is taken once for each.
+    Duration digestEvery_ = std::chrono::milliseconds(500);
 };
 
 /// \brief What an attempt needs of a group.
@@ -46,7 +50,7 @@
 {
     std::optional<routing::SnapshotGroup> group_;
     routing::RouteReason reason_ = routing::RouteReason::NoGroups;
-    DecisionRecord record_; ///< Only if there is no group.
+    DecisionRecord record_; ///< With the groups that were weighed.
 };
 
 /// \brief How an attempt ended for its group.
@@ -56,9 +60,22 @@
     Abandoned ///< Stopped by this side; says nothing of the group.
 };
 
+/// \brief What an attempt showed of its group's speed; zero if it showed nothing.
+struct AttemptTimes
+{
+    Duration timeToFirstToken_{};
+    Duration timePerToken_{}; ///< Without the time that the caller needed to take them.
+};
+
 /// \brief Final answer to a request that waited for admission.
 using AdmissionAnswer = std::variant<limits::Admitted, limits::Shed>;
 
+/// \brief What became of a request whose decisions may be recorded; each kind has its own limit.
+enum class RecordKind {
+    Smooth,  ///< Answered by its first attempt.
+    Eventful ///< Refused, failed, retried or resumed.
+};
+
 /// \brief The shared decisions; every function may be called from any thread.
 class Dispatcher
 {
@@ -83,7 +100,8 @@
     void finished(const RequestId &request, const routing::RoutingSnapshot &snapshot,
                   TimePoint now);
 
-    /// \brief Gives waiting requests their answers that time or a new snapshot brought.
+    /// \brief Gives waiting requests their answers that time or a new snapshot brought; cheap if
+    /// neither did.
     void releaseWaiting(const routing::RoutingSnapshot &snapshot, TimePoint now);
     /// \}
 
@@ -92,7 +110,9 @@
     /// \brief Chooses a group and counts the attempt as started there.
     [[nodiscard]] RouteChoice startAttempt(const routing::RoutingSnapshot &snapshot,
                                            const RouteQuery &query, TimePoint now);
-    void finishAttempt(const GroupId &group, GroupResult result, Duration timeToFirstToken,
+    /// \brief The head of an answer came; closes a circuit on trial without waiting for the end.
+    void attemptAnswered(const GroupId &group, TimePoint now);
+    void finishAttempt(const GroupId &group, GroupResult result, const AttemptTimes &times,
                        TimePoint now);
     void freshRequest(const ServiceName &service, TimePoint now);
     [[nodiscard]] retries::RetryDecision retry(const retries::FailedAttempt &attempt,
@@ -102,9 +122,9 @@
     /// \brief Slots of \p service, for records.
     [[nodiscard]] limits::ServiceLoad load(const ServiceName &service);
 
-    /// \brief True if one more decision may be recorded: an overload refuses thousands of requests
-    /// for the same reason, and a few of them explain it.
-    [[nodiscard]] bool mayRecord(TimePoint now);
+    /// \brief True if the decisions of one more request may be recorded: an overload refuses
+    /// thousands for the same reason, and a few of them explain it.
+    [[nodiscard]] bool mayRecord(RecordKind kind, TimePoint now);
 
     /// \brief Demand and in-flight requests for the control thread.
     [[nodiscard]] TrafficReport report(const routing::RoutingSnapshot &snapshot, TimePoint now);
@@ -127,8 +147,12 @@
     retries::RetryPolicy retries_;
     retries::CircuitBoard circuits_;
     std::unordered_map<RequestId, AdmissionCallback> waiting_;
+    std::uint64_t releasedFor_ = 0; ///< Snapshot of the last release; zero asks for another.
+    Duration digestEvery_;
+    std::optional<TimePoint> demandAt_;
+    std::vector<routing::DemandReport> demand_; ///< Of the present digest.
     TimePoint recordPeriod_{};
-    std::uint32_t records_ = 0;
+    std::array<std::uint32_t, 2> records_{}; ///< In this period, by kind.
 };
 
 } // namespace cardamombay::traffic
--- a/tests/faults/control_checks.cpp
+++ b/tests/faults/control_checks.cpp
@@ -174,13 +174,6 @@
     std::string settle()
     {
         fleet_.heal();
-        for (std::size_t index = 0; index < fleet_.size(); ++index) {
-            // A process that drained or left is replaced by a new one.
-            const auto &node = fleet_.entry(index).node_;
-            const auto &self = node->membership().self();
-            if (self.isDraining_ || self.status_ == membership::MemberStatus::Left)
-                fleet_.restartEntry(index);
-        }
         fleet_.endpoints_.latency_ = milliseconds(1);
         const TimePoint end = fleet_.clock_.now() + settleLimit;
         while (!isSettled() && fleet_.clock_.now() < end)
@@ -214,23 +207,16 @@
             count += leaseOf(index) && leaseOf(index)->isHeld() ? 1 : 0;
         return count;
     }
-    [[nodiscard]] bool isEveryoneAlive() const
-    {
-        for (std::size_t index = 0; index < fleet_.size(); ++index) {
-            const auto &node = fleet_.entry(index).node_;
-            if (!node || node->membership().aliveMembers().size() != fleet_.size())
-                return false;
-        }
-        return true;
-    }
     [[nodiscard]] std::string whyUnsettled() const
     {
         if (!fleet_.isServing())
             return "not every declared replica serves after healing";
         if (!fleet_.isInForce())
             return "the accepted configuration is not in force everywhere after healing";
-        if (!isEveryoneAlive())
+        if (!fleet_.isEveryoneAlive())
             return "an entry VM that runs is not seen alive after healing";
+        if (fleet_.strandedVm())
+            return "a VM holds an assignment that no group row has, after healing";
         return holders() == 1 ? "" : "the lease has no single holder after healing";
     }
     [[nodiscard]] bool isSettled() const { return whyUnsettled().empty(); }
@@ -320,6 +306,9 @@
             fleet_.restartEntry(entry_);
         if (state == "asking-peers") {
             fleet_.platform_.faults_.isDown_ = true;
+            const auto &membership = fleet_.entry(entry_).node_->membership();
+            // It asks whom it knows, so it joins first; the store's refusal comes later.
+            fleet_.runUntil([&] { return membership.aliveMembers().size() > 1; }, reachLimit);
             for (std::size_t other = 0; other < fleet_.size(); ++other) {
                 if (other != entry_)
                     fleet_.pauseEntry(other); // The peers' answers are under way for longer.
@@ -432,7 +421,8 @@
               "something else for longer than the freshness window, nor one that leaves for longer "
               "than 3 s; no VM is in two group rows; the lease has at most one holder; no entry VM "
               "goes back to an earlier configuration. After healing, within 8 min: every declared "
-              "replica serves, one entry VM holds the lease, all see all alive, and the accepted "
+              "replica serves, no VM holds an assignment without a row, one entry VM holds the "
+              "lease, all see all alive, and the accepted "
               "configuration is in force at all.";
         addChecks<ControlBench>(checks, injections(chart == "group"),
                                 [chart] { return std::make_unique<ControlBench>(chart); });
--- a/tests/settings/settings.cpp
+++ b/tests/settings/settings.cpp
@@ -39,6 +39,7 @@
     const auto &read = valueOf(result);
     cr_assert(read.entry_ == EntryId("entry-a1"));
     cr_assert(read.peers_ == (Address{"10.1.0.11", 8090}));
+    cr_assert(read.advertised_ == read.peers_);
     cr_assert(read.intervals_ == settings::Intervals{});
     cr_assert_eq(read.trafficThreads_, 2);
 }
@@ -48,7 +49,8 @@
     const auto result = settings::parse(std::string("traffic_threads = 4\n") + smallest
                                             + "[intervals]\nprobe = \"250ms\"\n"
                                               "[drain]\nin_flight = \"1m\"\n"
-                                              "[peers]\nseeds = [\"10.1.0.12:8090\"]\n",
+                                              "[peers]\nseeds = [\"10.1.0.12:8090\"]\n"
+                                              "advertise = \"10.9.0.11:8090\"\n",
                                         "entry.toml");
 
     cr_assert(isOk(result));
@@ -57,6 +59,7 @@
     cr_assert(read.intervals_.probe_ == milliseconds(250));
     cr_assert(read.drain_.inFlight_ == seconds(60));
     cr_assert_eq(read.seeds_.size(), 1);
+    cr_assert(read.advertised_ == (Address{"10.9.0.11", 8090}));
 }
 
 Test(settings, unknown_key_names_its_place_and_the_nearest_key)
@@ -112,6 +115,26 @@
     cr_assert_eq(problem.key_, "intervals.freshness");
 }
 
+Test(settings, freshness_that_one_failed_probe_would_lapse_is_refused)
+{
+    const auto problem = problemOf(std::string(smallest)
+                                   + "[intervals]\nprobe = \"500ms\"\nfreshness = \"1200ms\"\n");
+
+    cr_assert_eq(problem.key_, "intervals.freshness");
+    cr_assert(problem.remedy_.find("1500ms") != std::string::npos, "%s", problem.remedy_.c_str());
+}
+
+Test(settings, lease_term_that_leaves_no_time_for_an_order_is_refused)
+{
+    const std::string intervals = std::string(smallest) + "[intervals]\nlease_term = ";
+
+    const auto problem = problemOf(intervals + "\"3s\"\n");
+
+    cr_assert_eq(problem.key_, "intervals.lease_term");
+    cr_assert(problem.remedy_.find("5143ms") != std::string::npos, "%s", problem.remedy_.c_str());
+    cr_assert(isOk(settings::parse(intervals + "\"5143ms\"\n", "entry.toml")));
+}
+
 Test(settings, broken_syntax_names_its_line)
 {
     cr_assert_eq(problemOf("entry = \"a\"\nzone = \n").position_.line_, 2);
--- a/tests/support/control_fleet.cpp
+++ b/tests/support/control_fleet.cpp
@@ -28,6 +28,7 @@
 config::ConfigSources sources(const ControlFleetShape &shape, const std::string &note)
 {
     config::ConfigSources all;
+    const std::string fencing = shape.checksFencing_ ? "" : "checks_fencing = false";
     all.base_ = {"base.toml", "# " + note + R"(
 deployment = "fleet"
 
@@ -38,12 +39,14 @@
 model = { name = "m", version = "1" }
 vms_per_replica = 2
 replicas = 2
+)" + fencing + R"(
 
 [services.sm]
 kind = "model"
 model = { name = "s", version = "1" }
 vms_per_replica = 3
 replicas = 1
+)" + fencing + R"(
 
 [planner]
 concurrent_loads = )" + std::to_string(shape.concurrentLoads_)
@@ -63,6 +66,13 @@
     };
 }
 
+/// A process that drained or left ends; a new one takes its place.
+bool isOnItsWayOut(const control::ControlNode &node)
+{
+    const auto &self = node.membership().self();
+    return self.isDraining_ || self.status_ == membership::MemberStatus::Left;
+}
+
 class Orders final : public endpoint::EndpointOrders
 {
 public:
@@ -290,7 +300,7 @@
                 const Address address{
                     "10.1." + std::to_string(domains_.size()) + "." + std::to_string(vm), 9000};
                 vms_.push_back(id);
-                endpoints_.addVm(id, address);
+                endpoints_.addVm(id, address, shape_.checksFencing_);
                 platform::VmRecord record;
                 record.id_ = id;
                 record.address_ = address;
@@ -560,9 +570,10 @@
 {
     platform_.faults_ = StoreFaults{};
     healCuts();
+    network_.faults_ = PeerFaults{};
     for (std::size_t index = 0; index < entries_.size(); ++index) {
         resumeEntry(index);
-        if (!entry(index).node_)
+        if (!entry(index).node_ || isOnItsWayOut(*entry(index).node_))
             restartEntry(index);
         store(index).isCutOff_ = false;
         orders(index).isCutOff_ = false;
@@ -617,6 +628,39 @@
     return all;
 }
 
+bool ControlFleet::isRowOf(const VmId &vm, const groups::GroupRow &row) const
+{
+    const auto *found = platform_.row(groups::vmKey(vm));
+    if (!found)
+        return false;
+    const auto content = groups::decodeVmRow(found->value_);
+    return isOk(content) && valueOf(content).group_ == row.group_
+           && valueOf(content).generation_ == row.generation_;
+}
+
+std::optional<VmId> ControlFleet::strandedVm() const
+{
+    const auto rows = groupRows();
+    for (const VmId &vm : vms_) {
+        const auto &held = truths_.at(vm).state_.assignment_;
+        const bool isInRow = std::any_of(rows.begin(), rows.end(), [&](const auto &row) {
+            return held && row.group_ == held->group_ && row.generation_ == held->generation_
+                   && !row.isFreeSlot() && row.rankOf(vm);
+        });
+        if (held && !isInRow)
+            return vm;
+    }
+    return std::nullopt;
+}
+
+bool ControlFleet::isEveryoneAlive() const
+{
+    return std::all_of(entries_.begin(), entries_.end(), [&](const auto &entry) {
+        return entry->isRunning()
+               && entry->node_->membership().aliveMembers().size() == entries_.size();
+    });
+}
+
 bool ControlFleet::isWhole(const groups::GroupRow &row) const
 {
     return std::all_of(row.members_.begin(), row.members_.end(), [&](const VmId &vm) {
