--- a/include/cardamombay/control/control_node.hpp
+++ b/include/cardamombay/control/control_node.hpp
@@ -151,7 +151,7 @@
     void needElsewhere(const routing::SnapshotService &service);
     [[nodiscard]] bool isDemanded(const ServiceName &service) const;
     [[nodiscard]] bool isMissingVm() const;
-    [[nodiscard]] bool isAmongFirstOfZone(std::size_t count) const;
+    [[nodiscard]] bool isPoller() const;
 
     void fetchFromPeers(ConfigVersion atLeast, Callback<std::string> done);
 
--- a/src/control/control_node.cpp
+++ b/src/control/control_node.cpp
@@ -1,5 +1,7 @@
 #include <cardamombay/control/control_node.hpp>
 
+#include <cardamombay/config/config_poller.hpp>
+
 #include <cardamombay/core/hash.hpp>
 
 #include <algorithm>
@@ -9,9 +11,6 @@
 
 namespace {
 
-/// Entry VMs of a zone that read the VM list and the configuration often.
-constexpr std::size_t pollersPerZone = 3;
-
 /// Boards refresh once a second up to this many entry VMs, then less often.
 constexpr std::size_t boardReadersAtFullPace = 170;
 
@@ -147,9 +146,9 @@
     watcher_.setWatchers(alive);
     store_.setFleetSize(alive.size());
     claims_.setEntryCount(static_cast<std::uint32_t>(std::max<std::size_t>(alive.size(), 1)));
-    const bool isPoller = isAmongFirstOfZone(pollersPerZone);
-    list_.setPoller(isPoller);
-    config_.setPoller(isPoller);
+    const bool polls = isPoller();
+    list_.setPoller(polls);
+    config_.setPoller(polls);
     const auto stretch = std::max(1.0, static_cast<double>(alive.size()) / boardReadersAtFullPace);
     board_.setRefreshEvery(std::chrono::duration_cast<Duration>(std::chrono::seconds(1) * stretch));
 }
@@ -163,16 +162,14 @@
     publish();
 }
 
-bool ControlNode::isAmongFirstOfZone(std::size_t count) const
+bool ControlNode::isPoller() const
 {
-    const std::string &zone = settings_.zone_.text();
-    const auto own = rendezvousWeight(zone, settings_.self_.text());
-    std::size_t ahead = 0;
+    std::vector<EntryId> own;
     for (const auto &member : membership_.aliveMembers()) {
-        if (member.zone_ == settings_.zone_ && rendezvousWeight(zone, member.id_.text()) > own)
-            ++ahead;
+        if (member.zone_ == settings_.zone_)
+            own.push_back(member.id_);
     }
-    return ahead < count;
+    return config::isConfigPoller(settings_.self_, settings_.zone_, own);
 }
 
 void ControlNode::fetchFromPeers(ConfigVersion atLeast, Callback<std::string> done)
--- a/src/control/peer_listener.cpp
+++ b/src/control/peer_listener.cpp
@@ -3,6 +3,7 @@
 #include <cardamombay/admin/admin_ack.hpp>
 #include <cardamombay/admin/admin_config.hpp>
 #include <cardamombay/admin/admin_event.hpp>
+#include <cardamombay/net/http_status.hpp>
 #include <cardamombay/rpc/json_rpc_peer_transport.hpp>
 #include <cardamombay/traffic/problem.hpp>
 
@@ -13,13 +14,10 @@
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusNotFound = 404;
-
 net::HttpResponse respond(std::string body, const char *type = "application/json")
 {
     net::HttpResponse response;
-    response.status_ = statusOk;
+    response.status_ = net::statusOk;
     response.fields_ = {{"Content-Type", type}};
     response.body_ = std::move(body);
     return response;
@@ -28,7 +26,7 @@
 net::HttpResponse notFound(std::string_view path)
 {
     traffic::Problem problem;
-    problem.status_ = statusNotFound;
+    problem.status_ = net::statusNotFound;
     problem.type_ = "not-found";
     problem.title_ = "No such resource";
     problem.detail_ = "nothing is known under " + std::string(path);
--- a/src/platform/http_vm_directory.cpp
+++ b/src/platform/http_vm_directory.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/platform_call.hpp"
 #include "platform/platform_codec.hpp"
+#include <cardamombay/net/http_status.hpp>
 
 #include <cardamombay/net/http_client.hpp>
 
@@ -15,8 +16,6 @@
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
-
 Error malformed(std::string detail)
 {
     return MalformedMessage{"VM list", std::move(detail)};
@@ -36,7 +35,7 @@
             return *std::move(error);
         const auto &response = std::get<HttpResponse>(result);
         auto answer = impl::decodeVmList(response.body_);
-        if (response.status_ != statusOk || !answer)
+        if (response.status_ != net::statusOk || !answer)
             return malformed("status " + std::to_string(response.status_));
         if (!answer->isUnchanged_) {
             tag_ = answer->tag_;
--- a/src/traffic/attempt_run.cpp
+++ b/src/traffic/attempt_run.cpp
@@ -1,5 +1,6 @@
 #include <traffic/attempt_run.hpp>
 
+#include <cardamombay/net/http_status.hpp>
 #include <traffic/group_watch.hpp>
 
 #include <charconv>
@@ -9,7 +10,6 @@
 
 namespace {
 
-constexpr std::uint32_t statusOk = 200;
 constexpr std::string_view eventStreamType = "text/event-stream";
 constexpr std::size_t mostHeldBytes = std::size_t{256} * 1024;
 constexpr std::uint32_t leastTimedTokens = 4;
@@ -120,7 +120,7 @@
     if (head.status_ < leastErrorStatus)
         context_.dispatcher_.attemptAnswered(plan_.group_.group_, context_.clock_.now());
     const bool isEventStream = head.field("Content-Type").starts_with(eventStreamType);
-    isEventStream_ = request_.isStream_ && head.status_ == statusOk && isEventStream;
+    isEventStream_ = request_.isStream_ && head.status_ == net::statusOk && isEventStream;
     head_ = headForCaller(std::move(head));
 }
 
@@ -243,7 +243,7 @@
 {
     // A completion names its attempt in the body as well; another name is another one's answer.
     const bool isCompletion
-        = request_.kind_ == config::ServiceKind::Model && attempt_.status() == statusOk;
+        = request_.kind_ == config::ServiceKind::Model && attempt_.status() == net::statusOk;
     const auto at = body.find(plan_.id_.text());
     if (isCompletion && at == std::string_view::npos) {
         (void)attempt_.takeEvent({});
--- a/src/traffic/worker.cpp
+++ b/src/traffic/worker.cpp
@@ -2,6 +2,7 @@
 
 #include <cardamombay/log/events.hpp>
 #include <cardamombay/log/log.hpp>
+#include <cardamombay/net/http_status.hpp>
 #include <cardamombay/traffic/problem.hpp>
 #include <cardamombay/traffic/request_parser.hpp>
 #include <traffic/session.hpp>
@@ -16,8 +17,6 @@
 
 constexpr Duration tickPeriod = std::chrono::milliseconds(20);
 constexpr std::uint64_t ticksPerReport = 5;
-constexpr std::uint32_t statusOk = 200;
-constexpr std::uint32_t statusUnavailable = 503;
 
 net::HttpResponse textResponse(std::uint32_t status, std::string body)
 {
@@ -115,18 +114,18 @@
 bool Worker::handleOwnPath(const net::ServerRequest &request, net::ServerExchange &exchange)
 {
     if (request.target_ == "/healthz") {
-        exchange.respond(textResponse(statusOk, "ok\n"));
+        exchange.respond(textResponse(net::statusOk, "ok\n"));
         return true;
     }
     if (request.target_ == "/readyz") {
         if (state_.isReady_)
-            exchange.respond(textResponse(statusOk, "ready\n"));
+            exchange.respond(textResponse(net::statusOk, "ready\n"));
         else
-            exchange.respond(textResponse(statusUnavailable, "not ready\n"));
+            exchange.respond(textResponse(net::statusUnavailable, "not ready\n"));
         return true;
     }
     if (request.target_ == "/metrics") {
-        exchange.respond(textResponse(statusOk, context_.metrics_.text()));
+        exchange.respond(textResponse(net::statusOk, context_.metrics_.text()));
         return true;
     }
     return false;
--- a/tests/rpc/digest_codec.cpp
+++ b/tests/rpc/digest_codec.cpp
@@ -81,6 +81,15 @@
     cr_assert(valueOf(decoded) == digest);
 }
 
+// Two neighbouring versions may run side by side during an upgrade.
+Test(rpc, field_of_a_later_version_is_passed_over)
+{
+    std::string text = rpc::encodeDigest(sampleDigest());
+    text.insert(1, R"("of_a_later_version":{"a":[1]},)");
+
+    cr_assert(isOk(rpc::decodeDigest(text, "peer")));
+}
+
 Test(rpc, rounding_never_makes_an_observation_younger)
 {
     Digest digest = sampleDigest();
