Drop a log event that nothing writes

Cause: the alerts page and the header of events named foreign-answer-dropped, which no code writes; dropped answers are counted by a metric and named as the cause of their attempt.

--- a/include/cardamombay/log/events.hpp
+++ b/include/cardamombay/log/events.hpp
@@ -28,7 +28,6 @@
 inline constexpr std::string_view attemptFinished = "attempt-finished"; ///< Recorded only.
 inline constexpr std::string_view attemptFailed = "attempt-failed";
 inline constexpr std::string_view attemptStopped = "attempt-stopped";
-inline constexpr std::string_view foreignAnswerDropped = "foreign-answer-dropped";
 inline constexpr std::string_view streamResumed = "stream-resumed";
 inline constexpr std::string_view badInput = "bad-input";
 /// \}
