Find stalled groups by their silence, repair them by asking their members

Cause: a group whose member died went on taking requests until its entry lapsed, about 3 s. Ruled out: the report of the head, which is as old as the entry; probing all engines all the time. Change: streams that pause longer than a healthy group ever does mark the head silent; peers hear of it in the digests; the planner asks the members and treats those that do not answer as missing. Domains serve one model each, so that survivors of two groups form a whole one without a load. Requests beyond a batch stand in the engine's queue behind what can still be on time.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -15,6 +15,8 @@
 /// A call of the store takes 4 ms; one that takes this long counts as unanswered.
 constexpr Duration storeTimeout = std::chrono::milliseconds(900);
 constexpr Duration orderTimeout = std::chrono::milliseconds(800);
+/// An engine answers a question within a few milliseconds.
+constexpr Duration stateTimeout = std::chrono::milliseconds(400);
 
 /// Watches wait on connections of their own beside the other calls.
 constexpr std::size_t storeConnections = 8;
@@ -111,7 +113,7 @@
     , storeHttp_(context_, limitsOf(storeConnections))
     , orderHttp_(context_, limitsOf(2))
     , store_(storeHttp_, {settings_.store_, storeTimeout})
-    , orders_(orderHttp_, orderTimeout)
+    , orders_(orderHttp_, orderTimeout, stateTimeout)
     , balancer_(book_, board_, Random(seedOf(settings_.entry_)))
     , metrics_(registry_)
     , gateway_({clock_, upstream_, dialect_, board_, balancer_, metrics_}, settings_.bounds_,
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -20,6 +20,7 @@
     const Service *service_ = nullptr;
     ModelName model_; ///< For services with engines.
     std::span<const VmId> tried_; ///< Not again there.
+    bool hasBegun_ = false; ///< Its caller has a part of the answer already.
 };
 
 /// \brief Where a request goes.
@@ -27,6 +28,7 @@
 {
     VmId endpoint_;
     Address address_;
+    bool isQueued_ = false; ///< It waits there behind all that is more urgent.
     Duration patience_{}; ///< Silence after which the endpoint counts as stalled; zero: never.
 };
 
@@ -65,8 +67,11 @@
 
     [[nodiscard]] const std::vector<Candidate> &candidatesOf(const Service &service);
     [[nodiscard]] std::vector<Candidate> derive(const Service &service) const;
-    [[nodiscard]] const Candidate *leastLoaded(const Demand &demand, std::size_t limit,
-                                               TimePoint now, bool &hasAny);
+    [[nodiscard]] std::vector<const Candidate *> usable(const Demand &demand, TimePoint now);
+    [[nodiscard]] const Candidate *leastLoaded(const std::vector<const Candidate *> &candidates,
+                                               std::size_t limit);
+    [[nodiscard]] const Candidate *shortestQueue(const std::vector<const Candidate *> &candidates,
+                                                 std::size_t limit);
 
     const EndpointBook &book_;
     const LoadBoard &board_;
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace cardamombay::serving {
 
@@ -21,17 +22,31 @@
 public:
     /// \name Events of attempts
     /// \{
-    void started(const VmId &endpoint, TimePoint now);
+    void started(const VmId &endpoint);
+    /// \brief A request stands in the endpoint's queue behind all that is more urgent.
+    void queued(const VmId &endpoint);
+    /// \brief A queued request has begun, or (\p hasBegun false) has ended without having begun.
+    void unqueued(const VmId &endpoint, bool hasBegun);
     /// \brief Something came: an event, a head, a whole answer.
     void progressed(const VmId &endpoint, TimePoint now);
     void ended(const VmId &endpoint);
-    /// \brief The endpoint failed an attempt or kept silent.
+    /// \brief The endpoint failed an attempt.
     void failed(const VmId &endpoint, TimePoint now);
+    /// \brief A stream there paused for longer than a healthy endpoint ever does.
+    void stalled(const VmId &endpoint, TimePoint now);
     /// \}
 
-    /// \brief Takes the counts of a peer, in place of its earlier ones.
-    void setPeerLoad(const std::string &peer, std::unordered_map<VmId, std::size_t> counts,
-                     TimePoint now);
+    /// \brief What a peer has under way and queued, and the endpoints that are silent there.
+    struct PeerLoad
+    {
+        std::unordered_map<VmId, std::size_t> counts_;
+        std::unordered_map<VmId, std::size_t> queued_;
+        std::vector<VmId> silent_;
+        TimePoint at_{};
+    };
+
+    /// \brief Takes the news of a peer, in place of its earlier ones.
+    void setPeerLoad(const std::string &peer, PeerLoad load);
 
     /// \brief Drops endpoints without work that nothing was heard of for long.
     void expire(TimePoint now);
@@ -40,34 +55,36 @@
     /// \{
     /// \brief Requests that this entry VM has there.
     [[nodiscard]] std::size_t own(const VmId &endpoint) const;
-    /// \brief Requests that all entry VMs have there, as far as is known.
+    /// \brief Requests that all entry VMs have there, as far as is known, without the queued ones.
     [[nodiscard]] std::size_t total(const VmId &endpoint) const;
-    /// \brief How long nothing came though there was work; zero without work.
-    [[nodiscard]] Duration silence(const VmId &endpoint, TimePoint now) const;
+    /// \brief Queued requests of all entry VMs, as far as is known.
+    [[nodiscard]] std::size_t totalQueued(const VmId &endpoint) const;
+    /// \brief Endpoints that stalled here and were not heard since.
+    [[nodiscard]] std::vector<VmId> silentHere() const;
+    /// \brief Endpoints that stalled at this entry VM or a peer.
+    [[nodiscard]] std::vector<VmId> silentAnywhere() const;
+    /// \brief True if an entry VM has work there and does not find it silent.
+    [[nodiscard]] bool isHeardAnywhere(const VmId &endpoint) const;
     /// \brief False while the endpoint is avoided after a failure.
     [[nodiscard]] bool isUsable(const VmId &endpoint, TimePoint now) const;
     /// \brief When something came from the endpoint last; the epoch if never.
     [[nodiscard]] TimePoint heardAt(const VmId &endpoint) const;
     /// \brief Own counts, for peers.
     [[nodiscard]] std::unordered_map<VmId, std::size_t> ownCounts() const;
+    [[nodiscard]] std::unordered_map<VmId, std::size_t> ownQueued() const;
     /// \}
 
 private:
     struct Entry
     {
         std::size_t own_ = 0;
-        TimePoint quietSince_{}; ///< Last progress, or when the first work of now began.
+        std::size_t queued_ = 0;
         TimePoint heardAt_{};
         TimePoint avoidUntil_{};
         std::size_t failuresInRow_ = 0;
         bool isOnTrial_ = false;
+        bool isSilent_ = false;
     };
-    struct PeerLoad
-    {
-        std::unordered_map<VmId, std::size_t> counts_;
-        TimePoint at_{};
-    };
-
     std::unordered_map<VmId, Entry> entries_;
     std::map<std::string, PeerLoad> peers_;
 };
--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -62,6 +62,16 @@
         bool isGone_ = false;
     };
 
+    /// What members of a stalled group answered.
+    struct Inquiry
+    {
+        std::size_t open_ = 0; ///< Questions without an answer yet.
+        TimePoint askedAt_{};
+    };
+
+    void inquire(const std::vector<const Endpoint *> &engines);
+    void ask(const GroupName &group, const Endpoint &member);
+    void memberAnswered(const GroupName &group, const VmId &member, bool isAnswer);
     void planService(const Service &service);
     [[nodiscard]] PlanInput inputFor(const Service &service,
                                      const std::vector<const Endpoint *> &engines);
@@ -79,6 +89,8 @@
     std::map<VmId, TimePoint> pendingUntil_;
     std::map<VmId, TimePoint> loadsUntil_;
     std::map<GroupName, LostHead> lostHeads_;
+    std::map<GroupName, Inquiry> inquiries_;
+    std::map<VmId, std::uint32_t> unanswered_; ///< Questions in a row that an engine left open.
     std::map<VmId, TimePoint> heardByPeers_;
     std::map<GroupName, TimePoint> headlessSince_;
     Epoch countedFor_;
--- a/include/cardamombay/serving/replica_planner.hpp
+++ b/include/cardamombay/serving/replica_planner.hpp
@@ -22,6 +22,7 @@
     std::span<const Endpoint *const> engines_; ///< Listed engines of the service.
     const EngineProfile *profile_ = nullptr;
     std::set<VmId> pending_;              ///< Engines with an order whose effect is not seen yet.
+    std::set<VmId> unresponsive_; ///< Listed, but they do not answer; counted as missing.
     std::set<GroupName> headlessGroups_;  ///< Their heads are known to serve no longer.
     std::size_t loadsUnderWay_ = 0;       ///< From the weight store.
     bool isFirstLoad_ = false;            ///< No request has come yet, so loads are fast.
--- a/include/cardamombay/serving/store_watch.hpp
+++ b/include/cardamombay/serving/store_watch.hpp
@@ -45,6 +45,7 @@
         std::string table_;
         Duration wait_{}; ///< Longest wait of one call; a call costs, and a confirmation is at least
                           ///< that old.
+        Duration pause_{}; ///< After a call that brought changes, so that one call brings several.
     };
 
     /// \param listener outlives the watch, like the others.
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -12,6 +12,13 @@
 /// place about every 40 ms, so three waiting ones still begin within the goals of 200 to 400 ms.
 constexpr double waitingShare = 0.12;
 
+/// The same for requests whose caller has a part of the answer: a broken answer is lost whole.
+constexpr double begunWaitingShare = 0.4;
+
+/// Requests that stand in an endpoint's queue behind all others, as a share of its batch. They are
+/// late, but served; engines queue about twice their batch.
+constexpr double queueShare = 1.0;
+
 /// Requests that may wait at a plain endpoint, as a share of its slots: one more round.
 constexpr double plainWaitingShare = 1.0;
 
@@ -89,27 +96,52 @@
                       [&model](const Candidate &one) { return one.model_ == model; }));
 }
 
-const Balancer::Candidate *Balancer::leastLoaded(const Demand &demand, std::size_t limit,
-                                                 TimePoint now, bool &hasAny)
+std::vector<const Balancer::Candidate *> Balancer::usable(const Demand &demand, TimePoint now)
 {
-    const Candidate *best = nullptr;
-    double least = 0;
+    std::vector<const Candidate *> result;
     for (const auto &candidate : candidatesOf(*demand.service_)) {
         if (demand.service_->engine_ && candidate.model_ != demand.model_)
             continue;
         const bool wasTried = std::find(demand.tried_.begin(), demand.tried_.end(),
                                         candidate.endpoint_)
                               != demand.tried_.end();
-        if (wasTried || !board_.isUsable(candidate.endpoint_, now))
-            continue;
-        hasAny = true;
-        const auto load = board_.total(candidate.endpoint_);
-        if (limit != 0 && load >= limit)
+        if (!wasTried && board_.isUsable(candidate.endpoint_, now))
+            result.push_back(&candidate);
+    }
+    return result;
+}
+
+const Balancer::Candidate *
+Balancer::leastLoaded(const std::vector<const Candidate *> &candidates, std::size_t limit)
+{
+    const Candidate *best = nullptr;
+    double least = 0;
+    for (const auto *candidate : candidates) {
+        const auto load = board_.total(candidate->endpoint_);
+        if (load >= limit)
             continue;
         // The fraction breaks ties at random, so that entry VMs don't all go to the same one.
         const double weighed = static_cast<double>(load) + random_.unit();
         if (best == nullptr || weighed < least) {
-            best = &candidate;
+            best = candidate;
+            least = weighed;
+        }
+    }
+    return best;
+}
+
+const Balancer::Candidate *
+Balancer::shortestQueue(const std::vector<const Candidate *> &candidates, std::size_t limit)
+{
+    const Candidate *best = nullptr;
+    double least = 0;
+    for (const auto *candidate : candidates) {
+        const auto waiting = board_.totalQueued(candidate->endpoint_);
+        if (waiting >= limit)
+            continue;
+        const double weighed = static_cast<double>(waiting) + random_.unit();
+        if (best == nullptr || weighed < least) {
+            best = candidate;
             least = weighed;
         }
     }
@@ -119,16 +151,26 @@
 Choice Balancer::choose(const Demand &demand, TimePoint now)
 {
     const auto &service = *demand.service_;
-    std::size_t limit = 0;
-    if (service.engine_)
-        limit = withWaiting(service.engine_->slots_, waitingShare);
-    else if (const auto endpoints = book_.ofService(service.name_); !endpoints.empty())
-        limit = withWaiting(endpoints.front()->slots_, plainWaitingShare);
-    bool hasAny = false;
-    const auto *best = leastLoaded(demand, limit, now, hasAny);
+    const auto candidates = usable(demand, now);
+    if (candidates.empty())
+        return NoTarget::NoEndpoint;
+    if (!service.engine_) {
+        const auto *endpoint = book_.find(candidates.front()->endpoint_);
+        const auto limit = withWaiting(endpoint->slots_, plainWaitingShare);
+        const auto *best = leastLoaded(candidates, limit);
+        if (best == nullptr)
+            return NoTarget::Full;
+        return Target{best->endpoint_, best->address_, false, Duration::zero()};
+    }
+    const auto slots = service.engine_->slots_;
+    const auto share = demand.hasBegun_ ? begunWaitingShare : waitingShare;
+    const auto *best = leastLoaded(candidates, withWaiting(slots, share));
+    const bool isQueued = best == nullptr;
+    if (isQueued)
+        best = shortestQueue(candidates, static_cast<std::size_t>(slots * queueShare));
     if (best == nullptr)
-        return hasAny ? NoTarget::Full : NoTarget::NoEndpoint;
-    return Target{best->endpoint_, best->address_, patienceOf(service, demand.model_)};
+        return NoTarget::Full;
+    return Target{best->endpoint_, best->address_, isQueued, patienceOf(service, demand.model_)};
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -17,11 +17,9 @@
 
 } // namespace
 
-void LoadBoard::started(const VmId &endpoint, TimePoint now)
+void LoadBoard::started(const VmId &endpoint)
 {
     auto &entry = entries_[endpoint];
-    if (entry.own_ == 0)
-        entry.quietSince_ = now;
     if (entry.failuresInRow_ > 0)
         entry.isOnTrial_ = true;
     ++entry.own_;
@@ -30,10 +28,10 @@
 void LoadBoard::progressed(const VmId &endpoint, TimePoint now)
 {
     auto &entry = entries_[endpoint];
-    entry.quietSince_ = now;
     entry.heardAt_ = now;
     entry.failuresInRow_ = 0;
     entry.isOnTrial_ = false;
+    entry.isSilent_ = false;
     entry.avoidUntil_ = {};
 }
 
@@ -55,10 +53,29 @@
     ++entry.failuresInRow_;
 }
 
-void LoadBoard::setPeerLoad(const std::string &peer, std::unordered_map<VmId, std::size_t> counts,
-                            TimePoint now)
+void LoadBoard::stalled(const VmId &endpoint, TimePoint now)
 {
-    peers_[peer] = {std::move(counts), now};
+    failed(endpoint, now);
+    entries_[endpoint].isSilent_ = true;
+}
+
+void LoadBoard::queued(const VmId &endpoint)
+{
+    ++entries_[endpoint].queued_;
+}
+
+void LoadBoard::unqueued(const VmId &endpoint, bool hasBegun)
+{
+    auto &entry = entries_[endpoint];
+    if (entry.queued_ > 0)
+        --entry.queued_;
+    if (hasBegun)
+        ++entry.own_;
+}
+
+void LoadBoard::setPeerLoad(const std::string &peer, PeerLoad load)
+{
+    peers_[peer] = std::move(load);
 }
 
 void LoadBoard::expire(TimePoint now)
@@ -67,7 +84,7 @@
                   [now](const auto &one) { return now - one.second.at_ > peerLifetime; });
     std::erase_if(entries_, [now](const auto &one) {
         const auto &entry = one.second;
-        return entry.own_ == 0 && now > entry.avoidUntil_ && now - entry.heardAt_ > memoryOfIdle;
+        return entry.own_ + entry.queued_ == 0 && now > entry.avoidUntil_ && now - entry.heardAt_ > memoryOfIdle;
     });
 }
 
@@ -88,12 +105,58 @@
     return result;
 }
 
-Duration LoadBoard::silence(const VmId &endpoint, TimePoint now) const
+std::size_t LoadBoard::totalQueued(const VmId &endpoint) const
+{
+    const auto own = entries_.find(endpoint);
+    std::size_t result = own == entries_.end() ? 0 : own->second.queued_;
+    for (const auto &[name, peer] : peers_) {
+        const auto found = peer.queued_.find(endpoint);
+        if (found != peer.queued_.end())
+            result += found->second;
+    }
+    return result;
+}
+
+std::unordered_map<VmId, std::size_t> LoadBoard::ownQueued() const
+{
+    std::unordered_map<VmId, std::size_t> result;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.queued_ > 0)
+            result.emplace(id, entry.queued_);
+    }
+    return result;
+}
+
+std::vector<VmId> LoadBoard::silentHere() const
+{
+    std::vector<VmId> result;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.isSilent_)
+            result.push_back(id);
+    }
+    return result;
+}
+
+std::vector<VmId> LoadBoard::silentAnywhere() const
+{
+    auto result = silentHere();
+    for (const auto &[name, peer] : peers_)
+        result.insert(result.end(), peer.silent_.begin(), peer.silent_.end());
+    std::sort(result.begin(), result.end());
+    result.erase(std::unique(result.begin(), result.end()), result.end());
+    return result;
+}
+
+bool LoadBoard::isHeardAnywhere(const VmId &endpoint) const
 {
     const auto found = entries_.find(endpoint);
-    if (found == entries_.end() || found->second.own_ == 0)
-        return Duration::zero();
-    return now - found->second.quietSince_;
+    if (found != entries_.end() && found->second.own_ > 0 && !found->second.isSilent_)
+        return true;
+    return std::any_of(peers_.begin(), peers_.end(), [&endpoint](const auto &one) {
+        const auto &silent = one.second.silent_;
+        return one.second.counts_.contains(endpoint)
+               && std::find(silent.begin(), silent.end(), endpoint) == silent.end();
+    });
 }
 
 bool LoadBoard::isUsable(const VmId &endpoint, TimePoint now) const
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -21,6 +21,8 @@
 constexpr Duration configurationWait = std::chrono::milliseconds(1000);
 /// Endpoints must be known to leave within two seconds, also if the connection died silently.
 constexpr Duration endpointWait = std::chrono::milliseconds(1500);
+/// Engines list each step of a group; a call for each would be most of all calls.
+constexpr Duration endpointPause = std::chrono::milliseconds(120);
 constexpr Duration peerWait = std::chrono::seconds(10);
 
 /// An entry VM without a confirmation for that long sends callers elsewhere.
@@ -41,11 +43,11 @@
     : parts_(parts)
     , settings_(std::move(settings))
     , configurationWatch_(parts.clock_, parts.store_, parts.feed_,
-                          {std::string(parts.format_.configurationTable()), configurationWait},
+                          {std::string(parts.format_.configurationTable()), configurationWait, {}},
                           *this)
     , endpointWatch_(parts.clock_, parts.store_, parts.feed_,
-                     {std::string(parts.format_.endpointTable()), endpointWait}, *this)
-    , peerWatch_(parts.clock_, parts.store_, parts.feed_, {peerTable, peerWait}, *this)
+                     {std::string(parts.format_.endpointTable()), endpointWait, endpointPause}, *this)
+    , peerWatch_(parts.clock_, parts.store_, parts.feed_, {peerTable, peerWait, {}}, *this)
 {
 }
 
@@ -298,6 +300,8 @@
     LoadDigest digest;
     digest.from_ = settings_.entry_;
     digest.underWay_ = parts_.board_.ownCounts();
+    digest.queued_ = parts_.board_.ownQueued();
+    digest.silent_ = parts_.board_.silentHere();
     digest.demand_ = ownDemand_;
     digest.isDraining_ = isLeaving_;
     for (const auto &[id, departed] : parts_.book_.departed()) {
@@ -322,7 +326,9 @@
     found->second.heardAt_ = now;
     for (const auto &endpoint : digest->heard_)
         parts_.manager_.heardByPeer(endpoint, now);
-    parts_.board_.setPeerLoad(digest->from_.text(), std::move(digest->underWay_), now);
+    parts_.board_.setPeerLoad(digest->from_.text(),
+                              {std::move(digest->underWay_), std::move(digest->queued_),
+                               std::move(digest->silent_), now});
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -29,22 +29,46 @@
     }
 }
 
+json::object countsOf(const std::unordered_map<VmId, std::size_t> &counts)
+{
+    json::object result;
+    for (const auto &[endpoint, count] : counts)
+        result[endpoint.text()] = count;
+    return result;
+}
+
+json::array namesOf(const std::vector<VmId> &endpoints)
+{
+    json::array result;
+    for (const auto &endpoint : endpoints)
+        result.emplace_back(endpoint.text());
+    return result;
+}
+
+std::vector<VmId> endpointsIn(const json::value *value)
+{
+    std::vector<VmId> result;
+    if (value == nullptr || !value->is_array())
+        return result;
+    for (const auto &one : value->get_array()) {
+        if (one.is_string())
+            result.emplace_back(textOf(one.get_string()));
+    }
+    return result;
+}
+
 } // namespace
 
 std::string encode(const LoadDigest &digest)
 {
-    json::object underWay;
-    for (const auto &[endpoint, count] : digest.underWay_)
-        underWay[endpoint.text()] = count;
     json::object demand;
     for (const auto &[model, rate] : digest.demand_)
         demand[model.text()] = rate;
-    json::array heard;
-    for (const auto &endpoint : digest.heard_)
-        heard.emplace_back(endpoint.text());
     json::object params{{"from", digest.from_.text()},
-                        {"under_way", std::move(underWay)},
-                        {"heard", std::move(heard)},
+                        {"under_way", countsOf(digest.underWay_)},
+                        {"queued", countsOf(digest.queued_)},
+                        {"heard", namesOf(digest.heard_)},
+                        {"silent", namesOf(digest.silent_)},
                         {"demand", std::move(demand)},
                         {"draining", digest.isDraining_}};
     return json::serialize(
@@ -69,14 +93,10 @@
     LoadDigest digest;
     digest.from_ = EntryId(textOf(from->get_string()));
     readNumbers<std::size_t>(params.if_contains("under_way"), digest.underWay_);
+    readNumbers<std::size_t>(params.if_contains("queued"), digest.queued_);
     readNumbers<double>(params.if_contains("demand"), digest.demand_);
-    const auto *heard = params.if_contains("heard");
-    if (heard != nullptr && heard->is_array()) {
-        for (const auto &one : heard->get_array()) {
-            if (one.is_string())
-                digest.heard_.emplace_back(textOf(one.get_string()));
-        }
-    }
+    digest.heard_ = endpointsIn(params.if_contains("heard"));
+    digest.silent_ = endpointsIn(params.if_contains("silent"));
     const auto *draining = params.if_contains("draining");
     digest.isDraining_ = draining != nullptr && draining->is_bool() && draining->get_bool();
     return digest;
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -21,7 +21,7 @@
 /// pause between them. Its entry lapses after three missed heartbeats, so together more than the four
 /// seconds after which a group that lost its head's connection breaks by itself.
 constexpr std::uint32_t mostSilences = 2;
-constexpr Duration askAgain = std::chrono::milliseconds(300);
+constexpr Duration askAgain = std::chrono::milliseconds(600);
 
 /// A head that nobody remembers (this process is younger than its end) counts as gone after that.
 constexpr Duration forgottenHead = std::chrono::seconds(6);
@@ -70,6 +70,9 @@
 {
     const auto isOver = [now](const auto &entry) { return now >= entry.second; };
     std::erase_if(pendingUntil_, isOver);
+    std::erase_if(unanswered_, [this](const auto &entry) {
+        return parts_.book_.find(entry.first) == nullptr;
+    });
     std::erase_if(loadsUntil_, [&](const auto &entry) {
         const auto *engine = parts_.book_.find(entry.first);
         const bool isDone = engine == nullptr || !engine->staged_.empty();
@@ -89,6 +92,16 @@
         if (head.isGone_)
             input.headlessGroups_.insert(group);
     }
+    for (const auto &[engine, count] : unanswered_)
+        input.unresponsive_.insert(engine);
+    // The head of a stalled group that nobody hears and that does not answer has died.
+    for (const auto &group : groupsOf(engines)) {
+        if (group.head_ == nullptr || parts_.board_.isHeardAnywhere(group.head_->id_))
+            continue;
+        const auto found = unanswered_.find(group.head_->id_);
+        if (found != unanswered_.end() && found->second >= mostSilences)
+            input.headlessGroups_.insert(group.group_);
+    }
     input.loadsUnderWay_ = loadsUntil_.size();
     input.isFirstLoad_ = isFirstLoad_;
     input.demand_ = demand_;
@@ -99,6 +112,7 @@
 void ReplicaManager::planService(const Service &service)
 {
     const auto engines = parts_.book_.ofService(service.name_);
+    inquire(engines);
     const auto plan = planReplicas(inputFor(service, engines));
     for (const auto &order : plan.orders_)
         send(order, *service.engine_);
@@ -106,6 +120,54 @@
         findOut(group);
 }
 
+/// A group that stalls has lost a member, or its head: its members are asked which.
+void ReplicaManager::inquire(const std::vector<const Endpoint *> &engines)
+{
+    const auto now = parts_.clock_.now();
+    const auto silent = parts_.board_.silentAnywhere();
+    for (const auto &group : groupsOf(engines)) {
+        const bool isStalled = group.head_ != nullptr
+                               && std::binary_search(silent.begin(), silent.end(), group.head_->id_);
+        const bool isOpenQuestion
+            = std::any_of(group.members_.begin(), group.members_.end(),
+                          [this](const Endpoint *one) { return unanswered_.contains(one->id_); });
+        auto &inquiry = inquiries_[group.group_];
+        if ((!isStalled && !isOpenQuestion) || inquiry.open_ > 0
+            || now - inquiry.askedAt_ < askAgain)
+            continue;
+        inquiry.askedAt_ = now;
+        for (const auto *member : group.members_) {
+            // Once it is known who is silent, only they are asked again.
+            if (!isOpenQuestion || unanswered_.contains(member->id_))
+                ask(group.group_, *member);
+        }
+    }
+}
+
+void ReplicaManager::ask(const GroupName &group, const Endpoint &member)
+{
+    ++inquiries_[group].open_;
+    parts_.orders_.state(member, [this, alive = std::weak_ptr(isAlive_), group,
+                                  id = member.id_](const Result<Endpoint> &answer) {
+        if (!alive.expired())
+            memberAnswered(group, id, isOk(answer));
+    });
+}
+
+void ReplicaManager::memberAnswered(const GroupName &group, const VmId &member, bool isAnswer)
+{
+    auto &inquiry = inquiries_[group];
+    inquiry.open_ -= inquiry.open_ > 0 ? 1 : 0;
+    if (isAnswer) {
+        unanswered_.erase(member);
+        return;
+    }
+    const auto count = ++unanswered_[member];
+    log::info(event::engineSilent, {{"engine", member.text()},
+                                    {"group", group.text()},
+                                    {"questions", std::to_string(count)}});
+}
+
 void ReplicaManager::send(const PlannedOrder &planned, const EngineProfile &profile)
 {
     const auto *engine = parts_.book_.find(planned.engine_);
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -31,6 +31,11 @@
     {
         for (const auto &model : input.profile_->models_)
             groups_[model.name_] = 0;
+        for (const auto *engine : input.engines_) {
+            if (!input.unresponsive_.contains(engine->id_))
+                engines_.push_back(engine);
+        }
+        domainModels_ = domainModels();
     }
 
     Plan plan();
@@ -47,13 +52,20 @@
     bool formOne(Engines &free);
     void join(const Model &model, const Engines &members);
     void stageIn(const Engines &free);
+    [[nodiscard]] std::vector<const Engines *> byShortfall();
+    [[nodiscard]] std::size_t shortfall(const FabricDomain &domain, const Engines &free);
     [[nodiscard]] const Model *neededMost(const Engines &free, Readiness worst) const;
     [[nodiscard]] double coverage(const Model &model) const;
     [[nodiscard]] const Model *modelNamed(const ModelName &name) const;
+    [[nodiscard]] bool isOrdered(const Endpoint &engine) const;
     [[nodiscard]] bool mayLoad() const { return loads_ < input_.profile_->loadsAtOnce_; }
     void order(const Endpoint &engine, Order order, std::string reason, bool loads = false);
 
+    [[nodiscard]] std::map<FabricDomain, const Model *> domainModels() const;
+
     const PlanInput &input_;
+    std::vector<const Endpoint *> engines_; ///< Those that answer.
+    std::map<FabricDomain, const Model *> domainModels_;
     std::size_t loads_;
     std::map<ModelName, double> groups_; ///< That serve or will.
     std::map<FabricDomain, Engines> free_;
@@ -66,6 +78,12 @@
     loads_ += loads ? 1 : 0;
 }
 
+bool Run::isOrdered(const Endpoint &engine) const
+{
+    return std::any_of(result_.orders_.begin(), result_.orders_.end(),
+                       [&engine](const PlannedOrder &one) { return one.engine_ == engine.id_; });
+}
+
 const Model *Run::modelNamed(const ModelName &name) const
 {
     const auto &models = input_.profile_->models_;
@@ -76,19 +94,60 @@
 
 Plan Run::plan()
 {
-    for (const auto *engine : input_.engines_) {
+    for (const auto *engine : engines_) {
         if (!engine->membership_)
             offer(*engine);
     }
-    for (const auto &group : groupsOf(input_.engines_))
+    for (const auto &group : groupsOf(engines_))
         review(group);
-    for (auto &[domain, engines] : free_)
+    for (auto &[domain, engines] : free_) {
         formIn(engines);
-    for (const auto &[domain, engines] : free_)
-        stageIn(engines);
+        // At the first start a domain is filled before the next one is begun: full domains repair
+        // themselves without a load.
+        if (input_.isFirstLoad_)
+            stageIn(engines);
+    }
+    for (const auto *engines : byShortfall())
+        stageIn(*engines);
     return std::move(result_);
 }
 
+/// The model that the engines of each fabric domain serve. Groups of one model side by side repair
+/// each other: survivors of two broken groups form a whole one at once, without a load.
+std::map<FabricDomain, const Model *> Run::domainModels() const
+{
+    std::map<FabricDomain, std::map<ModelName, int>> staged;
+    std::map<ModelName, double> engines;
+    for (const auto *engine : engines_) {
+        auto &counts = staged[engine->domain_];
+        for (const auto &model : engine->staged_)
+            ++counts[model];
+        if (engine->membership_)
+            ++counts[modelOf(engine->membership_->group_)];
+    }
+    std::map<FabricDomain, const Model *> result;
+    for (const auto &[domain, counts] : staged) {
+        const auto most = std::max_element(
+            counts.begin(), counts.end(),
+            [](const auto &left, const auto &right) { return left.second < right.second; });
+        result[domain] = most == counts.end() ? nullptr : modelNamed(most->first);
+        if (result[domain] != nullptr)
+            engines[result[domain]->name_] += 1;
+    }
+    for (auto &[domain, wanted] : result) {
+        if (wanted != nullptr)
+            continue;
+        for (const auto &model : input_.profile_->models_) {
+            if (wanted == nullptr
+                || engines[model.name_] / model.share_ < engines[wanted->name_] / wanted->share_)
+                wanted = &model;
+        }
+        if (wanted != nullptr)
+            engines[wanted->name_] += 1;
+    }
+    return result;
+}
+
 /// An engine that may get a new place.
 void Run::offer(const Endpoint &engine)
 {
@@ -181,7 +240,11 @@
 {
     const auto known = input_.demand_.find(model.name_);
     const double need = known == input_.demand_.end() ? model.share_ : known->second;
-    return groups_.at(model.name_) / std::max(need, 0.01);
+    // The operators' shares are of the work of engines, measured demand is in groups.
+    const double capacity = known == input_.demand_.end()
+                                ? groups_.at(model.name_) * model.members_
+                                : groups_.at(model.name_);
+    return capacity / std::max(need, 0.01);
 }
 
 /// The worst served model that enough of \p free can serve at least as soon as \p worst.
@@ -210,8 +273,11 @@
     const auto *model = neededMost(free, Readiness::Staged);
     // Without weights at hand a group waits for its slowest load. At the first start there is
     // nothing better; later engines load one by one while they are spare.
-    if (model == nullptr && input_.isFirstLoad_ && mayLoad())
-        model = neededMost(free, Readiness::Empty);
+    if (model == nullptr && input_.isFirstLoad_ && mayLoad()) {
+        model = domainModels_[free.empty() ? FabricDomain() : free.front()->domain_];
+        if (model != nullptr && free.size() < model->members_)
+            model = nullptr;
+    }
     if (model == nullptr)
         return false;
     std::stable_sort(free.begin(), free.end(), [model](const Endpoint *left, const Endpoint *right) {
@@ -238,30 +304,42 @@
     groups_[model.name_] += 1;
 }
 
-/// Spare engines load the model whose groups in the domain have the fewest spares.
+/// Engines that must load until the domain's spares make another group.
+std::size_t Run::shortfall(const FabricDomain &domain, const Engines &free)
+{
+    const auto *model = domainModels_[domain];
+    if (model == nullptr)
+        return 0;
+    const auto warm = static_cast<std::size_t>(
+        std::count_if(free.begin(), free.end(), [model](const Endpoint *engine) {
+            return readinessOf(*engine, model->name_) != Readiness::Empty;
+        }));
+    return model->members_ - warm % model->members_;
+}
+
+/// The spares of the domains, those first that are the closest to another group.
+std::vector<const Run::Engines *> Run::byShortfall()
+{
+    std::vector<std::pair<std::size_t, const Engines *>> sorted;
+    for (const auto &[domain, engines] : free_)
+        sorted.emplace_back(shortfall(domain, engines), &engines);
+    std::stable_sort(sorted.begin(), sorted.end(),
+                     [](const auto &left, const auto &right) { return left.first < right.first; });
+    std::vector<const Engines *> result;
+    for (const auto &[missing, engines] : sorted)
+        result.push_back(engines);
+    return result;
+}
+
+/// Spare engines load the model of their domain.
 void Run::stageIn(const Engines &free)
 {
-    if (free.empty())
-        return;
-    std::map<ModelName, int> spares;
-    for (const auto *engine : free) {
-        for (const auto &model : engine->staged_)
-            ++spares[model];
-    }
     for (const auto *engine : free) {
-        if (!engine->staged_.empty() || !mayLoad())
-            continue;
-        const Model *wanted = nullptr;
-        for (const auto &model : input_.profile_->models_) {
-            if (wanted == nullptr || spares[model.name_] < spares[wanted->name_]
-                || (spares[model.name_] == spares[wanted->name_]
-                    && coverage(model) < coverage(*wanted)))
-                wanted = &model;
-        }
-        if (wanted == nullptr)
+        const auto *model = domainModels_[engine->domain_];
+        if (model == nullptr || !mayLoad())
             return;
-        ++spares[wanted->name_];
-        order(*engine, StageOrder{wanted->name_}, "spare", true);
+        if (engine->staged_.empty() && !isOrdered(*engine))
+            order(*engine, StageOrder{model->name_}, "spare", true);
     }
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -37,6 +37,13 @@
 /// work takes 30 ms at the mean and 220 ms at most.
 constexpr Duration plainPatience = std::chrono::milliseconds(300);
 
+/// A stream that has not begun by then is tried elsewhere, whatever holds it up; it is past its goal of
+/// at most 400 ms, and has most of its time of 5 s or more left.
+constexpr Duration waitingPatience = std::chrono::milliseconds(1000);
+
+/// Behind the default of 5, so that what can still be on time goes first.
+constexpr std::uint32_t queuedUrgency = 7;
+
 constexpr Duration connectPatience = std::chrono::milliseconds(250);
 
 /// Events held for a caller that reads slowly, bytes; then the endpoint waits.
@@ -119,7 +126,7 @@
 void Session::dispatch()
 {
     const auto now = gateway_.parts().clock_.now();
-    const Demand demand{service_, head_.model_, tried_};
+    const Demand demand{service_, head_.model_, tried_, events_ > 0};
     const auto choice = gateway_.parts().balancer_.choose(demand, now);
     if (const auto *target = std::get_if<Target>(&choice)) {
         send(*target);
@@ -136,6 +143,7 @@
     tried_.push_back(target.endpoint_);
     ++sends_;
     isConnected_ = false;
+    hasProgress_ = false;
     attemptAt_ = now;
     progressAt_ = now;
     AttemptHead attempt;
@@ -143,6 +151,8 @@
     attempt.team_ = team_;
     attempt.patience_ = timeLeft(now);
     attempt.lastEvent_ = lastEvent_;
+    if (target.isQueued_)
+        attempt.urgency_ = queuedUrgency;
     net::UpstreamRequest upstream;
     upstream.address_ = target.address_;
     upstream.method_ = request_.method_;
@@ -151,7 +161,11 @@
     upstream.body_ = request_.body_;
     upstream.connectTimeout_ = std::min(connectPatience, timeLeft(now));
     upstream.longestIdle_ = mayRunAgain() ? longestIdle : longestIdleOnce;
-    gateway_.parts().board_.started(target.endpoint_, now);
+    isQueued_ = target.isQueued_;
+    if (isQueued_)
+        gateway_.parts().board_.queued(target.endpoint_);
+    else
+        gateway_.parts().board_.started(target.endpoint_);
     call_ = gateway_.parts().upstream_.start(std::move(upstream), *this);
 }
 
@@ -160,7 +174,11 @@
     if (!call_)
         return;
     call_.reset();
-    gateway_.parts().board_.ended(target_.endpoint_);
+    if (isQueued_)
+        gateway_.parts().board_.unqueued(target_.endpoint_, false);
+    else
+        gateway_.parts().board_.ended(target_.endpoint_);
+    isQueued_ = false;
 }
 
 bool Session::onConnected()
@@ -181,7 +199,6 @@
         return;
     }
     gateway_.parts().board_.progressed(target_.endpoint_, now);
-    progressAt_ = now;
     const bool isSuccess = head.status_ >= 200 && head.status_ < 300;
     if (isSuccess && !answer.isSealed_) {
         attemptFailed(Failure::Unknown, "an answer without the endpoint's seal");
@@ -217,7 +234,7 @@
     const auto now = gateway_.parts().clock_.now();
     gateway_.parts().board_.progressed(target_.endpoint_, now);
     if (phase_ == Phase::Whole) {
-        progressAt_ = now;
+        noteProgress(now);
         answer_.body_.append(data);
         call_->consume(data.size());
         return;
@@ -234,7 +251,7 @@
             gateway_.parts().metrics_.firstByte_.observe(toSeconds(now - arrivedAt_));
         else
             gateway_.parts().metrics_.pause_.observe(toSeconds(now - progressAt_));
-        progressAt_ = now;
+        noteProgress(now);
         events_ += whole.count_;
         if (whole.lastId_)
             lastEvent_ = whole.lastId_;
@@ -335,7 +352,9 @@
         return false;
     if (failure != Failure::Unknown)
         return true;
-    return mayRunAgain() && mayHaveRun_ < route_->mostTries_;
+    // A stream that has not begun is cancelled with its connection; a plain call runs to its end.
+    const auto runs = isStream() ? haveRun_ : mayHaveRun_;
+    return mayRunAgain() && runs < route_->mostTries_;
 }
 
 void Session::attemptFailed(Failure failure, std::string_view detail)
@@ -380,6 +399,29 @@
     finish("unknown", reason);
 }
 
+void Session::noteProgress(TimePoint now)
+{
+    progressAt_ = now;
+    if (!std::exchange(hasProgress_, true))
+        ++haveRun_;
+    if (std::exchange(isQueued_, false))
+        gateway_.parts().board_.unqueued(target_.endpoint_, true);
+}
+
+/// A stream that has begun never pauses for long at a healthy endpoint. One that waits may stand in
+/// the endpoint's queue: it is moved early only if others there have stalled.
+bool Session::isStalled(TimePoint now) const
+{
+    const auto silent = now - progressAt_;
+    if (!service_->engine_)
+        return phase_ == Phase::Waiting && silent > plainPatience;
+    if (target_.patience_ == Duration::zero() || silent <= target_.patience_)
+        return false;
+    if (hasProgress_ || (!isQueued_ && silent > waitingPatience))
+        return true;
+    return !gateway_.parts().board_.isUsable(target_.endpoint_, now);
+}
+
 void Session::check(TimePoint now)
 {
     if (isDone_)
@@ -393,17 +435,12 @@
     }
     if (!call_)
         return;
-    const auto silent = now - progressAt_;
-    auto &board = gateway_.parts().board_;
-    const bool isStalled = target_.patience_ > Duration::zero() && silent > target_.patience_
-                           && board.silence(target_.endpoint_, now) > target_.patience_;
-    const bool isSlow = !service_->engine_ && phase_ == Phase::Waiting && silent > plainPatience;
-    if (!isStalled && !isSlow)
+    if (!isStalled(now))
         return;
+    gateway_.parts().board_.stalled(target_.endpoint_, now);
     if (!mayGoOn(Failure::Unknown))
         return;
     gateway_.parts().metrics_.stalls_.increment();
-    board.failed(target_.endpoint_, now);
     attemptFailed(Failure::Unknown, "the endpoint is silent");
 }
 
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -66,6 +66,8 @@
     void attemptFailed(Failure failure, std::string_view detail);
     [[nodiscard]] bool mayGoOn(Failure failure) const;
     [[nodiscard]] bool mayRunAgain() const;
+    [[nodiscard]] bool isStalled(TimePoint now) const;
+    void noteProgress(TimePoint now);
     /// \}
 
     /// \name The answer
@@ -102,6 +104,9 @@
     std::vector<VmId> tried_;
     std::size_t sends_ = 0;
     std::size_t mayHaveRun_ = 0; ///< Attempts that may have run.
+    std::size_t haveRun_ = 0;    ///< Attempts from which something came.
+    bool isQueued_ = false;      ///< It has not begun and stands behind all that is more urgent.
+    bool hasProgress_ = false;   ///< Something came from the present attempt.
 
     Phase phase_ = Phase::Waiting;
     net::HttpResponse answer_; ///< Head and, for whole answers, body so far.
--- a/src/serving/store_watch.cpp
+++ b/src/serving/store_watch.cpp
@@ -101,7 +101,10 @@
     for (const auto &change : page.changes_)
         listener_.rowChanged(change);
     listener_.tableConfirmed(settings_.table_, since);
-    wait();
+    if (page.changes_.empty() || settings_.pause_ == Duration::zero())
+        wait();
+    else
+        timer_ = clock_.schedule(settings_.pause_, [this] { wait(); });
 }
 
 void StoreWatch::failed(const Error & /*error*/)
