Hold requests for a group that can begin them, by the prompt tokens that wait there

Ruled out: dead members behind those stalls (no member failed to answer a question). Change: the model's longest pause counts a chunk for each step; entry VMs share how many prompt tokens wait at each group; a request goes where it begins soonest, and is held here while no group can begin it in time. Held requests give way to those that can still be on time.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -20,6 +20,8 @@
     const Service *service_ = nullptr;
     ModelName model_; ///< For services with engines.
     std::span<const VmId> tried_; ///< Not again there.
+    Duration goal_{};       ///< Time to the first event that counts as on time.
+    bool isHeld_ = false;   ///< It has waited here, and is late already.
     bool hasBegun_ = false; ///< Its caller has a part of the answer already.
 };
 
@@ -28,7 +30,6 @@
 {
     VmId endpoint_;
     Address address_;
-    bool isQueued_ = false; ///< It waits there behind all that is more urgent.
     Duration patience_{}; ///< Silence after which the endpoint counts as stalled; zero: never.
 };
 
@@ -58,6 +59,7 @@
         VmId endpoint_;
         Address address_;
         ModelName model_;
+        double slowness_ = 1; ///< Factor on a group's times.
     };
     struct Derived
     {
@@ -70,8 +72,9 @@
     [[nodiscard]] std::vector<const Candidate *> usable(const Demand &demand, TimePoint now);
     [[nodiscard]] const Candidate *leastLoaded(const std::vector<const Candidate *> &candidates,
                                                std::size_t limit);
-    [[nodiscard]] const Candidate *shortestQueue(const std::vector<const Candidate *> &candidates,
-                                                 std::size_t limit);
+    [[nodiscard]] const Candidate *soonest(const std::vector<const Candidate *> &candidates,
+                                           const Demand &demand);
+    [[nodiscard]] Duration backlog(const Candidate &candidate, const EngineProfile &profile) const;
 
     const EndpointBook &book_;
     const LoadBoard &board_;
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -99,6 +99,7 @@
     /// \}
 
 private:
+    void retryHeld(std::vector<std::shared_ptr<Session>> &sessions);
     [[nodiscard]] retries::RetryBudget &budgetOf(const ServiceName &service);
     [[nodiscard]] retries::RetryBudgetPolicy budgetPolicy() const;
 
--- a/include/cardamombay/serving/group_view.hpp
+++ b/include/cardamombay/serving/group_view.hpp
@@ -27,6 +27,8 @@
     [[nodiscard]] bool isComplete(std::size_t size) const { return members_.size() == size; }
     /// \brief True if a listed member is leaving.
     [[nodiscard]] bool hasDraining() const;
+    /// \brief True if its members are in several fabric domains, which makes it slower.
+    [[nodiscard]] bool isFar() const;
     /// \brief State of the head; Broken if it is not listed.
     [[nodiscard]] MemberState state() const;
 };
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -22,11 +22,10 @@
 public:
     /// \name Events of attempts
     /// \{
-    void started(const VmId &endpoint);
-    /// \brief A request stands in the endpoint's queue behind all that is more urgent.
-    void queued(const VmId &endpoint);
-    /// \brief A queued request has begun, or (\p hasBegun false) has ended without having begun.
-    void unqueued(const VmId &endpoint, bool hasBegun);
+    /// \param promptTokens what the endpoint has to read first.
+    void started(const VmId &endpoint, std::size_t promptTokens);
+    /// \brief The endpoint has read a prompt, or the request has ended before.
+    void promptDone(const VmId &endpoint, std::size_t promptTokens);
     /// \brief Something came: an event, a head, a whole answer.
     void progressed(const VmId &endpoint, TimePoint now);
     void ended(const VmId &endpoint);
@@ -36,11 +35,11 @@
     void stalled(const VmId &endpoint, TimePoint now);
     /// \}
 
-    /// \brief What a peer has under way and queued, and the endpoints that are silent there.
+    /// \brief What a peer has under way, the prompt tokens still to be read, and the endpoints that are silent there.
     struct PeerLoad
     {
         std::unordered_map<VmId, std::size_t> counts_;
-        std::unordered_map<VmId, std::size_t> queued_;
+        std::unordered_map<VmId, std::size_t> unread_;
         std::vector<VmId> silent_;
         TimePoint at_{};
     };
@@ -55,10 +54,10 @@
     /// \{
     /// \brief Requests that this entry VM has there.
     [[nodiscard]] std::size_t own(const VmId &endpoint) const;
-    /// \brief Requests that all entry VMs have there, as far as is known, without the queued ones.
+    /// \brief Requests that all entry VMs have there, as far as is known.
     [[nodiscard]] std::size_t total(const VmId &endpoint) const;
-    /// \brief Queued requests of all entry VMs, as far as is known.
-    [[nodiscard]] std::size_t totalQueued(const VmId &endpoint) const;
+    /// \brief Prompt tokens of all entry VMs that the endpoint has still to read.
+    [[nodiscard]] std::size_t unread(const VmId &endpoint) const;
     /// \brief Endpoints that stalled here and were not heard since.
     [[nodiscard]] std::vector<VmId> silentHere() const;
     /// \brief Endpoints that stalled at this entry VM or a peer.
@@ -71,14 +70,14 @@
     [[nodiscard]] TimePoint heardAt(const VmId &endpoint) const;
     /// \brief Own counts, for peers.
     [[nodiscard]] std::unordered_map<VmId, std::size_t> ownCounts() const;
-    [[nodiscard]] std::unordered_map<VmId, std::size_t> ownQueued() const;
+    [[nodiscard]] std::unordered_map<VmId, std::size_t> ownUnread() const;
     /// \}
 
 private:
     struct Entry
     {
         std::size_t own_ = 0;
-        std::size_t queued_ = 0;
+        std::size_t unread_ = 0; ///< Prompt tokens.
         TimePoint heardAt_{};
         TimePoint avoidUntil_{};
         std::size_t failuresInRow_ = 0;
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -15,15 +15,17 @@
 /// The same for requests whose caller has a part of the answer: a broken answer is lost whole.
 constexpr double begunWaitingShare = 0.4;
 
-/// Requests that stand in an endpoint's queue behind all others, as a share of its batch. They are
-/// late, but served; engines queue about twice their batch.
-constexpr double queueShare = 1.0;
+/// Part of the goal that reading what waits before a request may take; the rest is for the pass under
+/// way, its own prompt and its first pass.
+constexpr double readShareOfGoal = 0.5;
+/// The same for a request that was held: what still can be on time goes first.
+constexpr double readShareOfHeld = 0.2;
 
 /// Requests that may wait at a plain endpoint, as a share of its slots: one more round.
 constexpr double plainWaitingShare = 1.0;
 
-/// A healthy group pauses at most once per pass; twice that and the network's jitter is a stall.
-constexpr double stallFactor = 2.5;
+/// A healthy group with much to read pauses for a whole pass at most; a third more is a stall.
+constexpr double stallFactor = 1.3;
 constexpr Duration networkAllowance = std::chrono::milliseconds(20);
 
 const Model *modelNamed(const EngineProfile &profile, const ModelName &name)
@@ -38,13 +40,13 @@
     return slots + static_cast<std::size_t>(static_cast<double>(slots) * share);
 }
 
-Duration patienceOf(const Service &service, const ModelName &name)
+Duration patienceOf(const Service &service, const ModelName &name, double slowness)
 {
     const auto *model = service.engine_ ? modelNamed(*service.engine_, name) : nullptr;
     if (model == nullptr)
         return Duration::zero();
     const auto pause = EngineModel(*service.engine_, *model).longestPause();
-    return fromSeconds(toSeconds(pause) * stallFactor) + networkAllowance;
+    return fromSeconds(toSeconds(pause) * slowness * stallFactor) + networkAllowance;
 }
 
 } // namespace
@@ -73,7 +75,8 @@
         if (model == nullptr || group.state() != MemberState::Open
             || !group.isComplete(model->members_) || group.head_->isDraining_)
             continue;
-        result.push_back({group.head_->id_, group.head_->address_, group.model_});
+        result.push_back({group.head_->id_, group.head_->address_, group.model_,
+                          group.isFar() ? service.engine_->farFactor_ : 1});
     }
     return result;
 }
@@ -111,17 +114,33 @@
     return result;
 }
 
+Duration Balancer::backlog(const Candidate &candidate, const EngineProfile &profile) const
+{
+    const auto *model = modelNamed(profile, candidate.model_);
+    const auto reading = EngineModel(profile, *model).readTime(board_.unread(candidate.endpoint_));
+    return fromSeconds(toSeconds(reading) * candidate.slowness_);
+}
+
+/// The group that begins the request first, of those that have room for it.
 const Balancer::Candidate *
-Balancer::leastLoaded(const std::vector<const Candidate *> &candidates, std::size_t limit)
+Balancer::soonest(const std::vector<const Candidate *> &candidates, const Demand &demand)
 {
+    const auto &profile = *demand.service_->engine_;
+    const auto share = demand.hasBegun_ ? begunWaitingShare : waitingShare;
+    const auto limit = demand.isHeld_ ? profile.slots_ : withWaiting(profile.slots_, share);
+    const auto most = toSeconds(demand.goal_) * (demand.isHeld_ ? readShareOfHeld : readShareOfGoal);
     const Candidate *best = nullptr;
     double least = 0;
     for (const auto *candidate : candidates) {
         const auto load = board_.total(candidate->endpoint_);
-        if (load >= limit)
+        const auto waiting = toSeconds(backlog(*candidate, profile));
+        if (load >= limit || (waiting > most && !demand.hasBegun_))
             continue;
         // The fraction breaks ties at random, so that entry VMs don't all go to the same one.
-        const double weighed = static_cast<double>(load) + random_.unit();
+        const double writing = (static_cast<double>(load) + random_.unit())
+                               * toSeconds(profile.perRequest_) * profile.stride_;
+        const double weighed = waiting + (writing + toSeconds(profile.step_) * profile.stride_)
+                                             * candidate->slowness_;
         if (best == nullptr || weighed < least) {
             best = candidate;
             least = weighed;
@@ -131,15 +150,15 @@
 }
 
 const Balancer::Candidate *
-Balancer::shortestQueue(const std::vector<const Candidate *> &candidates, std::size_t limit)
+Balancer::leastLoaded(const std::vector<const Candidate *> &candidates, std::size_t limit)
 {
     const Candidate *best = nullptr;
     double least = 0;
     for (const auto *candidate : candidates) {
-        const auto waiting = board_.totalQueued(candidate->endpoint_);
-        if (waiting >= limit)
+        const auto load = board_.total(candidate->endpoint_);
+        if (load >= limit)
             continue;
-        const double weighed = static_cast<double>(waiting) + random_.unit();
+        const double weighed = static_cast<double>(load) + random_.unit();
         if (best == nullptr || weighed < least) {
             best = candidate;
             least = weighed;
@@ -154,23 +173,18 @@
     const auto candidates = usable(demand, now);
     if (candidates.empty())
         return NoTarget::NoEndpoint;
-    if (!service.engine_) {
-        const auto *endpoint = book_.find(candidates.front()->endpoint_);
-        const auto limit = withWaiting(endpoint->slots_, plainWaitingShare);
-        const auto *best = leastLoaded(candidates, limit);
+    if (service.engine_) {
+        const auto *best = soonest(candidates, demand);
         if (best == nullptr)
             return NoTarget::Full;
-        return Target{best->endpoint_, best->address_, false, Duration::zero()};
+        return Target{best->endpoint_, best->address_,
+                      patienceOf(service, demand.model_, best->slowness_)};
     }
-    const auto slots = service.engine_->slots_;
-    const auto share = demand.hasBegun_ ? begunWaitingShare : waitingShare;
-    const auto *best = leastLoaded(candidates, withWaiting(slots, share));
-    const bool isQueued = best == nullptr;
-    if (isQueued)
-        best = shortestQueue(candidates, static_cast<std::size_t>(slots * queueShare));
+    const auto *endpoint = book_.find(candidates.front()->endpoint_);
+    const auto *best = leastLoaded(candidates, withWaiting(endpoint->slots_, plainWaitingShare));
     if (best == nullptr)
         return NoTarget::Full;
-    return Target{best->endpoint_, best->address_, isQueued, patienceOf(service, demand.model_)};
+    return Target{best->endpoint_, best->address_, Duration::zero()};
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/engine_model.cpp
+++ b/src/serving/engine_model.cpp
@@ -40,7 +40,9 @@
 
 Duration EngineModel::longestPause() const
 {
-    return pauseBetweenEvents(profile_.slots_, usualContext) + readTime(promptChunk);
+    // Each step of a pass may read a chunk of the prompts that wait.
+    return pauseBetweenEvents(profile_.slots_, usualContext)
+           + readTime(promptChunk) * profile_.stride_;
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -5,6 +5,8 @@
 #include <cardamombay/net/http_status.hpp>
 #include <cardamombay/serving/engine_model.hpp>
 
+#include <algorithm>
+#include <set>
 #include <vector>
 
 namespace cardamombay::serving {
@@ -61,6 +63,21 @@
     const auto now = parts_.clock_.now();
     for (const auto &session : sessions)
         session->check(now);
+    retryHeld(sessions);
+}
+
+/// Requests that wait the longest go first; where one finds no room, those behind it don't either.
+void Gateway::retryHeld(std::vector<std::shared_ptr<Session>> &sessions)
+{
+    std::erase_if(sessions, [](const auto &session) { return !session->isHeld(); });
+    std::sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
+        return left->arrivedAt() < right->arrivedAt();
+    });
+    std::set<ModelName> full;
+    for (const auto &session : sessions) {
+        if (!full.contains(session->model()) && !session->retryHeld())
+            full.insert(session->model());
+    }
 }
 
 void Gateway::cutAll()
--- a/src/serving/group_view.cpp
+++ b/src/serving/group_view.cpp
@@ -22,6 +22,13 @@
                        [](const Endpoint *member) { return member->isDraining_; });
 }
 
+bool GroupView::isFar() const
+{
+    return std::any_of(members_.begin(), members_.end(), [this](const Endpoint *member) {
+        return member->domain_ != members_.front()->domain_;
+    });
+}
+
 MemberState GroupView::state() const
 {
     return head_ == nullptr ? MemberState::Broken : head_->membership_->state_;
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -17,12 +17,13 @@
 
 } // namespace
 
-void LoadBoard::started(const VmId &endpoint)
+void LoadBoard::started(const VmId &endpoint, std::size_t promptTokens)
 {
     auto &entry = entries_[endpoint];
     if (entry.failuresInRow_ > 0)
         entry.isOnTrial_ = true;
     ++entry.own_;
+    entry.unread_ += promptTokens;
 }
 
 void LoadBoard::progressed(const VmId &endpoint, TimePoint now)
@@ -59,18 +60,10 @@
     entries_[endpoint].isSilent_ = true;
 }
 
-void LoadBoard::queued(const VmId &endpoint)
-{
-    ++entries_[endpoint].queued_;
-}
-
-void LoadBoard::unqueued(const VmId &endpoint, bool hasBegun)
+void LoadBoard::promptDone(const VmId &endpoint, std::size_t promptTokens)
 {
     auto &entry = entries_[endpoint];
-    if (entry.queued_ > 0)
-        --entry.queued_;
-    if (hasBegun)
-        ++entry.own_;
+    entry.unread_ -= std::min(entry.unread_, promptTokens);
 }
 
 void LoadBoard::setPeerLoad(const std::string &peer, PeerLoad load)
@@ -84,7 +77,7 @@
                   [now](const auto &one) { return now - one.second.at_ > peerLifetime; });
     std::erase_if(entries_, [now](const auto &one) {
         const auto &entry = one.second;
-        return entry.own_ + entry.queued_ == 0 && now > entry.avoidUntil_ && now - entry.heardAt_ > memoryOfIdle;
+        return entry.own_ == 0 && now > entry.avoidUntil_ && now - entry.heardAt_ > memoryOfIdle;
     });
 }
 
@@ -105,24 +98,24 @@
     return result;
 }
 
-std::size_t LoadBoard::totalQueued(const VmId &endpoint) const
+std::size_t LoadBoard::unread(const VmId &endpoint) const
 {
     const auto own = entries_.find(endpoint);
-    std::size_t result = own == entries_.end() ? 0 : own->second.queued_;
+    std::size_t result = own == entries_.end() ? 0 : own->second.unread_;
     for (const auto &[name, peer] : peers_) {
-        const auto found = peer.queued_.find(endpoint);
-        if (found != peer.queued_.end())
+        const auto found = peer.unread_.find(endpoint);
+        if (found != peer.unread_.end())
             result += found->second;
     }
     return result;
 }
 
-std::unordered_map<VmId, std::size_t> LoadBoard::ownQueued() const
+std::unordered_map<VmId, std::size_t> LoadBoard::ownUnread() const
 {
     std::unordered_map<VmId, std::size_t> result;
     for (const auto &[id, entry] : entries_) {
-        if (entry.queued_ > 0)
-            result.emplace(id, entry.queued_);
+        if (entry.unread_ > 0)
+            result.emplace(id, entry.unread_);
     }
     return result;
 }
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -300,7 +300,7 @@
     LoadDigest digest;
     digest.from_ = settings_.entry_;
     digest.underWay_ = parts_.board_.ownCounts();
-    digest.queued_ = parts_.board_.ownQueued();
+    digest.unread_ = parts_.board_.ownUnread();
     digest.silent_ = parts_.board_.silentHere();
     digest.demand_ = ownDemand_;
     digest.isDraining_ = isLeaving_;
@@ -327,7 +327,7 @@
     for (const auto &endpoint : digest->heard_)
         parts_.manager_.heardByPeer(endpoint, now);
     parts_.board_.setPeerLoad(digest->from_.text(),
-                              {std::move(digest->underWay_), std::move(digest->queued_),
+                              {std::move(digest->underWay_), std::move(digest->unread_),
                                std::move(digest->silent_), now});
 }
 
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -66,7 +66,7 @@
         demand[model.text()] = rate;
     json::object params{{"from", digest.from_.text()},
                         {"under_way", countsOf(digest.underWay_)},
-                        {"queued", countsOf(digest.queued_)},
+                        {"unread", countsOf(digest.unread_)},
                         {"heard", namesOf(digest.heard_)},
                         {"silent", namesOf(digest.silent_)},
                         {"demand", std::move(demand)},
@@ -93,7 +93,7 @@
     LoadDigest digest;
     digest.from_ = EntryId(textOf(from->get_string()));
     readNumbers<std::size_t>(params.if_contains("under_way"), digest.underWay_);
-    readNumbers<std::size_t>(params.if_contains("queued"), digest.queued_);
+    readNumbers<std::size_t>(params.if_contains("unread"), digest.unread_);
     readNumbers<double>(params.if_contains("demand"), digest.demand_);
     digest.heard_ = endpointsIn(params.if_contains("heard"));
     digest.silent_ = endpointsIn(params.if_contains("silent"));
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -51,6 +51,10 @@
     void formIn(Engines &free);
     bool formOne(Engines &free);
     void join(const Model &model, const Engines &members);
+    void formFar();
+    [[nodiscard]] Engines spares(const Model &model) const;
+    [[nodiscard]] bool isNearPossible(const GroupView &group, const Model &model) const;
+    [[nodiscard]] double weightOf(const GroupView &group) const;
     void stageIn(const Engines &free);
     [[nodiscard]] std::vector<const Engines *> byShortfall();
     [[nodiscard]] std::size_t shortfall(const FabricDomain &domain, const Engines &free);
@@ -69,6 +73,7 @@
     std::size_t loads_;
     std::map<ModelName, double> groups_; ///< That serve or will.
     std::map<FabricDomain, Engines> free_;
+    std::set<FabricDomain> hasGroup_;
     Plan result_;
 };
 
@@ -95,7 +100,9 @@
 Plan Run::plan()
 {
     for (const auto *engine : engines_) {
-        if (!engine->membership_)
+        if (engine->membership_)
+            hasGroup_.insert(engine->domain_);
+        else
             offer(*engine);
     }
     for (const auto &group : groupsOf(engines_))
@@ -107,6 +114,7 @@
         if (input_.isFirstLoad_)
             stageIn(engines);
     }
+    formFar();
     for (const auto *engines : byShortfall())
         stageIn(*engines);
     return std::move(result_);
@@ -204,14 +212,20 @@
 
 void Run::reviewServing(const GroupView &group, bool isComplete)
 {
+    const auto *model = modelNamed(group.model_);
     if (isComplete) {
-        groups_[group.model_] += 1;
+        groups_[group.model_] += weightOf(group);
+        if (group.isFar() && group.state() == MemberState::Open && isNearPossible(group, *model)
+            && !input_.pending_.contains(group.head_->id_))
+            order(*group.head_, CloseOrder{group.group_, group.epoch_, false},
+                  "a group in one domain is possible");
         return;
     }
     // A group that lost a member cannot finish its work; one that only loses it soon can.
-    const auto *model = modelNamed(group.model_);
     const bool isLost = !group.isComplete(model->members_);
-    if (group.state() == MemberState::Open && !input_.pending_.contains(group.head_->id_))
+    // A group that stands still never ends its work by itself, so a close that waits is made a cut.
+    const bool isDue = group.state() == MemberState::Open || isLost;
+    if (isDue && !input_.pending_.contains(group.head_->id_))
         order(*group.head_, CloseOrder{group.group_, group.epoch_, isLost},
               isLost ? "member lost" : "member leaving");
 }
@@ -295,8 +309,10 @@
     join.epoch_ = input_.nextEpoch_();
     join.group_ = groupNameOf(model.name_, join.epoch_);
     join.model_ = model.name_;
-    for (const auto *member : members)
+    for (const auto *member : members) {
         join.members_.push_back(member->id_);
+        hasGroup_.insert(member->domain_);
+    }
     for (const auto *member : members) {
         const bool loads = readinessOf(*member, model.name_) == Readiness::Empty;
         order(*member, join, "form", loads);
@@ -304,6 +320,69 @@
     groups_[model.name_] += 1;
 }
 
+double Run::weightOf(const GroupView &group) const
+{
+    return group.isFar() ? 1 / input_.profile_->farFactor_ : 1;
+}
+
+/// True if the far group's engines in some domain and the spares there make a group of their own.
+bool Run::isNearPossible(const GroupView &group, const Model &model) const
+{
+    std::map<FabricDomain, std::size_t> able;
+    for (const auto *member : group.members_)
+        ++able[member->domain_];
+    for (auto &[domain, count] : able) {
+        const auto spare = free_.find(domain);
+        if (spare == free_.end())
+            continue;
+        count += static_cast<std::size_t>(std::count_if(
+            spare->second.begin(), spare->second.end(), [&model](const Endpoint *engine) {
+                return readinessOf(*engine, model.name_) != Readiness::Empty;
+            }));
+        if (count >= model.members_)
+            return true;
+    }
+    return false;
+}
+
+/// Spares of all domains that have the model at hand, those first whose domain has the most.
+Run::Engines Run::spares(const Model &model) const
+{
+    std::vector<Engines> byDomain;
+    for (const auto &[domain, engines] : free_) {
+        Engines warm;
+        std::copy_if(engines.begin(), engines.end(), std::back_inserter(warm),
+                     [&model](const Endpoint *engine) {
+                         return readinessOf(*engine, model.name_) != Readiness::Empty;
+                     });
+        byDomain.push_back(std::move(warm));
+    }
+    std::stable_sort(byDomain.begin(), byDomain.end(), [](const Engines &left, const Engines &right) {
+        return left.size() > right.size();
+    });
+    Engines result;
+    for (const auto &engines : byDomain)
+        result.insert(result.end(), engines.begin(), engines.end());
+    return result;
+}
+
+/// Survivors in several domains serve together, slower, until one of the domains has enough.
+void Run::formFar()
+{
+    if (input_.isFirstLoad_)
+        return;
+    for (const auto &model : input_.profile_->models_) {
+        auto engines = spares(model);
+        while (engines.size() >= model.members_) {
+            const Engines members(engines.begin(), engines.begin() + model.members_);
+            join(model, members);
+            engines.erase(engines.begin(), engines.begin() + model.members_);
+            for (const auto *member : members)
+                std::erase(free_[member->domain_], member);
+        }
+    }
+}
+
 /// Engines that must load until the domain's spares make another group.
 std::size_t Run::shortfall(const FabricDomain &domain, const Engines &free)
 {
@@ -338,6 +417,9 @@
         const auto *model = domainModels_[engine->domain_];
         if (model == nullptr || !mayLoad())
             return;
+        // At the first start the domains come one after the other, each begun by a whole group.
+        if (input_.isFirstLoad_ && !hasGroup_.contains(engine->domain_))
+            return;
         if (engine->staged_.empty() && !isOrdered(*engine))
             order(*engine, StageOrder{model->name_}, "spare", true);
     }
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -41,8 +41,11 @@
 /// at most 400 ms, and has most of its time of 5 s or more left.
 constexpr Duration waitingPatience = std::chrono::milliseconds(1000);
 
-/// Behind the default of 5, so that what can still be on time goes first.
-constexpr std::uint32_t queuedUrgency = 7;
+/// A caller of a stream leaves after that long without an event, or after four times the goal or eight
+/// times the longest pause on time, whichever is the longest.
+constexpr Duration callerPatience = std::chrono::seconds(2);
+/// Share of that for which a request is held for room; the rest is for its first event.
+constexpr double longestHoldShare = 0.65;
 
 constexpr Duration connectPatience = std::chrono::milliseconds(250);
 
@@ -126,16 +129,41 @@
 void Session::dispatch()
 {
     const auto now = gateway_.parts().clock_.now();
-    const Demand demand{service_, head_.model_, tried_, events_ > 0};
+    const Demand demand{service_, head_.model_, tried_, route_->goal_, wasHeld_, events_ > 0};
     const auto choice = gateway_.parts().balancer_.choose(demand, now);
     if (const auto *target = std::get_if<Target>(&choice)) {
         send(*target);
         return;
     }
+    if (service_->engine_ && mayHold(now)) {
+        isHeld_ = true;
+        wasHeld_ = true;
+        return;
+    }
     const bool isFull = std::get<NoTarget>(choice) == NoTarget::Full;
     giveUp(isFull ? "all endpoints are full" : "no endpoint serves");
 }
 
+/// Groups are mostly back within a second or two. Who is held in vain gets word before it leaves.
+bool Session::mayHold(TimePoint now) const
+{
+    const Duration leaves = std::max({callerPatience, 4 * route_->goal_, 8 * route_->pauseGoal_});
+    const auto allowed = toSeconds(std::min(leaves, until_ - arrivedAt_)) * longestHoldShare;
+    return toSeconds(now - arrivedAt_) < allowed;
+}
+
+bool Session::retryHeld()
+{
+    isHeld_ = false;
+    dispatch();
+    return !isHeld_;
+}
+
+std::size_t Session::tokensToRead() const
+{
+    return head_.promptTokens_ + events_ * service_->engine_->stride_;
+}
+
 void Session::send(const Target &target)
 {
     const auto now = gateway_.parts().clock_.now();
@@ -151,8 +179,6 @@
     attempt.team_ = team_;
     attempt.patience_ = timeLeft(now);
     attempt.lastEvent_ = lastEvent_;
-    if (target.isQueued_)
-        attempt.urgency_ = queuedUrgency;
     net::UpstreamRequest upstream;
     upstream.address_ = target.address_;
     upstream.method_ = request_.method_;
@@ -161,11 +187,8 @@
     upstream.body_ = request_.body_;
     upstream.connectTimeout_ = std::min(connectPatience, timeLeft(now));
     upstream.longestIdle_ = mayRunAgain() ? longestIdle : longestIdleOnce;
-    isQueued_ = target.isQueued_;
-    if (isQueued_)
-        gateway_.parts().board_.queued(target.endpoint_);
-    else
-        gateway_.parts().board_.started(target.endpoint_);
+    unreadTokens_ = service_->engine_ ? tokensToRead() : 0;
+    gateway_.parts().board_.started(target.endpoint_, unreadTokens_);
     call_ = gateway_.parts().upstream_.start(std::move(upstream), *this);
 }
 
@@ -174,11 +197,8 @@
     if (!call_)
         return;
     call_.reset();
-    if (isQueued_)
-        gateway_.parts().board_.unqueued(target_.endpoint_, false);
-    else
-        gateway_.parts().board_.ended(target_.endpoint_);
-    isQueued_ = false;
+    gateway_.parts().board_.promptDone(target_.endpoint_, std::exchange(unreadTokens_, 0));
+    gateway_.parts().board_.ended(target_.endpoint_);
 }
 
 bool Session::onConnected()
@@ -404,8 +424,7 @@
     progressAt_ = now;
     if (!std::exchange(hasProgress_, true))
         ++haveRun_;
-    if (std::exchange(isQueued_, false))
-        gateway_.parts().board_.unqueued(target_.endpoint_, true);
+    gateway_.parts().board_.promptDone(target_.endpoint_, std::exchange(unreadTokens_, 0));
 }
 
 /// A stream that has begun never pauses for long at a healthy endpoint. One that waits may stand in
@@ -417,7 +436,11 @@
         return phase_ == Phase::Waiting && silent > plainPatience;
     if (target_.patience_ == Duration::zero() || silent <= target_.patience_)
         return false;
-    if (hasProgress_ || (!isQueued_ && silent > waitingPatience))
+    // A request that the endpoint has put off lets the others pass; a group that stands still doesn't.
+    const auto heard = now - gateway_.parts().board_.heardAt(target_.endpoint_);
+    if (heard <= target_.patience_)
+        return !hasProgress_ && silent > waitingPatience;
+    if (hasProgress_ || silent > waitingPatience)
         return true;
     return !gateway_.parts().board_.isUsable(target_.endpoint_, now);
 }
@@ -433,6 +456,11 @@
         giveUp("time-out");
         return;
     }
+    if (isHeld_ && !mayHold(now)) {
+        isHeld_ = false;
+        giveUp("no room in time");
+        return;
+    }
     if (!call_)
         return;
     if (!isStalled(now))
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -30,6 +30,13 @@
     /// \brief Ends the request or the attempt if their time is over.
     void check(TimePoint now);
 
+    /// \brief Tries again to find an endpoint for a request that is held.
+    /// \returns false if there is still no room.
+    bool retryHeld();
+    [[nodiscard]] bool isHeld() const { return isHeld_; }
+    [[nodiscard]] TimePoint arrivedAt() const { return arrivedAt_; }
+    [[nodiscard]] const ModelName &model() const { return head_.model_; }
+
     /// \brief Ends the request at once, since the process stops.
     void cut();
 
@@ -62,6 +69,8 @@
     /// \{
     void dispatch();
     void send(const Target &target);
+    [[nodiscard]] bool mayHold(TimePoint now) const;
+    [[nodiscard]] std::size_t tokensToRead() const;
     void dropAttempt();
     void attemptFailed(Failure failure, std::string_view detail);
     [[nodiscard]] bool mayGoOn(Failure failure) const;
@@ -105,7 +114,9 @@
     std::size_t sends_ = 0;
     std::size_t mayHaveRun_ = 0; ///< Attempts that may have run.
     std::size_t haveRun_ = 0;    ///< Attempts from which something came.
-    bool isQueued_ = false;      ///< It has not begun and stands behind all that is more urgent.
+    bool isHeld_ = false;        ///< It waits here for room.
+    bool wasHeld_ = false;
+    std::size_t unreadTokens_ = 0; ///< Of the present attempt's prompt.
     bool hasProgress_ = false;   ///< Something came from the present attempt.
 
     Phase phase_ = Phase::Waiting;
