Let members leave a group whose head is lost; admit by the predicted time to the first event

Ruled out: telling a cut head from a dead one (both give no connection; a kept one just times out); waiting for the stall limit (the head was still open 5 s later). Change: members of a group without a reachable head leave it before they are joined again, so nothing depends on whether the head lives. The search for evidence about lost heads is gone.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -20,6 +20,7 @@
     const Service *service_ = nullptr;
     ModelName model_; ///< For services with engines.
     std::span<const VmId> tried_; ///< Not again there.
+    std::size_t promptTokens_ = 0;
     Duration goal_{};       ///< Time to the first event that counts as on time.
     bool isHeld_ = false;   ///< It has waited here, and is late already.
     bool hasBegun_ = false; ///< Its caller has a part of the answer already.
@@ -74,6 +75,8 @@
                                                std::size_t limit);
     [[nodiscard]] const Candidate *soonest(const std::vector<const Candidate *> &candidates,
                                            const Demand &demand);
+    [[nodiscard]] bool hasRoom(const Candidate &candidate, const Demand &demand) const;
+    [[nodiscard]] Duration timeToFirst(const Candidate &candidate, const Demand &demand) const;
     [[nodiscard]] Duration backlog(const Candidate &candidate, const EngineProfile &profile) const;
 
     const EndpointBook &book_;
--- a/include/cardamombay/serving/endpoint_book.hpp
+++ b/include/cardamombay/serving/endpoint_book.hpp
@@ -13,20 +13,13 @@
 
 namespace cardamombay::serving {
 
-/// \brief An endpoint whose entry is gone, as it was last seen.
-struct Departed
-{
-    Endpoint endpoint_;
-    TimePoint since_{};
-};
-
 /// \brief Endpoints by id; belongs to the control thread.
 class EndpointBook
 {
 public:
     /// \name Changes
     /// \{
-    void put(Endpoint endpoint, TimePoint now);
+    void put(Endpoint endpoint);
     void remove(const VmId &id, TimePoint now);
     /// \brief Takes a whole listing: endpoints that it lacks are removed.
     void replaceAll(std::vector<Endpoint> endpoints, TimePoint now);
@@ -42,20 +35,16 @@
     /// \brief Endpoints of a service that are listed, leaving ones included.
     [[nodiscard]] std::vector<const Endpoint *> ofService(const ServiceName &service) const;
 
-    /// \brief Endpoints that vanished lately, by id.
-    [[nodiscard]] const std::map<VmId, Departed> &departed() const { return departed_; }
-
     /// \brief Rises with each change, so that readers may keep what they derive.
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
     [[nodiscard]] std::size_t size() const { return endpoints_.size(); }
 
 private:
-    void drop(const VmId &id, TimePoint now);
+    void drop(const VmId &id);
 
     std::map<VmId, Endpoint> endpoints_;
     std::map<VmId, TimePoint> missing_; ///< Not listed; dropped at that time.
-    std::map<VmId, Departed> departed_;
     TimePoint excusedUntil_{};
     std::uint64_t revision_ = 0;
 };
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -62,8 +62,6 @@
     [[nodiscard]] std::vector<VmId> silentHere() const;
     /// \brief Endpoints that stalled at this entry VM or a peer.
     [[nodiscard]] std::vector<VmId> silentAnywhere() const;
-    /// \brief True if an entry VM has work there and does not find it silent.
-    [[nodiscard]] bool isHeardAnywhere(const VmId &endpoint) const;
     /// \brief False while the endpoint is avoided after a failure.
     [[nodiscard]] bool isUsable(const VmId &endpoint, TimePoint now) const;
     /// \brief When something came from the endpoint last; the epoch if never.
--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Forms and ends groups of engines while this entry VM holds the planner lease.
-/// \details Carries out what the planner decides: sends orders under the lease's fencing number,
-/// and finds out whether the head of a group that is not listed any longer still serves. Guards that
-/// only one entry VM gives orders.
+/// \details Carries out what the planner decides: sends orders under the lease's fencing number, and
+/// asks the members of a stalled group which of them is lost. Guards that only one entry VM gives
+/// orders.
 #pragma once
 
 #include <cardamombay/core/clock.hpp>
@@ -46,22 +46,10 @@
     /// \brief Groups' worth of work by model, as measured.
     void setDemand(std::map<ModelName, double> demand) { demand_ = std::move(demand); }
 
-    /// \brief A peer heard from \p endpoint at \p when.
-    void heardByPeer(const VmId &endpoint, TimePoint when) { heardByPeers_[endpoint] = when; }
-
     /// Short against the 200 ms that a join of a loaded engine takes.
     static constexpr Duration planPeriod = std::chrono::milliseconds(100);
 
 private:
-    /// What is known of a head that is not listed.
-    struct LostHead
-    {
-        bool isAsked_ = false;
-        std::uint32_t silences_ = 0; ///< Questions in a row without any answer.
-        TimePoint askedAt_{};
-        bool isGone_ = false;
-    };
-
     /// What members of a stalled group answered.
     struct Inquiry
     {
@@ -71,15 +59,13 @@
 
     void inquire(const std::vector<const Endpoint *> &engines);
     void ask(const GroupName &group, const Endpoint &member);
-    void memberAnswered(const GroupName &group, const VmId &member, bool isAnswer);
+    void memberAnswered(const GroupName &group, const VmId &member,
+                        const Result<Endpoint> &answer);
     void planService(const Service &service);
     [[nodiscard]] PlanInput inputFor(const Service &service,
                                      const std::vector<const Endpoint *> &engines);
     void send(const PlannedOrder &planned, const EngineProfile &profile);
     void answered(const VmId &engine, const Order &order, const Result<OrderAnswer> &answer);
-    void findOut(const GroupName &group);
-    void headAnswered(const GroupName &group, const Endpoint &head, const Result<Endpoint> &answer);
-    [[nodiscard]] const Departed *departedHead(const GroupName &group) const;
     [[nodiscard]] std::uint64_t nextEpoch();
     void expire(TimePoint now);
 
@@ -88,11 +74,8 @@
     std::map<ModelName, double> demand_;
     std::map<VmId, TimePoint> pendingUntil_;
     std::map<VmId, TimePoint> loadsUntil_;
-    std::map<GroupName, LostHead> lostHeads_;
     std::map<GroupName, Inquiry> inquiries_;
     std::map<VmId, std::uint32_t> unanswered_; ///< Questions in a row that an engine left open.
-    std::map<VmId, TimePoint> heardByPeers_;
-    std::map<GroupName, TimePoint> headlessSince_;
     Epoch countedFor_;
     std::uint64_t counter_ = 0;
     bool wasHeld_ = false;
--- a/include/cardamombay/serving/replica_orders.hpp
+++ b/include/cardamombay/serving/replica_orders.hpp
@@ -81,6 +81,8 @@
         = 0;
 
     /// \brief Asks \p engine for its present state; \p engine gives what the answer leaves out.
+    /// \param done gets EndpointUnreachable if there was no connection, TimedOut if there was one and
+    /// no answer came, EndpointRefused if another engine is at the address.
     virtual void state(const Endpoint &engine, Callback<Endpoint> done) = 0;
 };
 
--- a/include/cardamombay/serving/replica_planner.hpp
+++ b/include/cardamombay/serving/replica_planner.hpp
@@ -23,7 +23,6 @@
     const EngineProfile *profile_ = nullptr;
     std::set<VmId> pending_;              ///< Engines with an order whose effect is not seen yet.
     std::set<VmId> unresponsive_; ///< Listed, but they do not answer; counted as missing.
-    std::set<GroupName> headlessGroups_;  ///< Their heads are known to serve no longer.
     std::size_t loadsUnderWay_ = 0;       ///< From the weight store.
     bool isFirstLoad_ = false;            ///< No request has come yet, so loads are fast.
     std::map<ModelName, double> demand_;  ///< Groups' worth of work by model; empty if unknown.
@@ -40,11 +39,7 @@
 };
 
 /// \brief The orders that are due now.
-struct Plan
-{
-    std::vector<PlannedOrder> orders_;
-    std::vector<GroupName> unclear_; ///< Groups whose head is not listed; find out if it serves.
-};
+using Plan = std::vector<PlannedOrder>;
 
 /// \brief Plans the groups of one service.
 [[nodiscard]] Plan planReplicas(const PlanInput &input);
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -15,11 +15,13 @@
 /// The same for requests whose caller has a part of the answer: a broken answer is lost whole.
 constexpr double begunWaitingShare = 0.4;
 
-/// Part of the goal that reading what waits before a request may take; the rest is for the pass under
-/// way, its own prompt and its first pass.
-constexpr double readShareOfGoal = 0.5;
-/// The same for a request that was held: what still can be on time goes first.
-constexpr double readShareOfHeld = 0.2;
+/// Part of the goal that the predicted time to the first event may take; the rest is for the network.
+constexpr double goalShare = 0.92;
+/// A request comes in the middle of a pass, and its first event at the end of the next one.
+constexpr double passesToFirstEvent = 1.5;
+/// Share of the goal that may wait at a group which a held request is sent to: what can still be on
+/// time goes first.
+constexpr double heldBacklogShare = 0.2;
 
 /// Requests that may wait at a plain endpoint, as a share of its slots: one more round.
 constexpr double plainWaitingShare = 1.0;
@@ -28,6 +30,12 @@
 constexpr double stallFactor = 1.3;
 constexpr Duration networkAllowance = std::chrono::milliseconds(20);
 
+/// Groups whose predictions differ by less are taken at random.
+constexpr double tieBreak = 0.05;
+
+/// Mean context of a request, tokens.
+constexpr std::size_t usualContext = 1500;
+
 const Model *modelNamed(const EngineProfile &profile, const ModelName &name)
 {
     const auto found = std::find_if(profile.models_.begin(), profile.models_.end(),
@@ -121,26 +129,45 @@
     return fromSeconds(toSeconds(reading) * candidate.slowness_);
 }
 
-/// The group that begins the request first, of those that have room for it.
-const Balancer::Candidate *
-Balancer::soonest(const std::vector<const Candidate *> &candidates, const Demand &demand)
+/// Time to the first event if the request goes to the group now.
+Duration Balancer::timeToFirst(const Candidate &candidate, const Demand &demand) const
+{
+    const auto &profile = *demand.service_->engine_;
+    const EngineModel model(profile, *modelNamed(profile, candidate.model_));
+    const auto pass = model.pauseBetweenEvents(board_.total(candidate.endpoint_) + 1, usualContext);
+    const auto own = model.readTime(demand.promptTokens_);
+    return fromSeconds(passesToFirstEvent
+                       * (toSeconds(pass + own) * candidate.slowness_
+                          + toSeconds(backlog(candidate, profile))));
+}
+
+bool Balancer::hasRoom(const Candidate &candidate, const Demand &demand) const
 {
     const auto &profile = *demand.service_->engine_;
     const auto share = demand.hasBegun_ ? begunWaitingShare : waitingShare;
     const auto limit = demand.isHeld_ ? profile.slots_ : withWaiting(profile.slots_, share);
-    const auto most = toSeconds(demand.goal_) * (demand.isHeld_ ? readShareOfHeld : readShareOfGoal);
+    if (board_.total(candidate.endpoint_) >= limit)
+        return false;
+    if (demand.hasBegun_)
+        return true;
+    const auto goal = toSeconds(demand.goal_);
+    if (demand.isHeld_)
+        return toSeconds(backlog(candidate, profile)) <= goal * heldBacklogShare;
+    return toSeconds(timeToFirst(candidate, demand)) <= goal * goalShare;
+}
+
+/// The group that begins the request first, of those that have room for it.
+const Balancer::Candidate *
+Balancer::soonest(const std::vector<const Candidate *> &candidates, const Demand &demand)
+{
     const Candidate *best = nullptr;
     double least = 0;
     for (const auto *candidate : candidates) {
-        const auto load = board_.total(candidate->endpoint_);
-        const auto waiting = toSeconds(backlog(*candidate, profile));
-        if (load >= limit || (waiting > most && !demand.hasBegun_))
+        if (!hasRoom(*candidate, demand))
             continue;
         // The fraction breaks ties at random, so that entry VMs don't all go to the same one.
-        const double writing = (static_cast<double>(load) + random_.unit())
-                               * toSeconds(profile.perRequest_) * profile.stride_;
-        const double weighed = waiting + (writing + toSeconds(profile.step_) * profile.stride_)
-                                             * candidate->slowness_;
+        const double weighed
+            = toSeconds(timeToFirst(*candidate, demand)) * (1 + tieBreak * random_.unit());
         if (best == nullptr || weighed < least) {
             best = candidate;
             least = weighed;
--- a/src/serving/endpoint_book.cpp
+++ b/src/serving/endpoint_book.cpp
@@ -4,18 +4,10 @@
 
 namespace cardamombay::serving {
 
-namespace {
-
-/// How long a vanished endpoint is remembered; longer than any order or stall takes to end.
-constexpr Duration memoryOfDeparted = std::chrono::seconds(60);
-
-} // namespace
-
-void EndpointBook::put(Endpoint endpoint, TimePoint /*now*/)
+void EndpointBook::put(Endpoint endpoint)
 {
     const auto id = endpoint.id_;
     missing_.erase(id);
-    departed_.erase(id);
     const auto found = endpoints_.find(id);
     if (found != endpoints_.end() && found->second == endpoint)
         return;
@@ -30,15 +22,14 @@
     if (now < excusedUntil_)
         missing_.emplace(id, excusedUntil_);
     else
-        drop(id, now);
+        drop(id);
 }
 
-void EndpointBook::drop(const VmId &id, TimePoint now)
+void EndpointBook::drop(const VmId &id)
 {
     const auto found = endpoints_.find(id);
     if (found == endpoints_.end())
         return;
-    departed_.insert_or_assign(id, Departed{std::move(found->second), now});
     endpoints_.erase(found);
     missing_.erase(id);
     ++revision_;
@@ -49,7 +40,7 @@
     std::set<VmId> listed;
     for (auto &endpoint : endpoints) {
         listed.insert(endpoint.id_);
-        put(std::move(endpoint), now);
+        put(std::move(endpoint));
     }
     std::vector<VmId> absent;
     for (const auto &[id, endpoint] : endpoints_) {
@@ -68,10 +59,7 @@
             due.push_back(id);
     }
     for (const auto &id : due)
-        drop(id, now);
-    std::erase_if(departed_, [now](const auto &entry) {
-        return now - entry.second.since_ > memoryOfDeparted;
-    });
+        drop(id);
 }
 
 const Endpoint *EndpointBook::find(const VmId &id) const
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -140,18 +140,6 @@
     return result;
 }
 
-bool LoadBoard::isHeardAnywhere(const VmId &endpoint) const
-{
-    const auto found = entries_.find(endpoint);
-    if (found != entries_.end() && found->second.own_ > 0 && !found->second.isSilent_)
-        return true;
-    return std::any_of(peers_.begin(), peers_.end(), [&endpoint](const auto &one) {
-        const auto &silent = one.second.silent_;
-        return one.second.counts_.contains(endpoint)
-               && std::find(silent.begin(), silent.end(), endpoint) == silent.end();
-    });
-}
-
 bool LoadBoard::isUsable(const VmId &endpoint, TimePoint now) const
 {
     const auto found = entries_.find(endpoint);
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -206,7 +206,7 @@
                    {"state", membership ? std::string(nameOf(membership->state_)) : ""},
                    {"version", std::to_string(row.version_.value())}});
     }
-    parts_.book_.put(valueOf(std::move(endpoint)), parts_.clock_.now());
+    parts_.book_.put(valueOf(std::move(endpoint)));
 }
 
 void Node::takePeer(const platform::RowChange &change)
@@ -304,10 +304,6 @@
     digest.silent_ = parts_.board_.silentHere();
     digest.demand_ = ownDemand_;
     digest.isDraining_ = isLeaving_;
-    for (const auto &[id, departed] : parts_.book_.departed()) {
-        if (parts_.board_.heardAt(id) > departed.since_)
-            digest.heard_.push_back(id);
-    }
     const auto text = encode(digest);
     for (const auto &[entry, peer] : peers_)
         parts_.datagrams_.send(peer.address_, text);
@@ -324,8 +320,6 @@
     const auto now = parts_.clock_.now();
     found->second.demand_ = std::move(digest->demand_);
     found->second.heardAt_ = now;
-    for (const auto &endpoint : digest->heard_)
-        parts_.manager_.heardByPeer(endpoint, now);
     parts_.board_.setPeerLoad(digest->from_.text(),
                               {std::move(digest->underWay_), std::move(digest->unread_),
                                std::move(digest->silent_), now});
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -67,7 +67,6 @@
     json::object params{{"from", digest.from_.text()},
                         {"under_way", countsOf(digest.underWay_)},
                         {"unread", countsOf(digest.unread_)},
-                        {"heard", namesOf(digest.heard_)},
                         {"silent", namesOf(digest.silent_)},
                         {"demand", std::move(demand)},
                         {"draining", digest.isDraining_}};
@@ -95,7 +94,6 @@
     readNumbers<std::size_t>(params.if_contains("under_way"), digest.underWay_);
     readNumbers<std::size_t>(params.if_contains("unread"), digest.unread_);
     readNumbers<double>(params.if_contains("demand"), digest.demand_);
-    digest.heard_ = endpointsIn(params.if_contains("heard"));
     digest.silent_ = endpointsIn(params.if_contains("silent"));
     const auto *draining = params.if_contains("draining");
     digest.isDraining_ = draining != nullptr && draining->is_bool() && draining->get_bool();
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -17,15 +17,9 @@
 /// the order counts as lost and the planner decides anew.
 constexpr Duration effectTime = std::chrono::milliseconds(800);
 
-/// Questions without any answer after which a head whose entry has lapsed counts as gone, and the
-/// pause between them. Its entry lapses after three missed heartbeats, so together more than the four
-/// seconds after which a group that lost its head's connection breaks by itself.
-constexpr std::uint32_t mostSilences = 2;
+/// Pause between two rounds of questions; a question itself waits 400 ms.
 constexpr Duration askAgain = std::chrono::milliseconds(600);
 
-/// A head that nobody remembers (this process is younger than its end) counts as gone after that.
-constexpr Duration forgottenHead = std::chrono::seconds(6);
-
 /// Group epochs of one tenure of the lease; the lease's own epoch stands before them.
 constexpr std::uint64_t epochsOfTenure = 1'000'000;
 
@@ -88,20 +82,8 @@
     input.profile_ = &*service.engine_;
     for (const auto &[engine, until] : pendingUntil_)
         input.pending_.insert(engine);
-    for (const auto &[group, head] : lostHeads_) {
-        if (head.isGone_)
-            input.headlessGroups_.insert(group);
-    }
     for (const auto &[engine, count] : unanswered_)
         input.unresponsive_.insert(engine);
-    // The head of a stalled group that nobody hears and that does not answer has died.
-    for (const auto &group : groupsOf(engines)) {
-        if (group.head_ == nullptr || parts_.board_.isHeardAnywhere(group.head_->id_))
-            continue;
-        const auto found = unanswered_.find(group.head_->id_);
-        if (found != unanswered_.end() && found->second >= mostSilences)
-            input.headlessGroups_.insert(group.group_);
-    }
     input.loadsUnderWay_ = loadsUntil_.size();
     input.isFirstLoad_ = isFirstLoad_;
     input.demand_ = demand_;
@@ -114,10 +96,8 @@
     const auto engines = parts_.book_.ofService(service.name_);
     inquire(engines);
     const auto plan = planReplicas(inputFor(service, engines));
-    for (const auto &order : plan.orders_)
+    for (const auto &order : plan)
         send(order, *service.engine_);
-    for (const auto &group : plan.unclear_)
-        findOut(group);
 }
 
 /// A group that stalls has lost a member, or its head: its members are asked which.
@@ -150,21 +130,24 @@
     parts_.orders_.state(member, [this, alive = std::weak_ptr(isAlive_), group,
                                   id = member.id_](const Result<Endpoint> &answer) {
         if (!alive.expired())
-            memberAnswered(group, id, isOk(answer));
+            memberAnswered(group, id, answer);
     });
 }
 
-void ReplicaManager::memberAnswered(const GroupName &group, const VmId &member, bool isAnswer)
+void ReplicaManager::memberAnswered(const GroupName &group, const VmId &member,
+                                    const Result<Endpoint> &answer)
 {
     auto &inquiry = inquiries_[group];
     inquiry.open_ -= inquiry.open_ > 0 ? 1 : 0;
-    if (isAnswer) {
+    if (isOk(answer)) {
         unanswered_.erase(member);
         return;
     }
     const auto count = ++unanswered_[member];
     log::info(event::engineSilent, {{"engine", member.text()},
                                     {"group", group.text()},
+                                    {"error", std::string(kindOf(errorOf(answer)))},
+                                    {"problem", messageOf(errorOf(answer))},
                                     {"questions", std::to_string(count)}});
 }
 
@@ -216,74 +199,4 @@
     return tenure.value() * epochsOfTenure + ++counter_;
 }
 
-const Departed *ReplicaManager::departedHead(const GroupName &group) const
-{
-    for (const auto &[id, departed] : parts_.book_.departed()) {
-        const auto &membership = departed.endpoint_.membership_;
-        if (membership && membership->group_ == group && membership->isHead())
-            return &departed;
-    }
-    return nullptr;
-}
-
-void ReplicaManager::findOut(const GroupName &group)
-{
-    const auto now = parts_.clock_.now();
-    auto &lost = lostHeads_[group];
-    if (lost.isGone_ || lost.isAsked_ || now - lost.askedAt_ < askAgain)
-        return;
-    const auto *departed = departedHead(group);
-    if (departed == nullptr) {
-        const auto since = headlessSince_.emplace(group, now).first->second;
-        lost.isGone_ = now - since > forgottenHead;
-        return;
-    }
-    const auto heard = heardByPeers_.find(departed->endpoint_.id_);
-    const bool isHeard = std::max(heard == heardByPeers_.end() ? TimePoint{} : heard->second,
-                                  parts_.board_.heardAt(departed->endpoint_.id_))
-                         > departed->since_;
-    if (isHeard)
-        lost.silences_ = 0;
-    lost.isAsked_ = true;
-    parts_.orders_.state(departed->endpoint_,
-                         [this, alive = std::weak_ptr(isAlive_), group,
-                          head = departed->endpoint_](const Result<Endpoint> &answer) {
-                             if (!alive.expired())
-                                 headAnswered(group, head, answer);
-                         });
-}
-
-/// A head that answers may still serve although its entry has lapsed: it is told to stop.
-void ReplicaManager::headAnswered(const GroupName &group, const Endpoint &head,
-                                  const Result<Endpoint> &answer)
-{
-    auto &lost = lostHeads_[group];
-    lost.isAsked_ = false;
-    lost.askedAt_ = parts_.clock_.now();
-    if (!isOk(answer)) {
-        ++lost.silences_;
-        // Another engine at the address says that this one is gone.
-        const bool isOther = isError<EndpointRefused>(answer);
-        lost.isGone_ = isOther || lost.silences_ >= mostSilences;
-        return;
-    }
-    lost.silences_ = 0;
-    const auto &membership = valueOf(answer).membership_;
-    const bool isHere = membership && membership->group_ == group;
-    if (!isHere || membership->state_ == MemberState::Broken
-        || membership->state_ == MemberState::Ready) {
-        lost.isGone_ = true;
-        return;
-    }
-    if (membership->state_ != MemberState::Open || !parts_.lease_.isHeldFor(orderMargin))
-        return;
-    const Order close = CloseOrder{group, membership->epoch_, false};
-    parts_.orders_.send(head, close, parts_.lease_.epoch().value(),
-                        [this, alive = std::weak_ptr(isAlive_), id = head.id_,
-                         close](const Result<OrderAnswer> &sent) {
-                            if (!alive.expired())
-                                answered(id, close, sent);
-                        });
-}
-
 } // namespace cardamombay::serving
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -47,6 +47,7 @@
     void reviewServing(const GroupView &group, bool isComplete);
     void reviewReady(const GroupView &group, bool isComplete);
     void release(const GroupView &group);
+    void leave(const GroupView &group);
     void offer(const Endpoint &engine);
     void formIn(Engines &free);
     bool formOne(Engines &free);
@@ -79,13 +80,13 @@
 
 void Run::order(const Endpoint &engine, Order order, std::string reason, bool loads)
 {
-    result_.orders_.push_back({engine.id_, std::move(order), std::move(reason), loads});
+    result_.push_back({engine.id_, std::move(order), std::move(reason), loads});
     loads_ += loads ? 1 : 0;
 }
 
 bool Run::isOrdered(const Endpoint &engine) const
 {
-    return std::any_of(result_.orders_.begin(), result_.orders_.end(),
+    return std::any_of(result_.begin(), result_.end(),
                        [&engine](const PlannedOrder &one) { return one.engine_ == engine.id_; });
 }
 
@@ -169,6 +170,16 @@
         offer(*member);
 }
 
+/// The head may still serve, cut off from here; so its members leave before they join another group.
+/// A head without its members lets nothing begin.
+void Run::leave(const GroupView &group)
+{
+    for (const auto *member : group.members_) {
+        if (!input_.pending_.contains(member->id_))
+            order(*member, LeaveOrder{group.group_, group.epoch_}, "head lost");
+    }
+}
+
 void Run::review(const GroupView &group)
 {
     const auto *model = modelNamed(group.model_);
@@ -181,10 +192,7 @@
     }
     const bool isComplete = group.isComplete(model->members_) && !group.hasDraining();
     if (group.head_ == nullptr) {
-        if (input_.headlessGroups_.contains(group.group_))
-            release(group);
-        else
-            result_.unclear_.push_back(group.group_);
+        leave(group);
         return;
     }
     switch (group.state()) {
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -129,7 +129,8 @@
 void Session::dispatch()
 {
     const auto now = gateway_.parts().clock_.now();
-    const Demand demand{service_, head_.model_, tried_, route_->goal_, wasHeld_, events_ > 0};
+    const Demand demand{service_,       head_.model_, tried_,     head_.promptTokens_,
+                        route_->goal_, wasHeld_,     events_ > 0};
     const auto choice = gateway_.parts().balancer_.choose(demand, now);
     if (const auto *target = std::get_if<Target>(&choice)) {
         send(*target);
