Members always leave a group before they join another; a lost member dissolves it at once

Groups over domains closed and reopened in turns, each close taking 3 to 6 s. Ruled out: waiting for pending orders (an order may be carried out 12 s late). Change: leave before join, always; a group that lost a member is left by all instead of closed; one group over domains of a model at a time makes way; a pending order ends when its effect is listed; the planner's feed pauses 15 ms, the others' 150 ms; the lease's term is 1.8 s.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -16,7 +16,7 @@
 constexpr Duration storeTimeout = std::chrono::milliseconds(900);
 constexpr Duration orderTimeout = std::chrono::milliseconds(800);
 /// An engine answers a question within a few milliseconds.
-constexpr Duration stateTimeout = std::chrono::milliseconds(400);
+constexpr Duration stateTimeout = std::chrono::milliseconds(250);
 
 /// Watches wait on connections of their own beside the other calls.
 constexpr std::size_t storeConnections = 8;
@@ -38,9 +38,9 @@
 leases::LeaseSettings leaseSettings()
 {
     leases::LeaseSettings settings;
-    settings.duration_ = std::chrono::milliseconds(2500);
-    settings.margin_ = std::chrono::milliseconds(200);
-    settings.renewEvery_ = std::chrono::milliseconds(800);
+    settings.duration_ = std::chrono::milliseconds(1800);
+    settings.margin_ = std::chrono::milliseconds(150);
+    settings.renewEvery_ = std::chrono::milliseconds(600);
     settings.rankDelay_ = std::chrono::milliseconds(150);
     settings.orderFlight_ = Duration::zero(); // Fencing numbers stop late orders.
     settings.writeDeadline_ = std::chrono::milliseconds(1000);
--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -72,7 +72,14 @@
     ManagerParts parts_;
     bool isFirstLoad_ = false;
     std::map<ModelName, double> demand_;
-    std::map<VmId, TimePoint> pendingUntil_;
+    /// An order whose effect is not seen yet.
+    struct Pending
+    {
+        TimePoint until_{};
+        Endpoint before_; ///< What the engine listed when the order was sent.
+    };
+
+    std::map<VmId, Pending> pending_;
     std::map<VmId, TimePoint> loadsUntil_;
     std::map<GroupName, Inquiry> inquiries_;
     std::map<VmId, std::uint32_t> unanswered_; ///< Questions in a row that an engine left open.
--- a/include/cardamombay/serving/store_watch.hpp
+++ b/include/cardamombay/serving/store_watch.hpp
@@ -57,6 +57,9 @@
 
     void start();
 
+    /// \brief Changes the pause after a call that brought changes.
+    void setPause(Duration pause) { settings_.pause_ = pause; }
+
     /// \brief True once the table has been listed.
     [[nodiscard]] bool isListed() const { return isListed_; }
 
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -22,7 +22,9 @@
 /// Endpoints must be known to leave within two seconds, also if the connection died silently.
 constexpr Duration endpointWait = std::chrono::milliseconds(1500);
 /// Engines list each step of a group; a call for each would be most of all calls.
-constexpr Duration endpointPause = std::chrono::milliseconds(120);
+constexpr Duration endpointPause = std::chrono::milliseconds(150);
+/// The planner waits for each step of a group to give the next order.
+constexpr Duration plannerPause = std::chrono::milliseconds(15);
 constexpr Duration peerWait = std::chrono::seconds(10);
 
 /// An entry VM without a confirmation for that long sends callers elsewhere.
@@ -270,6 +272,8 @@
     // Before traffic the operators' shares are all there is to go by.
     if (!demand.empty())
         parts_.manager_.setTrafficSeen();
+    const bool isPlanner = parts_.lease_.isHeld();
+    endpointWatch_.setPause(isPlanner ? plannerPause : endpointPause);
     parts_.manager_.setDemand(demand);
     parts_.manager_.tick(*parts_.gateway_.routes());
 }
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -17,8 +17,8 @@
 /// the order counts as lost and the planner decides anew.
 constexpr Duration effectTime = std::chrono::milliseconds(800);
 
-/// Pause between two rounds of questions; a question itself waits 400 ms.
-constexpr Duration askAgain = std::chrono::milliseconds(600);
+/// Pause between two rounds of questions; a question itself waits 250 ms.
+constexpr Duration askAgain = std::chrono::milliseconds(400);
 
 /// Group epochs of one tenure of the lease; the lease's own epoch stands before them.
 constexpr std::uint64_t epochsOfTenure = 1'000'000;
@@ -62,8 +62,10 @@
 
 void ReplicaManager::expire(TimePoint now)
 {
-    const auto isOver = [now](const auto &entry) { return now >= entry.second; };
-    std::erase_if(pendingUntil_, isOver);
+    std::erase_if(pending_, [this, now](const auto &entry) {
+        const auto *engine = parts_.book_.find(entry.first);
+        return now >= entry.second.until_ || engine == nullptr || *engine != entry.second.before_;
+    });
     std::erase_if(unanswered_, [this](const auto &entry) {
         return parts_.book_.find(entry.first) == nullptr;
     });
@@ -80,7 +82,7 @@
     PlanInput input;
     input.engines_ = engines;
     input.profile_ = &*service.engine_;
-    for (const auto &[engine, until] : pendingUntil_)
+    for (const auto &[engine, order] : pending_)
         input.pending_.insert(engine);
     for (const auto &[engine, count] : unanswered_)
         input.unresponsive_.insert(engine);
@@ -157,7 +159,7 @@
     if (engine == nullptr || !parts_.lease_.isHeldFor(orderMargin))
         return;
     const auto now = parts_.clock_.now();
-    pendingUntil_[planned.engine_] = now + effectTime;
+    pending_[planned.engine_] = {now + effectTime, *engine};
     if (planned.loads_) {
         // Loads that share the weight store take longer than one alone.
         const auto expected = isFirstLoad_ ? loadTimeOf(profile, planned.order_) / 5
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -15,8 +15,7 @@
 
 Readiness readinessOf(const Endpoint &engine, const ModelName &model)
 {
-    if (engine.membership_ && modelOf(engine.membership_->group_) == model
-        && engine.membership_->state_ != MemberState::Joining)
+    if (engine.model_ == model)
         return Readiness::Loaded;
     return engine.hasStaged(model) ? Readiness::Staged : Readiness::Empty;
 }
@@ -46,13 +45,13 @@
     void review(const GroupView &group);
     void reviewServing(const GroupView &group, bool isComplete);
     void reviewReady(const GroupView &group, bool isComplete);
-    void release(const GroupView &group);
-    void leave(const GroupView &group);
+    void leave(const GroupView &group, std::string_view reason);
     void offer(const Endpoint &engine);
     void formIn(Engines &free);
     bool formOne(Engines &free);
     void join(const Model &model, const Engines &members);
     void formFar();
+    void reviewFar();
     [[nodiscard]] Engines spares(const Model &model) const;
     [[nodiscard]] bool isNearPossible(const GroupView &group, const Model &model) const;
     [[nodiscard]] double weightOf(const GroupView &group) const;
@@ -75,6 +74,7 @@
     std::map<ModelName, double> groups_; ///< That serve or will.
     std::map<FabricDomain, Engines> free_;
     std::set<FabricDomain> hasGroup_;
+    std::vector<const GroupView *> serving_; ///< Whole groups.
     Plan result_;
 };
 
@@ -106,8 +106,10 @@
         else
             offer(*engine);
     }
-    for (const auto &group : groupsOf(engines_))
+    const auto groups = groupsOf(engines_);
+    for (const auto &group : groups)
         review(group);
+    reviewFar();
     for (auto &[domain, engines] : free_) {
         formIn(engines);
         // At the first start a domain is filled before the next one is begun: full domains repair
@@ -164,19 +166,13 @@
         free_[engine.domain_].push_back(&engine);
 }
 
-void Run::release(const GroupView &group)
-{
-    for (const auto *member : group.members_)
-        offer(*member);
-}
-
-/// The head may still serve, cut off from here; so its members leave before they join another group.
-/// A head without its members lets nothing begin.
-void Run::leave(const GroupView &group)
+/// Members leave before they may join another group. The head may still serve, cut off from here, or
+/// an order to open may still be on its way to it; without its members nothing begins there.
+void Run::leave(const GroupView &group, std::string_view reason)
 {
     for (const auto *member : group.members_) {
         if (!input_.pending_.contains(member->id_))
-            order(*member, LeaveOrder{group.group_, group.epoch_}, "head lost");
+            order(*member, LeaveOrder{group.group_, group.epoch_}, std::string(reason));
     }
 }
 
@@ -187,12 +183,12 @@
         if (group.head_ != nullptr && group.state() == MemberState::Open)
             order(*group.head_, CloseOrder{group.group_, group.epoch_, false}, "model not wanted");
         else if (group.head_ != nullptr && group.state() != MemberState::Closing)
-            release(group);
+            leave(group, "model not wanted");
         return;
     }
     const bool isComplete = group.isComplete(model->members_) && !group.hasDraining();
     if (group.head_ == nullptr) {
-        leave(group);
+        leave(group, "head lost");
         return;
     }
     switch (group.state()) {
@@ -210,10 +206,10 @@
                                       }))
             groups_[model->name_] += 1;
         else
-            release(group);
+            leave(group, "not all members join");
         break;
     case MemberState::Broken:
-        release(group);
+        leave(group, "broken");
         break;
     }
 }
@@ -223,19 +219,16 @@
     const auto *model = modelNamed(group.model_);
     if (isComplete) {
         groups_[group.model_] += weightOf(group);
-        if (group.isFar() && group.state() == MemberState::Open && isNearPossible(group, *model)
-            && !input_.pending_.contains(group.head_->id_))
-            order(*group.head_, CloseOrder{group.group_, group.epoch_, false},
-                  "a group in one domain is possible");
+        serving_.push_back(&group);
         return;
     }
     // A group that lost a member cannot finish its work; one that only loses it soon can.
-    const bool isLost = !group.isComplete(model->members_);
-    // A group that stands still never ends its work by itself, so a close that waits is made a cut.
-    const bool isDue = group.state() == MemberState::Open || isLost;
-    if (isDue && !input_.pending_.contains(group.head_->id_))
-        order(*group.head_, CloseOrder{group.group_, group.epoch_, isLost},
-              isLost ? "member lost" : "member leaving");
+    if (!group.isComplete(model->members_)) {
+        leave(group, "member lost");
+        return;
+    }
+    if (group.state() == MemberState::Open && !input_.pending_.contains(group.head_->id_))
+        order(*group.head_, CloseOrder{group.group_, group.epoch_, false}, "member leaving");
 }
 
 void Run::reviewReady(const GroupView &group, bool isComplete)
@@ -245,10 +238,14 @@
             group.members_.begin(), group.members_.end(),
             [this](const Endpoint *member) { return input_.pending_.contains(member->id_); });
         if (!isSettling)
-            release(group);
+            leave(group, "member lost");
+        return;
+    }
+    if (group.isFar() && isNearPossible(group, *modelNamed(group.model_))) {
+        leave(group, "a group in one domain is possible");
         return;
     }
-    groups_[group.model_] += 1;
+    groups_[group.model_] += weightOf(group);
     const bool areAllReady = std::all_of(
         group.members_.begin(), group.members_.end(), [](const Endpoint *member) {
             return member->membership_->state_ == MemberState::Ready;
@@ -353,6 +350,26 @@
     return false;
 }
 
+/// One far group of a model at a time makes way for a group in one domain, so that the others go on.
+void Run::reviewFar()
+{
+    std::set<ModelName> closing;
+    for (const auto *group : serving_) {
+        if (group->state() == MemberState::Closing)
+            closing.insert(group->model_);
+    }
+    for (const auto *group : serving_) {
+        const bool isOpen = group->isFar() && group->state() == MemberState::Open;
+        if (!isOpen || closing.contains(group->model_)
+            || input_.pending_.contains(group->head_->id_)
+            || !isNearPossible(*group, *modelNamed(group->model_)))
+            continue;
+        closing.insert(group->model_);
+        order(*group->head_, CloseOrder{group->group_, group->epoch_, false},
+              "a group in one domain is possible");
+    }
+}
+
 /// Spares of all domains that have the model at hand, those first whose domain has the most.
 Run::Engines Run::spares(const Model &model) const
 {
