--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -26,8 +26,8 @@
 /// Kept for giving the lease back and for the last answers.
 constexpr Duration stopReserve = std::chrono::milliseconds(900);
 
-/// A caller reuses a connection that was idle for up to four fifths of what operators allow; this is
-/// beyond the longest that they do.
+/// A caller reuses a connection that was idle for up to four fifths of what operators allow; this
+/// is beyond the longest that they do.
 constexpr Duration callerIdle = std::chrono::seconds(60);
 constexpr std::size_t mostBody = std::size_t{8} << 20U;
 
--- a/include/cardamombay/net/upstream.hpp
+++ b/include/cardamombay/net/upstream.hpp
@@ -25,8 +25,9 @@
     std::vector<HttpField> fields_;
     std::string body_;
     Duration connectTimeout_ = std::chrono::seconds(1);
-    Duration longestIdle_ = std::chrono::seconds(4); ///< A kept connection that was unused for
-                                                     ///< longer is not taken; zero wants a fresh one.
+    Duration longestIdle_
+        = std::chrono::seconds(4); ///< A kept connection that was unused for
+                                   ///< longer is not taken; zero wants a fresh one.
 };
 
 /// \brief Why an answer did not come or did not come whole.
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -18,7 +18,7 @@
 struct Demand
 {
     const Service *service_ = nullptr;
-    ModelName model_; ///< For services with engines.
+    ModelName model_;             ///< For services with engines.
     std::span<const VmId> tried_; ///< Not again there.
     std::size_t promptTokens_ = 0;
     Duration goal_{};       ///< Time to the first event that counts as on time.
--- a/include/cardamombay/serving/dialects.hpp
+++ b/include/cardamombay/serving/dialects.hpp
@@ -20,22 +20,22 @@
 /// \brief What a caller says about its request besides method, path and body.
 struct CallerHead
 {
-    RequestId request_;            ///< Unique for each attempt of a caller.
+    RequestId request_; ///< Unique for each attempt of a caller.
     std::string host_;
-    std::string key_;              ///< Empty if the caller shows none.
+    std::string key_;                  ///< Empty if the caller shows none.
     std::optional<Duration> patience_; ///< How long the caller will wait.
     ModelName model_;
     std::uint32_t promptTokens_ = 0;
     std::uint32_t mostAnswerTokens_ = 0;
-    std::uint32_t likelyAnswerTokens_ = 0; ///< The caller's own guess; 0 if it gives none.
+    std::uint32_t likelyAnswerTokens_ = 0;   ///< The caller's own guess; 0 if it gives none.
     std::optional<std::uint64_t> lastEvent_; ///< The caller has the stream up to this event.
 };
 
 /// \brief What the system adds to a request for one attempt at an endpoint.
 struct AttemptHead
 {
-    VmId endpoint_;      ///< Any other endpoint at the address must refuse.
-    TeamName team_;      ///< Empty if the route asks for no key.
+    VmId endpoint_;       ///< Any other endpoint at the address must refuse.
+    TeamName team_;       ///< Empty if the route asks for no key.
     Duration patience_{}; ///< Time that is left.
     std::optional<std::uint64_t> lastEvent_;
     std::optional<std::uint32_t> urgency_; ///< 0 (first) to 9.
@@ -44,10 +44,10 @@
 /// \brief What the head of an endpoint's answer says.
 struct AnswerHead
 {
-    bool isRefused_ = false;  ///< The endpoint states that it did not run the request.
+    bool isRefused_ = false;    ///< The endpoint states that it did not run the request.
     bool isWrongPlace_ = false; ///< Another endpoint has the address.
-    bool isSealed_ = false;   ///< Carries the endpoint's proof that the answer is its own.
-    VmId failedMember_;       ///< The VM that the endpoint holds responsible; empty if none.
+    bool isSealed_ = false;     ///< Carries the endpoint's proof that the answer is its own.
+    VmId failedMember_;         ///< The VM that the endpoint holds responsible; empty if none.
 };
 
 /// \brief Converts header fields of callers and endpoints.
--- a/include/cardamombay/serving/endpoint.hpp
+++ b/include/cardamombay/serving/endpoint.hpp
@@ -47,10 +47,10 @@
     ServiceName service_;
     Address address_;
     AvailabilityZone zone_;
-    FabricDomain domain_;       ///< Empty for plain services.
-    std::uint32_t slots_ = 0;   ///< Requests at once.
-    bool isDraining_ = false;   ///< Leaving; gets nothing new.
-    ModelName model_;           ///< Loaded now; empty if none.
+    FabricDomain domain_;           ///< Empty for plain services.
+    std::uint32_t slots_ = 0;       ///< Requests at once.
+    bool isDraining_ = false;       ///< Leaving; gets nothing new.
+    ModelName model_;               ///< Loaded now; empty if none.
     std::vector<ModelName> staged_; ///< Models on its host.
     std::optional<Membership> membership_;
 
--- a/include/cardamombay/serving/endpoint_book.hpp
+++ b/include/cardamombay/serving/endpoint_book.hpp
@@ -23,7 +23,8 @@
     void remove(const VmId &id, TimePoint now);
     /// \brief Takes a whole listing: endpoints that it lacks are removed.
     void replaceAll(std::vector<Endpoint> endpoints, TimePoint now);
-    /// \brief The store is back after an outage: entries may be missing without cause until \p until.
+    /// \brief The store is back after an outage: entries may be missing without cause until \p
+    /// until.
     void excuseAbsence(TimePoint until) { excusedUntil_ = until; }
     /// \brief Drops those whose grace is over. Call a few times a second.
     void expire(TimePoint now);
--- a/include/cardamombay/serving/formats.hpp
+++ b/include/cardamombay/serving/formats.hpp
@@ -30,8 +30,8 @@
     [[nodiscard]] virtual Result<Configuration> configuration(std::string_view text) const = 0;
 
     /// \returns the endpoint, or MalformedMessage.
-    [[nodiscard]] virtual Result<Endpoint> endpoint(const VmId &id, std::string_view text) const
-        = 0;
+    [[nodiscard]] virtual Result<Endpoint> endpoint(const VmId &id,
+                                                    std::string_view text) const = 0;
 };
 
 } // namespace cardamombay::serving
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -8,10 +8,10 @@
 #include <cardamombay/core/random.hpp>
 #include <cardamombay/net/http_server.hpp>
 #include <cardamombay/net/upstream.hpp>
-#include <cardamombay/retries/retry_budget.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/dialects.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
+#include <cardamombay/serving/repeat_window.hpp>
 
 #include <map>
 #include <memory>
@@ -29,7 +29,7 @@
     /// A key may have been taken away since the configuration was last confirmed; requests with a
     /// key are refused once that is longer ago than this.
     Duration longestUnconfirmed_ = std::chrono::seconds(4);
-    double retryShare_ = 0.2;        ///< Repeats for each request, over all entry VMs.
+    double retryShare_ = 0.2; ///< Repeats for each request, over all entry VMs.
     Duration retryWindow_ = std::chrono::seconds(10);
     std::uint32_t retryReserve_ = 100; ///< Repeats in a window at any rate, over all entry VMs.
 };
@@ -100,8 +100,7 @@
 
 private:
     void retryHeld(std::vector<std::shared_ptr<Session>> &sessions);
-    [[nodiscard]] retries::RetryBudget &budgetOf(const ServiceName &service);
-    [[nodiscard]] retries::RetryBudgetPolicy budgetPolicy() const;
+    [[nodiscard]] RepeatBound repeatBound() const;
 
     GatewayParts parts_;
     GatewayBounds bounds_;
@@ -111,7 +110,7 @@
     std::shared_ptr<const RouteTable> routes_;
     TimePoint confirmedAt_{};
     std::map<ModelName, double> demand_;
-    std::unordered_map<ServiceName, retries::RetryBudget> budgets_;
+    std::unordered_map<ServiceName, RepeatWindow> repeats_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> ended_;
 };
--- a/include/cardamombay/serving/gateway_settings.hpp
+++ b/include/cardamombay/serving/gateway_settings.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Process settings of cardamombay-gateway.
-/// \details Where this process stands and whom it talks to, and the bounds agreed with the platform.
-/// What operators declare for all entry VMs comes from the platform's store.
+/// \details Where this process stands and whom it talks to, and the bounds agreed with the
+/// platform. What operators declare for all entry VMs comes from the platform's store.
 #pragma once
 
 #include <cardamombay/core/address.hpp>
@@ -21,14 +21,14 @@
 {
     EntryId entry_;
     AvailabilityZone zone_;
-    Address callers_;   ///< Listener for callers.
-    Address readiness_; ///< Listener of the balancer's readiness check.
-    Address metrics_;   ///< Listener of the metrics.
-    Address digests_;   ///< Where peers' datagrams arrive.
-    Address store_;     ///< The platform's store.
+    Address callers_;           ///< Listener for callers.
+    Address readiness_;         ///< Listener of the balancer's readiness check.
+    Address metrics_;           ///< Listener of the metrics.
+    Address digests_;           ///< Where peers' datagrams arrive.
+    Address store_;             ///< The platform's store.
     bool isFirstStart_ = false; ///< The whole system starts for the first time.
     std::string chartsFolder_ = "charts";
-    std::string logLevel_ = "info"; ///< "debug", "info", "warn" or "error".
+    std::string logLevel_ = "info";            ///< "debug", "info", "warn" or "error".
     Duration grace_ = std::chrono::seconds(8); ///< From the request to stop until the kill.
     GatewayBounds bounds_;
 };
--- a/include/cardamombay/serving/group_view.hpp
+++ b/include/cardamombay/serving/group_view.hpp
@@ -8,7 +8,8 @@
 
 namespace cardamombay::serving {
 
-/// \brief Name of a group: the model, a dot and the epoch, so that every entry VM can tell the model.
+/// \brief Name of a group: the model, a dot and the epoch, so that every entry VM can tell the
+/// model.
 [[nodiscard]] GroupName groupNameOf(const ModelName &model, std::uint64_t epoch);
 
 /// \brief The model that a group's name tells.
@@ -20,7 +21,7 @@
     GroupName group_;
     std::uint64_t epoch_ = 0;
     ModelName model_;
-    const Endpoint *head_ = nullptr; ///< Null if it is not listed.
+    const Endpoint *head_ = nullptr;        ///< Null if it is not listed.
     std::vector<const Endpoint *> members_; ///< By rank, the head included if it is listed.
 
     /// \brief True if all \p size members are listed.
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -35,7 +35,8 @@
     void stalled(const VmId &endpoint, TimePoint now);
     /// \}
 
-    /// \brief What a peer has under way, the prompt tokens still to be read, and the endpoints that are silent there.
+    /// \brief What a peer has under way, the prompt tokens still to be read, and the endpoints that
+    /// are silent there.
     struct PeerLoad
     {
         std::unordered_map<VmId, std::size_t> counts_;
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// \brief One entry VM: what it knows of the platform, its peers and its endpoints.
-/// \details Feeds the gateway with configuration, endpoints and the peers' load, and the planner with
-/// the time to act. Decides whether the entry VM is ready for callers. One thread.
+/// \details Feeds the gateway with configuration, endpoints and the peers' load, and the planner
+/// with the time to act. Decides whether the entry VM is ready for callers. One thread.
 #pragma once
 
 #include <cardamombay/serving/formats.hpp>
@@ -19,7 +19,7 @@
 {
     EntryId entry_;
     Incarnation incarnation_;
-    Address digests_; ///< Where peers' datagrams reach this entry VM.
+    Address digests_;           ///< Where peers' datagrams reach this entry VM.
     bool isFirstStart_ = false; ///< The whole system starts for the first time.
 };
 
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -24,7 +24,7 @@
     EntryId from_;
     std::unordered_map<VmId, std::size_t> underWay_; ///< Its requests at each endpoint.
     std::unordered_map<VmId, std::size_t> unread_;   ///< Prompt tokens still to be read there.
-    std::vector<VmId> silent_; ///< Endpoints whose streams stalled there.
+    std::vector<VmId> silent_;                       ///< Endpoints whose streams stalled there.
     std::map<ModelName, double> demand_; ///< Its requests a second by model, times their work.
     bool isDraining_ = false;
 
--- /dev/null
+++ b/include/cardamombay/serving/repeat_window.hpp
@@ -0,0 +1,48 @@
+/// \file
+/// \brief Bounds repeated sends over a sliding window.
+/// \details Decides whether one more repeat keeps every window within a share of the requests in it
+/// and a reserve. Single-threaded.
+#pragma once
+
+#include <cardamombay/core/time.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace cardamombay::serving {
+
+/// \brief Bound of a window.
+struct RepeatBound
+{
+    double share_ = 0;   ///< Repeats allowed for each request of the window.
+    double reserve_ = 0; ///< Repeats allowed in a window at any rate of requests.
+    Duration window_ = std::chrono::seconds(10);
+};
+
+/// \brief Requests and repeats of the last window, in slices.
+class RepeatWindow
+{
+public:
+    void countRequest(const RepeatBound &bound, TimePoint now);
+
+    /// \brief Counts a repeat if it is within \p bound.
+    /// \returns false if it is not; nothing is counted then.
+    [[nodiscard]] bool take(const RepeatBound &bound, TimePoint now);
+
+private:
+    static constexpr std::size_t sliceCount = 20;
+
+    struct Slice
+    {
+        std::int64_t number_ = -1; ///< Of the slice of time that the counts are for.
+        double requests_ = 0;
+        double repeats_ = 0;
+    };
+
+    Slice &sliceAt(const RepeatBound &bound, TimePoint now);
+
+    std::array<Slice, sliceCount> slices_{};
+};
+
+} // namespace cardamombay::serving
--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Forms and ends groups of engines while this entry VM holds the planner lease.
-/// \details Carries out what the planner decides: sends orders under the lease's fencing number, and
-/// asks the members of a stalled group which of them is lost. Guards that only one entry VM gives
-/// orders.
+/// \details Carries out what the planner decides: sends orders under the lease's fencing number,
+/// and asks the members of a stalled group which of them is lost. Guards that only one entry VM
+/// gives orders.
 #pragma once
 
 #include <cardamombay/core/clock.hpp>
@@ -59,8 +59,7 @@
 
     void inquire(const std::vector<const Endpoint *> &engines);
     void ask(const GroupName &group, const Endpoint &member);
-    void memberAnswered(const GroupName &group, const VmId &member,
-                        const Result<Endpoint> &answer);
+    void memberAnswered(const GroupName &group, const VmId &member, const Result<Endpoint> &answer);
     void planService(const Service &service);
     [[nodiscard]] PlanInput inputFor(const Service &service,
                                      const std::vector<const Endpoint *> &engines);
--- a/include/cardamombay/serving/replica_orders.hpp
+++ b/include/cardamombay/serving/replica_orders.hpp
@@ -74,15 +74,15 @@
 
     /// \brief Sends \p order once.
     /// \param fence fencing number of the lease under which it is given.
-    /// \param done gets TimedOut if the engine may still carry the order out, EndpointUnreachable if
-    /// it never got it.
+    /// \param done gets TimedOut if the engine may still carry the order out, EndpointUnreachable
+    /// if it never got it.
     virtual void send(const Endpoint &engine, const Order &order, std::uint64_t fence,
                       Callback<OrderAnswer> done)
         = 0;
 
     /// \brief Asks \p engine for its present state; \p engine gives what the answer leaves out.
-    /// \param done gets EndpointUnreachable if there was no connection, TimedOut if there was one and
-    /// no answer came, EndpointRefused if another engine is at the address.
+    /// \param done gets EndpointUnreachable if there was no connection, TimedOut if there was one
+    /// and no answer came, EndpointRefused if another engine is at the address.
     virtual void state(const Endpoint &engine, Callback<Endpoint> done) = 0;
 };
 
--- a/include/cardamombay/serving/replica_planner.hpp
+++ b/include/cardamombay/serving/replica_planner.hpp
@@ -21,11 +21,11 @@
 {
     std::span<const Endpoint *const> engines_; ///< Listed engines of the service.
     const EngineProfile *profile_ = nullptr;
-    std::set<VmId> pending_;              ///< Engines with an order whose effect is not seen yet.
-    std::set<VmId> unresponsive_; ///< Listed, but they do not answer; counted as missing.
-    std::size_t loadsUnderWay_ = 0;       ///< From the weight store.
-    bool isFirstLoad_ = false;            ///< No request has come yet, so loads are fast.
-    std::map<ModelName, double> demand_;  ///< Groups' worth of work by model; empty if unknown.
+    std::set<VmId> pending_;             ///< Engines with an order whose effect is not seen yet.
+    std::set<VmId> unresponsive_;        ///< Listed, but they do not answer; counted as missing.
+    std::size_t loadsUnderWay_ = 0;      ///< From the weight store.
+    bool isFirstLoad_ = false;           ///< No request has come yet, so loads are fast.
+    std::map<ModelName, double> demand_; ///< Groups' worth of work by model; empty if unknown.
     std::function<std::uint64_t()> nextEpoch_; ///< Rises over all planners.
 };
 
--- a/include/cardamombay/serving/route_table.hpp
+++ b/include/cardamombay/serving/route_table.hpp
@@ -1,7 +1,7 @@
 /// \file
 /// \brief Lookup of routes, services and teams of one configuration.
-/// \details Decides which route a request takes and whose key it shows, and nothing else. Immutable,
-/// so requests under way keep the table they began with.
+/// \details Decides which route a request takes and whose key it shows, and nothing else.
+/// Immutable, so requests under way keep the table they began with.
 #pragma once
 
 #include <cardamombay/serving/configuration.hpp>
--- a/include/cardamombay/serving/store_watch.hpp
+++ b/include/cardamombay/serving/store_watch.hpp
@@ -43,8 +43,8 @@
     struct Settings
     {
         std::string table_;
-        Duration wait_{}; ///< Longest wait of one call; a call costs, and a confirmation is at least
-                          ///< that old.
+        Duration wait_{}; ///< Longest wait of one call; a call costs, and a confirmation is at
+                          ///< least that old.
         Duration pause_{}; ///< After a call that brought changes, so that one call brings several.
     };
 
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -105,8 +105,7 @@
     if (isClosed_ || activity_ != Activity::Answering)
         return;
     char byte = 0;
-    const auto size
-        = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const auto size = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (size == 0)
         lose();
     else if (size < 0)
--- a/src/net/kept_connection.cpp
+++ b/src/net/kept_connection.cpp
@@ -16,8 +16,8 @@
 bool isQuiet(KeptConnection &connection)
 {
     char byte = 0;
-    const auto size = ::recv(connection.stream_.socket().native_handle(), &byte, 1,
-                             MSG_PEEK | MSG_DONTWAIT);
+    const auto size
+        = ::recv(connection.stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
@@ -67,8 +67,7 @@
 void KeptPool::watch(const Address &address, const std::shared_ptr<KeptConnection> &connection)
 {
     connection->stream_.socket().async_wait(
-        Tcp::socket::wait_read,
-        [self = shared_from_this(), address, connection](error_code error) {
+        Tcp::socket::wait_read, [self = shared_from_this(), address, connection](error_code error) {
             if (!error && connection->isKept_)
                 self->drop(address, connection);
         });
--- a/src/net/udp_channel.cpp
+++ b/src/net/udp_channel.cpp
@@ -28,15 +28,15 @@
 
     void receive()
     {
-        socket_.async_receive(boost::asio::buffer(buffer_), [weak = weak_from_this()](
-                                                                error_code error, std::size_t size) {
-            const auto self = weak.lock();
-            if (!self || error == boost::asio::error::operation_aborted)
-                return;
-            if (!error && self->handler_)
-                self->handler_(std::string_view(self->buffer_.data(), size));
-            self->receive();
-        });
+        socket_.async_receive(boost::asio::buffer(buffer_),
+                              [weak = weak_from_this()](error_code error, std::size_t size) {
+                                  const auto self = weak.lock();
+                                  if (!self || error == boost::asio::error::operation_aborted)
+                                      return;
+                                  if (!error && self->handler_)
+                                      self->handler_(std::string_view(self->buffer_.data(), size));
+                                  self->receive();
+                              });
     }
 
     Udp::socket socket_;
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -8,14 +8,15 @@
 
 namespace {
 
-/// Requests that may wait at a group beyond its batch, as a share of the batch. A batch of 26 frees a
-/// place about every 40 ms, so three waiting ones still begin within the goals of 200 to 400 ms.
+/// Requests that may wait at a group beyond its batch, as a share of the batch. A batch of 26 frees
+/// a place about every 40 ms, so three waiting ones still begin within the goals of 200 to 400 ms.
 constexpr double waitingShare = 0.12;
 
 /// The same for requests whose caller has a part of the answer: a broken answer is lost whole.
 constexpr double begunWaitingShare = 0.4;
 
-/// Part of the goal that the predicted time to the first event may take; the rest is for the network.
+/// Part of the goal that the predicted time to the first event may take; the rest is for the
+/// network.
 constexpr double goalShare = 0.92;
 /// A request comes in the middle of a pass, and its first event at the end of the next one.
 constexpr double passesToFirstEvent = 1.5;
@@ -113,9 +114,9 @@
     for (const auto &candidate : candidatesOf(*demand.service_)) {
         if (demand.service_->engine_ && candidate.model_ != demand.model_)
             continue;
-        const bool wasTried = std::find(demand.tried_.begin(), demand.tried_.end(),
-                                        candidate.endpoint_)
-                              != demand.tried_.end();
+        const bool wasTried
+            = std::find(demand.tried_.begin(), demand.tried_.end(), candidate.endpoint_)
+              != demand.tried_.end();
         if (!wasTried && board_.isUsable(candidate.endpoint_, now))
             result.push_back(&candidate);
     }
@@ -136,9 +137,9 @@
     const EngineModel model(profile, *modelNamed(profile, candidate.model_));
     const auto pass = model.pauseBetweenEvents(board_.total(candidate.endpoint_) + 1, usualContext);
     const auto own = model.readTime(demand.promptTokens_);
-    return fromSeconds(passesToFirstEvent
-                       * (toSeconds(pass + own) * candidate.slowness_
-                          + toSeconds(backlog(candidate, profile))));
+    return fromSeconds(
+        passesToFirstEvent
+        * (toSeconds(pass + own) * candidate.slowness_ + toSeconds(backlog(candidate, profile))));
 }
 
 bool Balancer::hasRoom(const Candidate &candidate, const Demand &demand) const
@@ -157,8 +158,8 @@
 }
 
 /// The group that begins the request first, of those that have room for it.
-const Balancer::Candidate *
-Balancer::soonest(const std::vector<const Candidate *> &candidates, const Demand &demand)
+const Balancer::Candidate *Balancer::soonest(const std::vector<const Candidate *> &candidates,
+                                             const Demand &demand)
 {
     const Candidate *best = nullptr;
     double least = 0;
@@ -176,8 +177,8 @@
     return best;
 }
 
-const Balancer::Candidate *
-Balancer::leastLoaded(const std::vector<const Candidate *> &candidates, std::size_t limit)
+const Balancer::Candidate *Balancer::leastLoaded(const std::vector<const Candidate *> &candidates,
+                                                 std::size_t limit)
 {
     const Candidate *best = nullptr;
     double least = 0;
--- a/src/serving/engine_model.cpp
+++ b/src/serving/engine_model.cpp
@@ -4,7 +4,8 @@
 
 namespace {
 
-/// Mean context of a request in a full batch, tokens; prompts of the services here have 674 to 1,960.
+/// Mean context of a request in a full batch, tokens; prompts of the services here have 674 to
+/// 1,960.
 constexpr std::size_t usualContext = 1500;
 
 /// Prompt tokens that an engine reads between two steps; vLLM's usual chunk.
@@ -20,7 +21,8 @@
 Duration EngineModel::pauseBetweenEvents(std::size_t writers, std::size_t context) const
 {
     const double thousands = static_cast<double>(context) / 1000;
-    const Duration perWriter = profile_.perRequest_ + scaled(profile_.perThousandTokens_, thousands);
+    const Duration perWriter
+        = profile_.perRequest_ + scaled(profile_.perThousandTokens_, thousands);
     const Duration step = profile_.step_ + scaled(perWriter, static_cast<double>(writers));
     return scaled(step, profile_.stride_ * model_.pace_);
 }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -90,7 +90,6 @@
 void Gateway::setBounds(const GatewayBounds &bounds)
 {
     bounds_ = bounds;
-    budgets_.clear();
 }
 
 Duration Gateway::unconfirmedFor() const
@@ -100,47 +99,35 @@
 
 void Gateway::setEntryCount(std::size_t count)
 {
-    if (count == entryCount_ || count == 0)
-        return;
-    entryCount_ = count;
-    budgets_.clear();
-}
-
-/// Half of the reserve may be saved up and half flows in over a window, so that no window of any
-/// place sees more than the whole.
-retries::RetryBudgetPolicy Gateway::budgetPolicy() const
-{
-    const double reserve = bounds_.retryReserve_ * budgetMargin / static_cast<double>(entryCount_);
-    retries::RetryBudgetPolicy policy;
-    policy.share_ = bounds_.retryShare_ * budgetMargin;
-    policy.floorPerSecond_ = reserve / 2 / toSeconds(bounds_.retryWindow_);
-    policy.maximumBalance_ = reserve / 2;
-    return policy;
+    entryCount_ = std::max<std::size_t>(1, count);
 }
 
-retries::RetryBudget &Gateway::budgetOf(const ServiceName &service)
+/// The entry VMs share the fleet's reserve evenly; each earns its own share of its requests.
+RepeatBound Gateway::repeatBound() const
 {
-    const auto found = budgets_.find(service);
-    if (found != budgets_.end())
-        return found->second;
-    return budgets_.emplace(service, retries::RetryBudget(budgetPolicy())).first->second;
+    RepeatBound bound;
+    bound.share_ = bounds_.retryShare_ * budgetMargin;
+    bound.reserve_ = bounds_.retryReserve_ * budgetMargin / static_cast<double>(entryCount_);
+    bound.window_ = bounds_.retryWindow_;
+    return bound;
 }
 
 void Gateway::countRequest(const Service &service, const CallerHead &head)
 {
-    budgetOf(service.name_).deposit(parts_.clock_.now());
+    repeats_[service.name_].countRequest(repeatBound(), parts_.clock_.now());
     if (!service.engine_)
         return;
     for (const auto &model : service.engine_->models_) {
         if (model.name_ == head.model_)
-            demand_[model.name_] += toSeconds(EngineModel(*service.engine_, model).groupTime(
-                head.promptTokens_, likelyAnswer(head)));
+            demand_[model.name_]
+                += toSeconds(EngineModel(*service.engine_, model)
+                                 .groupTime(head.promptTokens_, likelyAnswer(head)));
     }
 }
 
 bool Gateway::mayRepeat(const ServiceName &service)
 {
-    const bool may = budgetOf(service).withdraw(parts_.clock_.now());
+    const bool may = repeats_[service].take(repeatBound(), parts_.clock_.now());
     if (may)
         parts_.metrics_.repeats_.increment();
     return may;
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -73,8 +73,7 @@
 
 void LoadBoard::expire(TimePoint now)
 {
-    std::erase_if(peers_,
-                  [now](const auto &one) { return now - one.second.at_ > peerLifetime; });
+    std::erase_if(peers_, [now](const auto &one) { return now - one.second.at_ > peerLifetime; });
     std::erase_if(entries_, [now](const auto &one) {
         const auto &entry = one.second;
         return entry.own_ == 0 && now > entry.avoidUntil_ && now - entry.heardAt_ > memoryOfIdle;
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -48,7 +48,8 @@
                           {std::string(parts.format_.configurationTable()), configurationWait, {}},
                           *this)
     , endpointWatch_(parts.clock_, parts.store_, parts.feed_,
-                     {std::string(parts.format_.endpointTable()), endpointWait, endpointPause}, *this)
+                     {std::string(parts.format_.endpointTable()), endpointWait, endpointPause},
+                     *this)
     , peerWatch_(parts.clock_, parts.store_, parts.feed_, {peerTable, peerWait, {}}, *this)
 {
 }
@@ -136,8 +137,8 @@
         if (isOk(endpoint))
             endpoints.push_back(valueOf(std::move(endpoint)));
         else
-            log::warning(event::endpointRefused, {{"endpoint", row.key_.key_},
-                                                  {"problem", messageOf(errorOf(endpoint))}});
+            log::warning(event::endpointRefused,
+                         {{"endpoint", row.key_.key_}, {"problem", messageOf(errorOf(endpoint))}});
     }
     log::info(event::endpointListed, {{"count", std::to_string(endpoints.size())}});
     parts_.book_.replaceAll(std::move(endpoints), parts_.clock_.now());
@@ -168,9 +169,8 @@
         return;
     auto configuration = parts_.format_.configuration(row.value_);
     if (!isOk(configuration)) {
-        log::error(event::configurationRefused,
-                   {{"row", std::to_string(row.version_.value())},
-                    {"problem", messageOf(errorOf(configuration))}});
+        log::error(event::configurationRefused, {{"row", std::to_string(row.version_.value())},
+                                                 {"problem", messageOf(errorOf(configuration))}});
         return;
     }
     const auto version = valueOf(configuration).version_;
@@ -241,9 +241,10 @@
 
 void Node::storeReachable(const std::string &table, bool isReachable)
 {
-    log::info(isReachable ? event::storeRegained : event::storeLost,
-              {{"table", table},
-               {"unconfirmed-ms", std::to_string(toMilliseconds(parts_.gateway_.unconfirmedFor()))}});
+    log::info(
+        isReachable ? event::storeRegained : event::storeLost,
+        {{"table", table},
+         {"unconfirmed-ms", std::to_string(toMilliseconds(parts_.gateway_.unconfirmedFor()))}});
     if (table != parts_.format_.endpointTable())
         return;
     if (isReachable)
@@ -255,10 +256,10 @@
     parts_.gateway_.sweep();
     const bool ready = isReady();
     if (std::exchange(wasReady_, ready) != ready)
-        log::info(event::readiness,
-                  {{"ready", ready ? "yes" : "no"},
-                   {"unconfirmed-ms",
-                    std::to_string(toMilliseconds(parts_.gateway_.unconfirmedFor()))}});
+        log::info(
+            event::readiness,
+            {{"ready", ready ? "yes" : "no"},
+             {"unconfirmed-ms", std::to_string(toMilliseconds(parts_.gateway_.unconfirmedFor()))}});
 }
 
 void Node::tickPlan()
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -64,12 +64,10 @@
     json::object demand;
     for (const auto &[model, rate] : digest.demand_)
         demand[model.text()] = rate;
-    json::object params{{"from", digest.from_.text()},
-                        {"under_way", countsOf(digest.underWay_)},
-                        {"unread", countsOf(digest.unread_)},
-                        {"silent", namesOf(digest.silent_)},
-                        {"demand", std::move(demand)},
-                        {"draining", digest.isDraining_}};
+    json::object params{
+        {"from", digest.from_.text()},        {"under_way", countsOf(digest.underWay_)},
+        {"unread", countsOf(digest.unread_)}, {"silent", namesOf(digest.silent_)},
+        {"demand", std::move(demand)},        {"draining", digest.isDraining_}};
     return json::serialize(
         json::object{{"jsonrpc", "2.0"}, {"method", method}, {"params", std::move(params)}});
 }
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -13,8 +13,8 @@
 /// Rest of the lease that an order needs: its call and the clocks' drift.
 constexpr Duration orderMargin = std::chrono::milliseconds(500);
 
-/// An engine lists a change at once; the feed brings it within a few hundred milliseconds. After that
-/// the order counts as lost and the planner decides anew.
+/// An engine lists a change at once; the feed brings it within a few hundred milliseconds. After
+/// that the order counts as lost and the planner decides anew.
 constexpr Duration effectTime = std::chrono::milliseconds(800);
 
 /// Pause between two rounds of questions; a question itself waits 250 ms.
@@ -66,9 +66,8 @@
         const auto *engine = parts_.book_.find(entry.first);
         return now >= entry.second.until_ || engine == nullptr || *engine != entry.second.before_;
     });
-    std::erase_if(unanswered_, [this](const auto &entry) {
-        return parts_.book_.find(entry.first) == nullptr;
-    });
+    std::erase_if(unanswered_,
+                  [this](const auto &entry) { return parts_.book_.find(entry.first) == nullptr; });
     std::erase_if(loadsUntil_, [&](const auto &entry) {
         const auto *engine = parts_.book_.find(entry.first);
         const bool isDone = engine == nullptr || !engine->staged_.empty();
@@ -108,8 +107,9 @@
     const auto now = parts_.clock_.now();
     const auto silent = parts_.board_.silentAnywhere();
     for (const auto &group : groupsOf(engines)) {
-        const bool isStalled = group.head_ != nullptr
-                               && std::binary_search(silent.begin(), silent.end(), group.head_->id_);
+        const bool isStalled
+            = group.head_ != nullptr
+              && std::binary_search(silent.begin(), silent.end(), group.head_->id_);
         const bool isOpenQuestion
             = std::any_of(group.members_.begin(), group.members_.end(),
                           [this](const Endpoint *one) { return unanswered_.contains(one->id_); });
@@ -188,9 +188,8 @@
                                    : std::string(kindOf(errorOf(answer)));
     if (isOk(answer) && valueOf(answer) == OrderAnswer::Begun)
         return;
-    log::info(event::orderAnswered, {{"engine", engine.text()},
-                                     {"order", std::string(nameOf(order))},
-                                     {"answer", text}});
+    log::info(event::orderAnswered,
+              {{"engine", engine.text()}, {"order", std::string(nameOf(order))}, {"answer", text}});
 }
 
 std::uint64_t ReplicaManager::nextEpoch()
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -166,8 +166,8 @@
         free_[engine.domain_].push_back(&engine);
 }
 
-/// Members leave before they may join another group. The head may still serve, cut off from here, or
-/// an order to open may still be on its way to it; without its members nothing begins there.
+/// Members leave before they may join another group. The head may still serve, cut off from here,
+/// or an order to open may still be on its way to it; without its members nothing begins there.
 void Run::leave(const GroupView &group, std::string_view reason)
 {
     for (const auto *member : group.members_) {
@@ -200,10 +200,10 @@
         reviewReady(group, isComplete);
         break;
     case MemberState::Joining:
-        if (isComplete || std::any_of(group.members_.begin(), group.members_.end(),
-                                      [this](const Endpoint *member) {
-                                          return input_.pending_.contains(member->id_);
-                                      }))
+        if (isComplete
+            || std::any_of(
+                group.members_.begin(), group.members_.end(),
+                [this](const Endpoint *member) { return input_.pending_.contains(member->id_); }))
             groups_[model->name_] += 1;
         else
             leave(group, "not all members join");
@@ -246,10 +246,10 @@
         return;
     }
     groups_[group.model_] += weightOf(group);
-    const bool areAllReady = std::all_of(
-        group.members_.begin(), group.members_.end(), [](const Endpoint *member) {
-            return member->membership_->state_ == MemberState::Ready;
-        });
+    const bool areAllReady
+        = std::all_of(group.members_.begin(), group.members_.end(), [](const Endpoint *member) {
+              return member->membership_->state_ == MemberState::Ready;
+          });
     if (areAllReady && !input_.pending_.contains(group.head_->id_))
         order(*group.head_, OpenOrder{group.group_, group.epoch_}, "all members ready");
 }
@@ -260,9 +260,8 @@
     const auto known = input_.demand_.find(model.name_);
     const double need = known == input_.demand_.end() ? model.share_ : known->second;
     // The operators' shares are of the work of engines, measured demand is in groups.
-    const double capacity = known == input_.demand_.end()
-                                ? groups_.at(model.name_) * model.members_
-                                : groups_.at(model.name_);
+    const double capacity = known == input_.demand_.end() ? groups_.at(model.name_) * model.members_
+                                                          : groups_.at(model.name_);
     return capacity / std::max(need, 0.01);
 }
 
@@ -284,7 +283,8 @@
 
 void Run::formIn(Engines &free)
 {
-    while (formOne(free)) { }
+    while (formOne(free)) {
+    }
 }
 
 bool Run::formOne(Engines &free)
@@ -299,9 +299,10 @@
     }
     if (model == nullptr)
         return false;
-    std::stable_sort(free.begin(), free.end(), [model](const Endpoint *left, const Endpoint *right) {
-        return readinessOf(*left, model->name_) < readinessOf(*right, model->name_);
-    });
+    std::stable_sort(
+        free.begin(), free.end(), [model](const Endpoint *left, const Endpoint *right) {
+            return readinessOf(*left, model->name_) < readinessOf(*right, model->name_);
+        });
     const auto end = free.begin() + model->members_;
     join(*model, Engines(free.begin(), end));
     free.erase(free.begin(), end);
@@ -350,7 +351,8 @@
     return false;
 }
 
-/// One far group of a model at a time makes way for a group in one domain, so that the others go on.
+/// One far group of a model at a time makes way for a group in one domain, so that the others go
+/// on.
 void Run::reviewFar()
 {
     std::set<ModelName> closing;
@@ -382,9 +384,9 @@
                      });
         byDomain.push_back(std::move(warm));
     }
-    std::stable_sort(byDomain.begin(), byDomain.end(), [](const Engines &left, const Engines &right) {
-        return left.size() > right.size();
-    });
+    std::stable_sort(
+        byDomain.begin(), byDomain.end(),
+        [](const Engines &left, const Engines &right) { return left.size() > right.size(); });
     Engines result;
     for (const auto &engines : byDomain)
         result.insert(result.end(), engines.begin(), engines.end());
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -19,8 +19,8 @@
 constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusTimeout = 504;
 
-/// When a refused caller is asked to come back: some places of a full group are free by then, and it
-/// still leaves half of the shortest goal of 150 ms.
+/// When a refused caller is asked to come back: some places of a full group are free by then, and
+/// it still leaves half of the shortest goal of 150 ms.
 constexpr Duration comeBackSoon = std::chrono::milliseconds(60);
 /// What the control side lacks comes within about a second.
 constexpr Duration comeBackLater = std::chrono::milliseconds(400);
@@ -28,21 +28,21 @@
 /// Sends of one request, refused ones included; each counts against the fleet's budget.
 constexpr std::size_t mostSends = 4;
 
-/// An unused connection that is older may have been dropped by the endpoint without notice. What may
-/// not run twice takes a fresh one then: a reset could not be told from a run.
+/// An unused connection that is older may have been dropped by the endpoint without notice. What
+/// may not run twice takes a fresh one then: a reset could not be told from a run.
 constexpr Duration longestIdleOnce = std::chrono::milliseconds(300);
 constexpr Duration longestIdle = std::chrono::seconds(3);
 
-/// A plain endpoint that has not answered an idempotent request by then is left for another one; its
-/// work takes 30 ms at the mean and 220 ms at most.
+/// A plain endpoint that has not answered an idempotent request by then is left for another one;
+/// its work takes 30 ms at the mean and 220 ms at most.
 constexpr Duration plainPatience = std::chrono::milliseconds(300);
 
-/// A stream that has not begun by then is tried elsewhere, whatever holds it up; it is past its goal of
-/// at most 400 ms, and has most of its time of 5 s or more left.
+/// A stream that has not begun by then is tried elsewhere, whatever holds it up; it is past its
+/// goal of at most 400 ms, and has most of its time of 5 s or more left.
 constexpr Duration waitingPatience = std::chrono::milliseconds(1000);
 
-/// A caller of a stream leaves after that long without an event, or after four times the goal or eight
-/// times the longest pause on time, whichever is the longest.
+/// A caller of a stream leaves after that long without an event, or after four times the goal or
+/// eight times the longest pause on time, whichever is the longest.
 constexpr Duration callerPatience = std::chrono::seconds(2);
 /// Share of that for which a request is held for room; the rest is for its first event.
 constexpr double longestHoldShare = 0.65;
@@ -129,7 +129,7 @@
 void Session::dispatch()
 {
     const auto now = gateway_.parts().clock_.now();
-    const Demand demand{service_,       head_.model_, tried_,     head_.promptTokens_,
+    const Demand demand{service_,      head_.model_, tried_,     head_.promptTokens_,
                         route_->goal_, wasHeld_,     events_ > 0};
     const auto choice = gateway_.parts().balancer_.choose(demand, now);
     if (const auto *target = std::get_if<Target>(&choice)) {
@@ -225,8 +225,12 @@
         attemptFailed(Failure::Unknown, "an answer without the endpoint's seal");
         return;
     }
-    if (!isSuccess && head.status_ >= 500 && mayRunAgain() && mayGoOn(Failure::Unknown)) {
-        attemptFailed(Failure::Unknown, "status " + std::to_string(head.status_));
+    const bool isWorthRepeating = !isSuccess && head.status_ >= 500 && phase_ == Phase::Waiting;
+    if (isWorthRepeating && mayRunAgain() && mayGoOn(Failure::Unknown)
+        && gateway_.mayRepeat(service_->name_)) {
+        logFailure("status " + std::to_string(head.status_));
+        dropAttempt();
+        dispatch();
         return;
     }
     if (isSuccess && isStream()) {
@@ -381,14 +385,7 @@
 void Session::attemptFailed(Failure failure, std::string_view detail)
 {
     dropAttempt();
-    log::info(event::attemptFailed,
-              {{"request", head_.request_.text()},
-               {"endpoint", target_.endpoint_.text()},
-               {"detail", std::string(detail)},
-               {"events", std::to_string(events_)},
-               {"sends", std::to_string(sends_)},
-               {"elapsed-ms",
-                std::to_string(toMilliseconds(gateway_.parts().clock_.now() - arrivedAt_))}});
+    logFailure(detail);
     if (phase_ == Phase::Whole) {
         phase_ = Phase::Waiting;
         answer_ = {};
@@ -400,6 +397,18 @@
         giveUp(detail);
 }
 
+void Session::logFailure(std::string_view detail) const
+{
+    log::info(event::attemptFailed,
+              {{"request", head_.request_.text()},
+               {"endpoint", target_.endpoint_.text()},
+               {"detail", std::string(detail)},
+               {"events", std::to_string(events_)},
+               {"sends", std::to_string(sends_)},
+               {"elapsed-ms",
+                std::to_string(toMilliseconds(gateway_.parts().clock_.now() - arrivedAt_))}});
+}
+
 /// Nothing more will be tried. "Not run" is said only if no attempt can have run.
 void Session::giveUp(std::string_view reason)
 {
@@ -437,7 +446,8 @@
         return phase_ == Phase::Waiting && silent > plainPatience;
     if (target_.patience_ == Duration::zero() || silent <= target_.patience_)
         return false;
-    // A request that the endpoint has put off lets the others pass; a group that stands still doesn't.
+    // A request that the endpoint has put off lets the others pass; a group that stands still
+    // doesn't.
     const auto heard = now - gateway_.parts().board_.heardAt(target_.endpoint_);
     if (heard <= target_.patience_)
         return !hasProgress_ && silent > waitingPatience;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// \brief One request of a caller, from its arrival to its final answer.
-/// \details Decides where the request goes, whether it may go on elsewhere after a failure, and what
-/// the caller is told. Guards that nothing runs twice that must not, that "not run" is only said
-/// where it is so, and that an answer never mixes with another.
+/// \details Decides where the request goes, whether it may go on elsewhere after a failure, and
+/// what the caller is told. Guards that nothing runs twice that must not, that "not run" is only
+/// said where it is so, and that an answer never mixes with another.
 #pragma once
 
 #include <cardamombay/net/server_exchange.hpp>
@@ -73,6 +73,7 @@
     [[nodiscard]] std::size_t tokensToRead() const;
     void dropAttempt();
     void attemptFailed(Failure failure, std::string_view detail);
+    void logFailure(std::string_view detail) const;
     [[nodiscard]] bool mayGoOn(Failure failure) const;
     [[nodiscard]] bool mayRunAgain() const;
     [[nodiscard]] bool isStalled(TimePoint now) const;
@@ -117,7 +118,7 @@
     bool isHeld_ = false;        ///< It waits here for room.
     bool wasHeld_ = false;
     std::size_t unreadTokens_ = 0; ///< Of the present attempt's prompt.
-    bool hasProgress_ = false;   ///< Something came from the present attempt.
+    bool hasProgress_ = false;     ///< Something came from the present attempt.
 
     Phase phase_ = Phase::Waiting;
     net::HttpResponse answer_; ///< Head and, for whole answers, body so far.
--- a/src/serving/store_watch.cpp
+++ b/src/serving/store_watch.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Pauses after failures; the store's rate is shared by all entry VMs, and what depends on it may be
-/// two seconds late at most.
+/// Pauses after failures; the store's rate is shared by all entry VMs, and what depends on it may
+/// be two seconds late at most.
 constexpr Duration firstPause = std::chrono::milliseconds(100);
 constexpr Duration longestPause = std::chrono::milliseconds(400);
 
@@ -80,18 +80,18 @@
 void StoreWatch::wait()
 {
     const auto since = clock_.now();
-    feed_.changes({settings_.table_, version_, settings_.wait_},
-                  [this, alive = std::weak_ptr(isAlive_),
-                   since](const Result<platform::ChangePage> &result) {
-                      if (alive.expired())
-                          return;
-                      if (isOk(result))
-                          changed(valueOf(result), since);
-                      else if (isError<NotFound>(result))
-                          list();
-                      else
-                          failed(errorOf(result));
-                  });
+    feed_.changes(
+        {settings_.table_, version_, settings_.wait_},
+        [this, alive = std::weak_ptr(isAlive_), since](const Result<platform::ChangePage> &result) {
+            if (alive.expired())
+                return;
+            if (isOk(result))
+                changed(valueOf(result), since);
+            else if (isError<NotFound>(result))
+                list();
+            else
+                failed(errorOf(result));
+        });
 }
 
 void StoreWatch::changed(const platform::ChangePage &page, TimePoint since)
--- /dev/null
+++ b/tests/adapter/formats.cpp
@@ -0,0 +1,165 @@
+// What the adapter reads from configurations, entries and header fields, and what it writes.
+#include <platform/dialect.hpp>
+#include <platform/store_format.hpp>
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::adapter;
+using namespace cardamombay::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+using Fields = std::vector<net::HttpField>;
+
+constexpr std::string_view configurationText = R"({"Version":7,
+"Routes":[{"Name":"r","Host":"h.example","Prefix":"/a/","Kind":"streaming","TimeoutMs":8000,
+"GoalMs":300,"Priority":1,"Backends":[{"Service":"lm","Weight":90},{"Service":"app","Weight":10}],
+"MaxAttempts":2,"NoAuth":false,"Sticky":true,"Resumable":true,"GapTargetMs":250},
+{"Name":"s","Host":"h.example","Prefix":"/b/","Kind":"idempotent","TimeoutMs":800,"GoalMs":150,
+"Service":"app","MaxAttempts":2,"NoAuth":true}],
+"Services":[{"Name":"lm","MaxConns":304,"Engine":{"Slots":26,"KvCapacity":1590000,"Stride":7,
+"Models":[{"Name":"m","size":4,"Share":0.57,"pace":1.0,"LoadS":16.0,"WarmS":1.6}],"step_ms":5.95,
+"per_seq_ms":0.0445,"context_per_k":0.00813,"read_per_s":50700.0,"LoadsPerS":4.5,
+"loads_at_once":6,"far_x":2.5,"FormMs":300.0}},{"Name":"app","MaxConns":100}],
+"Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Priority":1},{"Name":"u","ApiKeys":["k3"]}]})";
+
+std::string valueIn(const Fields &fields, std::string_view name)
+{
+    for (const auto &field : fields) {
+        if (field.name_ == name)
+            return field.value_;
+    }
+    return {};
+}
+
+bool has(const Fields &fields, std::string_view name)
+{
+    return std::any_of(fields.begin(), fields.end(),
+                       [name](const auto &field) { return field.name_ == name; });
+}
+
+} // namespace
+
+Test(store_format, configuration_is_decoded_whole)
+{
+    const auto decoded = PlatformFormat().configuration(configurationText);
+    cr_assert(isOk(decoded));
+    const auto &configuration = valueOf(decoded);
+    cr_assert_eq(configuration.version_, ConfigVersion(7));
+    const auto &route = configuration.routes_[0];
+    cr_assert_eq(route.kind_, RequestKind::Stream);
+    cr_assert(route.isResumable_ && route.needsKey_);
+    cr_assert_eq(route.pauseGoal_, milliseconds(250));
+    cr_assert_eq(route.backends_[1], (Backend{ServiceName("app"), 10}));
+    cr_assert_eq(configuration.routes_[1].kind_, RequestKind::Idempotent);
+    cr_assert_eq(configuration.routes_[1].backends_[0].service_, ServiceName("app"));
+    cr_assert_not(configuration.routes_[1].needsKey_);
+    const auto &engine = *configuration.services_[0].engine_;
+    cr_assert_eq(engine.slots_, 26);
+    cr_assert_eq(engine.models_[0].members_, 4);
+    cr_assert_eq(engine.models_[0].warmLoad_, milliseconds(1600));
+    cr_assert_not(configuration.services_[1].engine_);
+    cr_assert_eq(*configuration.teams_[0].priority_, 1);
+    cr_assert_not(configuration.teams_[1].priority_);
+}
+
+Test(store_format, text_that_is_no_configuration_is_an_error)
+{
+    for (const auto *text : {"", "{", "[]", "{}", R"({"Version":0})"})
+        cr_assert(isError<MalformedMessage>(PlatformFormat().configuration(text)));
+}
+
+Test(store_format, entry_is_decoded_with_its_group)
+{
+    const auto decoded = PlatformFormat().endpoint(VmId("i-1"), R"({"Service":"lm",
+"Address":"10.1.0.9:8080","Zone":"z","Slots":26,"State":"ready","Models":[{"Name":"m","Version":1}],
+"Domain":"z-d0","Staged":["m"],"SeqNo":4,"group":{"Name":"m.3","epoch":3,"rank":1,"State":"ready"}})");
+    cr_assert(isOk(decoded));
+    const auto &endpoint = valueOf(decoded);
+    cr_assert_eq(endpoint.address_, (Address{"10.1.0.9", 8080}));
+    cr_assert_not(endpoint.isDraining_);
+    cr_assert(endpoint.hasStaged(ModelName("m")));
+    cr_assert_eq(endpoint.membership_->epoch_, 3);
+    cr_assert_eq(endpoint.membership_->state_, MemberState::Ready);
+}
+
+Test(store_format, entry_that_is_not_ready_is_leaving_and_one_without_address_refused)
+{
+    const PlatformFormat format;
+    const auto leaving
+        = format.endpoint(VmId("i"), R"({"Address":"10.1.0.9:8080","State":"draining"})");
+    cr_assert(valueOf(leaving).isDraining_);
+    cr_assert(isError<MalformedMessage>(format.endpoint(VmId("i"), R"({"State":"ready"})")));
+}
+
+Test(dialect, head_of_a_caller_is_read)
+{
+    const Fields fields{
+        {"x-request-id", "r"},     {"Host", "h"},          {"Authorization", "Bearer k1"},
+        {"X-Deadline-Ms", "1500"}, {"X-Model", "m"},       {"X-Token-Counts", "1460,80"},
+        {"X-Length-Hint", "40"},   {"Last-Event-Id", "12"}};
+    const auto head = PlatformDialect().callerHead(fields);
+    cr_assert_eq(head.request_, RequestId("r"));
+    cr_assert_eq(head.key_, "k1");
+    cr_assert_eq(*head.patience_, milliseconds(1500));
+    cr_assert_eq(head.promptTokens_, 1460);
+    cr_assert_eq(head.mostAnswerTokens_, 80);
+    cr_assert_eq(head.likelyAnswerTokens_, 40);
+    cr_assert_eq(*head.lastEvent_, 12);
+}
+
+Test(dialect, values_that_cannot_be_read_count_as_absent)
+{
+    const Fields fields{{"X-Deadline-Ms", "soon"}, {"X-Token-Counts", "7"}, {"Authorization", "k"}};
+    const auto head = PlatformDialect().callerHead(fields);
+    cr_assert_not(head.patience_);
+    cr_assert_eq(head.promptTokens_, 0);
+    cr_assert(head.key_.empty());
+}
+
+Test(dialect, key_and_connection_fields_never_reach_the_endpoint)
+{
+    const Fields fields{{"Authorization", "Bearer k"},
+                        {"Connection", "close, X-Hop"},
+                        {"X-Hop", "1"},
+                        {"Keep-Alive", "timeout=5"},
+                        {"X-Tenant", "forged"},
+                        {"X-Expect-Instance", "forged"},
+                        {"X-Kept", "yes"},
+                        {"Last-Event-Id", "3"}};
+    AttemptHead attempt;
+    attempt.endpoint_ = VmId("i-1");
+    attempt.team_ = TeamName("t");
+    attempt.patience_ = seconds(2);
+    attempt.lastEvent_ = 9;
+    const auto result = PlatformDialect().attemptFields(fields, attempt);
+    for (const auto *name : {"Authorization", "Connection", "X-Hop", "Keep-Alive"})
+        cr_assert_not(has(result, name));
+    cr_assert_eq(valueIn(result, "X-Tenant"), "t");
+    cr_assert_eq(valueIn(result, "X-Expect-Instance"), "i-1");
+    cr_assert_eq(valueIn(result, "X-Deadline-Ms"), "2000");
+    cr_assert_eq(valueIn(result, "Last-Event-Id"), "9");
+    cr_assert_eq(valueIn(result, "X-Kept"), "yes");
+}
+
+Test(dialect, refusals_of_endpoints_are_told_from_failures)
+{
+    const PlatformDialect dialect;
+    cr_assert(dialect.answerHead({503, {{"X-Not-Executed", "1"}}, {}}).isRefused_);
+    cr_assert(dialect.answerHead({421, {}, {}}).isRefused_);
+    cr_assert_not(dialect.answerHead({503, {}, {}}).isRefused_);
+    cr_assert_not(dialect.answerHead({500, {}, {}}).isRefused_);
+    cr_assert(dialect.answerHead({200, {{"X-Response-Seal", "s"}}, {}}).isSealed_);
+}
+
+Test(dialect, own_failures_carry_no_seal_and_a_time_to_come_back)
+{
+    const auto response = PlatformDialect().failure(503, "full", milliseconds(60));
+    cr_assert_eq(response.field("Retry-After"), "0.060");
+    cr_assert_eq(response.field("X-Response-Seal"), "");
+}
--- /dev/null
+++ b/tests/adapter/store_client.cpp
@@ -0,0 +1,156 @@
+// The platform's store through the adapter, against answers written by hand.
+#include <platform/engine_orders.hpp>
+#include <platform/store_client.hpp>
+
+#include <functional>
+#include <optional>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::adapter;
+using namespace cardamombay::platform;
+using std::chrono::seconds;
+
+namespace {
+
+/// Answers each request with the next result that was prepared.
+class FakeClient final : public net::HttpClient
+{
+public:
+    void send(net::HttpRequest request, std::function<void(net::HttpResult)> done) override
+    {
+        requests_.push_back(std::move(request));
+        done(result_);
+    }
+
+    net::HttpResult result_;
+    std::vector<net::HttpRequest> requests_;
+};
+
+struct Bench
+{
+    void answer(std::uint32_t status, std::string body)
+    {
+        client_.result_ = net::HttpResponse{status, {}, std::move(body)};
+    }
+
+    Result<CommitReceipt> commit()
+    {
+        Transaction transaction;
+        transaction.writer_ = WriterToken("w");
+        transaction.conditions_ = {{{"t", "k"}, RowVersion(4)}};
+        transaction.writes_ = {{{"t", "k"}, "v"}, {{"t", "gone"}, std::nullopt}};
+        std::optional<Result<CommitReceipt>> result;
+        store_.commit(transaction, [&result](const auto &one) { result = one; });
+        return *result;
+    }
+
+    Result<ChangePage> changes()
+    {
+        std::optional<Result<ChangePage>> result;
+        store_.changes({"t", RowVersion(3), seconds(1)},
+                       [&result](const auto &one) { result = one; });
+        return *result;
+    }
+
+    FakeClient client_;
+    StoreClient store_{client_, {{"10.0.0.1", 1}, seconds(1)}};
+};
+
+} // namespace
+
+Test(store_client, transaction_is_sent_with_conditions_writes_and_removals)
+{
+    Bench bench;
+    bench.answer(200, R"({"Ver":9,"NowMs":1})");
+    const auto result = bench.commit();
+    cr_assert_eq(valueOf(result).version_, RowVersion(9));
+    const auto &body = bench.client_.requests_[0].body_;
+    cr_assert_neq(body.find(R"("Precondition":[{"Table":"t","part":"","Key":"k","Ver":4}])"),
+                  std::string::npos);
+    cr_assert_neq(body.find(R"("Value":"dwp2")"), std::string::npos); // "w\nv"
+    cr_assert_neq(body.find(R"("Remove":[{"Table":"t","part":"","Key":"gone"}])"),
+                  std::string::npos);
+}
+
+Test(store_client, failed_condition_names_the_row_and_its_writer)
+{
+    Bench bench;
+    bench.answer(412,
+                 R"({"Rows":[{"Table":"t","part":"","Key":"k","Value":"eAp2","Ver":6}],"Ver":9})");
+    const auto result = bench.commit();
+    cr_assert(isError<StoreConflict>(result));
+    const auto &conflict = std::get<StoreConflict>(errorOf(result));
+    cr_assert_eq(conflict.found_, RowVersion(6));
+    cr_assert_eq(conflict.writer_, WriterToken("x"));
+}
+
+Test(store_client, lost_answer_of_a_write_is_not_a_failure)
+{
+    Bench bench;
+    bench.client_.result_ = net::HttpFailure{true, true, "timeout"};
+    cr_assert(isError<StoreAnswerLost>(bench.commit()));
+    bench.client_.result_ = net::HttpFailure{false, false, "refused"};
+    cr_assert(isError<StoreUnavailable>(bench.commit()));
+    bench.answer(503, "");
+    cr_assert(isError<StoreUnavailable>(bench.commit()));
+    bench.answer(429, "");
+    cr_assert(isError<StoreThrottled>(bench.commit()));
+    bench.answer(200, "not json");
+    cr_assert(isError<StoreAnswerLost>(bench.commit()));
+}
+
+Test(store_client, changes_carry_values_and_removals)
+{
+    Bench bench;
+    bench.answer(200, R"({"Rows":[{"Table":"t","Key":"a","Value":"eyJ4IjoxfQ==","Ver":4},
+{"Table":"t","Key":"b","Ver":5,"Removed":true}],"Ver":5,"NowMs":1})");
+    const auto result = bench.changes();
+    const auto &page = valueOf(result);
+    cr_assert_eq(page.changes_[0].row_.value_, R"({"x":1})");
+    cr_assert(page.changes_[1].isRemoved_);
+    cr_assert_eq(page.version_, RowVersion(5));
+    cr_assert_eq(bench.client_.requests_[0].target_, "/-/rows-feed?Table=t&After=3&WaitMs=1000");
+}
+
+Test(store_client, lost_history_is_told_from_an_outage)
+{
+    Bench bench;
+    bench.answer(410, "");
+    cr_assert(isError<NotFound>(bench.changes()));
+    bench.answer(503, "");
+    cr_assert(isError<StoreUnavailable>(bench.changes()));
+}
+
+Test(engine_orders, order_names_the_engine_and_the_fence)
+{
+    FakeClient client;
+    client.result_ = net::HttpResponse{202, {}, {}};
+    EngineOrders orders(client, seconds(1), seconds(1));
+    serving::Endpoint engine;
+    engine.id_ = VmId("i-1");
+    std::optional<Result<serving::OrderAnswer>> answer;
+    orders.send(engine,
+                serving::JoinOrder{serving::GroupName("m.3"), 3, ModelName("m"), {VmId("i-1")}}, 5,
+                [&answer](const auto &one) { answer = one; });
+    cr_assert_eq(valueOf(*answer), serving::OrderAnswer::Begun);
+    cr_assert_eq(
+        client.requests_[0].body_,
+        R"({"Op":"join","group":"m.3","epoch":3,"Model":"m","Members":["i-1"],"Fence":5})");
+    cr_assert_eq(client.requests_[0].fields_[0].value_, "i-1");
+}
+
+Test(engine_orders, unanswered_order_may_still_be_carried_out)
+{
+    FakeClient client;
+    client.result_ = net::HttpFailure{true, true, "timeout"};
+    EngineOrders orders(client, seconds(1), seconds(1));
+    std::optional<Result<serving::OrderAnswer>> answer;
+    const auto take = [&answer](const auto &one) { answer = one; };
+    orders.send({}, serving::StageOrder{ModelName("m")}, 1, take);
+    cr_assert(isError<TimedOut>(*answer));
+    client.result_ = net::HttpFailure{false, false, "refused"};
+    orders.send({}, serving::StageOrder{ModelName("m")}, 1, take);
+    cr_assert(isError<EndpointUnreachable>(*answer));
+}
--- /dev/null
+++ b/tests/serving/replica_planner.cpp
@@ -0,0 +1,190 @@
+// Which orders the planner gives for what the engines list.
+#include "support/gateway_fixture.hpp"
+
+#include <cardamombay/serving/replica_planner.hpp>
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using namespace cardamombay::support;
+
+namespace {
+
+/// Engines and what the planner knows of them.
+struct Bench
+{
+    Plan plan()
+    {
+        std::vector<const Endpoint *> engines;
+        for (const auto &engine : engines_)
+            engines.push_back(&engine);
+        const auto profile = *gatewayConfiguration().services_.front().engine_;
+        input_.engines_ = engines;
+        input_.profile_ = &profile;
+        input_.nextEpoch_ = [this] { return ++epoch_; };
+        return planReplicas(input_);
+    }
+
+    void addGroup(const std::string &name, const std::string &domain, MemberState head,
+                  const std::string &otherDomain = {})
+    {
+        const GroupName group(name);
+        engines_.push_back(engineIn(name + "-0", domain, group, 1, 0, head));
+        engines_.push_back(engineIn(name + "-1", otherDomain.empty() ? domain : otherDomain, group,
+                                    1, 1, MemberState::Ready));
+    }
+
+    std::vector<Endpoint> engines_;
+    PlanInput input_;
+    std::uint64_t epoch_ = 10;
+};
+
+template<typename Kind>
+std::vector<std::string> targetsOf(const Plan &plan)
+{
+    std::vector<std::string> result;
+    for (const auto &order : plan) {
+        if (std::holds_alternative<Kind>(order.order_))
+            result.push_back(order.engine_.text());
+    }
+    std::sort(result.begin(), result.end());
+    return result;
+}
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+Test(replica_planner, whole_ready_group_is_opened_and_an_open_one_left_alone)
+{
+    Bench bench;
+    bench.addGroup("m.1", "d", MemberState::Ready);
+    bench.addGroup("m.2", "d", MemberState::Open);
+    const auto plan = bench.plan();
+    cr_assert_eq(plan.size(), 1);
+    cr_assert_eq(targetsOf<OpenOrder>(plan), Names{"m.1-0"});
+}
+
+Test(replica_planner, group_is_not_opened_before_all_members_are_ready)
+{
+    Bench bench;
+    bench.addGroup("m.1", "d", MemberState::Ready);
+    bench.engines_[1].membership_->state_ = MemberState::Joining;
+    cr_assert(bench.plan().empty());
+}
+
+Test(replica_planner, all_that_is_left_of_a_group_leaves_when_a_member_is_lost)
+{
+    Bench bench;
+    bench.addGroup("m.1", "d", MemberState::Open);
+    bench.engines_.pop_back();
+    cr_assert_eq(targetsOf<LeaveOrder>(bench.plan()), Names{"m.1-0"});
+}
+
+Test(replica_planner, member_that_does_not_answer_counts_as_lost)
+{
+    Bench bench;
+    bench.addGroup("m.1", "d", MemberState::Open);
+    bench.input_.unresponsive_ = {VmId("m.1-1")};
+    cr_assert_eq(targetsOf<LeaveOrder>(bench.plan()), Names{"m.1-0"});
+}
+
+Test(replica_planner, members_leave_a_lost_head_before_they_join_another_group)
+{
+    Bench bench;
+    bench.addGroup("m.1", "d", MemberState::Open);
+    bench.engines_.erase(bench.engines_.begin());
+    bench.engines_.push_back(spareEngine("s", "d", "m"));
+    const auto plan = bench.plan();
+    cr_assert_eq(targetsOf<LeaveOrder>(plan), Names{"m.1-1"});
+    cr_assert(targetsOf<JoinOrder>(plan).empty());
+}
+
+Test(replica_planner, engine_that_still_lists_a_group_is_never_joined_to_another)
+{
+    for (const auto state : {MemberState::Joining, MemberState::Ready, MemberState::Open,
+                             MemberState::Closing, MemberState::Broken}) {
+        Bench bench;
+        bench.addGroup("m.1", "d", state);
+        bench.engines_.pop_back();
+        bench.engines_.push_back(spareEngine("s", "d", "m"));
+        cr_assert(targetsOf<JoinOrder>(bench.plan()).empty());
+    }
+}
+
+Test(replica_planner, leaving_member_closes_its_group_without_a_cut)
+{
+    Bench bench;
+    bench.addGroup("m.1", "d", MemberState::Open);
+    bench.engines_[1].isDraining_ = true;
+    const auto plan = bench.plan();
+    cr_assert_eq(plan.size(), 1);
+    cr_assert_not(std::get<CloseOrder>(plan.front().order_).cutsWork_);
+}
+
+Test(replica_planner, staged_spares_of_a_domain_form_a_group_with_a_new_epoch)
+{
+    Bench bench;
+    bench.engines_ = {spareEngine("a", "d", "m"), spareEngine("b", "d", "m")};
+    const auto plan = bench.plan();
+    cr_assert_eq(targetsOf<JoinOrder>(plan), (Names{"a", "b"}));
+    const auto &join = std::get<JoinOrder>(plan.front().order_);
+    cr_assert_eq(join.epoch_, 11);
+    cr_assert_eq(join.group_, GroupName("m.11"));
+    cr_assert_eq(join.members_.size(), 2);
+}
+
+Test(replica_planner, leaving_and_pending_engines_are_not_chosen)
+{
+    Bench bench;
+    bench.engines_
+        = {spareEngine("a", "d", "m"), spareEngine("b", "d", "m"), spareEngine("c", "d", "m")};
+    bench.engines_[0].isDraining_ = true;
+    bench.input_.pending_ = {VmId("b")};
+    cr_assert(bench.plan().empty());
+}
+
+Test(replica_planner, spares_of_several_domains_serve_together_if_no_domain_has_enough)
+{
+    Bench bench;
+    bench.engines_ = {spareEngine("a", "d", "m"), spareEngine("b", "e", "m")};
+    cr_assert_eq(targetsOf<JoinOrder>(bench.plan()), (Names{"a", "b"}));
+}
+
+Test(replica_planner, one_group_over_domains_at_a_time_makes_way)
+{
+    Bench bench;
+    bench.addGroup("m.1", "d", MemberState::Open, "e");
+    bench.addGroup("m.2", "d", MemberState::Open, "e");
+    bench.engines_.push_back(spareEngine("s", "d", "m"));
+    cr_assert_eq(targetsOf<CloseOrder>(bench.plan()).size(), 1);
+    bench.engines_[0].membership_->state_ = MemberState::Closing;
+    cr_assert(targetsOf<CloseOrder>(bench.plan()).empty());
+}
+
+Test(replica_planner, first_start_gives_the_domains_to_the_models_in_turn)
+{
+    Bench bench;
+    bench.input_.isFirstLoad_ = true;
+    for (const auto *domain : {"d", "e"}) {
+        for (int i = 0; i < 2; ++i)
+            bench.engines_.push_back(spareEngine(std::string(domain) + std::to_string(i), domain));
+    }
+    std::map<ModelName, int> joins;
+    for (const auto &order : bench.plan())
+        ++joins[std::get<JoinOrder>(order.order_).model_];
+    cr_assert_eq(joins[ModelName("m")], 2);
+    cr_assert_eq(joins[ModelName("n")], 2);
+}
+
+Test(replica_planner, no_more_loads_begin_than_the_weight_store_serves_at_once)
+{
+    Bench bench;
+    bench.input_.loadsUnderWay_ = 4;
+    for (int i = 0; i < 9; ++i)
+        bench.engines_.push_back(spareEngine("s" + std::to_string(i), "d"));
+    cr_assert_eq(targetsOf<StageOrder>(bench.plan()).size(), 2);
+}
--- /dev/null
+++ b/tests/serving/streams.cpp
@@ -0,0 +1,153 @@
+// Event streams: passed on as they come, resumed where they stopped, never ended as whole too
+// early.
+#include "support/gateway_fixture.hpp"
+
+#include <cardamombay/serving/event_scanner.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using namespace cardamombay::support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::string_view first = "id: 1\ndata: a\n\n";
+constexpr std::string_view second = "id: 2\ndata: b\n\n";
+
+/// Begins a stream that has brought one event.
+std::shared_ptr<CallerView> begin(GatewayFixture &bench, const std::string &path)
+{
+    auto caller = bench.ask(path);
+    bench.lastCall()->connect();
+    bench.lastCall()->sealedHead();
+    bench.lastCall()->data(first);
+    return caller;
+}
+
+} // namespace
+
+Test(event_scanner, finds_whole_events_and_their_ids)
+{
+    const auto whole = wholeEvents("id: 3\ndata: x\n\nid: 4\nda");
+    cr_assert_eq(whole.size_, 15);
+    cr_assert_eq(whole.count_, 1);
+    cr_assert_eq(*whole.lastId_, 3);
+    cr_assert_eq(wholeEvents("id:9\r\ndata: x\r\n\r\n").size_, 17);
+    cr_assert_eq(*wholeEvents("id:9\r\ndata: x\r\n\r\n").lastId_, 9);
+    cr_assert_eq(wholeEvents("data: x\n").size_, 0);
+    cr_assert_not(wholeEvents("data: x\n\n").lastId_);
+}
+
+Test(streams, whole_stream_is_passed_on_and_ended)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    const auto caller = begin(bench, "/stream/1");
+    cr_assert_eq(caller->streamed_, first);
+    cr_assert(caller->streamHead_);
+    bench.lastCall()->end(second);
+    cr_assert_eq(caller->streamed_, std::string(first) + std::string(second));
+    cr_assert(caller->isFinished_);
+}
+
+Test(streams, broken_stream_goes_on_at_another_group_behind_the_last_whole_event)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.addGroup("g-1");
+    const auto caller = begin(bench, "/stream/1");
+    bench.lastCall()->data("id: 2\nda");
+    bench.lastCall()->fail(true);
+    cr_assert_eq(bench.upstream_.calls_.size(), 2);
+    cr_assert_eq(bench.lastCall()->field("last"), "1");
+    cr_assert_neq(bench.upstream_.calls_[0]->field("endpoint"),
+                  bench.lastCall()->field("endpoint"));
+    bench.lastCall()->connect();
+    bench.lastCall()->sealedHead();
+    bench.lastCall()->end(second);
+    cr_assert_eq(caller->streamed_, std::string(first) + std::string(second));
+    cr_assert(caller->isFinished_);
+}
+
+Test(streams, stream_that_may_not_be_resumed_is_cut_and_never_ended_as_whole)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.addGroup("g-1");
+    const auto caller = begin(bench, "/raw/1");
+    bench.lastCall()->fail(true);
+    cr_assert_eq(bench.upstream_.calls_.size(), 1);
+    cr_assert(caller->isAborted_);
+    cr_assert_not(caller->isFinished_);
+}
+
+Test(streams, stream_that_ends_inside_an_event_is_not_whole)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    const auto caller = begin(bench, "/raw/1");
+    bench.lastCall()->end("id: 2\nda");
+    cr_assert_eq(caller->streamed_, first);
+    cr_assert(caller->isAborted_);
+    cr_assert_not(caller->isFinished_);
+}
+
+Test(streams, silent_group_is_left_and_reported_as_silent)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.addGroup("g-1");
+    begin(bench, "/stream/1");
+    const auto stalled = bench.lastCall()->field("endpoint");
+    bench.pass(seconds(1));
+    cr_assert_eq(bench.upstream_.calls_.size(), 2);
+    cr_assert(bench.upstream_.calls_[0]->isDropped());
+    cr_assert_eq(bench.board_.silentHere(), std::vector<VmId>{VmId(stalled)});
+}
+
+Test(streams, group_whose_other_streams_get_on_is_not_silent)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    begin(bench, "/stream/1");
+    begin(bench, "/stream/2");
+    for (int i = 0; i < 10; ++i) {
+        bench.pass(milliseconds(100));
+        bench.upstream_.calls_[1]->data(second);
+    }
+    cr_assert_eq(bench.upstream_.calls_.size(), 2);
+    cr_assert(bench.board_.silentHere().empty());
+}
+
+Test(streams, request_without_room_is_held_and_goes_when_there_is_room)
+{
+    GatewayFixture bench;
+    const auto caller = bench.ask("/stream/1");
+    cr_assert_eq(bench.upstream_.calls_.size(), 0);
+    cr_assert_not(caller->answer_);
+    bench.pass(milliseconds(200));
+    bench.addGroup("g-0");
+    bench.pass(milliseconds(40));
+    cr_assert_eq(bench.upstream_.calls_.size(), 1);
+}
+
+Test(streams, request_held_in_vain_is_refused_before_its_caller_leaves)
+{
+    GatewayFixture bench;
+    const auto caller = bench.ask("/stream/1");
+    bench.pass(milliseconds(1900));
+    cr_assert_eq(caller->status(), 503);
+    cr_assert_neq(caller->answer_->field("come-back"), "");
+}
+
+Test(streams, group_with_a_missing_member_gets_nothing)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.book_.remove(VmId("g-0-member"), bench.clock_.now());
+    bench.ask("/stream/1");
+    cr_assert_eq(bench.upstream_.calls_.size(), 0);
+}
--- /dev/null
+++ b/tests/serving/tables.cpp
@@ -0,0 +1,163 @@
+// Lookups and small state: routes, endpoints, load, digests, settings.
+#include "support/gateway_fixture.hpp"
+
+#include <cardamombay/serving/engine_model.hpp>
+#include <cardamombay/serving/gateway_settings.hpp>
+#include <cardamombay/serving/peer_digests.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using namespace cardamombay::support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+Test(route_table, longest_prefix_of_the_host_wins)
+{
+    Configuration configuration;
+    for (const auto *prefix : {"/a/", "/a/b/", "/"}) {
+        Route route;
+        route.host_ = "Studio.example";
+        route.prefix_ = prefix;
+        route.name_ = prefix;
+        configuration.routes_.push_back(route);
+    }
+    const RouteTable table(configuration);
+    cr_assert_eq(table.route("studio.example:80", "/a/b/c?x=/q/")->name_, "/a/b/");
+    cr_assert_eq(table.route("studio.example", "/a/c")->name_, "/a/");
+    cr_assert_eq(table.route("studio.example", "/ab")->name_, "/");
+    cr_assert_null(table.route("other.example", "/a/"));
+}
+
+Test(route_table, backends_are_chosen_by_weight)
+{
+    Route route;
+    route.backends_ = {{ServiceName("a"), 90}, {ServiceName("b"), 10}};
+    cr_assert_eq(chooseBackend(route, 0)->service_, ServiceName("a"));
+    cr_assert_eq(chooseBackend(route, 0.89)->service_, ServiceName("a"));
+    cr_assert_eq(chooseBackend(route, 0.91)->service_, ServiceName("b"));
+    route.backends_ = {{ServiceName("a"), 0}};
+    cr_assert_null(chooseBackend(route, 0));
+}
+
+Test(endpoint_book, entry_that_vanishes_after_an_outage_has_a_grace)
+{
+    EndpointBook book;
+    const TimePoint now{seconds(100)};
+    book.put(spareEngine("a", "d"));
+    book.put(spareEngine("b", "d"));
+    book.excuseAbsence(now + seconds(2));
+    book.remove(VmId("a"), now);
+    book.remove(VmId("b"), now);
+    book.expire(now + seconds(1));
+    cr_assert_not_null(book.find(VmId("a")));
+    book.put(spareEngine("a", "d"));
+    book.expire(now + seconds(2));
+    cr_assert_not_null(book.find(VmId("a")));
+    cr_assert_null(book.find(VmId("b")));
+}
+
+Test(endpoint_book, entry_that_vanishes_otherwise_is_gone_at_once)
+{
+    EndpointBook book;
+    book.put(spareEngine("a", "d"));
+    const auto before = book.revision();
+    book.remove(VmId("a"), TimePoint{seconds(100)});
+    cr_assert_null(book.find(VmId("a")));
+    cr_assert_gt(book.revision(), before);
+}
+
+Test(load_board, counts_of_silent_peers_lapse)
+{
+    LoadBoard board;
+    const VmId endpoint("e");
+    const TimePoint now{seconds(100)};
+    board.started(endpoint, 500);
+    board.setPeerLoad("p", {{{endpoint, 3}}, {{endpoint, 200}}, {}, now});
+    cr_assert_eq(board.total(endpoint), 4);
+    cr_assert_eq(board.unread(endpoint), 700);
+    board.expire(now + seconds(2));
+    cr_assert_eq(board.total(endpoint), 1);
+    cr_assert_eq(board.unread(endpoint), 500);
+}
+
+Test(load_board, failing_endpoint_is_avoided_and_then_tried_with_one_request)
+{
+    LoadBoard board;
+    const VmId endpoint("e");
+    const TimePoint now{seconds(100)};
+    board.failed(endpoint, now);
+    cr_assert_not(board.isUsable(endpoint, now + milliseconds(400)));
+    const auto later = now + milliseconds(600);
+    cr_assert(board.isUsable(endpoint, later));
+    board.started(endpoint, 0);
+    cr_assert_not(board.isUsable(endpoint, later));
+    board.progressed(endpoint, later);
+    cr_assert(board.isUsable(endpoint, later));
+}
+
+Test(peer_digests, digest_survives_the_way)
+{
+    LoadDigest digest;
+    digest.from_ = EntryId("entry-1");
+    digest.underWay_ = {{VmId("e"), 3}};
+    digest.unread_ = {{VmId("e"), 1500}};
+    digest.silent_ = {VmId("s")};
+    digest.demand_ = {{ModelName("m"), 1.5}};
+    digest.isDraining_ = true;
+    const auto decoded = decodeLoadDigest(encode(digest));
+    cr_assert(decoded);
+    cr_assert(*decoded == digest);
+}
+
+Test(peer_digests, anything_else_is_no_digest)
+{
+    for (const auto *text : {"", "{", "[]", "{\"method\":\"load\"}", "{\"method\":1,\"params\":{}}",
+                             "{\"method\":\"load\",\"params\":{\"from\":7}}"})
+        cr_assert_not(decodeLoadDigest(text));
+}
+
+Test(engine_model, pause_grows_with_the_batch_and_reading_with_the_prompt)
+{
+    const auto profile = *gatewayConfiguration().services_.front().engine_;
+    const EngineModel model(profile, profile.models_.front());
+    cr_assert_eq(toMilliseconds(model.pauseBetweenEvents(1, 0)), 42);
+    cr_assert_eq(toMilliseconds(model.readTime(5000)), 100);
+    cr_assert_geq(model.longestPause(), model.pauseBetweenEvents(profile.slots_, 1500));
+}
+
+Test(gateway_settings, wrong_values_are_refused_with_place_and_remedy)
+{
+    const auto parsed = parseGatewaySettings("entry = \"e\"\nzone = \"z\"\ncharts = 7\n", "s.toml");
+    cr_assert_not(isOk(parsed));
+    const auto &error = std::get<InvalidInput>(errorOf(parsed));
+    cr_assert_eq(error.position_.file_, "s.toml");
+    cr_assert_not(error.remedy_.empty());
+}
+
+Test(gateway_settings, bounds_are_read)
+{
+    const auto parsed = parseGatewaySettings(R"(
+entry = "e"
+zone = "z"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+metrics = "10.0.0.1:82"
+digests = "10.0.0.1:83"
+[store]
+address = "10.0.0.9:1"
+[bounds]
+stop_within = "8s"
+revoke_within = "5000ms"
+retry_share = 0.2
+retry_window = "10s"
+retry_reserve = 132
+)",
+                                             "s.toml");
+    cr_assert(isOk(parsed));
+    cr_assert_eq(valueOf(parsed).bounds_.longestUnconfirmed_, seconds(4));
+    cr_assert_eq(valueOf(parsed).bounds_.retryReserve_, 132);
+    cr_assert_eq(valueOf(parsed).grace_, seconds(8));
+}
