Count a failure that an engine answers as run, and avoid endpoints that answer with failures

Ruled out: repeats after silence (each traced request had a 500 among its runs). Change: a head of 500 or more counts as run; groups are avoided after one such answer, plain endpoints after four in a row; pauses double while failures outweigh successes.

--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -20,6 +20,12 @@
 class LoadBoard
 {
 public:
+    /// A group that fails one request is avoided at once: the next one is mostly as good.
+    static constexpr double groupErrorWeight = 0.4;
+    /// Plain services fail some requests by their nature (one in seven of a kind here), so it takes
+    /// four in a row.
+    static constexpr double plainErrorWeight = 0.12;
+
     /// \name Events of attempts
     /// \{
     /// \param promptTokens what the endpoint has to read first.
@@ -29,6 +35,11 @@
     /// \brief Something came: an event, a head, a whole answer.
     void progressed(const VmId &endpoint, TimePoint now);
     void ended(const VmId &endpoint);
+    /// \brief The endpoint gave a whole answer that is no failure of its own.
+    void succeeded(const VmId &endpoint);
+    /// \brief The endpoint answered with a failure of its own; it is avoided if that is frequent.
+    /// \param weight of this answer in the rate of failures.
+    void erred(const VmId &endpoint, double weight, TimePoint now);
     /// \brief The endpoint failed an attempt.
     void failed(const VmId &endpoint, TimePoint now);
     /// \brief A stream there paused for longer than a healthy endpoint ever does.
@@ -79,7 +90,8 @@
         std::size_t unread_ = 0; ///< Prompt tokens.
         TimePoint heardAt_{};
         TimePoint avoidUntil_{};
-        std::size_t failuresInRow_ = 0;
+        double failures_ = 0; ///< Lately; a success takes a part of one away.
+        double errorRate_ = 0;
         bool isOnTrial_ = false;
         bool isSilent_ = false;
     };
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -13,6 +13,12 @@
 /// Counts of a peer that is not heard of are dropped after several of its digests are missed.
 constexpr Duration peerLifetime = std::chrono::milliseconds(1500);
 
+/// Rate of failures above which an endpoint is avoided.
+constexpr double mostErrors = 0.38;
+constexpr double successWeight = 0.15;
+/// Part of a failure that a success makes up for.
+constexpr double successShare = 0.34;
+
 constexpr Duration memoryOfIdle = std::chrono::seconds(30);
 
 } // namespace
@@ -20,7 +26,7 @@
 void LoadBoard::started(const VmId &endpoint, std::size_t promptTokens)
 {
     auto &entry = entries_[endpoint];
-    if (entry.failuresInRow_ > 0)
+    if (entry.failures_ >= 1)
         entry.isOnTrial_ = true;
     ++entry.own_;
     entry.unread_ += promptTokens;
@@ -30,7 +36,6 @@
 {
     auto &entry = entries_[endpoint];
     entry.heardAt_ = now;
-    entry.failuresInRow_ = 0;
     entry.isOnTrial_ = false;
     entry.isSilent_ = false;
     entry.avoidUntil_ = {};
@@ -44,14 +49,31 @@
     entry.isOnTrial_ = entry.isOnTrial_ && entry.own_ > 0;
 }
 
+void LoadBoard::succeeded(const VmId &endpoint)
+{
+    auto &entry = entries_[endpoint];
+    entry.failures_ = std::max(0.0, entry.failures_ - successShare);
+    entry.errorRate_ *= 1 - successWeight;
+}
+
+void LoadBoard::erred(const VmId &endpoint, double weight, TimePoint now)
+{
+    auto &rate = entries_[endpoint].errorRate_;
+    rate += (1 - rate) * weight;
+    if (rate > mostErrors)
+        failed(endpoint, now);
+}
+
 void LoadBoard::failed(const VmId &endpoint, TimePoint now)
 {
     auto &entry = entries_[endpoint];
     // Requests that were there together fail together; that is one failure.
     if (now < entry.avoidUntil_)
         return;
-    entry.avoidUntil_ = now + firstPause * (1U << std::min(entry.failuresInRow_, mostDoublings));
-    ++entry.failuresInRow_;
+    entry.avoidUntil_
+        = now
+          + firstPause * (1U << std::min(static_cast<std::size_t>(entry.failures_), mostDoublings));
+    entry.failures_ += 1;
 }
 
 void LoadBoard::stalled(const VmId &endpoint, TimePoint now)
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::uint32_t statusUnauthorized = 401;
 constexpr std::uint32_t statusUnknownRoute = 404;
+constexpr std::uint32_t leastServerError = 500;
 constexpr std::uint32_t statusBadGateway = 502;
 constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusTimeout = 504;
@@ -219,13 +220,14 @@
         attemptFailed(Failure::Refused, "status " + std::to_string(head.status_));
         return;
     }
-    gateway_.parts().board_.progressed(target_.endpoint_, now);
     const bool isSuccess = head.status_ >= 200 && head.status_ < 300;
+    noteAnswer(head.status_, now);
     if (isSuccess && !answer.isSealed_) {
         attemptFailed(Failure::Unknown, "an answer without the endpoint's seal");
         return;
     }
-    const bool isWorthRepeating = !isSuccess && head.status_ >= 500 && phase_ == Phase::Waiting;
+    const bool isWorthRepeating
+        = !isSuccess && head.status_ >= leastServerError && phase_ == Phase::Waiting;
     if (isWorthRepeating && mayRunAgain() && mayGoOn(Failure::Unknown)
         && gateway_.mayRepeat(service_->name_)) {
         logFailure("status " + std::to_string(head.status_));
@@ -246,6 +248,19 @@
     answer_.body_.clear();
 }
 
+/// A failure of the endpoint's own counts as run, and against the endpoint.
+void Session::noteAnswer(std::uint32_t status, TimePoint now)
+{
+    auto &board = gateway_.parts().board_;
+    if (status < leastServerError) {
+        board.progressed(target_.endpoint_, now);
+        return;
+    }
+    noteProgress(now);
+    board.erred(target_.endpoint_,
+                service_->engine_ ? LoadBoard::groupErrorWeight : LoadBoard::plainErrorWeight, now);
+}
+
 void Session::takeStreamHead(const net::HttpResponse &head)
 {
     if (events_ > 0)
@@ -257,7 +272,8 @@
 void Session::onData(std::string_view data)
 {
     const auto now = gateway_.parts().clock_.now();
-    gateway_.parts().board_.progressed(target_.endpoint_, now);
+    if (answer_.status_ < leastServerError)
+        gateway_.parts().board_.progressed(target_.endpoint_, now);
     if (phase_ == Phase::Whole) {
         noteProgress(now);
         answer_.body_.append(data);
@@ -319,7 +335,11 @@
 
 void Session::onEnd(std::string_view rest)
 {
-    gateway_.parts().board_.progressed(target_.endpoint_, gateway_.parts().clock_.now());
+    auto &board = gateway_.parts().board_;
+    if (answer_.status_ < leastServerError) {
+        board.progressed(target_.endpoint_, gateway_.parts().clock_.now());
+        board.succeeded(target_.endpoint_);
+    }
     if (phase_ == Phase::Streaming)
         endStream(rest);
     else
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -82,6 +82,7 @@
 
     /// \name The answer
     /// \{
+    void noteAnswer(std::uint32_t status, TimePoint now);
     void takeStreamHead(const net::HttpResponse &head);
     void passEvents(std::string_view data);
     void flush();
--- a/tests/serving/sessions.cpp
+++ b/tests/serving/sessions.cpp
@@ -157,6 +157,10 @@
     for (int i = 0; i < 100; ++i) {
         const auto before = bench.upstream_.calls_.size();
         const auto caller = bench.ask("/again/7");
+        if (bench.upstream_.calls_.size() == before) {
+            bench.pass(milliseconds(100)); // Both endpoints are avoided.
+            continue;
+        }
         const auto call = bench.lastCall();
         call->connect();
         call->head(500, {{"seal", "s"}});
--- a/tests/serving/streams.cpp
+++ b/tests/serving/streams.cpp
@@ -126,6 +126,31 @@
     cr_assert_not(caller->isFinished_);
 }
 
+Test(streams, group_that_answers_with_an_error_has_run_the_request)
+{
+    GatewayFixture bench;
+    for (const auto *head : {"g-0", "g-1", "g-2"})
+        bench.addGroup(head);
+    const auto caller = bench.ask("/stream/1");
+    for (int i = 0; i < 2; ++i) {
+        bench.lastCall()->connect();
+        bench.lastCall()->head(500, {{"seal", "s"}});
+    }
+    bench.lastCall()->end("");
+    cr_assert_eq(bench.upstream_.calls_.size(), 2);
+    cr_assert_eq(caller->status(), 500);
+}
+
+Test(streams, group_that_answers_with_an_error_is_avoided_for_a_while)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.ask("/stream/1");
+    bench.lastCall()->connect();
+    bench.lastCall()->head(500, {{"seal", "s"}});
+    cr_assert_not(bench.board_.isUsable(VmId("g-0"), bench.clock_.now()));
+}
+
 Test(streams, silent_group_is_left_and_reported_as_silent)
 {
     GatewayFixture bench;
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -97,6 +97,33 @@
     cr_assert(board.isUsable(endpoint, later));
 }
 
+Test(load_board, plain_endpoint_is_avoided_only_after_several_errors)
+{
+    LoadBoard board;
+    const VmId endpoint("e");
+    const TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i)
+        board.erred(endpoint, LoadBoard::plainErrorWeight, now);
+    cr_assert(board.isUsable(endpoint, now));
+    board.erred(endpoint, LoadBoard::plainErrorWeight, now);
+    cr_assert_not(board.isUsable(endpoint, now));
+}
+
+Test(load_board, endpoint_that_fails_again_and_again_is_avoided_for_longer)
+{
+    LoadBoard board;
+    const VmId endpoint("e");
+    TimePoint now{seconds(100)};
+    for (int i = 0; i < 3; ++i) {
+        board.failed(endpoint, now);
+        now += seconds(2);
+        board.progressed(endpoint, now);
+        board.succeeded(endpoint);
+        board.failed(endpoint, now);
+    }
+    cr_assert_not(board.isUsable(endpoint, now + milliseconds(900)));
+}
+
 Test(peer_digests, digest_survives_the_way)
 {
     LoadDigest digest;
