Take callers' limits from the configuration; log through a bounded queue, served requests too

Cause: the gateway ignored the operators' limits for callers, and a reader of its log that stops could stop traffic; a served request left no line. Ruled out: a writer thread of our own (log4cxx has a queue that drops and says how much). Change: limits are decoded and put in force with each configuration; one line for each request with its endpoint and the age of the configuration; held requests go by priority, then by age.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -26,10 +26,9 @@
 /// Kept for giving the lease back and for the last answers.
 constexpr Duration stopReserve = std::chrono::milliseconds(900);
 
-/// A caller reuses a connection that was idle for up to four fifths of what operators allow; this
-/// is beyond the longest that they do.
-constexpr Duration callerIdle = std::chrono::seconds(60);
-constexpr std::size_t mostBody = std::size_t{8} << 20U;
+/// Callers reuse a connection until shortly before the idle time that operators allow is over; what is
+/// on its way then must still find it open.
+constexpr Duration idleReserve = std::chrono::seconds(2);
 
 constexpr Duration leftPoll = std::chrono::milliseconds(20);
 constexpr int leftTurns = 20;
@@ -56,11 +55,13 @@
     return limits;
 }
 
-net::HttpServerLimits callerLimits()
+net::HttpServerLimits callerLimits(const serving::CallerLimits &declared)
 {
     net::HttpServerLimits limits;
-    limits.bodyBytes_ = mostBody;
-    limits.idleTimeout_ = callerIdle;
+    limits.headerBytes_ = declared.headerBytes_;
+    limits.bodyBytes_ = declared.bodyBytes_;
+    limits.readTimeout_ = declared.headerTime_ + idleReserve;
+    limits.idleTimeout_ = declared.idleTime_ + idleReserve;
     limits.endsOnHalfClose_ = true;
     return limits;
 }
@@ -123,7 +124,7 @@
         return isServing && node_->isReady() ? std::optional<std::string>("ready\n") : std::nullopt;
     })
     , metricsHandler_([this] { return std::optional(registry_.text()); })
-    , callers_({{&context_, &gateway_}}, callerLimits())
+    , callers_({{&context_, &gateway_}}, callerLimits({}))
     , readinessServer_({{&context_, &readiness_}}, {})
     , metricsServer_({{&context_, &metricsHandler_}}, {})
 {
@@ -151,6 +152,9 @@
     auto listening = listen();
     if (!isOk(listening))
         return listening;
+    node_->onConfiguration([this](const serving::Configuration &configuration) {
+        callers_.setLimits(callerLimits(configuration.limits_));
+    });
     node_->start();
     lifecycle_->ready();
     log::info(log::event::daemonStarted, {{"entry", settings_.entry_.text()},
--- a/apps/cardamombay-gateway/main.cpp
+++ b/apps/cardamombay-gateway/main.cpp
@@ -34,12 +34,15 @@
     log::configure(levelOf(settings.logLevel_), log::Output::Standard);
     gateway::GatewayDaemon daemon(std::move(settings), std::move(file));
     const auto result = daemon.run();
-    if (isOk(result))
+    if (isOk(result)) {
+        log::flush();
         return cli::exitOk;
+    }
     const auto &error = errorOf(result);
     log::error(log::event::daemonFailed, {{"kind", std::string(kindOf(error))},
                                           {"problem", messageOf(error)},
                                           {"remedy", remedyOf(error)}});
+    log::flush();
     return std::holds_alternative<InvalidInput>(error) ? cli::exitWrongInput : cli::exitFailed;
 }
 
--- a/include/cardamombay/log/log.hpp
+++ b/include/cardamombay/log/log.hpp
@@ -22,13 +22,19 @@
 enum class Level { Debug, Info, Warning, Error };
 
 /// \brief Where lines go.
-enum class Output { Standard, Error };
+enum class Output {
+    Standard, ///< Through a bounded queue and a thread of its own: a writer never waits.
+    Error,    ///< At once.
+};
 
 /// \brief Sets pattern and target of all lines; call once before other threads start.
 /// \param threshold the least grave level that is written.
 /// \param output standard output or standard error.
 void configure(Level threshold, Output output = Output::Error);
 
+/// \brief Writes what still waits; nothing is written after it. Call at the end of the program.
+void flush();
+
 /// \brief True if events of \p level are written.
 [[nodiscard]] bool isEnabled(Level level);
 
--- a/include/cardamombay/serving/configuration.hpp
+++ b/include/cardamombay/serving/configuration.hpp
@@ -101,6 +101,17 @@
     friend bool operator==(const Team &, const Team &) = default;
 };
 
+/// \brief What callers may send, and how long they may take.
+struct CallerLimits
+{
+    std::uint32_t headerBytes_ = 16 * 1024;
+    std::uint32_t bodyBytes_ = 4 * 1024 * 1024;
+    Duration headerTime_ = std::chrono::seconds(10); ///< For a request to arrive.
+    Duration idleTime_ = std::chrono::seconds(60);   ///< Between two requests of a connection.
+
+    friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+};
+
 /// \brief One accepted configuration.
 struct Configuration
 {
@@ -108,6 +119,7 @@
     std::vector<Route> routes_;
     std::vector<Service> services_;
     std::vector<Team> teams_; ///< Empty: no key is asked for.
+    CallerLimits limits_;
 
     friend bool operator==(const Configuration &, const Configuration &) = default;
 };
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -47,6 +47,12 @@
 
     void start();
 
+    /// \brief Called with each configuration that comes into force.
+    void onConfiguration(std::function<void(const Configuration &)> action)
+    {
+        configured_ = std::move(action);
+    }
+
     /// \brief Leaves: tells peers and gives the lease back.
     void leave();
     [[nodiscard]] bool hasLeft() const { return isLeaving_ && parts_.lease_.isReleased(); }
@@ -98,6 +104,7 @@
     StoreWatch configurationWatch_;
     StoreWatch endpointWatch_;
     StoreWatch peerWatch_;
+    std::function<void(const Configuration &)> configured_;
     std::map<EntryId, Peer> peers_;
     std::optional<std::uint32_t> rank_; ///< Among those that watch the store for all.
     TimePoint relayHeardAt_{};          ///< An entry VM with fresh knowledge of the store.
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,5 +1,6 @@
 #include <cardamombay/log/log.hpp>
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr auto linePattern = "time=%d{yyyy-MM-ddTHH:mm:ss.SSSZ}{GMT} level=%p %m%n";
+/// Lines that wait for the reader; about 0.5 MB, a few seconds of an entry VM in trouble.
+constexpr int bufferedLines = 2000;
+
 constexpr auto loggerName = "cardamombay";
 
 log4cxx::LevelPtr levelOf(Level level)
@@ -84,10 +88,26 @@
     const auto appender = std::make_shared<log4cxx::ConsoleAppender>(layout, target);
     const auto root = log4cxx::Logger::getRootLogger();
     root->removeAllAppenders();
-    root->addAppender(appender);
+    if (output == Output::Error) {
+        root->addAppender(appender);
+        root->setLevel(levelOf(threshold));
+        return;
+    }
+    // A reader that stops reading must never stop traffic: lines beyond the buffer are counted and
+    // left out, and a line says so.
+    const auto queue = std::make_shared<log4cxx::AsyncAppender>();
+    queue->setBufferSize(bufferedLines);
+    queue->setBlocking(false);
+    queue->addAppender(appender);
+    root->addAppender(queue);
     root->setLevel(levelOf(threshold));
 }
 
+void flush()
+{
+    log4cxx::LogManager::shutdown();
+}
+
 bool isEnabled(Level level)
 {
     return logger()->isEnabledFor(levelOf(level));
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -84,6 +84,7 @@
     void stopAccepting();
     void closeConnectionsAfterResponse() { state_->closesAfterResponse_ = true; }
     void closeIdleConnections();
+    void setLimits(const HttpServerLimits &limits) { state_->limits_ = limits; }
     [[nodiscard]] std::size_t connections() const { return state_->connections_; }
     [[nodiscard]] std::size_t busyConnections() const { return state_->busyConnections_; }
 
@@ -208,6 +209,11 @@
     impl_->stopAccepting();
 }
 
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    impl_->setLimits(limits);
+}
+
 std::size_t HttpServer::busyConnections() const
 {
     return impl_->busyConnections();
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -66,12 +66,14 @@
     retryHeld(sessions);
 }
 
-/// Requests that wait the longest go first; where one finds no room, those behind it don't either.
+/// The most urgent requests go first, then those that wait the longest; where one finds no room,
+/// those behind it don't either.
 void Gateway::retryHeld(std::vector<std::shared_ptr<Session>> &sessions)
 {
     std::erase_if(sessions, [](const auto &session) { return !session->isHeld(); });
     std::sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
-        return left->arrivedAt() < right->arrivedAt();
+        return std::pair(left->priority(), left->arrivedAt())
+               < std::pair(right->priority(), right->arrivedAt());
     });
     std::set<ModelName> full;
     for (const auto &session : sessions) {
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -211,6 +211,8 @@
                {"routes", std::to_string(valueOf(configuration).routes_.size())},
                {"teams", std::to_string(valueOf(configuration).teams_.size())}});
     parts_.gateway_.setRoutes(std::make_shared<RouteTable>(valueOf(std::move(configuration))));
+    if (configured_)
+        configured_(parts_.gateway_.routes()->configuration());
 }
 
 void Node::takeEndpoint(const platform::Row &row)
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -98,6 +98,7 @@
     }
     const auto allowed = std::min(route_->timeout_, head_.patience_.value_or(route_->timeout_));
     until_ = arrivedAt_ + allowed;
+    priority_ = route_->priority_;
     if (route_->needsKey_ && !routes_->configuration().teams_.empty()) {
         if (gateway_.unconfirmedFor() > gateway_.bounds().longestUnconfirmed_) {
             refuse(statusUnavailable, "keys not confirmed lately", comeBackLater);
@@ -109,6 +110,7 @@
             return false;
         }
         team_ = team->name_;
+        priority_ = team->priority_.value_or(priority_);
     }
     const auto *backend = chooseBackend(*route_, gateway_.draw());
     service_ = backend == nullptr ? nullptr : routes_->service(backend->service_);
@@ -536,18 +538,19 @@
     } else {
         metrics.failed_.increment();
     }
-    if (outcome != "served")
-        log::info(event::requestFinished,
-                  {{"request", head_.request_.text()},
-                   {"outcome", std::string(outcome)},
-                   {"reason", std::string(reason)},
-                   {"route", route_ == nullptr ? "" : route_->name_},
-                   {"model", head_.model_.text()},
-                   {"config", routes_ ? std::to_string(routes_->version().value()) : "0"},
-                   {"events", std::to_string(events_)},
-                   {"sends", std::to_string(sends_)},
-                   {"may-have-run", std::to_string(mayHaveRun_)},
-                   {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}});
+    log::info(event::requestFinished,
+              {{"request", head_.request_.text()},
+               {"outcome", std::string(outcome)},
+               {"reason", std::string(reason)},
+               {"route", route_ == nullptr ? "" : route_->name_},
+               {"model", head_.model_.text()},
+               {"endpoint", target_.endpoint_.text()},
+               {"config", routes_ ? std::to_string(routes_->version().value()) : "0"},
+               {"config-age-ms", std::to_string(toMilliseconds(gateway_.unconfirmedFor()))},
+               {"events", std::to_string(events_)},
+               {"sends", std::to_string(sends_)},
+               {"may-have-run", std::to_string(mayHaveRun_)},
+               {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}});
     gateway_.release(*this);
 }
 
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -35,6 +35,8 @@
     bool retryHeld();
     [[nodiscard]] bool isHeld() const { return isHeld_; }
     [[nodiscard]] TimePoint arrivedAt() const { return arrivedAt_; }
+    /// \brief Rank among requests; 0 is the most urgent.
+    [[nodiscard]] std::uint32_t priority() const { return priority_; }
     [[nodiscard]] const ModelName &model() const { return head_.model_; }
 
     /// \brief Ends the request at once, since the process stops.
@@ -106,6 +108,7 @@
     const Route *route_ = nullptr;
     const Service *service_ = nullptr;
     TeamName team_;
+    std::uint32_t priority_ = 0;
 
     std::unique_ptr<net::UpstreamCall> call_;
     Target target_;
--- a/tests/adapter/formats.cpp
+++ b/tests/adapter/formats.cpp
@@ -26,6 +26,8 @@
 "Models":[{"Name":"m","size":4,"Share":0.57,"pace":1.0,"LoadS":16.0,"WarmS":1.6}],"step_ms":5.95,
 "per_seq_ms":0.0445,"context_per_k":0.00813,"read_per_s":50700.0,"LoadsPerS":4.5,
 "loads_at_once":6,"far_x":2.5,"FormMs":300.0}},{"Name":"app","MaxConns":100}],
+"Limits":{"MaxHeaderBytes":8192,"MaxBodyBytes":1048576,"HeaderTimeoutMs":3000,
+"IdleTimeoutMs":15000},
 "Tenants":[{"Name":"t","ApiKeys":["k1","k2"],"Priority":1},{"Name":"u","ApiKeys":["k3"]}]})";
 
 std::string valueIn(const Fields &fields, std::string_view name)
@@ -64,6 +66,8 @@
     cr_assert_eq(engine.models_[0].members_, 4);
     cr_assert_eq(engine.models_[0].warmLoad_, milliseconds(1600));
     cr_assert_not(configuration.services_[1].engine_);
+    cr_assert_eq(configuration.limits_.headerBytes_, 8192);
+    cr_assert_eq(configuration.limits_.idleTime_, seconds(15));
     cr_assert_eq(*configuration.teams_[0].priority_, 1);
     cr_assert_not(configuration.teams_[1].priority_);
 }
