Head of a stream without events; members that leave stay until their group has finished

Change: the head leaves with the end of such a stream; a group with a member that is no longer listed finishes its work first, unless it stands still or a member does not answer; how long a begun stream waits for room counts from its last event; endpoints are not blamed for a pause of this process.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -109,6 +109,7 @@
     bool isRefusing_ = false;
     std::shared_ptr<const RouteTable> routes_;
     TimePoint confirmedAt_{};
+    TimePoint sweptAt_{};
     std::map<ModelName, double> demand_;
     std::unordered_map<ServiceName, RepeatWindow> repeats_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -16,6 +16,9 @@
 /// Share of the fleet's budget that is spent at most: entry VMs count their peers a little late.
 constexpr double budgetMargin = 0.7;
 
+/// A gap between two sweeps beyond which endpoints are not blamed for the silence.
+constexpr Duration longestSweepGap = std::chrono::milliseconds(120);
+
 /// Tokens that the answer will have: the caller's guess, else half of what it allows.
 std::size_t likelyAnswer(const CallerHead &head)
 {
@@ -61,8 +64,13 @@
     for (const auto &[key, session] : sessions_)
         sessions.push_back(session);
     const auto now = parts_.clock_.now();
-    for (const auto &session : sessions)
+    const bool stoodStill = now - std::exchange(sweptAt_, now) > longestSweepGap;
+    for (const auto &session : sessions) {
+        // What came while the process stood still is not read yet.
+        if (stoodStill)
+            session->restartPatience(now);
         session->check(now);
+    }
     retryHeld(sessions);
 }
 
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -85,6 +85,8 @@
     input.profile_ = &*service.engine_;
     for (const auto &[engine, order] : pending_)
         input.pending_.insert(engine);
+    const auto silent = parts_.board_.silentAnywhere();
+    input.silent_.insert(silent.begin(), silent.end());
     for (const auto &[engine, count] : unanswered_)
         input.unresponsive_.insert(engine);
     for (const auto &[engine, until] : loadsUntil_)
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -47,6 +47,7 @@
 
     void review(const GroupView &group);
     void reviewServing(const GroupView &group, bool isComplete);
+    [[nodiscard]] bool hasUnresponsive(const GroupView &group) const;
     void reviewReady(const GroupView &group, bool isComplete);
     void leave(const GroupView &group, std::string_view reason);
     void offer(const Endpoint &engine);
@@ -233,14 +234,14 @@
 
 void Run::reviewServing(const GroupView &group, bool isComplete)
 {
-    const auto *model = modelNamed(group.model_);
     if (isComplete) {
         groups_[group.model_] += weightOf(group);
         serving_.push_back(&group);
         return;
     }
-    // A group that lost a member cannot finish its work; one that only loses it soon can.
-    if (!group.isComplete(model->members_)) {
+    // A group that stands still cannot finish its work. A member that is leaving, also one that is no
+    // longer listed, stays until its group has finished.
+    if (input_.silent_.contains(group.head_->id_) || hasUnresponsive(group)) {
         leave(group, "member lost");
         return;
     }
@@ -248,6 +249,15 @@
         order(*group.head_, CloseOrder{group.group_, group.epoch_, false}, "member leaving");
 }
 
+bool Run::hasUnresponsive(const GroupView &group) const
+{
+    return std::any_of(input_.engines_.begin(), input_.engines_.end(),
+                       [this, &group](const Endpoint *engine) {
+                           return input_.unresponsive_.contains(engine->id_) && engine->membership_
+                                  && engine->membership_->group_ == group.group_;
+                       });
+}
+
 void Run::reviewReady(const GroupView &group, bool isComplete)
 {
     if (!isComplete) {
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -153,7 +153,9 @@
 {
     const Duration leaves = std::max({callerPatience, 4 * route_->goal_, 8 * route_->pauseGoal_});
     const auto allowed = toSeconds(std::min(leaves, until_ - arrivedAt_)) * longestHoldShare;
-    return toSeconds(now - arrivedAt_) < allowed;
+    // What counts for the caller is the pause since the last event that it got.
+    const auto since = events_ > 0 ? progressAt_ : arrivedAt_;
+    return toSeconds(now - since) < allowed;
 }
 
 bool Session::retryHeld()
@@ -309,20 +311,14 @@
 {
     if (isWriting_ || !exchange_)
         return;
+    if (pending_.empty() && !isStreamEnded_)
+        return;
+    startAnswer();
     if (pending_.empty()) {
-        if (!isStreamEnded_)
-            return;
         std::exchange(exchange_, nullptr)->finish({});
         finish("served", "");
         return;
     }
-    if (!answer_.fields_.empty() || answer_.status_ != 0) {
-        net::HttpResponse head;
-        head.status_ = answer_.status_;
-        head.fields_ = gateway_.parts().dialect_.callerFields(answer_);
-        exchange_->startStream(std::move(head));
-        answer_ = {};
-    }
     writing_ = std::exchange(pending_, {});
     isWriting_ = true;
     const std::string_view part = writing_;
@@ -335,6 +331,18 @@
     });
 }
 
+/// The head leaves with the first event, or with the end of a stream that has none.
+void Session::startAnswer()
+{
+    if (answer_.status_ == 0)
+        return;
+    net::HttpResponse head;
+    head.status_ = answer_.status_;
+    head.fields_ = gateway_.parts().dialect_.callerFields(answer_);
+    exchange_->startStream(std::move(head));
+    answer_ = {};
+}
+
 void Session::onEnd(std::string_view rest)
 {
     auto &board = gateway_.parts().board_;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -30,6 +30,9 @@
     /// \brief Ends the request or the attempt if their time is over.
     void check(TimePoint now);
 
+    /// \brief Counts the endpoint's silence from \p now.
+    void restartPatience(TimePoint now) { progressAt_ = std::max(progressAt_, now); }
+
     /// \brief Tries again to find an endpoint for a request that is held.
     /// \returns false if there is still no room.
     bool retryHeld();
@@ -88,6 +91,7 @@
     void takeStreamHead(const net::HttpResponse &head);
     void passEvents(std::string_view data);
     void flush();
+    void startAnswer();
     void answerWhole(std::string_view rest);
     void endStream(std::string_view rest);
     void giveUp(std::string_view reason);
--- /dev/null
+++ b/tests/fleet_platform/deployment.hpp
@@ -0,0 +1,77 @@
+/// \file
+/// \brief The users' platform as a stand-in, with real gateways before it.
+#pragma once
+
+#include "support/caller.hpp"
+#include "support/process_harness.hpp"
+
+#include <string>
+#include <vector>
+
+namespace cardamombay::test {
+
+/// \brief What the stand-in's engines saw.
+struct EngineReport
+{
+    std::vector<std::pair<std::string, int>> runs_; ///< Starts by request id.
+    std::vector<std::string> violations_;
+};
+
+/// \brief Three gateways before 12 engines in two fabric domains and two plain endpoints.
+class Deployment
+{
+public:
+    /// \brief Starts all and waits until every gateway is ready and serves both models.
+    Deployment();
+
+    /// \name Callers
+    /// \{
+    /// \brief A completion in 20 events, by the stream route.
+    load::CallResult stream(std::size_t gateway, const std::string &id,
+                            const std::string &model = "m", const std::string &key = "key-a") const;
+    /// \brief A call to the plain service.
+    load::CallResult call(std::size_t gateway, const std::string &path, const std::string &id,
+                          const std::string &key = "key-a") const;
+    /// \}
+
+    /// \name What others do
+    /// \{
+    /// \brief Puts a configuration in force; \p extraRoute is served by the plain service if set.
+    void configure(int version, const std::string &extraRoute = {}, bool hasKeyA = true) const;
+    /// \brief Tells the stand-in something, such as "silence/e-0-1".
+    void tell(const std::string &what, const std::string &body = {}) const;
+    [[nodiscard]] EngineReport report() const;
+    support::ProcessId startGateway(std::size_t number);
+    /// \}
+
+    [[nodiscard]] bool isReady(std::size_t gateway) const;
+    [[nodiscard]] support::ProcessHarness &harness() { return harness_; }
+    [[nodiscard]] support::ProcessId gateway(std::size_t number) const
+    {
+        return gateways_.at(number);
+    }
+    /// \brief Log lines of a gateway that hold \p text.
+    [[nodiscard]] std::vector<std::string> linesOf(std::size_t gateway,
+                                                   const std::string &text) const;
+
+    static constexpr std::size_t gatewayCount = 3;
+
+private:
+    struct Ports
+    {
+        std::uint16_t callers_ = 0;
+        std::uint16_t readiness_ = 0;
+        std::uint16_t digests_ = 0;
+        std::uint16_t metrics_ = 0;
+    };
+
+    support::ProcessHarness harness_;
+    std::uint16_t store_ = 0;
+    std::vector<Ports> ports_;
+    std::vector<support::ProcessId> gateways_;
+};
+
+/// \brief Events of a stream; nothing if they do not rise by one from 1.
+[[nodiscard]] std::size_t eventsIn(const std::string &body);
+
+} // namespace cardamombay::test
--- a/tests/serving/streams.cpp
+++ b/tests/serving/streams.cpp
@@ -53,6 +53,18 @@
     cr_assert(caller->isFinished_);
 }
 
+Test(streams, stream_without_events_is_answered_with_its_head)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    const auto caller = bench.ask("/stream/1");
+    bench.lastCall()->connect();
+    bench.lastCall()->sealedHead();
+    bench.lastCall()->end("");
+    cr_assert(caller->streamHead_);
+    cr_assert(caller->isFinished_);
+}
+
 Test(streams, broken_stream_goes_on_at_another_group_behind_the_last_whole_event)
 {
     GatewayFixture bench;
@@ -164,6 +176,19 @@
     cr_assert_eq(bench.board_.silentHere(), std::vector<VmId>{VmId(stalled)});
 }
 
+Test(streams, endpoint_is_not_blamed_for_a_pause_of_the_entry_vm)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    bench.addGroup("g-1");
+    begin(bench, "/stream/1");
+    bench.pass(milliseconds(40));
+    bench.clock_.jump(seconds(2));
+    bench.pass(milliseconds(40));
+    cr_assert_eq(bench.upstream_.calls_.size(), 1);
+    cr_assert(bench.board_.silentHere().empty());
+}
+
 Test(streams, group_whose_other_streams_get_on_is_not_silent)
 {
     GatewayFixture bench;
@@ -190,6 +215,25 @@
     cr_assert_eq(bench.upstream_.calls_.size(), 1);
 }
 
+Test(streams, stream_that_broke_late_waits_for_room_before_it_is_given_up)
+{
+    GatewayFixture bench;
+    bench.addGroup("g-0");
+    const auto caller = begin(bench, "/stream/1");
+    for (int i = 2; i < 20; ++i) {
+        bench.pass(milliseconds(100));
+        const auto event = "id: " + std::to_string(i) + "\ndata: x\n\n";
+        bench.lastCall()->data(event);
+    }
+    bench.lastCall()->fail(true);
+    bench.pass(milliseconds(300));
+    cr_assert_not(caller->isAborted_);
+    bench.addGroup("g-1");
+    bench.pass(milliseconds(40));
+    cr_assert_eq(bench.upstream_.calls_.size(), 2);
+    cr_assert_eq(bench.lastCall()->field("last"), "19");
+}
+
 Test(streams, request_held_in_vain_is_refused_before_its_caller_leaves)
 {
     GatewayFixture bench;
--- /dev/null
+++ b/tests/support/group_engine_standin.cpp
@@ -0,0 +1,269 @@
+#include "support/group_engine_standin.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+namespace cardamombay::support {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace {
+
+constexpr auto loadTime = std::chrono::milliseconds(150);
+constexpr auto warmTime = std::chrono::milliseconds(20);
+constexpr auto openTime = std::chrono::milliseconds(20);
+constexpr auto eventPause = std::chrono::milliseconds(20);
+constexpr auto plainTime = std::chrono::milliseconds(20);
+constexpr int eventsOfStream = 20;
+
+StandinResponse refusal(unsigned status, const std::string &id)
+{
+    auto response = jsonResponse(status, "");
+    response.set("X-Not-Executed", "1");
+    response.set("X-Instance-Id", id);
+    return response;
+}
+
+std::uint64_t numberIn(const json::object &object, const char *name)
+{
+    const auto *value = object.if_contains(name);
+    return value == nullptr ? 0 : value->to_number<std::uint64_t>();
+}
+
+std::string textIn(const json::object &object, const char *name)
+{
+    const auto *value = object.if_contains(name);
+    return value == nullptr ? std::string() : json::value_to<std::string>(*value);
+}
+
+} // namespace
+
+GroupEngineStandin::GroupEngineStandin(asio::io_context &context, EngineHall &hall, std::string id,
+                                       std::string service, std::string domain)
+    : context_(context)
+    , hall_(hall)
+    , id_(std::move(id))
+    , service_(std::move(service))
+    , domain_(std::move(domain))
+    , server_(context, 0, [this](StandinExchange &exchange) { return handle(exchange); })
+{
+}
+
+std::string GroupEngineStandin::state() const
+{
+    json::object entry{{"Service", service_},
+                       {"Address", "127.0.0.1:" + std::to_string(server_.port())},
+                       {"Zone", "z"},
+                       {"Slots", 8},
+                       {"State", isDraining_ ? "draining" : "ready"}};
+    if (domain_.empty())
+        return json::serialize(entry);
+    entry["Domain"] = domain_;
+    entry["Staged"] = staged_.empty() ? json::array() : json::array{staged_};
+    entry["Models"] = json::array();
+    if (group_)
+        entry["group"] = {{"Name", group_->name_},
+                          {"epoch", group_->epoch_},
+                          {"rank", group_->rank_},
+                          {"State", group_->state_}};
+    return json::serialize(entry);
+}
+
+void GroupEngineStandin::list()
+{
+    hall_.store_.put("servers", id_, state());
+}
+
+void GroupEngineStandin::drain()
+{
+    isDraining_ = true;
+    list();
+}
+
+asio::awaitable<void> GroupEngineStandin::handle(StandinExchange &exchange)
+{
+    // A silent engine keeps its connections and answers nothing.
+    while (isSilent_)
+        co_await pauseFor(std::chrono::milliseconds(50));
+    const auto expected = headerOf(exchange.request(), "X-Expect-Instance");
+    if (!expected.empty() && expected != id_) {
+        co_await exchange.respond(refusal(421, id_));
+        co_return;
+    }
+    if (exchange.request().target() == "/-/order")
+        co_await order(exchange);
+    else if (exchange.request().target() == "/-/report")
+        co_await exchange.respond(jsonResponse(200, state()));
+    else
+        co_await run(exchange);
+}
+
+asio::awaitable<void> GroupEngineStandin::run(StandinExchange &exchange)
+{
+    const auto request = headerOf(exchange.request(), "X-Request-Id");
+    if (!headerOf(exchange.request(), "Authorization").empty())
+        hall_.violations_.push_back("the key reached " + id_);
+    if (domain_.empty()) {
+        ++hall_.runs_[request];
+        co_await pauseFor(plainTime);
+        auto response = jsonResponse(200, headerOf(exchange.request(), "X-Tenant"));
+        response.set("X-Response-Seal", id_);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (!group_ || group_->state_ != "open" || group_->rank_ != 0) {
+        co_await exchange.respond(refusal(503, id_));
+        co_return;
+    }
+    co_await stream(exchange);
+}
+
+asio::awaitable<void> GroupEngineStandin::stream(StandinExchange &exchange)
+{
+    const auto request = headerOf(exchange.request(), "X-Request-Id");
+    const auto last = headerOf(exchange.request(), "Last-Event-Id");
+    const int first = last.empty() ? 1 : std::stoi(last) + 1;
+    StandinResponse head(boost::beast::http::status::ok, 11);
+    head.set("Content-Type", "text/event-stream");
+    head.set("X-Request-Id", request);
+    head.set("X-Response-Seal", id_);
+    const auto epoch = group_->epoch_;
+    bool hasBegun = false;
+    for (int event = first; event <= eventsOfStream; ++event) {
+        while (isStalled())
+            co_await pauseFor(eventPause);
+        if (!group_ || group_->epoch_ != epoch) {
+            exchange.drop();
+            co_return;
+        }
+        if (!hasBegun) {
+            ++hall_.runs_[request];
+            if (!isWhole())
+                hall_.violations_.push_back("a request began in an incomplete group at " + id_);
+            co_await exchange.startStream(head);
+            hasBegun = true;
+        }
+        co_await exchange.write("id: " + std::to_string(event) + "\ndata: " + request + "\n\n");
+        co_await pauseFor(eventPause);
+    }
+    co_await exchange.finishStream();
+}
+
+bool GroupEngineStandin::isWhole() const
+{
+    for (const auto &member : group_->members_) {
+        const auto found = hall_.engines_.find(member);
+        if (found == hall_.engines_.end() || !found->second->group_
+            || found->second->group_->epoch_ != group_->epoch_)
+            return false;
+    }
+    return true;
+}
+
+/// Nothing moves in a group that lost a member.
+bool GroupEngineStandin::isStalled() const
+{
+    if (!group_)
+        return false;
+    for (const auto &member : group_->members_) {
+        const auto found = hall_.engines_.find(member);
+        if (found == hall_.engines_.end() || found->second->isSilent())
+            return true;
+    }
+    return !isWhole();
+}
+
+asio::awaitable<void> GroupEngineStandin::order(StandinExchange &exchange)
+{
+    const auto body = exchange.request().body();
+    const auto object = json::parse(body).as_object();
+    if (numberIn(object, "Fence") < fence_) {
+        co_await exchange.respond(jsonResponse(412, ""));
+        co_return;
+    }
+    fence_ = numberIn(object, "Fence");
+    const auto status = textIn(object, "Op") == "join" ? join(body) : change(body);
+    co_await exchange.respond(jsonResponse(status, ""));
+}
+
+unsigned GroupEngineStandin::join(const std::string &body)
+{
+    const auto object = json::parse(body).as_object();
+    const auto epoch = numberIn(object, "epoch");
+    if (epoch < epochSeen_)
+        return 412;
+    epochSeen_ = epoch;
+    if (group_ && group_->epoch_ != epoch) {
+        const auto head = hall_.engines_.find(group_->members_.front());
+        const bool serves = head != hall_.engines_.end() && head->second->group_
+                            && head->second->group_->epoch_ == group_->epoch_
+                            && head->second->group_->state_ == "open";
+        if (serves)
+            hall_.violations_.push_back(id_ + " was joined while its group served");
+    }
+    Group group;
+    group.name_ = textIn(object, "group");
+    group.epoch_ = epoch;
+    for (const auto &member : object.at("Members").as_array()) {
+        const auto name = json::value_to<std::string>(member);
+        if (name == id_)
+            group.rank_ = group.members_.size();
+        group.members_.push_back(name);
+    }
+    const auto model = textIn(object, "Model");
+    const bool wasStaged = std::exchange(staged_, model) == model;
+    group_ = std::move(group);
+    list();
+    asio::co_spawn(context_, becomeReady(epoch, wasStaged), asio::detached);
+    return 202;
+}
+
+asio::awaitable<void> GroupEngineStandin::becomeReady(std::uint64_t epoch, bool wasStaged)
+{
+    co_await pauseFor(wasStaged ? warmTime : loadTime);
+    if (group_ && group_->epoch_ == epoch) {
+        group_->state_ = "ready";
+        list();
+    }
+}
+
+asio::awaitable<void> GroupEngineStandin::becomeOpen(std::uint64_t epoch)
+{
+    co_await pauseFor(openTime);
+    if (group_ && group_->epoch_ == epoch) {
+        group_->state_ = "open";
+        list();
+    }
+}
+
+unsigned GroupEngineStandin::change(const std::string &body)
+{
+    const auto object = json::parse(body).as_object();
+    const auto operation = textIn(object, "Op");
+    if (operation == "Stage") {
+        staged_ = textIn(object, "Model");
+        list();
+        return 202;
+    }
+    if (!group_ || group_->epoch_ != numberIn(object, "epoch"))
+        return 409;
+    if (operation == "leave") {
+        group_.reset();
+        list();
+        return 200;
+    }
+    if (operation == "close") {
+        group_->state_ = "ready";
+        list();
+        return 202;
+    }
+    if (operation != "open" || group_->state_ != "ready")
+        return 409;
+    asio::co_spawn(context_, becomeOpen(group_->epoch_), asio::detached);
+    return 202;
+}
+
+} // namespace cardamombay::support
--- /dev/null
+++ b/tests/support/group_engine_standin.hpp
@@ -0,0 +1,79 @@
+/// \file
+/// \brief Stand-in of the users' engines, which form groups by orders, and of their plain services.
+#pragma once
+
+#include "support/row_store_standin.hpp"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace cardamombay::support {
+
+class GroupEngineStandin;
+
+/// \brief Engines by id, and what they saw go wrong.
+struct EngineHall
+{
+    RowStoreStandin &store_;
+    std::map<std::string, std::shared_ptr<GroupEngineStandin>> engines_;
+    std::map<std::string, int> runs_; ///< Starts of a run by request id.
+    std::vector<std::string> violations_;
+};
+
+/// \brief One engine, or one endpoint of a plain service if it has no domain.
+/// \details A group streams only while all its members listen; a request that begins in an
+/// incomplete group, and a join while the head of the engine's group serves, are written down as
+/// violations.
+class GroupEngineStandin
+{
+public:
+    GroupEngineStandin(boost::asio::io_context &context, EngineHall &hall, std::string id,
+                       std::string service, std::string domain);
+
+    /// \brief Registers the engine, and again after each change.
+    void list();
+    /// \brief Stops answering; the entry stays until expire().
+    void fallSilent() { isSilent_ = true; }
+    [[nodiscard]] bool isSilent() const { return isSilent_; }
+    /// \brief Says that it is leaving.
+    void drain();
+
+private:
+    struct Group
+    {
+        std::string name_;
+        std::uint64_t epoch_ = 0;
+        std::size_t rank_ = 0;
+        std::vector<std::string> members_;
+        std::string state_ = "joining";
+    };
+
+    boost::asio::awaitable<void> handle(StandinExchange &exchange);
+    boost::asio::awaitable<void> run(StandinExchange &exchange);
+    boost::asio::awaitable<void> stream(StandinExchange &exchange);
+    boost::asio::awaitable<void> order(StandinExchange &exchange);
+    unsigned join(const std::string &body);
+    unsigned change(const std::string &body);
+    boost::asio::awaitable<void> becomeReady(std::uint64_t epoch, bool wasStaged);
+    boost::asio::awaitable<void> becomeOpen(std::uint64_t epoch);
+    [[nodiscard]] bool isWhole() const;
+    [[nodiscard]] bool isStalled() const;
+    [[nodiscard]] std::string state() const;
+
+    boost::asio::io_context &context_;
+    EngineHall &hall_;
+    std::string id_;
+    std::string service_;
+    std::string domain_;
+    std::string staged_;
+    std::optional<Group> group_;
+    std::uint64_t fence_ = 0;
+    std::uint64_t epochSeen_ = 0;
+    bool isSilent_ = false;
+    bool isDraining_ = false;
+    StandinServer server_;
+};
+
+} // namespace cardamombay::support
--- /dev/null
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -0,0 +1,86 @@
+/// \file
+/// \brief Program: the users' store with engines in groups and plain endpoints, on 127.0.0.1.
+/// \details The store's port also takes what a test tells it: POST /test/config with a
+/// configuration, /test/silence/ID, /test/expire/ID, /test/drain/ID, /test/outage/STATUS, and
+/// GET /test/report with runs and violations.
+#include "support/group_engine_standin.hpp"
+#include "support/program_options.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+
+using namespace cardamombay;
+using namespace cardamombay::support;
+
+namespace {
+
+namespace json = boost::json;
+
+std::string reportOf(const EngineHall &hall)
+{
+    json::object runs;
+    for (const auto &[request, count] : hall.runs_)
+        runs[request] = count;
+    json::array violations(hall.violations_.begin(), hall.violations_.end());
+    return json::serialize(
+        json::object{{"runs", std::move(runs)}, {"violations", std::move(violations)}});
+}
+
+void command(EngineHall &hall, const std::string &path, const std::string &body)
+{
+    const auto slash = path.rfind('/');
+    const auto verb = path.substr(0, slash);
+    const auto id = path.substr(slash + 1);
+    if (path == "/test/config")
+        hall.store_.put("op", "config", body);
+    else if (verb == "/test/silence")
+        hall.engines_.at(id)->fallSilent();
+    else if (verb == "/test/expire")
+        hall.store_.remove("servers", id);
+    else if (verb == "/test/drain")
+        hall.engines_.at(id)->drain();
+    else if (verb == "/test/outage")
+        hall.store_.outage_ = static_cast<unsigned>(std::stoul(id));
+}
+
+boost::asio::awaitable<void> handle(RowStoreStandin &store, EngineHall &hall,
+                                    StandinExchange &exchange)
+{
+    if (co_await store.handle(exchange))
+        co_return;
+    command(hall, std::string(exchange.request().target()), exchange.request().body());
+    co_await exchange.respond(jsonResponse(200, reportOf(hall)));
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    std::uint64_t engines = 6;
+    std::uint64_t domains = 2;
+    std::uint64_t plain = 2;
+    ProgramOptions()
+        .number("engines", engines, "engines of each fabric domain")
+        .number("domains", domains, "fabric domains")
+        .number("plain", plain, "endpoints of the plain service")
+        .parse(argc, argv);
+    boost::asio::io_context context;
+    RowStoreStandin store;
+    EngineHall hall{store, {}, {}, {}};
+    const auto add = [&](const std::string &id, const std::string &service,
+                         const std::string &domain) {
+        auto engine = std::make_shared<GroupEngineStandin>(context, hall, id, service, domain);
+        engine->list();
+        hall.engines_.emplace(id, std::move(engine));
+    };
+    for (std::uint64_t d = 0; d < domains; ++d) {
+        for (std::uint64_t e = 0; e < engines; ++e)
+            add("e-" + std::to_string(d) + "-" + std::to_string(e), "lm", "d" + std::to_string(d));
+    }
+    for (std::uint64_t p = 0; p < plain; ++p)
+        add("p-" + std::to_string(p), "app", "");
+    StandinServer server(context, 0,
+                         [&](StandinExchange &exchange) { return handle(store, hall, exchange); });
+    runStandin(context, server.port());
+    return 0;
+}
--- /dev/null
+++ b/tests/support/row_store_standin.cpp
@@ -0,0 +1,183 @@
+#include "support/row_store_standin.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+namespace cardamombay::support {
+
+namespace json = boost::json;
+namespace base64 = boost::beast::detail::base64;
+
+namespace {
+
+using Query = std::map<std::string, std::string>;
+
+constexpr auto feedPoll = std::chrono::milliseconds(5);
+
+std::string encoded(const std::string &text)
+{
+    std::string result(base64::encoded_size(text.size()), '\0');
+    result.resize(base64::encode(result.data(), text.data(), text.size()));
+    return result;
+}
+
+std::string unescaped(const std::string &text)
+{
+    std::string result;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] != '%' || i + 2 >= text.size()) {
+            result += text[i];
+            continue;
+        }
+        result += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+        i += 2;
+    }
+    return result;
+}
+
+Query queryOf(const std::string &target)
+{
+    Query result;
+    auto rest = target.substr(std::min(target.size(), target.find('?') + 1));
+    while (!rest.empty()) {
+        const auto end = std::min(rest.size(), rest.find('&'));
+        const auto pair = rest.substr(0, end);
+        const auto equals = std::min(pair.size(), pair.find('='));
+        result[pair.substr(0, equals)] = unescaped(pair.substr(std::min(pair.size(), equals + 1)));
+        rest = end == rest.size() ? "" : rest.substr(end + 1);
+    }
+    return result;
+}
+
+std::string valueIn(const Query &query, const std::string &name)
+{
+    const auto found = query.find(name);
+    return found == query.end() ? "" : found->second;
+}
+
+std::string textIn(const json::object &object, const char *name)
+{
+    const auto *value = object.if_contains(name);
+    return value == nullptr ? std::string() : json::value_to<std::string>(*value);
+}
+
+} // namespace
+
+void RowStoreStandin::put(const std::string &table, const std::string &key,
+                          const std::string &value)
+{
+    rows_[{table, key}] = {encoded(value), ++version_, false};
+}
+
+void RowStoreStandin::remove(const std::string &table, const std::string &key)
+{
+    auto &row = rows_[{table, key}];
+    if (!row.isRemoved_)
+        row = {"", ++version_, true};
+}
+
+std::uint64_t RowStoreStandin::versionOf(const Key &key) const
+{
+    const auto found = rows_.find(key);
+    return found == rows_.end() || found->second.isRemoved_ ? 0 : found->second.version_;
+}
+
+std::string RowStoreStandin::listing(const Query &query) const
+{
+    const auto table = valueIn(query, "Table");
+    const auto from = valueIn(query, "From");
+    const auto target = valueIn(query, "Target");
+    json::array rows;
+    for (const auto &[key, row] : rows_) {
+        if (key.first != table || key.second < from || row.isRemoved_
+            || (!target.empty() && key.second >= target))
+            continue;
+        rows.push_back({{"Table", table},
+                        {"part", ""},
+                        {"Key", key.second},
+                        {"Value", row.value_},
+                        {"Ver", row.version_}});
+    }
+    return json::serialize(json::object{
+        {"Rows", std::move(rows)}, {"Truncated", false}, {"Ver", version_}, {"NowMs", 1}});
+}
+
+std::string RowStoreStandin::changes(const std::string &table, std::uint64_t after) const
+{
+    std::map<std::uint64_t, json::object> ordered;
+    for (const auto &[key, row] : rows_) {
+        if (key.first != table || row.version_ <= after)
+            continue;
+        json::object one{
+            {"Table", table}, {"part", ""}, {"Key", key.second}, {"Ver", row.version_}};
+        if (row.isRemoved_)
+            one["Removed"] = true;
+        else
+            one["Value"] = row.value_;
+        ordered.emplace(row.version_, std::move(one));
+    }
+    json::array rows;
+    for (auto &[version, row] : ordered)
+        rows.push_back(std::move(row));
+    return json::serialize(
+        json::object{{"Rows", std::move(rows)}, {"Ver", version_}, {"NowMs", 1}});
+}
+
+boost::asio::awaitable<void> RowStoreStandin::feed(StandinExchange &exchange, const Query &query)
+{
+    const auto table = valueIn(query, "Table");
+    const auto after = std::stoull("0" + valueIn(query, "After"));
+    const auto end = std::chrono::steady_clock::now()
+                     + std::chrono::milliseconds(std::stoull("0" + valueIn(query, "WaitMs")));
+    const auto hasChanged = [&] {
+        for (const auto &[key, row] : rows_) {
+            if (key.first == table && row.version_ > after)
+                return true;
+        }
+        return false;
+    };
+    while (!hasChanged() && std::chrono::steady_clock::now() < end)
+        co_await pauseFor(feedPoll);
+    co_await exchange.respond(jsonResponse(200, changes(table, after)));
+}
+
+StandinResponse RowStoreStandin::transact(const std::string &body)
+{
+    const auto request = json::parse(body).as_object();
+    for (const auto &value : request.at("Precondition").as_array()) {
+        const auto &condition = value.as_object();
+        const Key key{textIn(condition, "Table"), textIn(condition, "Key")};
+        if (versionOf(key) != condition.at("Ver").to_number<std::uint64_t>())
+            return jsonResponse(412, listing({{"Table", key.first}}));
+    }
+    ++version_;
+    for (const auto &value : request.at("Writes").as_array()) {
+        const auto &write = value.as_object();
+        rows_[{textIn(write, "Table"), textIn(write, "Key")}]
+            = {textIn(write, "Value"), version_, false};
+    }
+    for (const auto &value : request.at("Remove").as_array()) {
+        const auto &write = value.as_object();
+        rows_[{textIn(write, "Table"), textIn(write, "Key")}] = {"", version_, true};
+    }
+    return jsonResponse(200, json::serialize(json::object{{"Ver", version_}, {"NowMs", 1}}));
+}
+
+boost::asio::awaitable<bool> RowStoreStandin::handle(StandinExchange &exchange)
+{
+    const std::string target(exchange.request().target());
+    if (!target.starts_with("/-/rows-"))
+        co_return false;
+    if (outage_ != 0)
+        co_await exchange.respond(jsonResponse(outage_, ""));
+    else if (target.starts_with("/-/rows-tx"))
+        co_await exchange.respond(transact(exchange.request().body()));
+    else if (target.starts_with("/-/rows-get"))
+        co_await exchange.respond(jsonResponse(200, listing(queryOf(target))));
+    else
+        co_await feed(exchange, queryOf(target));
+    co_return true;
+}
+
+} // namespace cardamombay::support
