--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -90,15 +90,20 @@
         co_await pauseFor(std::chrono::milliseconds(50));
     const auto expected = headerOf(exchange.request(), "X-Expect-Instance");
     if (!expected.empty() && expected != id_) {
-        co_await exchange.respond(refusal(421, id_));
+        auto response = refusal(421, id_);
+        co_await exchange.respond(std::move(response));
         co_return;
     }
-    if (exchange.request().target() == "/-/order")
+    if (exchange.request().target() == "/-/order") {
         co_await order(exchange);
-    else if (exchange.request().target() == "/-/report")
-        co_await exchange.respond(jsonResponse(200, state()));
-    else
+        co_return;
+    }
+    if (exchange.request().target() != "/-/report") {
         co_await run(exchange);
+        co_return;
+    }
+    auto report = jsonResponse(200, state());
+    co_await exchange.respond(std::move(report));
 }
 
 asio::awaitable<void> GroupEngineStandin::run(StandinExchange &exchange)
@@ -115,7 +120,8 @@
         co_return;
     }
     if (!group_ || group_->state_ != "open" || group_->rank_ != 0) {
-        co_await exchange.respond(refusal(503, id_));
+        auto response = refusal(503, id_);
+        co_await exchange.respond(std::move(response));
         co_return;
     }
     co_await stream(exchange);
@@ -146,7 +152,8 @@
             co_await exchange.startStream(head);
             hasBegun = true;
         }
-        co_await exchange.write("id: " + std::to_string(event) + "\ndata: " + request + "\n\n");
+        std::string text = "id: " + std::to_string(event) + "\ndata: " + request + "\n\n";
+        co_await exchange.write(std::move(text));
         co_await pauseFor(eventPause);
     }
     co_await exchange.finishStream();
@@ -181,12 +188,14 @@
     const auto body = exchange.request().body();
     const auto object = json::parse(body).as_object();
     if (numberIn(object, "Fence") < fence_) {
-        co_await exchange.respond(jsonResponse(412, ""));
+        auto response = jsonResponse(412, "");
+        co_await exchange.respond(std::move(response));
         co_return;
     }
     fence_ = numberIn(object, "Fence");
     const auto status = textIn(object, "Op") == "join" ? join(body) : change(body);
-    co_await exchange.respond(jsonResponse(status, ""));
+    auto response = jsonResponse(status, "");
+    co_await exchange.respond(std::move(response));
 }
 
 unsigned GroupEngineStandin::join(const std::string &body)
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -46,10 +46,12 @@
 boost::asio::awaitable<void> handle(RowStoreStandin &store, EngineHall &hall,
                                     StandinExchange &exchange)
 {
-    if (co_await store.handle(exchange))
+    const bool isTaken = co_await store.handle(exchange);
+    if (isTaken)
         co_return;
     command(hall, std::string(exchange.request().target()), exchange.request().body());
-    co_await exchange.respond(jsonResponse(200, reportOf(hall)));
+    auto response = jsonResponse(200, reportOf(hall));
+    co_await exchange.respond(std::move(response));
 }
 
 } // namespace
--- a/tests/support/row_store_standin.cpp
+++ b/tests/support/row_store_standin.cpp
@@ -124,7 +124,7 @@
         json::object{{"Rows", std::move(rows)}, {"Ver", version_}, {"NowMs", 1}});
 }
 
-boost::asio::awaitable<void> RowStoreStandin::feed(StandinExchange &exchange, const Query &query)
+boost::asio::awaitable<void> RowStoreStandin::feed(StandinExchange &exchange, Query query)
 {
     const auto table = valueIn(query, "Table");
     const auto after = std::stoull("0" + valueIn(query, "After"));
@@ -139,7 +139,8 @@
     };
     while (!hasChanged() && std::chrono::steady_clock::now() < end)
         co_await pauseFor(feedPoll);
-    co_await exchange.respond(jsonResponse(200, changes(table, after)));
+    auto response = jsonResponse(200, changes(table, after));
+    co_await exchange.respond(std::move(response));
 }
 
 StandinResponse RowStoreStandin::transact(const std::string &body)
@@ -164,19 +165,26 @@
     return jsonResponse(200, json::serialize(json::object{{"Ver", version_}, {"NowMs", 1}}));
 }
 
+StandinResponse RowStoreStandin::answerTo(const std::string &target, const std::string &body)
+{
+    if (outage_ != 0)
+        return jsonResponse(outage_, "");
+    if (target.starts_with("/-/rows-tx"))
+        return transact(body);
+    return jsonResponse(200, listing(queryOf(target)));
+}
+
 boost::asio::awaitable<bool> RowStoreStandin::handle(StandinExchange &exchange)
 {
     const std::string target(exchange.request().target());
     if (!target.starts_with("/-/rows-"))
         co_return false;
-    if (outage_ != 0)
-        co_await exchange.respond(jsonResponse(outage_, ""));
-    else if (target.starts_with("/-/rows-tx"))
-        co_await exchange.respond(transact(exchange.request().body()));
-    else if (target.starts_with("/-/rows-get"))
-        co_await exchange.respond(jsonResponse(200, listing(queryOf(target))));
-    else
+    if (outage_ == 0 && target.starts_with("/-/rows-feed")) {
         co_await feed(exchange, queryOf(target));
+        co_return true;
+    }
+    auto response = answerTo(target, exchange.request().body());
+    co_await exchange.respond(std::move(response));
     co_return true;
 }
 
--- a/tests/support/row_store_standin.hpp
+++ b/tests/support/row_store_standin.hpp
@@ -40,8 +40,9 @@
     [[nodiscard]] std::string changes(const std::string &table, std::uint64_t after) const;
     [[nodiscard]] std::uint64_t versionOf(const Key &key) const;
     boost::asio::awaitable<void> feed(StandinExchange &exchange,
-                                      const std::map<std::string, std::string> &query);
+                                      std::map<std::string, std::string> query);
     StandinResponse transact(const std::string &body);
+    StandinResponse answerTo(const std::string &target, const std::string &body);
 
     std::map<Key, Row> rows_;
     std::uint64_t version_ = 0;
