--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -26,8 +26,8 @@
 /// Kept for giving the lease back and for the last answers.
 constexpr Duration stopReserve = std::chrono::milliseconds(900);
 
-/// Callers reuse a connection until shortly before the idle time that operators allow is over; what is
-/// on its way then must still find it open.
+/// Callers reuse a connection until shortly before the idle time that operators allow is over; what
+/// is on its way then must still find it open.
 constexpr Duration idleReserve = std::chrono::seconds(2);
 
 constexpr Duration leftPoll = std::chrono::milliseconds(20);
--- a/include/cardamombay/net/http_server.hpp
+++ b/include/cardamombay/net/http_server.hpp
@@ -90,8 +90,8 @@
     /// \returns the address with the port that was bound, or InvalidInput.
     [[nodiscard]] Result<Address> listen(const Address &address);
 
-    /// \brief Replaces the bounds; requests that are being read keep theirs. Call on the thread of the
-    /// only worker.
+    /// \brief Replaces the bounds; requests that are being read keep theirs. Call on the thread of
+    /// the only worker.
     void setLimits(const HttpServerLimits &limits);
 
     /// \name Shutdown; may be called from any thread
--- a/include/cardamombay/serving/replica_planner.hpp
+++ b/include/cardamombay/serving/replica_planner.hpp
@@ -21,7 +21,7 @@
 {
     std::span<const Endpoint *const> engines_; ///< Listed engines of the service.
     const EngineProfile *profile_ = nullptr;
-    std::set<VmId> silent_; ///< Heads whose streams stand still.
+    std::set<VmId> silent_;              ///< Heads whose streams stand still.
     std::set<VmId> pending_;             ///< Engines with an order whose effect is not seen yet.
     std::set<VmId> unresponsive_;        ///< Listed, but they do not answer; counted as missing.
     std::set<VmId> loading_;             ///< They load from the weight store.
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -6,13 +6,20 @@
 
 git ls-files -z '*.cpp' '*.hpp' | xargs -0 clang-format --dry-run -Werror
 echo "check: format is clean"
+# Names of the users' wire stand in the adapter, its deployment and its tests only.
+names='X-Response-Seal|X-Not-Executed|X-Prompt-Prefix|X-Token-Counts|X-Expect-|X-Tenant|X-Length-Hint|X-Request-Priority|X-Weight-Versions|rows-(tx|get|feed)|blob-(put|get|list|drop)|/-/(order|report|readiness)|CARDAMOMBAY_NODE_FILE|MaxAttempts|GapTargetMs|ApiKeys'
+if git grep -nIE "$names" -- src include apps bench examples charts; then
+    echo "check: names of the users' platform stand outside platform/" >&2
+    exit 1
+fi
+echo "check: platform/ has $(git ls-files platform | xargs cat | wc -l) lines; no name of it elsewhere"
 [ "${1:-}" = --format-only ] && exit 0
 
 cmake -G Ninja -S . -B "$folder" >/dev/null
 # Tests and benches are checked for format only: Criterion's macros do not pass the linter.
 log=$(mktemp)
 trap 'rm -f "$log"' EXIT
-if ! git ls-files 'src/*.cpp' 'apps/*.cpp' \
+if ! git ls-files 'src/*.cpp' 'apps/*.cpp' 'platform/*.cpp' \
         | xargs -P "$(nproc)" -n 2 clang-tidy --quiet -p "$folder" >"$log" 2>&1; then
     grep -E 'error|warning:|note:' "$log" | sort -u >&2
     exit 1
--- a/src/net/kept_connection.cpp
+++ b/src/net/kept_connection.cpp
@@ -46,7 +46,7 @@
     return nullptr;
 }
 
-void KeptPool::keep(const Address &address, std::shared_ptr<KeptConnection> connection)
+void KeptPool::keep(const Address &address, const std::shared_ptr<KeptConnection> &connection)
 {
     connection->keptAt_ = steady_clock::now();
     connection->isKept_ = true;
--- a/src/net/kept_connection.hpp
+++ b/src/net/kept_connection.hpp
@@ -55,7 +55,7 @@
     std::shared_ptr<KeptConnection> take(const Address &address, Duration longestIdle);
 
     /// \brief Keeps a connection on which an answer has ended.
-    void keep(const Address &address, std::shared_ptr<KeptConnection> connection);
+    void keep(const Address &address, const std::shared_ptr<KeptConnection> &connection);
 
     void close();
     void countOpened() { ++opened_; }
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -274,7 +274,7 @@
 {
     const bool isReusable = parser_->keep_alive() && connection_->buffer_.size() == 0;
     if (isReusable)
-        pool_->keep(address_, std::move(connection_));
+        pool_->keep(address_, connection_);
     else
         connection_->close();
     connection_.reset();
--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -239,8 +239,8 @@
         serving_.push_back(&group);
         return;
     }
-    // A group that stands still cannot finish its work. A member that is leaving, also one that is no
-    // longer listed, stays until its group has finished.
+    // A group that stands still cannot finish its work. A member that is leaving, also one that is
+    // no longer listed, stays until its group has finished.
     if (input_.silent_.contains(group.head_->id_) || hasUnresponsive(group)) {
         leave(group, "member lost");
         return;
@@ -470,6 +470,7 @@
     std::stable_sort(sorted.begin(), sorted.end(),
                      [](const auto &left, const auto &right) { return left.first > right.first; });
     std::vector<const Engines *> result;
+    result.reserve(sorted.size());
     for (const auto &[worth, engines] : sorted)
         result.push_back(engines);
     return result;
