Share what was sent instead of what waits; drain it at the expected rate

Cause: prompts counted as unread until their first event, about a pass after they had been read, and peers' counts were another 100 ms older; groups looked busier than they were. Ruled out: larger shares of the goal (they let through what came too late). Change: digests carry the prompt tokens sent so far; each entry VM keeps the same account of every group and drains it at the speed of the engine.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -74,10 +74,13 @@
     [[nodiscard]] const Candidate *leastLoaded(const std::vector<const Candidate *> &candidates,
                                                std::size_t limit);
     [[nodiscard]] const Candidate *soonest(const std::vector<const Candidate *> &candidates,
-                                           const Demand &demand);
-    [[nodiscard]] bool hasRoom(const Candidate &candidate, const Demand &demand) const;
-    [[nodiscard]] Duration timeToFirst(const Candidate &candidate, const Demand &demand) const;
-    [[nodiscard]] Duration backlog(const Candidate &candidate, const EngineProfile &profile) const;
+                                           const Demand &demand, TimePoint now);
+    [[nodiscard]] bool hasRoom(const Candidate &candidate, const Demand &demand,
+                               TimePoint now) const;
+    [[nodiscard]] Duration timeToFirst(const Candidate &candidate, const Demand &demand,
+                                       TimePoint now) const;
+    [[nodiscard]] Duration backlog(const Candidate &candidate, const EngineProfile &profile,
+                                   TimePoint now) const;
 
     const EndpointBook &book_;
     const LoadBoard &board_;
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -29,9 +29,7 @@
     /// \name Events of attempts
     /// \{
     /// \param promptTokens what the endpoint has to read first.
-    void started(const VmId &endpoint, std::size_t promptTokens);
-    /// \brief The endpoint has read a prompt, or the request has ended before.
-    void promptDone(const VmId &endpoint, std::size_t promptTokens);
+    void started(const VmId &endpoint, std::size_t promptTokens, TimePoint now);
     /// \brief Something came: an event, a head, a whole answer.
     void progressed(const VmId &endpoint, TimePoint now);
     void ended(const VmId &endpoint);
@@ -46,12 +44,11 @@
     void stalled(const VmId &endpoint, TimePoint now);
     /// \}
 
-    /// \brief What a peer has under way, the prompt tokens still to be read, and the endpoints that
-    /// are silent there.
+    /// \brief What a peer has under way and has sent, and the endpoints that are silent there.
     struct PeerLoad
     {
         std::unordered_map<VmId, std::size_t> counts_;
-        std::unordered_map<VmId, std::size_t> unread_;
+        std::unordered_map<VmId, std::size_t> sent_; ///< Prompt tokens since it started.
         std::vector<VmId> silent_;
         TimePoint at_{};
     };
@@ -68,8 +65,9 @@
     [[nodiscard]] std::size_t own(const VmId &endpoint) const;
     /// \brief Requests that all entry VMs have there, as far as is known.
     [[nodiscard]] std::size_t total(const VmId &endpoint) const;
-    /// \brief Prompt tokens of all entry VMs that the endpoint has still to read.
-    [[nodiscard]] std::size_t unread(const VmId &endpoint) const;
+    /// \brief Prompt tokens of all entry VMs that the endpoint has still to read, if it reads
+    /// \p tokensPerSecond.
+    [[nodiscard]] double unread(const VmId &endpoint, double tokensPerSecond, TimePoint now) const;
     /// \brief Endpoints that stalled here and were not heard since.
     [[nodiscard]] std::vector<VmId> silentHere() const;
     /// \brief Endpoints that stalled at this entry VM or a peer.
@@ -80,14 +78,18 @@
     [[nodiscard]] TimePoint heardAt(const VmId &endpoint) const;
     /// \brief Own counts, for peers.
     [[nodiscard]] std::unordered_map<VmId, std::size_t> ownCounts() const;
-    [[nodiscard]] std::unordered_map<VmId, std::size_t> ownUnread() const;
+    /// \brief Prompt tokens sent since this process started, for peers.
+    [[nodiscard]] std::unordered_map<VmId, std::size_t> ownSent() const;
     /// \}
 
 private:
     struct Entry
     {
         std::size_t own_ = 0;
-        std::size_t unread_ = 0; ///< Prompt tokens.
+        std::size_t sent_ = 0; ///< Prompt tokens since this process started.
+        double unread_ = 0;    ///< Prompt tokens of all entry VMs, as of unreadAt_.
+        TimePoint unreadAt_{};
+        double readRate_ = 0; ///< Tokens a second, as last told.
         TimePoint heardAt_{};
         TimePoint avoidUntil_{};
         double failures_ = 0; ///< Lately; a success takes a part of one away.
@@ -95,7 +97,10 @@
         bool isOnTrial_ = false;
         bool isSilent_ = false;
     };
-    std::unordered_map<VmId, Entry> entries_;
+    static void addUnread(Entry &entry, double tokens, TimePoint now);
+
+    /// Mutable for the rate at which a balancer expects an endpoint to read.
+    mutable std::unordered_map<VmId, Entry> entries_;
     std::map<std::string, PeerLoad> peers_;
 };
 
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -37,7 +37,7 @@
     Address address_; ///< Where its own datagrams arrive.
     std::optional<RelayState> relay_;
     std::unordered_map<VmId, std::size_t> underWay_; ///< Its requests at each endpoint.
-    std::unordered_map<VmId, std::size_t> unread_;   ///< Prompt tokens still to be read there.
+    std::unordered_map<VmId, std::size_t> sent_;     ///< Prompt tokens since it started.
     std::vector<VmId> silent_;                       ///< Endpoints whose streams stalled there.
     std::map<ModelName, double> demand_; ///< Its requests a second by model, times their work.
     bool isDraining_ = false;
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -20,6 +20,8 @@
 constexpr double goalShare = 0.92;
 /// A request comes in the middle of a pass, and its first event at the end of the next one.
 constexpr double passesToFirstEvent = 1.5;
+/// Share of its time that a busy group spends reading; the rest are the steps of those that write.
+constexpr double readingShare = 0.8;
 /// Share of the goal that may wait at a group which a held request is sent to: what can still be on
 /// time goes first.
 constexpr double heldBacklogShare = 0.2;
@@ -126,15 +128,18 @@
     return result;
 }
 
-Duration Balancer::backlog(const Candidate &candidate, const EngineProfile &profile) const
+Duration Balancer::backlog(const Candidate &candidate, const EngineProfile &profile,
+                           TimePoint now) const
 {
     const auto *model = modelNamed(profile, candidate.model_);
-    const auto reading = EngineModel(profile, *model).readTime(board_.unread(candidate.endpoint_));
-    return fromSeconds(toSeconds(reading) * candidate.slowness_);
+    const double rate
+        = profile.readTokensPerSecond_ * readingShare / (model->pace_ * candidate.slowness_);
+    return fromSeconds(board_.unread(candidate.endpoint_, rate, now) / rate);
 }
 
 /// Time to the first event if the request goes to the group now.
-Duration Balancer::timeToFirst(const Candidate &candidate, const Demand &demand) const
+Duration Balancer::timeToFirst(const Candidate &candidate, const Demand &demand,
+                               TimePoint now) const
 {
     const auto &profile = *demand.service_->engine_;
     const EngineModel model(profile, *modelNamed(profile, candidate.model_));
@@ -142,12 +147,11 @@
     // Large prompts are no reason to wait longer than small ones: all are weighed at the usual
     // size.
     const auto own = model.readTime(std::min(demand.promptTokens_, usualPrompt));
-    return fromSeconds(
-        passesToFirstEvent
-        * (toSeconds(pass + own) * candidate.slowness_ + toSeconds(backlog(candidate, profile))));
+    const double work = toSeconds(pass) * passesToFirstEvent + toSeconds(own);
+    return fromSeconds(work * candidate.slowness_) + backlog(candidate, profile, now);
 }
 
-bool Balancer::hasRoom(const Candidate &candidate, const Demand &demand) const
+bool Balancer::hasRoom(const Candidate &candidate, const Demand &demand, TimePoint now) const
 {
     const auto &profile = *demand.service_->engine_;
     const auto share = demand.hasBegun_ ? begunWaitingShare : waitingShare;
@@ -158,22 +162,22 @@
         return true;
     const auto goal = toSeconds(demand.goal_);
     if (demand.isHeld_)
-        return toSeconds(backlog(candidate, profile)) <= goal * heldBacklogShare;
-    return toSeconds(timeToFirst(candidate, demand)) <= goal * goalShare;
+        return toSeconds(backlog(candidate, profile, now)) <= goal * heldBacklogShare;
+    return toSeconds(timeToFirst(candidate, demand, now)) <= goal * goalShare;
 }
 
 /// The group that begins the request first, of those that have room for it.
 const Balancer::Candidate *Balancer::soonest(const std::vector<const Candidate *> &candidates,
-                                             const Demand &demand)
+                                             const Demand &demand, TimePoint now)
 {
     const Candidate *best = nullptr;
     double least = 0;
     for (const auto *candidate : candidates) {
-        if (!hasRoom(*candidate, demand))
+        if (!hasRoom(*candidate, demand, now))
             continue;
         // The fraction breaks ties at random, so that entry VMs don't all go to the same one.
         const double weighed
-            = toSeconds(timeToFirst(*candidate, demand)) * (1 + tieBreak * random_.unit());
+            = toSeconds(timeToFirst(*candidate, demand, now)) * (1 + tieBreak * random_.unit());
         if (best == nullptr || weighed < least) {
             best = candidate;
             least = weighed;
@@ -207,7 +211,7 @@
     if (candidates.empty())
         return NoTarget::NoEndpoint;
     if (service.engine_) {
-        const auto *best = soonest(candidates, demand);
+        const auto *best = soonest(candidates, demand, now);
         if (best == nullptr)
             return NoTarget::Full;
         return Target{best->endpoint_, best->address_,
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -23,13 +23,14 @@
 
 } // namespace
 
-void LoadBoard::started(const VmId &endpoint, std::size_t promptTokens)
+void LoadBoard::started(const VmId &endpoint, std::size_t promptTokens, TimePoint now)
 {
     auto &entry = entries_[endpoint];
     if (entry.failures_ >= 1)
         entry.isOnTrial_ = true;
     ++entry.own_;
-    entry.unread_ += promptTokens;
+    entry.sent_ += promptTokens;
+    addUnread(entry, static_cast<double>(promptTokens), now);
 }
 
 void LoadBoard::progressed(const VmId &endpoint, TimePoint now)
@@ -82,15 +83,25 @@
     entries_[endpoint].isSilent_ = true;
 }
 
-void LoadBoard::promptDone(const VmId &endpoint, std::size_t promptTokens)
+/// What the endpoint has read since the last look is taken off first.
+void LoadBoard::addUnread(Entry &entry, double tokens, TimePoint now)
 {
-    auto &entry = entries_[endpoint];
-    entry.unread_ -= std::min(entry.unread_, promptTokens);
+    const double read = toSeconds(now - entry.unreadAt_) * entry.readRate_;
+    entry.unread_ = std::max(0.0, entry.unread_ - read) + tokens;
+    entry.unreadAt_ = now;
 }
 
 void LoadBoard::setPeerLoad(const std::string &peer, PeerLoad load)
 {
-    peers_[peer] = std::move(load);
+    auto &known = peers_[peer];
+    for (const auto &[endpoint, tokens] : load.sent_) {
+        const auto before = known.sent_.find(endpoint);
+        // A peer that is new here, or has started anew, tells nothing of what is unread now.
+        const bool isComparable = before != known.sent_.end() && before->second <= tokens;
+        if (isComparable && tokens > before->second)
+            addUnread(entries_[endpoint], static_cast<double>(tokens - before->second), load.at_);
+    }
+    known = std::move(load);
 }
 
 void LoadBoard::expire(TimePoint now)
@@ -119,24 +130,22 @@
     return result;
 }
 
-std::size_t LoadBoard::unread(const VmId &endpoint) const
+double LoadBoard::unread(const VmId &endpoint, double tokensPerSecond, TimePoint now) const
 {
-    const auto own = entries_.find(endpoint);
-    std::size_t result = own == entries_.end() ? 0 : own->second.unread_;
-    for (const auto &[name, peer] : peers_) {
-        const auto found = peer.unread_.find(endpoint);
-        if (found != peer.unread_.end())
-            result += found->second;
-    }
-    return result;
+    const auto found = entries_.find(endpoint);
+    if (found == entries_.end())
+        return 0;
+    found->second.readRate_ = tokensPerSecond;
+    addUnread(found->second, 0, now);
+    return found->second.unread_;
 }
 
-std::unordered_map<VmId, std::size_t> LoadBoard::ownUnread() const
+std::unordered_map<VmId, std::size_t> LoadBoard::ownSent() const
 {
     std::unordered_map<VmId, std::size_t> result;
     for (const auto &[id, entry] : entries_) {
-        if (entry.unread_ > 0)
-            result.emplace(id, entry.unread_);
+        if (entry.sent_ > 0)
+            result.emplace(id, entry.sent_);
     }
     return result;
 }
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -381,7 +381,7 @@
     digest.from_ = settings_.entry_;
     digest.address_ = settings_.digests_;
     digest.underWay_ = parts_.board_.ownCounts();
-    digest.unread_ = parts_.board_.ownUnread();
+    digest.sent_ = parts_.board_.ownSent();
     digest.silent_ = parts_.board_.silentHere();
     digest.demand_ = ownDemand_;
     digest.isDraining_ = isLeaving_;
@@ -438,7 +438,7 @@
     peer.heardAt_ = now;
     parts_.board_.setPeerLoad(
         digest.from_.text(),
-        {std::move(digest.underWay_), std::move(digest.unread_), std::move(digest.silent_), now});
+        {std::move(digest.underWay_), std::move(digest.sent_), std::move(digest.silent_), now});
     if (digest.relay_)
         followRelay(*digest.relay_, now);
     if (digest.isDraining_) {
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -145,7 +145,7 @@
     json::object params{{"from", digest.from_.text()},
                         {"address", digest.address_.text()},
                         {"under_way", countsOf(digest.underWay_)},
-                        {"unread", countsOf(digest.unread_)},
+                        {"sent", countsOf(digest.sent_)},
                         {"silent", namesOf(digest.silent_)},
                         {"demand", std::move(demand)},
                         {"draining", digest.isDraining_}};
@@ -164,7 +164,7 @@
     digest.address_ = config::addressOf(textIn(*params, "address")).value_or(Address());
     digest.relay_ = relayIn(*params);
     readNumbers<std::size_t>(params->if_contains("under_way"), digest.underWay_);
-    readNumbers<std::size_t>(params->if_contains("unread"), digest.unread_);
+    readNumbers<std::size_t>(params->if_contains("sent"), digest.sent_);
     readNumbers<double>(params->if_contains("demand"), digest.demand_);
     digest.silent_ = endpointsIn(params->if_contains("silent"));
     digest.isDraining_ = flagIn(*params, "draining");
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -193,8 +193,7 @@
     upstream.body_ = request_.body_;
     upstream.connectTimeout_ = std::min(connectPatience, timeLeft(now));
     upstream.longestIdle_ = mayRunAgain() ? longestIdle : longestIdleOnce;
-    unreadTokens_ = service_->engine_ ? tokensToRead() : 0;
-    gateway_.parts().board_.started(target.endpoint_, unreadTokens_);
+    gateway_.parts().board_.started(target.endpoint_, service_->engine_ ? tokensToRead() : 0, now);
     call_ = gateway_.parts().upstream_.start(std::move(upstream), *this);
 }
 
@@ -203,7 +202,6 @@
     if (!call_)
         return;
     call_.reset();
-    gateway_.parts().board_.promptDone(target_.endpoint_, std::exchange(unreadTokens_, 0));
     gateway_.parts().board_.ended(target_.endpoint_);
 }
 
@@ -464,7 +462,6 @@
     progressAt_ = now;
     if (!std::exchange(hasProgress_, true))
         ++haveRun_;
-    gateway_.parts().board_.promptDone(target_.endpoint_, std::exchange(unreadTokens_, 0));
 }
 
 /// A stream that has begun never pauses for long at a healthy endpoint. One that waits may stand in
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -125,7 +125,6 @@
     std::size_t haveRun_ = 0;    ///< Attempts from which something came.
     bool isHeld_ = false;        ///< It waits here for room.
     bool wasHeld_ = false;
-    std::size_t unreadTokens_ = 0; ///< Of the present attempt's prompt.
     bool hasProgress_ = false;     ///< Something came from the present attempt.
 
     Phase phase_ = Phase::Waiting;
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -73,13 +73,24 @@
     LoadBoard board;
     const VmId endpoint("e");
     const TimePoint now{seconds(100)};
-    board.started(endpoint, 500);
-    board.setPeerLoad("p", {{{endpoint, 3}}, {{endpoint, 200}}, {}, now});
+    board.started(endpoint, 500, now);
+    board.setPeerLoad("p", {{{endpoint, 3}}, {}, {}, now});
     cr_assert_eq(board.total(endpoint), 4);
-    cr_assert_eq(board.unread(endpoint), 700);
     board.expire(now + seconds(2));
     cr_assert_eq(board.total(endpoint), 1);
-    cr_assert_eq(board.unread(endpoint), 500);
+}
+
+Test(load_board, unread_tokens_of_all_entry_vms_are_read_at_the_expected_rate)
+{
+    LoadBoard board;
+    const VmId endpoint("e");
+    const TimePoint now{seconds(100)};
+    board.started(endpoint, 500, now);
+    board.setPeerLoad("p", {{}, {{endpoint, 9000}}, {}, now});
+    board.setPeerLoad("p", {{}, {{endpoint, 9300}}, {}, now});
+    cr_assert_float_eq(board.unread(endpoint, 1000, now), 800, 1);
+    cr_assert_float_eq(board.unread(endpoint, 1000, now + milliseconds(300)), 500, 1);
+    cr_assert_float_eq(board.unread(endpoint, 1000, now + seconds(2)), 0, 1);
 }
 
 Test(load_board, failing_endpoint_is_avoided_and_then_tried_with_one_request)
@@ -91,7 +102,7 @@
     cr_assert_not(board.isUsable(endpoint, now + milliseconds(400)));
     const auto later = now + milliseconds(600);
     cr_assert(board.isUsable(endpoint, later));
-    board.started(endpoint, 0);
+    board.started(endpoint, 0, now);
     cr_assert_not(board.isUsable(endpoint, later));
     board.progressed(endpoint, later);
     cr_assert(board.isUsable(endpoint, later));
@@ -129,7 +140,7 @@
     LoadDigest digest;
     digest.from_ = EntryId("entry-1");
     digest.underWay_ = {{VmId("e"), 3}};
-    digest.unread_ = {{VmId("e"), 1500}};
+    digest.sent_ = {{VmId("e"), 1500}};
     digest.silent_ = {VmId("s")};
     digest.demand_ = {{ModelName("m"), 1.5}};
     digest.isDraining_ = true;
