Share the domains out by what a lost engine costs each model

Change: domains go to models by share times the root of the group's size, 4 and 2 in place of 3 and 3.

--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -1,6 +1,7 @@
 #include <cardamombay/serving/replica_planner.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamombay::serving {
 
@@ -71,6 +72,7 @@
     [[nodiscard]] bool isLoading(const Endpoint &engine) const;
     void order(const Endpoint &engine, Order order, std::string reason, bool loads = false);
 
+    [[nodiscard]] static double needOfEngines(const Model &model);
     [[nodiscard]] std::map<FabricDomain, const Model *> domainModels() const;
 
     const PlanInput &input_;
@@ -141,6 +143,15 @@
     return std::move(result_);
 }
 
+/// A model's need of engines against that of others. A lost engine breaks a group whatever its
+/// size, so models with larger groups lose more with each; the root stands for the survivors that
+/// regroup. With it four of six domains of 9 go to groups of 4 and two to groups of 3, in place of
+/// three each.
+double Run::needOfEngines(const Model &model)
+{
+    return model.share_ * std::sqrt(static_cast<double>(model.members_));
+}
+
 /// The model that the engines of each fabric domain serve. Groups of one model side by side repair
 /// each other: survivors of two broken groups form a whole one at once, without a load.
 std::map<FabricDomain, const Model *> Run::domainModels() const
@@ -168,7 +179,8 @@
             continue;
         for (const auto &model : input_.profile_->models_) {
             if (wanted == nullptr
-                || engines[model.name_] / model.share_ < engines[wanted->name_] / wanted->share_)
+                || engines[model.name_] / needOfEngines(model)
+                       < engines[wanted->name_] / needOfEngines(*wanted))
                 wanted = &model;
         }
         if (wanted != nullptr)
