--- a/tests/serving/replica_planner.cpp
+++ b/tests/serving/replica_planner.cpp
@@ -21,9 +21,8 @@
         std::vector<const Endpoint *> engines;
         for (const auto &engine : engines_)
             engines.push_back(&engine);
-        const auto profile = *gatewayConfiguration().services_.front().engine_;
         input_.engines_ = engines;
-        input_.profile_ = &profile;
+        input_.profile_ = &profile_;
         input_.nextEpoch_ = [this] { return ++epoch_; };
         return planReplicas(input_);
     }
@@ -37,6 +36,7 @@
                                     1, 1, MemberState::Ready));
     }
 
+    EngineProfile profile_ = *gatewayConfiguration().services_.front().engine_;
     std::vector<Endpoint> engines_;
     PlanInput input_;
     std::uint64_t epoch_ = 10;
@@ -195,6 +195,31 @@
     cr_assert_eq(joins[ModelName("n")], 2);
 }
 
+Test(replica_planner, first_start_gives_more_domains_to_the_model_with_larger_groups)
+{
+    Bench bench;
+    bench.input_.isFirstLoad_ = true;
+    auto profile = *gatewayConfiguration().services_.front().engine_;
+    profile.models_[0].members_ = 4;
+    profile.models_[0].share_ = 0.57;
+    profile.models_[1].members_ = 3;
+    profile.models_[1].share_ = 0.43;
+    bench.profile_ = profile;
+    for (int domain = 0; domain < 6; ++domain) {
+        for (int i = 0; i < 9; ++i) {
+            const auto name = std::to_string(domain);
+            bench.engines_.push_back(spareEngine(name + "-" + std::to_string(i), name));
+        }
+    }
+    std::map<ModelName, std::set<GroupName>> groups;
+    for (const auto &order : bench.plan()) {
+        if (const auto *join = std::get_if<JoinOrder>(&order.order_))
+            groups[join->model_].insert(join->group_);
+    }
+    cr_assert_eq(groups[ModelName("m")].size(), 8);
+    cr_assert_eq(groups[ModelName("n")].size(), 6);
+}
+
 Test(replica_planner, no_more_loads_begin_than_the_weight_store_serves_at_once)
 {
     Bench bench;
