Apportion domains by share and by what groups leave over

Change: a model's need is its share, more by the half group that losses leave over in a domain; domains are rounded by the next half domain. Six domains of 9 still make 4 and 2.

--- a/src/serving/replica_planner.cpp
+++ b/src/serving/replica_planner.cpp
@@ -1,7 +1,6 @@
 #include <cardamombay/serving/replica_planner.hpp>
 
 #include <algorithm>
-#include <cmath>
 
 namespace cardamombay::serving {
 
@@ -72,7 +71,7 @@
     [[nodiscard]] bool isLoading(const Endpoint &engine) const;
     void order(const Endpoint &engine, Order order, std::string reason, bool loads = false);
 
-    [[nodiscard]] static double needOfEngines(const Model &model);
+    [[nodiscard]] static double needOfDomains(const Model &model, std::size_t domainSize);
     [[nodiscard]] std::map<FabricDomain, const Model *> domainModels() const;
 
     const PlanInput &input_;
@@ -143,13 +142,14 @@
     return std::move(result_);
 }
 
-/// A model's need of engines against that of others. A lost engine breaks a group whatever its
-/// size, so models with larger groups lose more with each; the root stands for the survivors that
-/// regroup. With it four of six domains of 9 go to groups of 4 and two to groups of 3, in place of
-/// three each.
-double Run::needOfEngines(const Model &model)
+/// A model's need of domains against that of others: its share of the work, more for the engines
+/// that its groups leave over. Losses leave any number below the size of a group, half of it at the
+/// mean.
+double Run::needOfDomains(const Model &model, std::size_t domainSize)
 {
-    return model.share_ * std::sqrt(static_cast<double>(model.members_));
+    const double size = std::max<double>(static_cast<double>(domainSize), model.members_);
+    const double stranded = (model.members_ - 1) / 2.0;
+    return model.share_ * size / (size - stranded);
 }
 
 /// The model that the engines of each fabric domain serve. Groups of one model side by side repair
@@ -157,8 +157,11 @@
 std::map<FabricDomain, const Model *> Run::domainModels() const
 {
     std::map<FabricDomain, std::map<ModelName, int>> staged;
-    std::map<ModelName, double> engines;
+    std::map<ModelName, double> domains;
+    std::map<FabricDomain, std::size_t> sizes;
+    std::size_t domainSize = 1;
     for (const auto *engine : engines_) {
+        domainSize = std::max(domainSize, ++sizes[engine->domain_]);
         auto &counts = staged[engine->domain_];
         for (const auto &model : engine->staged_)
             ++counts[model];
@@ -172,19 +175,22 @@
             [](const auto &left, const auto &right) { return left.second < right.second; });
         result[domain] = most == counts.end() ? nullptr : modelNamed(most->first);
         if (result[domain] != nullptr)
-            engines[result[domain]->name_] += 1;
+            domains[result[domain]->name_] += 1;
     }
+    // Domains are apportioned by the rounding that favours neither large nor small shares: by the
+    // half domain that is next. Six domains of 9 make four for groups of 4 and two for groups of 3.
+    const auto turnOf = [&](const Model &model) {
+        return (domains[model.name_] + 0.5) / needOfDomains(model, domainSize);
+    };
     for (auto &[domain, wanted] : result) {
         if (wanted != nullptr)
             continue;
         for (const auto &model : input_.profile_->models_) {
-            if (wanted == nullptr
-                || engines[model.name_] / needOfEngines(model)
-                       < engines[wanted->name_] / needOfEngines(*wanted))
+            if (wanted == nullptr || turnOf(model) < turnOf(*wanted))
                 wanted = &model;
         }
         if (wanted != nullptr)
-            engines[wanted->name_] += 1;
+            domains[wanted->name_] += 1;
     }
     return result;
 }
