--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -73,7 +73,7 @@
     [[nodiscard]] std::vector<const Candidate *> usable(const Demand &demand, TimePoint now);
     [[nodiscard]] const Candidate *leastLoaded(const std::vector<const Candidate *> &candidates,
                                                std::size_t limit);
-    [[nodiscard]] const Candidate *soonest(const std::vector<const Candidate *> &candidates,
+    [[nodiscard]] const Candidate *soonest(std::vector<const Candidate *> candidates,
                                            const Demand &demand, TimePoint now);
     [[nodiscard]] bool hasRoom(const Candidate &candidate, const Demand &demand,
                                TimePoint now) const;
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -76,6 +76,8 @@
     [[nodiscard]] bool isUsable(const VmId &endpoint, TimePoint now) const;
     /// \brief When something came from the endpoint last; the epoch if never.
     [[nodiscard]] TimePoint heardAt(const VmId &endpoint) const;
+    /// \brief Peers whose counts are known.
+    [[nodiscard]] std::size_t peerCount() const { return peers_.size(); }
     /// \brief Own counts, for peers.
     [[nodiscard]] std::unordered_map<VmId, std::size_t> ownCounts() const;
     /// \brief Prompt tokens sent since this process started, for peers.
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -33,8 +33,11 @@
 constexpr double stallFactor = 1.3;
 constexpr Duration networkAllowance = std::chrono::milliseconds(20);
 
-/// Groups whose predictions differ by less are taken at random.
-constexpr double tieBreak = 0.05;
+/// Groups that are compared at least; two random choices already avoid the worst.
+constexpr std::size_t leastDraws = 2;
+/// So many entry VMs send about one request to a group between two digests and may compare all
+/// groups.
+constexpr std::size_t entriesThatSeeAll = 8;
 
 /// Mean context of a request, tokens.
 constexpr std::size_t usualContext = 1500;
@@ -166,21 +169,26 @@
     return toSeconds(timeToFirst(candidate, demand, now)) <= goal * goalShare;
 }
 
-/// The group that begins the request first, of those that have room for it.
-const Balancer::Candidate *Balancer::soonest(const std::vector<const Candidate *> &candidates,
+/// The best of some groups that have room, drawn at random. What is known of the peers' requests is
+/// a digest old; if many entry VMs took the very best, it would be overrun until the next one.
+const Balancer::Candidate *Balancer::soonest(std::vector<const Candidate *> candidates,
                                              const Demand &demand, TimePoint now)
 {
+    std::erase_if(candidates,
+                  [&](const Candidate *candidate) { return !hasRoom(*candidate, demand, now); });
+    const auto entries = board_.peerCount() + 1;
+    auto draws = std::max(leastDraws, candidates.size() * entriesThatSeeAll / entries);
     const Candidate *best = nullptr;
-    double least = 0;
-    for (const auto *candidate : candidates) {
-        if (!hasRoom(*candidate, demand, now))
-            continue;
-        // The fraction breaks ties at random, so that entry VMs don't all go to the same one.
-        const double weighed
-            = toSeconds(timeToFirst(*candidate, demand, now)) * (1 + tieBreak * random_.unit());
-        if (best == nullptr || weighed < least) {
+    Duration least{};
+    for (; draws > 0 && !candidates.empty(); --draws) {
+        const auto index = random_.below(candidates.size());
+        const auto *candidate = candidates[index];
+        candidates[index] = candidates.back();
+        candidates.pop_back();
+        const auto time = timeToFirst(*candidate, demand, now);
+        if (best == nullptr || time < least) {
             best = candidate;
-            least = weighed;
+            least = time;
         }
     }
     return best;
