Smaller digests; catch up only after changes of endpoints

Ruled out: lost datagrams as the cause of the calls. Change: counts are told for 1.2 s after their last change; relays name the newest change of an endpoint.

--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -80,8 +80,9 @@
     [[nodiscard]] std::size_t peerCount() const { return peers_.size(); }
     /// \brief Own counts, for peers.
     [[nodiscard]] std::unordered_map<VmId, std::size_t> ownCounts() const;
-    /// \brief Prompt tokens sent since this process started, for peers.
-    [[nodiscard]] std::unordered_map<VmId, std::size_t> ownSent() const;
+    /// \brief Prompt tokens sent since this process started, for peers; of endpoints that got any
+    /// lately.
+    [[nodiscard]] std::unordered_map<VmId, std::size_t> ownSent(TimePoint now) const;
     /// \}
 
 private:
@@ -89,7 +90,8 @@
     {
         std::size_t own_ = 0;
         std::size_t sent_ = 0; ///< Prompt tokens since this process started.
-        double unread_ = 0;    ///< Prompt tokens of all entry VMs, as of unreadAt_.
+        TimePoint sentAt_{};
+        double unread_ = 0; ///< Prompt tokens of all entry VMs, as of unreadAt_.
         TimePoint unreadAt_{};
         double readRate_ = 0; ///< Tokens a second, as last told.
         TimePoint heardAt_{};
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -24,7 +24,7 @@
 {
     ConfigVersion config_;
     Duration configAge_{}; ///< Since the store confirmed that it is the newest.
-    RowVersion endpoints_; ///< Of the table of endpoints.
+    RowVersion endpoints_; ///< Of the newest change of the table of endpoints.
     Duration endpointsAge_{};
 
     friend bool operator==(const RelayState &, const RelayState &) = default;
--- a/include/cardamombay/serving/store_watch.hpp
+++ b/include/cardamombay/serving/store_watch.hpp
@@ -79,6 +79,10 @@
     /// \brief True once the table has been listed.
     [[nodiscard]] bool isListed() const { return isListed_; }
 
+    /// \brief Version of the newest row that the copy took; the store's own version also rises with
+    /// writes to other tables.
+    [[nodiscard]] RowVersion lastChange() const { return lastChange_; }
+
     /// \brief The version that the copy has.
     [[nodiscard]] RowVersion version() const { return version_; }
 
@@ -92,6 +96,7 @@
     void ask(Duration wait);
     void changed(const platform::ChangePage &page, TimePoint since);
     void failed(const Error &error);
+    void tell(const platform::RowChange &change);
     void reachable(bool isReachable);
     void later(Duration pause, void (StoreWatch::*step)());
 
@@ -101,6 +106,7 @@
     Settings settings_;
     WatchListener &listener_;
     RowVersion version_;
+    RowVersion lastChange_;
     bool isListed_ = false;
     bool isActive_ = true;
     bool isAsking_ = false; ///< A call is under way or due.
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -19,6 +19,9 @@
 /// Part of a failure that a success makes up for.
 constexpr double successShare = 0.34;
 
+/// A count stays in several digests, so that one that is lost does no harm.
+constexpr Duration toldFor = std::chrono::milliseconds(1200);
+
 constexpr Duration memoryOfIdle = std::chrono::seconds(30);
 
 } // namespace
@@ -30,6 +33,7 @@
         entry.isOnTrial_ = true;
     ++entry.own_;
     entry.sent_ += promptTokens;
+    entry.sentAt_ = now;
     addUnread(entry, static_cast<double>(promptTokens), now);
 }
 
@@ -101,6 +105,8 @@
         if (isComparable && tokens > before->second)
             addUnread(entries_[endpoint], static_cast<double>(tokens - before->second), load.at_);
     }
+    // Counts that did not change lately are not told again.
+    load.sent_.merge(known.sent_);
     known = std::move(load);
 }
 
@@ -140,11 +146,11 @@
     return found->second.unread_;
 }
 
-std::unordered_map<VmId, std::size_t> LoadBoard::ownSent() const
+std::unordered_map<VmId, std::size_t> LoadBoard::ownSent(TimePoint now) const
 {
     std::unordered_map<VmId, std::size_t> result;
     for (const auto &[id, entry] : entries_) {
-        if (entry.sent_ > 0)
+        if (entry.sent_ > 0 && now - entry.sentAt_ < toldFor)
             result.emplace(id, entry.sent_);
     }
     return result;
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -370,7 +370,7 @@
     const auto &routes = parts_.gateway_.routes();
     relay.config_ = routes ? routes->version() : ConfigVersion();
     relay.configAge_ = now - parts_.gateway_.confirmedAt();
-    relay.endpoints_ = endpointWatch_.version();
+    relay.endpoints_ = endpointWatch_.lastChange();
     relay.endpointsAge_ = now - endpointsConfirmedAt_;
     return relay;
 }
@@ -381,7 +381,7 @@
     digest.from_ = settings_.entry_;
     digest.address_ = settings_.digests_;
     digest.underWay_ = parts_.board_.ownCounts();
-    digest.sent_ = parts_.board_.ownSent();
+    digest.sent_ = parts_.board_.ownSent(parts_.clock_.now());
     digest.silent_ = parts_.board_.silentHere();
     digest.demand_ = ownDemand_;
     digest.isDraining_ = isLeaving_;
--- a/src/serving/store_watch.cpp
+++ b/src/serving/store_watch.cpp
@@ -54,11 +54,17 @@
         return;
     for (const auto &change : changes) {
         if (change.row_.version_ > version_)
-            listener_.rowChanged(change);
+            tell(change);
     }
     version_ = to;
 }
 
+void StoreWatch::tell(const platform::RowChange &change)
+{
+    lastChange_ = std::max(lastChange_, change.row_.version_);
+    listener_.rowChanged(change);
+}
+
 void StoreWatch::list()
 {
     isAsking_ = true;
@@ -96,6 +102,8 @@
 void StoreWatch::listed(const std::vector<platform::Row> &rows, RowVersion version, TimePoint since)
 {
     version_ = version;
+    for (const auto &row : rows)
+        lastChange_ = std::max(lastChange_, row.version_);
     isListed_ = true;
     reachable(true);
     listener_.tableListed(settings_.table_, rows);
@@ -140,7 +148,7 @@
     for (const auto &change : page.changes_) {
         // What was passed on meanwhile is newer.
         if (change.row_.version_ > before)
-            listener_.rowChanged(change);
+            tell(change);
     }
     version_ = std::max(version_, page.version_);
     if (!page.changes_.empty())
--- a/tests/serving/store_watch.cpp
+++ b/tests/serving/store_watch.cpp
@@ -140,6 +140,14 @@
     cr_assert_eq(bench.watch_.version(), RowVersion(12));
 }
 
+Test(store_watch, writes_to_other_tables_are_no_change)
+{
+    Bench bench;
+    bench.answer(platform::ChangePage{{change(11)}, RowVersion(40)});
+    cr_assert_eq(bench.watch_.lastChange(), RowVersion(11));
+    cr_assert_eq(bench.watch_.version(), RowVersion(40));
+}
+
 Test(store_watch, changes_with_a_gap_before_them_are_left_out)
 {
     Bench bench;
