Confirm the end of an empty wait; plan only when something changed

The planner planned ten times a second whatever had happened. Change: an answer without changes confirms the end of its wait; plans are made when an engine, an order or a stalled group has changed, and twice a second; one relay beside the planner.

--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -62,6 +62,7 @@
     void ask(const GroupName &group, const Endpoint &member);
     void memberAnswered(const GroupName &group, const VmId &member, const Result<Endpoint> &answer);
     void planService(const Service &service);
+    [[nodiscard]] bool isDue(TimePoint now);
     [[nodiscard]] PlanInput inputFor(const Service &service,
                                      const std::vector<const Endpoint *> &engines);
     void send(const PlannedOrder &planned, const EngineProfile &profile);
@@ -83,6 +84,9 @@
     std::map<VmId, TimePoint> loadsUntil_;
     std::map<GroupName, Inquiry> inquiries_;
     std::map<VmId, std::uint32_t> unanswered_; ///< Questions in a row that an engine left open.
+    TimePoint plannedAt_{};
+    std::uint64_t plannedRevision_ = 0; ///< Of the book when the last plan was made.
+    bool hadOrders_ = false;            ///< The last plan gave orders.
     TimePoint loggedAt_{};
     Epoch countedFor_;
     std::uint64_t counter_ = 0;
--- a/include/cardamombay/serving/store_watch.hpp
+++ b/include/cardamombay/serving/store_watch.hpp
@@ -94,7 +94,7 @@
     void next();
     void wait();
     void ask(Duration wait);
-    void changed(const platform::ChangePage &page, TimePoint since);
+    void changed(const platform::ChangePage &page, TimePoint since, Duration wait);
     void failed(const Error &error);
     void tell(const platform::RowChange &change);
     void reachable(bool isReachable);
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -23,8 +23,10 @@
 constexpr Duration endpointWait = std::chrono::milliseconds(1500);
 /// Engines list each step of a group; a call for each would be most of all calls.
 constexpr Duration endpointPause = std::chrono::milliseconds(250);
-/// The planner waits for each step of a group to give the next order.
-constexpr Duration plannerPause = std::chrono::milliseconds(15);
+/// The planner waits for each step of a group to give the next order; in a large fleet it also
+/// passes each change on to many peers.
+constexpr Duration leastPlannerPause = std::chrono::milliseconds(15);
+constexpr Duration plannerPausePerPeer = std::chrono::milliseconds(1);
 
 /// An entry VM without a confirmation for that long sends callers elsewhere.
 constexpr Duration readyUnconfirmed = std::chrono::milliseconds(3500);
@@ -56,8 +58,8 @@
 constexpr Duration afterPause = std::chrono::milliseconds(500);
 /// At the start every entry VM watches, until the peers are known.
 constexpr Duration startPhase = std::chrono::seconds(2);
-/// Entry VMs that pass changes of endpoints on: the second makes good for what the first one loses.
-constexpr std::uint32_t relayCount = 2;
+/// Entry VMs that pass changes of endpoints on beside the planner, which hears of them first.
+constexpr std::uint32_t relayCount = 1;
 
 /// Time over which the demand is smoothed; a group takes some seconds to form.
 constexpr double demandMemorySeconds = 4;
@@ -258,7 +260,11 @@
     std::vector<EntryId> entries;
     for (const auto &[entry, peer] : peers_)
         entries.push_back(entry);
-    rank_ = leases::candidateRank(FabricDomain("fleet"), settings_.entry_, entries);
+    const auto rank = leases::candidateRank(FabricDomain("fleet"), settings_.entry_, entries);
+    if (rank != rank_)
+        log::info(event::peersChanged, {{"peers", std::to_string(entries.size())},
+                                        {"rank", rank ? std::to_string(*rank) : "none"}});
+    rank_ = rank;
     parts_.lease_.setCandidateRank(rank_);
     parts_.gateway_.setEntryCount(peers_.size() + 1);
 }
@@ -322,6 +328,8 @@
     if (!demand.empty())
         parts_.manager_.setTrafficSeen();
     const bool isPlanner = parts_.lease_.isHeld();
+    const auto plannerPause = std::max<Duration>(
+        leastPlannerPause, plannerPausePerPeer * static_cast<int>(peers_.size()));
     endpointWatch_.setPause(isPlanner ? plannerPause : endpointPause);
     parts_.manager_.setDemand(demand);
     parts_.manager_.tick(*parts_.gateway_.routes());
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -20,6 +20,9 @@
 /// Pause between two rounds of questions; a question itself waits 250 ms.
 constexpr Duration askAgain = std::chrono::milliseconds(400);
 
+/// A plan is made at least that often, for what only time changes.
+constexpr Duration longestPlanGap = std::chrono::milliseconds(500);
+
 constexpr Duration capacityLogPeriod = std::chrono::seconds(1);
 
 /// Group epochs of one tenure of the lease; the lease's own epoch stands before them.
@@ -54,7 +57,7 @@
     if (std::exchange(wasHeld_, isHeld) != isHeld)
         log::info(isHeld ? event::leaseGained : event::leaseLost,
                   {{"epoch", std::to_string(parts_.lease_.epoch().value())}});
-    if (!isHeld)
+    if (!isHeld || !isDue(now))
         return;
     for (const auto &service : routes.configuration().services_) {
         if (service.engine_)
@@ -62,6 +65,21 @@
     }
 }
 
+/// Nothing can be due while no engine, no order and no stalled group has changed; demand moves
+/// slowly.
+bool ReplicaManager::isDue(TimePoint now)
+{
+    const bool hasChanged = parts_.book_.revision() != plannedRevision_ || hadOrders_
+                            || !pending_.empty() || !unanswered_.empty()
+                            || !parts_.board_.silentAnywhere().empty();
+    if (!hasChanged && now - plannedAt_ < longestPlanGap)
+        return false;
+    plannedAt_ = now;
+    plannedRevision_ = parts_.book_.revision();
+    hadOrders_ = false;
+    return true;
+}
+
 void ReplicaManager::expire(TimePoint now)
 {
     std::erase_if(pending_, [this, now](const auto &entry) {
@@ -103,6 +121,7 @@
     inquire(engines);
     logCapacity(service, engines);
     const auto plan = planReplicas(inputFor(service, engines));
+    hadOrders_ = hadOrders_ || !plan.empty();
     for (const auto &order : plan)
         send(order, *service.engine_);
 }
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -125,7 +125,7 @@
     std::size_t haveRun_ = 0;    ///< Attempts from which something came.
     bool isHeld_ = false;        ///< It waits here for room.
     bool wasHeld_ = false;
-    bool hasProgress_ = false;     ///< Something came from the present attempt.
+    bool hasProgress_ = false; ///< Something came from the present attempt.
 
     Phase phase_ = Phase::Waiting;
     net::HttpResponse answer_; ///< Head and, for whole answers, body so far.
--- a/src/serving/store_watch.cpp
+++ b/src/serving/store_watch.cpp
@@ -127,21 +127,23 @@
 {
     isAsking_ = true;
     const auto since = clock_.now();
-    feed_.changes(
-        {settings_.table_, version_, wait},
-        [this, alive = std::weak_ptr(isAlive_), since](const Result<platform::ChangePage> &result) {
-            if (alive.expired())
-                return;
-            if (isOk(result))
-                changed(valueOf(result), since);
-            else if (isError<NotFound>(result))
-                list();
-            else
-                failed(errorOf(result));
-        });
-}
-
-void StoreWatch::changed(const platform::ChangePage &page, TimePoint since)
+    feed_.changes({settings_.table_, version_, wait},
+                  [this, alive = std::weak_ptr(isAlive_), since,
+                   wait](const Result<platform::ChangePage> &result) {
+                      if (alive.expired())
+                          return;
+                      if (isOk(result))
+                          changed(valueOf(result), since, wait);
+                      else if (isError<NotFound>(result))
+                          list();
+                      else
+                          failed(errorOf(result));
+                  });
+}
+
+/// An answer without changes is given when the wait is over, not before; it shows the table as of
+/// then.
+void StoreWatch::changed(const platform::ChangePage &page, TimePoint since, Duration wait)
 {
     reachable(true);
     const auto before = version_;
@@ -153,7 +155,8 @@
     version_ = std::max(version_, page.version_);
     if (!page.changes_.empty())
         listener_.changesArrived(settings_.table_, before, version_, page.changes_);
-    listener_.tableConfirmed(settings_.table_, since);
+    const bool isWaitOver = page.changes_.empty() && clock_.now() - since >= wait;
+    listener_.tableConfirmed(settings_.table_, isWaitOver ? since + wait : since);
     isAsking_ = false;
     if (page.changes_.empty() || settings_.pause_ == Duration::zero()) {
         next();
