Plan by a fresh view only; bound what is passed on to peers

Its link of 20 Mbit/s was full: 296 engines listed several times, passed on to 87 peers; an order left 2.2 s late. Ruled out: a returning lease (both orders came from one tenure); rows taken back by older ones. Change: an order counts as lost only by a view that is younger than its effect should be; nothing is planned by a view older than 2.5 s; relays are bounded to 250 KB/s, peers catch up by themselves.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -123,7 +123,9 @@
 #include <cardamombay/net/http_client.hpp>
 #include <cardamombay/net/http_server.hpp>
 #include <cardamombay/net/http_status.hpp>
+#include <cardamombay/net/kept_upstream.hpp>
 #include <cardamombay/net/server_exchange.hpp>
+#include <cardamombay/net/udp_channel.hpp>
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/net/upstream_client.hpp>
 
@@ -138,6 +140,7 @@
 #include <cardamombay/planning/return_history.hpp>
 #include <cardamombay/planning/return_model.hpp>
 
+#include <cardamombay/platform/change_feed.hpp>
 #include <cardamombay/platform/http_endpoint.hpp>
 #include <cardamombay/platform/http_object_store.hpp>
 #include <cardamombay/platform/http_table_store.hpp>
@@ -167,6 +170,28 @@
 #include <cardamombay/rpc/json_rpc_peer_transport.hpp>
 #include <cardamombay/rpc/rpc_http_handler.hpp>
 
+#include <cardamombay/serving/balancer.hpp>
+#include <cardamombay/serving/configuration.hpp>
+#include <cardamombay/serving/dialects.hpp>
+#include <cardamombay/serving/endpoint.hpp>
+#include <cardamombay/serving/endpoint_book.hpp>
+#include <cardamombay/serving/engine_model.hpp>
+#include <cardamombay/serving/event_scanner.hpp>
+#include <cardamombay/serving/formats.hpp>
+#include <cardamombay/serving/gateway.hpp>
+#include <cardamombay/serving/gateway_metrics.hpp>
+#include <cardamombay/serving/gateway_settings.hpp>
+#include <cardamombay/serving/group_view.hpp>
+#include <cardamombay/serving/load_board.hpp>
+#include <cardamombay/serving/node.hpp>
+#include <cardamombay/serving/peer_digests.hpp>
+#include <cardamombay/serving/repeat_window.hpp>
+#include <cardamombay/serving/replica_manager.hpp>
+#include <cardamombay/serving/replica_orders.hpp>
+#include <cardamombay/serving/replica_planner.hpp>
+#include <cardamombay/serving/route_table.hpp>
+#include <cardamombay/serving/store_watch.hpp>
+
 #include <cardamombay/settings/settings.hpp>
 
 #include <cardamombay/trace/span_sink.hpp>
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -118,6 +118,8 @@
     bool areEndpointsListed_ = false;
     bool isLeaving_ = false;
     bool isWatching_ = true;
+    double relayBytes_ = 0; ///< That may be passed on now.
+    TimePoint relayedAt_{};
     bool wasReady_ = false;
     std::shared_ptr<bool> isAlive_ = std::make_shared<bool>(true);
 };
--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -35,7 +35,9 @@
     ReplicaManager &operator=(const ReplicaManager &) = delete;
 
     /// \brief Plans and sends what is due, if the lease is held. Call every planPeriod.
-    void tick(const RouteTable &routes);
+    /// \param listedAsOf the engines' entries are known as of then; nothing is planned by an old
+    /// view, and an order counts as lost only if a later view does not show its effect.
+    void tick(const RouteTable &routes, TimePoint listedAsOf);
 
     /// \brief Requests have come, so loads take their full time from now on.
     void setTrafficSeen() { isFirstLoad_ = false; }
@@ -68,7 +70,7 @@
     void send(const PlannedOrder &planned, const EngineProfile &profile);
     void answered(const VmId &engine, const Order &order, const Result<OrderAnswer> &answer);
     [[nodiscard]] std::uint64_t nextEpoch();
-    void expire(TimePoint now);
+    void expire(TimePoint now, TimePoint listedAsOf);
 
     ManagerParts parts_;
     bool isFirstLoad_ = false;
@@ -86,7 +88,7 @@
     std::map<VmId, std::uint32_t> unanswered_; ///< Questions in a row that an engine left open.
     TimePoint plannedAt_{};
     std::uint64_t plannedRevision_ = 0; ///< Of the book when the last plan was made.
-    bool hadOrders_ = false;            ///< The last plan gave orders.
+    bool hadOrders_ = false;            ///< Orders were given or have ended since the last plan.
     TimePoint loggedAt_{};
     Epoch countedFor_;
     std::uint64_t counter_ = 0;
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -50,6 +50,11 @@
 constexpr Duration freshRelay = std::chrono::milliseconds(2200);
 /// Changes that were passed on arrive by then; what is still missing is asked for.
 constexpr Duration catchUpAfter = std::chrono::milliseconds(120);
+constexpr Duration catchUpPerPeer = std::chrono::milliseconds(5);
+/// Bytes that are passed on in a second: a tenth of the smallest link of 20 Mbit/s. Without the
+/// bound the first listing of 300 engines to 87 peers held up the planner's own orders for two
+/// seconds.
+constexpr double relayBytesPerSecond = 250'000;
 /// Longest way of a datagram that an age is corrected for.
 constexpr Duration datagramTime = std::chrono::milliseconds(100);
 /// Longer pauses of the 20 ms tick mean that the process stood still; what had queued up meanwhile
@@ -275,8 +280,15 @@
     const bool passesOn = (rank_ && *rank_ < relayCount) || parts_.lease_.isHeld();
     if (table != parts_.format_.endpointTable() || !passesOn)
         return;
+    const auto now = parts_.clock_.now();
+    relayBytes_ = std::min(relayBytesPerSecond,
+                           relayBytes_ + toSeconds(now - relayedAt_) * relayBytesPerSecond);
+    relayedAt_ = now;
     for (const auto &part : splitRelay({after, to, changes})) {
         const auto text = encode(part);
+        relayBytes_ -= static_cast<double>(text.size() * peers_.size());
+        if (relayBytes_ < 0)
+            return; // Peers catch up by themselves.
         for (const auto &[entry, peer] : peers_)
             parts_.datagrams_.send(peer.address_, text);
     }
@@ -332,7 +344,7 @@
         leastPlannerPause, plannerPausePerPeer * static_cast<int>(peers_.size()));
     endpointWatch_.setPause(isPlanner ? plannerPause : endpointPause);
     parts_.manager_.setDemand(demand);
-    parts_.manager_.tick(*parts_.gateway_.routes());
+    parts_.manager_.tick(*parts_.gateway_.routes(), endpointsConfirmedAt_);
 }
 
 std::map<ModelName, double> Node::fleetDemand() const
@@ -479,7 +491,9 @@
     }
     if (behindSince_ == TimePoint{})
         behindSince_ = now;
-    if (now - behindSince_ >= catchUpAfter) {
+    const auto patience
+        = std::max<Duration>(catchUpAfter, catchUpPerPeer * static_cast<int>(peers_.size()));
+    if (now - behindSince_ >= patience) {
         behindSince_ = {};
         endpointWatch_.catchUp();
     }
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -17,6 +17,10 @@
 /// that the order counts as lost and the planner decides anew.
 constexpr Duration effectTime = std::chrono::milliseconds(800);
 
+/// A view of the engines that is older may miss groups that have formed since; a watch confirms it
+/// every 1.5 s at the latest.
+constexpr Duration longestViewAge = std::chrono::milliseconds(2500);
+
 /// Pause between two rounds of questions; a question itself waits 250 ms.
 constexpr Duration askAgain = std::chrono::milliseconds(400);
 
@@ -49,15 +53,15 @@
 {
 }
 
-void ReplicaManager::tick(const RouteTable &routes)
+void ReplicaManager::tick(const RouteTable &routes, TimePoint listedAsOf)
 {
     const auto now = parts_.clock_.now();
-    expire(now);
+    expire(now, listedAsOf);
     const bool isHeld = parts_.lease_.isHeldFor(orderMargin);
     if (std::exchange(wasHeld_, isHeld) != isHeld)
         log::info(isHeld ? event::leaseGained : event::leaseLost,
                   {{"epoch", std::to_string(parts_.lease_.epoch().value())}});
-    if (!isHeld || !isDue(now))
+    if (!isHeld || now - listedAsOf > longestViewAge || !isDue(now))
         return;
     for (const auto &service : routes.configuration().services_) {
         if (service.engine_)
@@ -80,12 +84,14 @@
     return true;
 }
 
-void ReplicaManager::expire(TimePoint now)
+void ReplicaManager::expire(TimePoint now, TimePoint listedAsOf)
 {
-    std::erase_if(pending_, [this, now](const auto &entry) {
+    const auto ended = std::erase_if(pending_, [this, listedAsOf](const auto &entry) {
         const auto *engine = parts_.book_.find(entry.first);
-        return now >= entry.second.until_ || engine == nullptr || *engine != entry.second.before_;
+        return listedAsOf >= entry.second.until_ || engine == nullptr
+               || *engine != entry.second.before_;
     });
+    hadOrders_ = hadOrders_ || ended > 0;
     std::erase_if(unanswered_,
                   [this](const auto &entry) { return parts_.book_.find(entry.first) == nullptr; });
     std::erase_if(loadsUntil_, [&](const auto &entry) {
--- /dev/null
+++ b/tests/serving/replica_manager.cpp
@@ -0,0 +1,87 @@
+// What the manager sends, and when it takes an order for lost.
+#include "support/fake_store.hpp"
+#include "support/gateway_fixture.hpp"
+
+#include <cardamombay/serving/replica_manager.hpp>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using namespace cardamombay::support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Takes orders and leaves them unanswered.
+class SilentOrders final : public ReplicaOrders
+{
+public:
+    void send(const Endpoint &engine, const Order &order, std::uint64_t /*fence*/,
+              Callback<OrderAnswer> /*done*/) override
+    {
+        sent_.emplace_back(engine.id_, order);
+    }
+    void state(const Endpoint & /*engine*/, Callback<Endpoint> /*done*/) override {}
+
+    std::vector<std::pair<VmId, Order>> sent_;
+};
+
+struct Bench
+{
+    Bench()
+    {
+        book_.put(spareEngine("a", "d", "m"));
+        book_.put(spareEngine("b", "d", "m"));
+        lease_.setCandidateRank(0);
+        lease_.start();
+        while (!lease_.isHeldFor(seconds(5)))
+            clock_.advance(milliseconds(100));
+    }
+
+    static leases::LeaseProgramPtr program()
+    {
+        const auto chart = chart::ChartFolder(SOURCE_FOLDER "/charts").load("lease");
+        return valueOf(leases::LeaseKeeper::bind(valueOf(chart)));
+    }
+
+    ManualClock clock_;
+    FakePlatform platform_{clock_};
+    FakeTableStore store_{platform_};
+    leases::LeaseKeeper lease_{clock_,
+                               store_,
+                               Random(1),
+                               leases::LeaseSettings{},
+                               EntryId("e"),
+                               Incarnation(1),
+                               FabricDomain("fleet"),
+                               program()};
+    SilentOrders orders_;
+    EndpointBook book_;
+    LoadBoard board_;
+    ReplicaManager manager_{{clock_, lease_, orders_, book_, board_}};
+    RouteTable routes_{gatewayConfiguration()};
+};
+
+} // namespace
+
+Test(replica_manager, order_counts_as_lost_only_by_a_view_that_is_younger_than_its_effect)
+{
+    Bench bench;
+    const auto sent = bench.clock_.now();
+    bench.manager_.tick(bench.routes_, sent);
+    cr_assert_eq(bench.orders_.sent_.size(), 2);
+    bench.clock_.advance(milliseconds(1500));
+    bench.manager_.tick(bench.routes_, sent + milliseconds(100));
+    cr_assert_eq(bench.orders_.sent_.size(), 2);
+    bench.manager_.tick(bench.routes_, bench.clock_.now());
+    cr_assert_eq(bench.orders_.sent_.size(), 4);
+}
+
+Test(replica_manager, nothing_is_planned_by_an_old_view)
+{
+    Bench bench;
+    bench.manager_.tick(bench.routes_, bench.clock_.now() - seconds(3));
+    cr_assert(bench.orders_.sent_.empty());
+}
