--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -190,7 +190,7 @@
     node_ = std::make_unique<serving::Node>(
         serving::NodeParts{clock_, store_, store_, format_, datagrams_, *lease_, book_, board_,
                            gateway_, *manager_},
-        serving::NodeSettings{settings_.entry_, incarnation, settings_.digests_,
+        serving::NodeSettings{settings_.entry_, settings_.zone_, incarnation, settings_.digests_,
                               settings_.isFirstStart_});
     traffic::LifecycleActions &actions = *this;
     lifecycle_ = std::make_unique<traffic::Lifecycle>(valueOf(std::move(daemonProgram)), clock_,
--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -171,8 +171,10 @@
 #include <cardamombay/rpc/rpc_http_handler.hpp>
 
 #include <cardamombay/serving/balancer.hpp>
+#include <cardamombay/serving/change_history.hpp>
 #include <cardamombay/serving/configuration.hpp>
 #include <cardamombay/serving/dialects.hpp>
+#include <cardamombay/serving/digest_hub.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/endpoint_book.hpp>
 #include <cardamombay/serving/engine_model.hpp>
@@ -189,6 +191,7 @@
 #include <cardamombay/serving/replica_manager.hpp>
 #include <cardamombay/serving/replica_orders.hpp>
 #include <cardamombay/serving/replica_planner.hpp>
+#include <cardamombay/serving/reporters.hpp>
 #include <cardamombay/serving/route_table.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -64,6 +64,10 @@
     [[nodiscard]] TimePoint confirmedAt() const { return confirmedAt_; }
     /// \brief Entry VMs that share the fleet's retries, self included.
     void setEntryCount(std::size_t count);
+    /// \brief What the other entry VMs counted in the last window, as they told last.
+    void setOthersRepeats(std::map<ServiceName, RepeatCounts> counts);
+    /// \brief What was counted here, for the others.
+    [[nodiscard]] std::map<ServiceName, RepeatCounts> repeatCounts(TimePoint now);
     void setBounds(const GatewayBounds &bounds);
     /// \}
 
@@ -101,6 +105,7 @@
 private:
     void retryHeld(std::vector<std::shared_ptr<Session>> &sessions);
     [[nodiscard]] RepeatBound repeatBound() const;
+    [[nodiscard]] bool othersLeaveRepeats(const ServiceName &service, TimePoint now);
 
     GatewayParts parts_;
     GatewayBounds bounds_;
@@ -112,6 +117,8 @@
     TimePoint sweptAt_{};
     std::map<ModelName, double> demand_;
     std::unordered_map<ServiceName, RepeatWindow> repeats_;
+    std::map<ServiceName, RepeatCounts> othersRepeats_;
+    std::map<ServiceName, double> extraRepeats_; ///< Taken since the others' counts came.
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> ended_;
 };
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -51,11 +51,15 @@
         std::unordered_map<VmId, std::size_t> sent_; ///< Prompt tokens since it started.
         std::vector<VmId> silent_;
         TimePoint at_{};
+        std::size_t entries_ = 1; ///< Entry VMs that it is the sum of.
     };
 
     /// \brief Takes the news of a peer, in place of its earlier ones.
     void setPeerLoad(const std::string &peer, PeerLoad load);
 
+    /// \brief Drops the news of all peers, since they will come from others.
+    void forgetPeers() { peers_.clear(); }
+
     /// \brief Drops endpoints without work that nothing was heard of for long.
     void expire(TimePoint now);
 
@@ -76,8 +80,8 @@
     [[nodiscard]] bool isUsable(const VmId &endpoint, TimePoint now) const;
     /// \brief When something came from the endpoint last; the epoch if never.
     [[nodiscard]] TimePoint heardAt(const VmId &endpoint) const;
-    /// \brief Peers whose counts are known.
-    [[nodiscard]] std::size_t peerCount() const { return peers_.size(); }
+    /// \brief Entry VMs whose counts are known, self not included.
+    [[nodiscard]] std::size_t peerCount() const;
     /// \brief Own counts, for peers.
     [[nodiscard]] std::unordered_map<VmId, std::size_t> ownCounts() const;
     /// \brief Prompt tokens sent since this process started, for peers; of endpoints that got any
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -4,10 +4,13 @@
 /// with the time to act. Decides whether the entry VM is ready for callers. One thread.
 #pragma once
 
+#include <cardamombay/serving/change_history.hpp>
+#include <cardamombay/serving/digest_hub.hpp>
 #include <cardamombay/serving/formats.hpp>
 #include <cardamombay/serving/gateway.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
+#include <cardamombay/serving/reporters.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
 #include <set>
@@ -18,6 +21,7 @@
 struct NodeSettings
 {
     EntryId entry_;
+    AvailabilityZone zone_;
     Incarnation incarnation_;
     Address digests_;           ///< Where peers' datagrams reach this entry VM.
     bool isFirstStart_ = false; ///< The whole system starts for the first time.
@@ -67,38 +71,61 @@
     /// \{
     void tableListed(const std::string &table, const std::vector<platform::Row> &rows) override;
     void rowChanged(const platform::RowChange &change) override;
-    void changesArrived(const std::string &table, RowVersion after, RowVersion to,
-                        const std::vector<platform::RowChange> &changes) override;
+    void changesArrived(const std::string &table, RowVersion after, RowVersion to) override;
     void tableConfirmed(const std::string &table, TimePoint asOf) override;
     void storeReachable(const std::string &table, bool isReachable) override;
     /// \}
 
 private:
     void takeConfiguration(const platform::Row &row);
-    void takeEndpoint(const platform::Row &row);
+    void takeEndpoint(const platform::RowChange &change);
+    void endpointChanged(const EndpointChange &change);
+    void relayArrived(const EndpointRelay &relay);
+    [[nodiscard]] bool isWorthLogging(const Endpoint *known, const Endpoint &now) const;
     void takePeer(const platform::RowChange &change);
     void announce();
     void tickFast();
     void notePause(TimePoint now);
     void tickPlan();
     void tickDigest();
-    void sendDigest();
+    [[nodiscard]] LoadDigest ownDigest(TimePoint now) const;
+    void tellAll(const LoadDigest &digest);
+    void report(TimePoint now);
+    void setReporter(const std::optional<EntryId> &reporter, bool isNeeded);
+    void sendSums(TimePoint now);
+    [[nodiscard]] std::vector<PeerSeat> pageOf(std::vector<PeerSeat> roster) const;
     void datagramArrived(std::string_view text);
+    bool meet(const PeerSeat &seat, TimePoint now);
     void digestArrived(LoadDigest digest);
+    void summaryArrived(const LoadSummary &summary);
+    void takeLoad(const EntryId &from, LoadDigest sum, std::size_t entries, TimePoint now);
+    [[nodiscard]] std::size_t entriesIn(const AvailabilityZone &zone) const;
+    [[nodiscard]] std::map<ServiceName, RepeatCounts> othersRepeats() const;
+    [[nodiscard]] std::vector<Address> relayTargets() const;
+    void passOn(EndpointRelay relay, const std::vector<Address> &targets);
     void followRelay(const RelayState &relay, TimePoint now);
     void chooseWatches(TimePoint now);
     [[nodiscard]] RelayState relayState(TimePoint now) const;
-    [[nodiscard]] Duration digestPeriod() const;
     void peersChanged();
+    void lookForPeers(TimePoint now);
     [[nodiscard]] std::map<ModelName, double> fleetDemand() const;
     void repeat(Duration period, void (Node::*step)());
 
     struct Peer
     {
         Address address_;
-        std::map<ModelName, double> demand_;
+        AvailabilityZone zone_;
+        std::map<ModelName, double> demand_;          ///< As told directly.
+        std::map<ServiceName, RepeatCounts> repeats_; ///< As told directly.
         TimePoint heardAt_{};
     };
+    /// What a reporter told of several peers.
+    struct Sum
+    {
+        std::map<ModelName, double> demand_;
+        std::map<ServiceName, RepeatCounts> repeats_;
+        TimePoint at_{};
+    };
 
     NodeParts parts_;
     NodeSettings settings_;
@@ -107,6 +134,18 @@
     StoreWatch peerWatch_;
     std::function<void(const Configuration &)> configured_;
     std::map<EntryId, Peer> peers_;
+    std::map<EntryId, TimePoint> leftAt_;
+    ChangeHistory history_; ///< Of the endpoints.
+    DigestHub hub_;
+    FleetReader fleet_;
+    Reporters reporters_;
+    std::optional<EntryId> reporter_; ///< Where digests go; none: to all, or this is the reporter.
+    bool hasReporters_ = false;       ///< The fleet is too large for digests from each to each.
+    LoadDigest told_;                 ///< The last digest.
+    std::map<EntryId, Sum> sums_;
+    std::size_t sumsSent_ = 0;
+    std::size_t mostPeers_ = 0;         ///< Since the peers were listed last.
+    TimePoint peersListedAt_{};         ///< Beside the listing at the start.
     std::optional<std::uint32_t> rank_; ///< Among those that watch the store for all.
     TimePoint relayHeardAt_{};          ///< An entry VM with fresh knowledge of the store.
     TimePoint behindSince_{};           ///< It has more than this one; the epoch if not.
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -6,7 +6,8 @@
 #include <cardamombay/core/address.hpp>
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/core/time.hpp>
-#include <cardamombay/platform/change_feed.hpp>
+#include <cardamombay/serving/endpoint.hpp>
+#include <cardamombay/serving/repeat_window.hpp>
 
 #include <functional>
 #include <map>
@@ -35,30 +36,68 @@
 {
     EntryId from_;
     Address address_; ///< Where its own datagrams arrive.
+    AvailabilityZone zone_;
     std::optional<RelayState> relay_;
+    RowVersion endpoints_; ///< It has all changes of endpoints up to this version.
     std::unordered_map<VmId, std::size_t> underWay_; ///< Its requests at each endpoint.
     std::unordered_map<VmId, std::size_t> sent_;     ///< Prompt tokens since it started.
     std::vector<VmId> silent_;                       ///< Endpoints whose streams stalled there.
     std::map<ModelName, double> demand_; ///< Its requests a second by model, times their work.
+    std::map<ServiceName, RepeatCounts> repeats_; ///< Of the last window.
     bool isDraining_ = false;
 
     friend bool operator==(const LoadDigest &, const LoadDigest &) = default;
 };
 
-/// \brief Changes of the table of endpoints that a watching entry VM passes on.
+/// \brief An entry VM and where its datagrams arrive.
+struct PeerSeat
+{
+    EntryId entry_;
+    Address address_;
+    AvailabilityZone zone_;
+
+    friend bool operator==(const PeerSeat &, const PeerSeat &) = default;
+};
+
+/// \brief The news of several entry VMs, added up by one of them for the others.
+struct LoadSummary
+{
+    LoadDigest sum_; ///< Sender in from_; tokens sent since since_.
+    /// Counts are since this start of the sender; another one makes them incomparable.
+    Incarnation since_;
+    bool isOfZone_ = false;        ///< Of the sender's zone only, for the other zones.
+    std::vector<PeerSeat> roster_; ///< Entry VMs that it holds news of; not in every summary.
+
+    friend bool operator==(const LoadSummary &, const LoadSummary &) = default;
+};
+
+/// \brief An endpoint's new entry, or its end.
+struct EndpointChange
+{
+    VmId id_;
+    RowVersion version_;               ///< Of the entry in the platform's list.
+    std::optional<Endpoint> endpoint_; ///< Nothing if it is no longer listed.
+
+    friend bool operator==(const EndpointChange &, const EndpointChange &) = default;
+};
+
+/// \brief Changes of endpoints that a watching entry VM passes on.
 struct EndpointRelay
 {
-    RowVersion after_; ///< For a reader that has at least this version.
-    RowVersion to_;    ///< It has this version then.
-    std::vector<platform::RowChange> changes_;
+    RowVersion after_;                    ///< For a reader that has at least this version.
+    RowVersion to_;                       ///< It has this version then.
+    std::vector<EndpointChange> changes_; ///< In the order of their versions.
 };
 
 /// \name JSON-RPC notifications
 /// \{
 [[nodiscard]] std::string encode(const LoadDigest &digest);
+[[nodiscard]] std::string encode(const LoadSummary &summary);
 [[nodiscard]] std::string encode(const EndpointRelay &relay);
 /// \returns nothing if \p text is no digest.
 [[nodiscard]] std::optional<LoadDigest> decodeLoadDigest(std::string_view text);
+/// \returns nothing if \p text is no summary.
+[[nodiscard]] std::optional<LoadSummary> decodeLoadSummary(std::string_view text);
 /// \returns nothing if \p text passes on no changes.
 [[nodiscard]] std::optional<EndpointRelay> decodeEndpointRelay(std::string_view text);
 /// \}
--- a/include/cardamombay/serving/repeat_window.hpp
+++ b/include/cardamombay/serving/repeat_window.hpp
@@ -20,24 +20,38 @@
     Duration window_ = std::chrono::seconds(10);
 };
 
+/// \brief What was counted in a window.
+struct RepeatCounts
+{
+    double requests_ = 0;
+    double repeats_ = 0;
+
+    friend bool operator==(const RepeatCounts &, const RepeatCounts &) = default;
+};
+
 /// \brief Requests and repeats of the last window, in slices.
 class RepeatWindow
 {
 public:
     void countRequest(const RepeatBound &bound, TimePoint now);
 
+    /// \brief What was counted here in the window that ends at \p now.
+    [[nodiscard]] RepeatCounts counts(const RepeatBound &bound, TimePoint now);
+
     /// \brief Counts a repeat if it is within \p bound.
     /// \returns false if it is not; nothing is counted then.
     [[nodiscard]] bool take(const RepeatBound &bound, TimePoint now);
 
+    /// \brief Counts a repeat that is beyond \p bound, since others have left theirs.
+    void takeExtra(const RepeatBound &bound, TimePoint now);
+
 private:
     static constexpr std::size_t sliceCount = 20;
 
     struct Slice
     {
         std::int64_t number_ = -1; ///< Of the slice of time that the counts are for.
-        double requests_ = 0;
-        double repeats_ = 0;
+        RepeatCounts counts_;
     };
 
     Slice &sliceAt(const RepeatBound &bound, TimePoint now);
--- a/include/cardamombay/serving/store_watch.hpp
+++ b/include/cardamombay/serving/store_watch.hpp
@@ -27,9 +27,7 @@
     virtual void tableListed(const std::string &table, const std::vector<platform::Row> &rows) = 0;
     virtual void rowChanged(const platform::RowChange &change) = 0;
     /// \brief Changes that a call of this watch brought, all told by rowChanged() before.
-    virtual void changesArrived(const std::string &table, RowVersion after, RowVersion to,
-                                const std::vector<platform::RowChange> &changes)
-        = 0;
+    virtual void changesArrived(const std::string &table, RowVersion after, RowVersion to) = 0;
     /// \brief The copy held all that was committed at \p asOf.
     virtual void tableConfirmed(const std::string &table, TimePoint asOf) = 0;
     /// \brief The store does not answer, or answers again.
@@ -67,10 +65,11 @@
     void setActive(bool isActive);
     /// \brief Asks once for what has changed; for a reader that hears of a newer version.
     void catchUp();
-    /// \brief Takes changes that another reader passes on; those that do not follow on are left
-    /// out.
-    void takeRelayed(RowVersion after, RowVersion to,
-                     const std::vector<platform::RowChange> &changes);
+    /// \brief Another reader passes on the changes after \p after up to \p to.
+    /// \returns the version that the copy had, if the changes follow on: those after it are to be
+    /// taken. Otherwise nothing; some are missing in between, or all are known.
+    [[nodiscard]] std::optional<RowVersion> takeRelayed(RowVersion after, RowVersion to,
+                                                        RowVersion lastChange);
     /// \}
 
     /// \brief Changes the pause after a call that brought changes.
--- /dev/null
+++ b/src/serving/digest_hub.cpp
@@ -0,0 +1,246 @@
+#include <cardamombay/serving/digest_hub.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamombay::serving {
+
+namespace {
+
+/// Several digests of a source are missed by then; the same time as for digests that come direct.
+constexpr Duration sourceLifetime = std::chrono::milliseconds(1500);
+
+/// An entry VM of another zone that its reporter no longer lists is left out after two rounds of
+/// its rosters.
+constexpr Duration listedFor = std::chrono::seconds(2);
+
+/// A count stays in several sums, so that one that is lost does no harm.
+constexpr Duration toldFor = std::chrono::milliseconds(1200);
+
+/// Longest way of a datagram that an age is corrected for.
+constexpr Duration datagramTime = std::chrono::milliseconds(100);
+
+/// The newest version with the youngest confirmation of each part.
+void mergeRelay(std::optional<RelayState> &into, RelayState relay)
+{
+    if (!into) {
+        into = relay;
+        return;
+    }
+    const bool isNewerConfig = relay.config_ > into->config_;
+    if (isNewerConfig || (relay.config_ == into->config_ && relay.configAge_ < into->configAge_)) {
+        into->config_ = relay.config_;
+        into->configAge_ = relay.configAge_;
+    }
+    const bool isNewerList = relay.endpoints_ > into->endpoints_;
+    const bool isYounger
+        = relay.endpoints_ == into->endpoints_ && relay.endpointsAge_ < into->endpointsAge_;
+    if (isNewerList || isYounger) {
+        into->endpoints_ = relay.endpoints_;
+        into->endpointsAge_ = relay.endpointsAge_;
+    }
+}
+
+template<typename Map>
+void addCounts(Map &into, const Map &counts)
+{
+    for (const auto &[key, count] : counts)
+        into[key] += count;
+}
+
+void addRepeats(std::map<ServiceName, RepeatCounts> &into,
+                const std::map<ServiceName, RepeatCounts> &counts)
+{
+    for (const auto &[service, one] : counts) {
+        into[service].requests_ += one.requests_;
+        into[service].repeats_ += one.repeats_;
+    }
+}
+
+} // namespace
+
+DigestHub::DigestHub(PeerSeat self, Incarnation since)
+    : self_(std::move(self))
+    , since_(since)
+{
+}
+
+void DigestHub::take(const LoadDigest &digest, TimePoint now)
+{
+    take(digest, false, now);
+}
+
+void DigestHub::take(const LoadSummary &summary, TimePoint now)
+{
+    take(summary.sum_, true, now);
+    auto &roster = sources_[summary.sum_.from_].roster_;
+    for (const auto &seat : summary.roster_)
+        roster[seat.entry_] = {seat, now};
+}
+
+void DigestHub::take(const LoadDigest &digest, bool isZone, TimePoint now)
+{
+    auto &source = sources_[digest.from_];
+    for (const auto &[endpoint, told] : digest.sent_) {
+        const auto [place, isNew] = source.sent_.try_emplace(endpoint);
+        auto &tokens = place->second;
+        // What was told first may have been sent long ago.
+        if (!isNew && told > tokens.told_) {
+            tokens.seen_ += told - tokens.told_;
+            tokens.changedAt_ = now;
+        }
+        tokens.told_ = told;
+    }
+    source.last_ = digest;
+    source.isZone_ = isZone;
+    source.heardAt_ = now;
+}
+
+void DigestHub::expire(TimePoint now)
+{
+    std::erase_if(sources_, [this, now](const auto &one) {
+        const auto &source = one.second;
+        if (now - source.heardAt_ <= sourceLifetime)
+            return false;
+        add(source.isZone_ ? goneFleet_ : goneZone_, source);
+        return true;
+    });
+}
+
+void DigestHub::add(Totals &totals, const Source &source)
+{
+    for (const auto &[endpoint, tokens] : source.sent_) {
+        auto &total = totals[endpoint];
+        total.tokens_ += tokens.seen_;
+        total.changedAt_ = std::max(total.changedAt_, tokens.changedAt_);
+    }
+}
+
+std::vector<PeerSeat> DigestHub::members() const
+{
+    std::vector<PeerSeat> result;
+    for (const auto &[entry, source] : sources_) {
+        if (!source.isZone_ && entry != self_.entry_)
+            result.push_back({entry, source.last_.address_, source.last_.zone_});
+    }
+    return result;
+}
+
+std::vector<PeerSeat> DigestHub::roster(bool withZones, TimePoint now) const
+{
+    std::vector<PeerSeat> result;
+    for (const auto &[entry, source] : sources_) {
+        if (!source.isZone_) {
+            result.push_back({entry, source.last_.address_, source.last_.zone_});
+            continue;
+        }
+        for (const auto &[name, listed] : source.roster_) {
+            if (withZones && now - listed.at_ < listedFor)
+                result.push_back(listed.seat_);
+        }
+    }
+    return result;
+}
+
+LoadSummary DigestHub::zoneSummary(TimePoint now) const
+{
+    return summary(false, now);
+}
+
+LoadSummary DigestHub::fleetSummary(TimePoint now) const
+{
+    return summary(true, now);
+}
+
+LoadSummary DigestHub::summary(bool withZones, TimePoint now) const
+{
+    LoadSummary result;
+    result.since_ = since_;
+    result.isOfZone_ = !withZones;
+    auto &sum = result.sum_;
+    sum.from_ = self_.entry_;
+    sum.address_ = self_.address_;
+    sum.zone_ = self_.zone_;
+    auto totals = goneZone_;
+    if (withZones) {
+        for (const auto &[endpoint, total] : goneFleet_) {
+            totals[endpoint].tokens_ += total.tokens_;
+            totals[endpoint].changedAt_ = std::max(totals[endpoint].changedAt_, total.changedAt_);
+        }
+    }
+    for (const auto &[entry, source] : sources_) {
+        if (source.isZone_ && !withZones)
+            continue;
+        const auto &last = source.last_;
+        addCounts(sum.underWay_, last.underWay_);
+        addCounts(sum.demand_, last.demand_);
+        addRepeats(sum.repeats_, last.repeats_);
+        sum.silent_.insert(sum.silent_.end(), last.silent_.begin(), last.silent_.end());
+        add(totals, source);
+        if (last.relay_) {
+            auto relay = *last.relay_;
+            const auto held = now - source.heardAt_ + datagramTime;
+            relay.configAge_ += held;
+            relay.endpointsAge_ += held;
+            mergeRelay(sum.relay_, relay);
+        }
+    }
+    for (const auto &[endpoint, total] : totals) {
+        if (total.tokens_ > 0 && now - total.changedAt_ < toldFor)
+            sum.sent_.emplace(endpoint, total.tokens_);
+    }
+    std::sort(sum.silent_.begin(), sum.silent_.end());
+    sum.silent_.erase(std::unique(sum.silent_.begin(), sum.silent_.end()), sum.silent_.end());
+    return result;
+}
+
+LoadDigest FleetReader::others(const LoadSummary &fleet, const LoadDigest &told)
+{
+    if (fleet.sum_.from_ != from_ || fleet.since_ != since_) {
+        from_ = fleet.sum_.from_;
+        since_ = fleet.since_;
+        sent_.clear();
+    }
+    LoadDigest result = fleet.sum_;
+    for (const auto &[endpoint, count] : told.underWay_) {
+        const auto found = result.underWay_.find(endpoint);
+        if (found != result.underWay_.end())
+            found->second -= std::min(found->second, count);
+    }
+    for (const auto &[model, demand] : told.demand_) {
+        const auto found = result.demand_.find(model);
+        if (found != result.demand_.end())
+            found->second = std::max(0.0, found->second - demand);
+    }
+    for (const auto &[service, own] : told.repeats_) {
+        const auto found = result.repeats_.find(service);
+        if (found == result.repeats_.end())
+            continue;
+        found->second.requests_ = std::max(0.0, found->second.requests_ - own.requests_);
+        found->second.repeats_ = std::max(0.0, found->second.repeats_ - own.repeats_);
+    }
+    for (auto &[endpoint, tokens] : result.sent_) {
+        const auto own = told.sent_.find(endpoint);
+        tokens = othersSent(endpoint, tokens, own == told.sent_.end() ? 0 : own->second);
+    }
+    return result;
+}
+
+std::size_t FleetReader::othersSent(const VmId &endpoint, std::size_t fleet, std::size_t own)
+{
+    const auto [place, isNew] = sent_.try_emplace(endpoint);
+    auto &sent = place->second;
+    if (!isNew) {
+        const auto ownMore = own > sent.own_ ? own - sent.own_ : 0;
+        sent.ahead_ += ownMore;
+        const auto fleetMore = fleet > sent.fleet_ ? fleet - sent.fleet_ : 0;
+        const auto mine = std::min(sent.ahead_, fleetMore);
+        sent.ahead_ -= mine;
+        sent.others_ += fleetMore - mine;
+    }
+    sent.fleet_ = fleet;
+    sent.own_ = std::max(sent.own_, own);
+    return sent.others_;
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -16,6 +16,11 @@
 /// Share of the fleet's budget that is spent at most: entry VMs count their peers a little late.
 constexpr double budgetMargin = 0.7;
 
+/// Even parts of what the fleet has left that one entry VM may take until it hears of the others
+/// again. Few of them need repeats at the same moment; if all did, the margin above covers the
+/// rest.
+constexpr double mostExtraShare = 3;
+
 /// A gap between two sweeps beyond which endpoints are not blamed for the silence.
 constexpr Duration longestSweepGap = std::chrono::milliseconds(120);
 
@@ -135,9 +140,45 @@
     }
 }
 
+void Gateway::setOthersRepeats(std::map<ServiceName, RepeatCounts> counts)
+{
+    othersRepeats_ = std::move(counts);
+    extraRepeats_.clear();
+}
+
+std::map<ServiceName, RepeatCounts> Gateway::repeatCounts(TimePoint now)
+{
+    std::map<ServiceName, RepeatCounts> result;
+    for (auto &[service, window] : repeats_)
+        result.emplace(service, window.counts(repeatBound(), now));
+    return result;
+}
+
+/// What the fleet has left is shared by those that need it now: the streams of a lost group are
+/// spread unevenly, and an entry VM's own part is three repeats and one for seven requests.
+bool Gateway::othersLeaveRepeats(const ServiceName &service, TimePoint now)
+{
+    const auto others = othersRepeats_.find(service);
+    if (others == othersRepeats_.end())
+        return false;
+    const auto own = repeats_[service].counts(repeatBound(), now);
+    const auto requests = own.requests_ + others->second.requests_;
+    const auto repeats = own.repeats_ + others->second.repeats_;
+    const auto left
+        = (requests * bounds_.retryShare_ + bounds_.retryReserve_) * budgetMargin - repeats;
+    const auto part = left * mostExtraShare / static_cast<double>(entryCount_);
+    return extraRepeats_[service] + 1 <= part;
+}
+
 bool Gateway::mayRepeat(const ServiceName &service)
 {
-    const bool may = repeats_[service].take(repeatBound(), parts_.clock_.now());
+    const auto now = parts_.clock_.now();
+    bool may = repeats_[service].take(repeatBound(), now);
+    if (!may && othersLeaveRepeats(service, now)) {
+        repeats_[service].takeExtra(repeatBound(), now);
+        extraRepeats_[service] += 1;
+        may = true;
+    }
     if (may)
         parts_.metrics_.repeats_.increment();
     return may;
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -136,6 +136,14 @@
     return result;
 }
 
+std::size_t LoadBoard::peerCount() const
+{
+    std::size_t result = 0;
+    for (const auto &[name, peer] : peers_)
+        result += peer.entries_;
+    return result;
+}
+
 double LoadBoard::unread(const VmId &endpoint, double tokensPerSecond, TimePoint now) const
 {
     const auto found = entries_.find(endpoint);
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -19,10 +19,12 @@
 inline constexpr std::string_view endpointListed = "endpoint-listed";
 inline constexpr std::string_view endpointGone = "endpoint-gone";
 inline constexpr std::string_view endpointRefused = "endpoint-entry-refused";
+inline constexpr std::string_view storeCallFailed = "store-call-failed";
 inline constexpr std::string_view storeLost = "store-lost";
 inline constexpr std::string_view storeRegained = "store-regained";
 inline constexpr std::string_view readiness = "readiness-changed";
 inline constexpr std::string_view peersChanged = "peers-changed";
+inline constexpr std::string_view reporterChanged = "reporter-changed";
 /// \}
 
 /// \name Groups
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -23,10 +23,10 @@
 constexpr Duration endpointWait = std::chrono::milliseconds(1500);
 /// Engines list each step of a group; a call for each would be most of all calls.
 constexpr Duration endpointPause = std::chrono::milliseconds(250);
-/// The planner waits for each step of a group to give the next order; in a large fleet it also
-/// passes each change on to many peers.
-constexpr Duration leastPlannerPause = std::chrono::milliseconds(15);
-constexpr Duration plannerPausePerPeer = std::chrono::milliseconds(1);
+/// The planner waits for each step of a group to give the next order.
+constexpr Duration plannerPause = std::chrono::milliseconds(30);
+/// Those that watch in case the others fail get nearly all changes passed on.
+constexpr Duration spareWatchPause = std::chrono::seconds(1);
 
 /// An entry VM without a confirmation for that long sends callers elsewhere.
 constexpr Duration readyUnconfirmed = std::chrono::milliseconds(3500);
@@ -51,6 +51,8 @@
                      {std::string(parts.format_.endpointTable()), endpointWait, endpointPause},
                      *this)
     , peerWatch_(parts.clock_, parts.store_, parts.feed_, {peerTable, {}, {}}, *this)
+    , hub_({settings_.entry_, settings_.digests_, settings_.zone_}, settings_.incarnation_)
+    , reporters_(settings_.entry_, settings_.zone_)
 {
 }
 
@@ -92,7 +94,8 @@
                                       + std::to_string(settings_.incarnation_.value()));
     transaction.writes_.push_back(
         {{peerTable, settings_.entry_.text()},
-         isLeaving_ ? std::nullopt : std::optional(settings_.digests_.text())});
+         isLeaving_ ? std::nullopt
+                    : std::optional(settings_.digests_.text() + ' ' + settings_.zone_.text())});
     parts_.store_.commit(std::move(transaction),
                          [this, alive = std::weak_ptr(isAlive_)](const auto &result) {
                              if (alive.expired() || isLeaving_)
@@ -114,7 +117,7 @@
     isLeaving_ = true;
     parts_.lease_.release();
     announce();
-    sendDigest();
+    tellAll(ownDigest(parts_.clock_.now()));
 }
 
 bool Node::isReady() const
@@ -147,6 +150,7 @@
     }
     log::info(event::endpointListed, {{"count", std::to_string(endpoints.size())}});
     parts_.book_.replaceAll(std::move(endpoints), parts_.clock_.now());
+    history_.restart(endpointWatch_.version());
     areEndpointsListed_ = true;
 }
 
@@ -156,16 +160,14 @@
     if (key.table_ == parts_.format_.configurationTable()) {
         if (!change.isRemoved_)
             takeConfiguration(change.row_);
-    } else if (key.table_ == peerTable) {
+        return;
+    }
+    if (key.table_ == peerTable) {
         takePeer(change);
         peersChanged();
-    } else if (change.isRemoved_) {
-        log::info(event::endpointGone, {{"endpoint", key.key_},
-                                        {"version", std::to_string(change.row_.version_.value())}});
-        parts_.book_.remove(VmId(key.key_), parts_.clock_.now());
-    } else {
-        takeEndpoint(change.row_);
+        return;
     }
+    takeEndpoint(change);
 }
 
 void Node::takeConfiguration(const platform::Row &row)
@@ -192,30 +194,59 @@
         configured_(parts_.gateway_.routes()->configuration());
 }
 
-void Node::takeEndpoint(const platform::Row &row)
+/// What changes where requests may go. The steps on the way, of hundreds of engines at each of
+/// their groups, are logged by the planner, which acts on them.
+bool Node::isWorthLogging(const Endpoint *known, const Endpoint &now) const
+{
+    if (known == nullptr || known->isDraining_ != now.isDraining_ || parts_.lease_.isHeld())
+        return known == nullptr || *known != now;
+    const auto isServing = [](const Endpoint &one) {
+        return one.membership_ && one.membership_->isHead()
+               && one.membership_->state_ == MemberState::Open;
+    };
+    return isServing(*known) != isServing(now);
+}
+
+void Node::takeEndpoint(const platform::RowChange &change)
+{
+    const auto &row = change.row_;
+    EndpointChange result{VmId(row.key_.key_), row.version_, std::nullopt};
+    if (!change.isRemoved_) {
+        auto endpoint = parts_.format_.endpoint(result.id_, row.value_);
+        if (!isOk(endpoint)) {
+            log::warning(event::endpointRefused,
+                         {{"endpoint", row.key_.key_}, {"problem", messageOf(errorOf(endpoint))}});
+            return;
+        }
+        result.endpoint_ = valueOf(std::move(endpoint));
+    }
+    endpointChanged(result);
+}
+
+void Node::endpointChanged(const EndpointChange &change)
 {
-    auto endpoint = parts_.format_.endpoint(VmId(row.key_.key_), row.value_);
-    if (!isOk(endpoint)) {
-        log::warning(event::endpointRefused,
-                     {{"endpoint", row.key_.key_}, {"problem", messageOf(errorOf(endpoint))}});
+    const auto now = parts_.clock_.now();
+    history_.add(change, now);
+    const auto version = std::to_string(change.version_.value());
+    if (!change.endpoint_) {
+        log::info(event::endpointGone, {{"endpoint", change.id_.text()}, {"version", version}});
+        parts_.book_.remove(change.id_, now);
         return;
     }
-    const auto &now = valueOf(endpoint);
-    const auto *known = parts_.book_.find(now.id_);
-    if (known == nullptr || known->isDraining_ != now.isDraining_
-        || known->membership_ != now.membership_) {
-        const auto &membership = now.membership_;
+    const auto &endpoint = *change.endpoint_;
+    if (isWorthLogging(parts_.book_.find(change.id_), endpoint)) {
+        const auto &membership = endpoint.membership_;
         log::info(event::endpointListed,
-                  {{"endpoint", now.id_.text()},
-                   {"domain", now.domain_.text()},
-                   {"draining", now.isDraining_ ? "yes" : "no"},
-                   {"staged", now.staged_.empty() ? "" : now.staged_.front().text()},
+                  {{"endpoint", change.id_.text()},
+                   {"domain", endpoint.domain_.text()},
+                   {"draining", endpoint.isDraining_ ? "yes" : "no"},
+                   {"staged", endpoint.staged_.empty() ? "" : endpoint.staged_.front().text()},
                    {"group", membership ? membership->group_.text() : ""},
                    {"rank", membership ? std::to_string(membership->rank_) : ""},
                    {"state", membership ? std::string(nameOf(membership->state_)) : ""},
-                   {"version", std::to_string(row.version_.value())}});
+                   {"version", version}});
     }
-    parts_.book_.put(valueOf(std::move(endpoint)));
+    parts_.book_.put(endpoint);
 }
 
 void Node::takePeer(const platform::RowChange &change)
@@ -223,18 +254,26 @@
     const EntryId entry(change.row_.key_.key_);
     if (entry == settings_.entry_)
         return;
-    const auto address = config::addressOf(change.row_.value_);
-    if (change.isRemoved_ || !address)
+    const auto &value = change.row_.value_;
+    const auto space = value.find(' ');
+    const auto address = config::addressOf(value.substr(0, space));
+    if (change.isRemoved_ || !address || space == std::string::npos) {
         peers_.erase(entry);
-    else
-        peers_[entry] = {*address, {}, parts_.clock_.now()};
+        return;
+    }
+    peers_[entry]
+        = {*address, AvailabilityZone(value.substr(space + 1)), {}, {}, parts_.clock_.now()};
 }
 
 void Node::peersChanged()
 {
     std::vector<EntryId> entries;
-    for (const auto &[entry, peer] : peers_)
+    std::map<EntryId, AvailabilityZone> zones;
+    for (const auto &[entry, peer] : peers_) {
         entries.push_back(entry);
+        zones.emplace(entry, peer.zone_);
+    }
+    reporters_.setPeers(std::move(zones));
     const auto rank = leases::candidateRank(FabricDomain("fleet"), settings_.entry_, entries);
     if (rank != rank_)
         log::info(event::peersChanged, {{"peers", std::to_string(entries.size())},
@@ -296,9 +335,8 @@
     if (!demand.empty())
         parts_.manager_.setTrafficSeen();
     const bool isPlanner = parts_.lease_.isHeld();
-    const auto plannerPause = std::max<Duration>(
-        leastPlannerPause, plannerPausePerPeer * static_cast<int>(peers_.size()));
-    endpointWatch_.setPause(isPlanner ? plannerPause : endpointPause);
+    const auto watcherPause = rank_ == 0 ? endpointPause : spareWatchPause;
+    endpointWatch_.setPause(isPlanner ? plannerPause : watcherPause);
     parts_.manager_.setDemand(demand);
     parts_.manager_.tick(*parts_.gateway_.routes(), endpointsConfirmedAt_);
 }
@@ -306,10 +344,14 @@
 std::map<ModelName, double> Node::fleetDemand() const
 {
     auto result = ownDemand_;
-    for (const auto &[entry, peer] : peers_) {
-        for (const auto &[model, demand] : peer.demand_)
-            result[model] += demand;
-    }
+    const auto add = [&result](const std::map<ModelName, double> &demand) {
+        for (const auto &[model, work] : demand)
+            result[model] += work;
+    };
+    for (const auto &[entry, peer] : peers_)
+        add(peer.demand_);
+    for (const auto &[entry, sum] : sums_)
+        add(sum.demand_);
     return result;
 }
 
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -1,6 +1,10 @@
 // What entry VMs tell each other, and who of them watches the store for all.
 #include <cardamombay/serving/node.hpp>
 
+#include "serving/log_events.hpp"
+
+#include <cardamombay/log/log.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -8,11 +12,11 @@
 
 namespace {
 
-/// Digests go to all peers; with many peers they go less often, so that what an entry VM receives
-/// grows slower than the fleet. 100 ms up to 25 entry VMs, 280 ms for 70.
-constexpr Duration leastDigestPeriod = std::chrono::milliseconds(100);
-constexpr Duration digestPeriodPerPeer = std::chrono::milliseconds(4);
-constexpr Duration mostDigestPeriod = std::chrono::milliseconds(400);
+/// Between two digests: a group begins about three requests in that time.
+constexpr Duration digestPeriod = std::chrono::milliseconds(100);
+/// Entries of the roster that one sum carries, about 350 bytes; all 70 of a fleet take 0.9 s.
+/// Whole rosters made bursts of 160 KB, of which a link of 20 Mbit/s dropped the end.
+constexpr std::size_t rosterPage = 8;
 
 /// A peer that is not heard of for that long no longer counts; it is back with its next digest.
 constexpr Duration peerLifetime = std::chrono::seconds(6);
@@ -20,19 +24,27 @@
 /// Three missed digests and some jitter: then an entry VM watches the store itself.
 constexpr int missedDigests = 3;
 constexpr Duration digestJitter = std::chrono::milliseconds(100);
+/// From an entry VM to its reporter, to another zone's and to its members; one may fail meanwhile.
+constexpr int hopsOfSums = 4;
 /// Knowledge of the store that is older is not relied on; a watch confirms it every 1.5 s.
 constexpr Duration freshRelay = std::chrono::milliseconds(2200);
+/// The same for what came in sums, over three datagrams with a pause of a digest before each; an
+/// entry VM is ready for callers up to 3.5 s.
+constexpr Duration freshSum = std::chrono::milliseconds(2900);
 /// Changes that were passed on arrive by then; what is still missing is asked for.
 constexpr Duration catchUpAfter = std::chrono::milliseconds(120);
-constexpr Duration catchUpPerPeer = std::chrono::milliseconds(5);
-/// Bytes that are passed on in a second: a tenth of the smallest link of 20 Mbit/s. Without the
+/// The same for an entry VM whose reporter answers each of its digests with what it lacks.
+constexpr Duration catchUpFromSums = std::chrono::milliseconds(700);
+/// Bytes that are passed on in a second: a quarter of the smallest link of 20 Mbit/s. Without a
 /// bound the first listing of 300 engines to 87 peers held up the planner's own orders for two
-/// seconds.
-constexpr double relayBytesPerSecond = 250'000;
+/// seconds; with two fifths the sums of a reporter were lost in it.
+constexpr double relayBytesPerSecond = 600'000;
 /// Longest way of a datagram that an age is corrected for.
 constexpr Duration datagramTime = std::chrono::milliseconds(100);
 /// At the start every entry VM watches, until the peers are known.
 constexpr Duration startPhase = std::chrono::seconds(2);
+/// Between two listings of the peers by an entry VM that hears of few; a call costs.
+constexpr Duration lostPeersPause = std::chrono::seconds(4);
 /// Entry VMs that pass changes of endpoints on beside the planner, which hears of them first.
 constexpr std::uint32_t relayCount = 1;
 
@@ -41,32 +53,67 @@
 
 } // namespace
 
-void Node::changesArrived(const std::string &table, RowVersion after, RowVersion to,
-                          const std::vector<platform::RowChange> &changes)
+void Node::changesArrived(const std::string &table, RowVersion after, RowVersion to)
 {
     const bool passesOn = (rank_ && *rank_ < relayCount) || parts_.lease_.isHeld();
     if (table != parts_.format_.endpointTable() || !passesOn)
         return;
+    if (auto relay = history_.after(after)) {
+        relay->to_ = std::max(relay->to_, to);
+        passOn(*std::move(relay), relayTargets());
+    }
+}
+
+void Node::relayArrived(const EndpointRelay &relay)
+{
+    const auto last = relay.changes_.empty() ? RowVersion() : relay.changes_.back().version_;
+    const auto had = endpointWatch_.takeRelayed(relay.after_, relay.to_, last);
+    if (!had)
+        return;
+    for (const auto &change : relay.changes_) {
+        if (change.version_ > *had)
+            endpointChanged(change);
+    }
+}
+
+/// In a large fleet the reporters get the changes, and answer with them the digests of those who
+/// report to them.
+std::vector<Address> Node::relayTargets() const
+{
+    std::vector<Address> result;
+    if (!reporters_.areNeeded()) {
+        for (const auto &[entry, peer] : peers_)
+            result.push_back(peer.address_);
+        return result;
+    }
+    const auto now = parts_.clock_.now();
+    auto targets = reporters_.others(now);
+    if (const auto own = reporters_.own(now))
+        targets.push_back(*own);
+    for (const auto &entry : targets) {
+        const auto found = peers_.find(entry);
+        if (found != peers_.end())
+            result.push_back(found->second.address_);
+    }
+    return result;
+}
+
+void Node::passOn(EndpointRelay relay, const std::vector<Address> &targets)
+{
     const auto now = parts_.clock_.now();
     relayBytes_ = std::min(relayBytesPerSecond,
                            relayBytes_ + toSeconds(now - relayedAt_) * relayBytesPerSecond);
     relayedAt_ = now;
-    for (const auto &part : splitRelay({after, to, changes})) {
+    for (const auto &part : splitRelay(std::move(relay))) {
         const auto text = encode(part);
-        relayBytes_ -= static_cast<double>(text.size() * peers_.size());
+        relayBytes_ -= static_cast<double>(text.size() * targets.size());
         if (relayBytes_ < 0)
-            return; // Peers catch up by themselves.
-        for (const auto &[entry, peer] : peers_)
-            parts_.datagrams_.send(peer.address_, text);
+            return; // Told again with the next digest, or peers catch up by themselves.
+        for (const auto &address : targets)
+            parts_.datagrams_.send(address, text);
     }
 }
 
-Duration Node::digestPeriod() const
-{
-    const auto scaled = digestPeriodPerPeer * static_cast<std::int64_t>(peers_.size());
-    return std::clamp<Duration>(scaled, leastDigestPeriod, mostDigestPeriod);
-}
-
 void Node::tickDigest()
 {
     const auto now = parts_.clock_.now();
@@ -80,9 +127,11 @@
         const double rate = found == asked.end() ? 0 : found->second / seconds;
         demand += (rate - demand) * weight;
     }
-    sendDigest();
+    report(now);
     chooseWatches(now);
-    parts_.clock_.schedule(digestPeriod(), [this, alive = std::weak_ptr(isAlive_)] {
+    lookForPeers(now);
+    parts_.gateway_.setOthersRepeats(othersRepeats());
+    parts_.clock_.schedule(digestPeriod, [this, alive = std::weak_ptr(isAlive_)] {
         if (!alive.expired())
             tickDigest();
     });
@@ -99,33 +148,170 @@
     return relay;
 }
 
-void Node::sendDigest()
+LoadDigest Node::ownDigest(TimePoint now) const
 {
     LoadDigest digest;
     digest.from_ = settings_.entry_;
     digest.address_ = settings_.digests_;
+    digest.zone_ = settings_.zone_;
     digest.underWay_ = parts_.board_.ownCounts();
-    digest.sent_ = parts_.board_.ownSent(parts_.clock_.now());
+    digest.sent_ = parts_.board_.ownSent(now);
     digest.silent_ = parts_.board_.silentHere();
     digest.demand_ = ownDemand_;
+    digest.repeats_ = parts_.gateway_.repeatCounts(now);
+    digest.endpoints_ = endpointWatch_.version();
     digest.isDraining_ = isLeaving_;
     if (isWatching_ && areEndpointsListed_)
-        digest.relay_ = relayState(parts_.clock_.now());
+        digest.relay_ = relayState(now);
+    return digest;
+}
+
+void Node::tellAll(const LoadDigest &digest)
+{
     const auto text = encode(digest);
     for (const auto &[entry, peer] : peers_)
         parts_.datagrams_.send(peer.address_, text);
 }
 
+/// Tells all peers directly, or in a large fleet the reporter of the zone.
+void Node::report(TimePoint now)
+{
+    hub_.expire(now);
+    auto digest = ownDigest(now);
+    if (!reporters_.areNeeded()) {
+        setReporter(std::nullopt, false);
+        tellAll(digest);
+        return;
+    }
+    reporters_.check(now);
+    const auto reporter = reporters_.own(now);
+    setReporter(reporter, true);
+    if (!reporter)
+        hub_.take(digest, now);
+    else if (const auto found = peers_.find(*reporter); found != peers_.end())
+        parts_.datagrams_.send(found->second.address_, encode(digest));
+    told_ = std::move(digest);
+    sendSums(now);
+}
+
+/// What peers told in another arrangement of the fleet would be counted twice.
+void Node::setReporter(const std::optional<EntryId> &reporter, bool isNeeded)
+{
+    const bool isSame = reporter_ == reporter && hasReporters_ == isNeeded;
+    if (isSame)
+        return;
+    reporter_ = reporter;
+    hasReporters_ = isNeeded;
+    parts_.board_.forgetPeers();
+    sums_.clear();
+    for (auto &[entry, peer] : peers_) {
+        peer.demand_.clear();
+        peer.repeats_.clear();
+    }
+    log::info(event::reporterChanged, {{"reporter", reporter_  ? reporter_->text()
+                                                    : isNeeded ? "self"
+                                                               : "none"},
+                                       {"peers", std::to_string(peers_.size())}});
+}
+
+/// Sums go to the reporters of the other zones and to those who report here.
+void Node::sendSums(TimePoint now)
+{
+    const auto members = hub_.members();
+    if (members.empty() && reporter_)
+        return;
+    ++sumsSent_;
+    auto zone = hub_.zoneSummary(now);
+    zone.roster_ = pageOf(hub_.roster(false, now));
+    const auto zoneText = encode(zone);
+    for (const auto &entry : reporters_.others(now)) {
+        if (const auto found = peers_.find(entry); found != peers_.end())
+            parts_.datagrams_.send(found->second.address_, zoneText);
+    }
+    if (members.empty())
+        return;
+    auto fleet = hub_.fleetSummary(now);
+    fleet.roster_ = pageOf(hub_.roster(true, now));
+    const auto fleetText = encode(fleet);
+    // What does not fit into the link's queue is lost; not always to the same ones.
+    for (std::size_t i = 0; i < members.size(); ++i)
+        parts_.datagrams_.send(members[(i + sumsSent_) % members.size()].address_, fleetText);
+}
+
+/// A few entries at a time, so that sums stay small; all of them in turn.
+std::vector<PeerSeat> Node::pageOf(std::vector<PeerSeat> roster) const
+{
+    if (roster.size() <= rosterPage)
+        return roster;
+    std::vector<PeerSeat> page;
+    for (std::size_t i = 0; i < rosterPage; ++i)
+        page.push_back(roster[(sumsSent_ * rosterPage + i) % roster.size()]);
+    return page;
+}
+
+void Node::summaryArrived(const LoadSummary &summary)
+{
+    const auto now = parts_.clock_.now();
+    const auto &from = summary.sum_.from_;
+    meet({from, summary.sum_.address_, summary.sum_.zone_}, now);
+    for (const auto &seat : summary.roster_)
+        meet(seat, now);
+    if (summary.sum_.relay_)
+        followRelay(*summary.sum_.relay_, now);
+    if (summary.isOfZone_) {
+        hub_.take(summary, now);
+        if (hasReporters_ && !reporter_)
+            takeLoad(from, summary.sum_, entriesIn(summary.sum_.zone_), now);
+        return;
+    }
+    reporters_.heard(from, now);
+    if (reporter_ == from)
+        takeLoad(from, fleet_.others(summary, told_), peers_.size(), now);
+}
+
+/// News of several entry VMs.
+void Node::takeLoad(const EntryId &from, LoadDigest sum, std::size_t entries, TimePoint now)
+{
+    sums_[from] = {std::move(sum.demand_), std::move(sum.repeats_), now};
+    parts_.board_.setPeerLoad(from.text(), {std::move(sum.underWay_), std::move(sum.sent_),
+                                            std::move(sum.silent_), now, entries});
+}
+
+std::size_t Node::entriesIn(const AvailabilityZone &zone) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(),
+                      [&zone](const auto &one) { return one.second.zone_ == zone; }));
+}
+
+std::map<ServiceName, RepeatCounts> Node::othersRepeats() const
+{
+    std::map<ServiceName, RepeatCounts> result;
+    const auto add = [&result](const std::map<ServiceName, RepeatCounts> &counts) {
+        for (const auto &[service, one] : counts) {
+            result[service].requests_ += one.requests_;
+            result[service].repeats_ += one.repeats_;
+        }
+    };
+    for (const auto &[entry, peer] : peers_)
+        add(peer.repeats_);
+    for (const auto &[entry, sum] : sums_)
+        add(sum.repeats_);
+    return result;
+}
+
 /// A few entry VMs watch the store and pass on what they learn; the others watch only while they
 /// hear none of these. Calls to the store then do not grow with the fleet.
 void Node::chooseWatches(TimePoint now)
 {
-    const Duration patience = digestPeriod() * missedDigests + digestJitter;
+    const Duration patience
+        = digestPeriod * missedDigests * (hasReporters_ ? hopsOfSums : 1) + digestJitter;
     const bool hearsRelay = now - relayHeardAt_ < patience;
     const bool isStarting = now - startedAt_ < startPhase;
     isWatching_ = rank_.has_value() || parts_.lease_.isHeld() || isStarting || !hearsRelay;
     configurationWatch_.setActive(isWatching_);
     endpointWatch_.setActive(isWatching_);
+    std::erase_if(sums_, [now](const auto &one) { return now - one.second.at_ > peerLifetime; });
     const bool isForgotten
         = std::erase_if(peers_,
                         [now](const auto &one) { return now - one.second.heardAt_ > peerLifetime; })
@@ -134,41 +320,77 @@
         peersChanged();
 }
 
+/// Entry VMs that started later are listed by then. One that has lost sight of most peers lists
+/// them anew: without them nobody would tell it anything.
+void Node::lookForPeers(TimePoint now)
+{
+    mostPeers_ = std::max(mostPeers_, peers_.size());
+    const bool isFirst = peersListedAt_ == TimePoint{};
+    const bool isDue
+        = isFirst ? now - startedAt_ > startPhase
+                  : peers_.size() * 2 < mostPeers_ && now - peersListedAt_ > lostPeersPause;
+    if (!isDue)
+        return;
+    peersListedAt_ = now;
+    mostPeers_ = peers_.size();
+    peerWatch_.start();
+}
+
 void Node::datagramArrived(std::string_view text)
 {
-    if (auto digest = decodeLoadDigest(text)) {
+    if (auto digest = decodeLoadDigest(text))
         digestArrived(*std::move(digest));
-        return;
-    }
-    const auto relay = decodeEndpointRelay(text);
-    if (relay)
-        endpointWatch_.takeRelayed(relay->after_, relay->to_, relay->changes_);
+    else if (const auto summary = decodeLoadSummary(text))
+        summaryArrived(*summary);
+    else if (const auto relay = decodeEndpointRelay(text))
+        relayArrived(*relay);
+}
+
+/// Notes that a peer is alive.
+/// \returns false if it is this entry VM or one that has left just now.
+bool Node::meet(const PeerSeat &seat, TimePoint now)
+{
+    const auto left = leftAt_.find(seat.entry_);
+    const bool hasLeft = left != leftAt_.end() && now - left->second < peerLifetime;
+    if (seat.entry_ == settings_.entry_ || seat.address_.ip_.empty() || hasLeft)
+        return false;
+    auto &peer = peers_[seat.entry_];
+    const bool isChanged = peer.address_ != seat.address_ || peer.zone_ != seat.zone_;
+    peer.address_ = seat.address_;
+    peer.zone_ = seat.zone_;
+    peer.heardAt_ = now;
+    if (isChanged)
+        peersChanged();
+    return true;
 }
 
 void Node::digestArrived(LoadDigest digest)
 {
-    if (digest.from_ == settings_.entry_)
-        return;
     const auto now = parts_.clock_.now();
-    const bool isNew = !peers_.contains(digest.from_);
-    if (isNew && (digest.isDraining_ || digest.address_.ip_.empty()))
+    if (digest.isDraining_) {
+        leftAt_[digest.from_] = now;
+        if (peers_.erase(digest.from_) > 0)
+            peersChanged();
         return;
-    auto &peer = peers_[digest.from_];
-    if (isNew || peer.address_ != digest.address_) {
-        peer.address_ = digest.address_;
-        peersChanged();
     }
-    peer.demand_ = std::move(digest.demand_);
-    peer.heardAt_ = now;
-    parts_.board_.setPeerLoad(
-        digest.from_.text(),
-        {std::move(digest.underWay_), std::move(digest.sent_), std::move(digest.silent_), now});
+    leftAt_.erase(digest.from_);
+    if (!meet({digest.from_, digest.address_, digest.zone_}, now))
+        return;
     if (digest.relay_)
         followRelay(*digest.relay_, now);
-    if (digest.isDraining_) {
-        peers_.erase(digest.from_);
-        peersChanged();
+    if (hasReporters_) {
+        hub_.take(digest, now);
+        if (auto missed = history_.after(digest.endpoints_))
+            passOn(*std::move(missed), {digest.address_});
     }
+    if (hasReporters_ && reporter_)
+        return; // The reporter's sums hold it.
+    auto &peer = peers_[digest.from_];
+    peer.demand_ = std::move(digest.demand_);
+    peer.repeats_ = std::move(digest.repeats_);
+    parts_.board_.setPeerLoad(
+        digest.from_.text(),
+        {std::move(digest.underWay_), std::move(digest.sent_), std::move(digest.silent_), now, 1});
 }
 
 /// What the store confirmed to a peer is confirmed here too if this one has the same version.
@@ -176,7 +398,8 @@
 {
     // Datagrams that queued up while this process stood still are older than they seem.
     notePause(now);
-    const bool isFresh = relay.configAge_ < freshRelay && relay.endpointsAge_ < freshRelay;
+    const auto fresh = hasReporters_ ? freshSum : freshRelay;
+    const bool isFresh = relay.configAge_ < fresh && relay.endpointsAge_ < fresh;
     if (!isFresh || now < pausedUntil_)
         return;
     relayHeardAt_ = now;
@@ -194,8 +417,7 @@
     }
     if (behindSince_ == TimePoint{})
         behindSince_ = now;
-    const auto patience
-        = std::max<Duration>(catchUpAfter, catchUpPerPeer * static_cast<int>(peers_.size()));
+    const auto patience = reporter_ ? catchUpFromSums : catchUpAfter;
     if (now - behindSince_ >= patience) {
         behindSince_ = {};
         endpointWatch_.catchUp();
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace cardamombay::serving {
 
 namespace json = boost::json;
@@ -11,10 +13,12 @@
 namespace {
 
 constexpr std::string_view loadMethod = "load";
+constexpr std::string_view summaryMethod = "summary";
 constexpr std::string_view relayMethod = "endpoints";
 
-/// Text of the rows in one datagram, bytes; with the rest it stays below a usual packet of 1,500.
-constexpr std::size_t mostRowBytes = 1000;
+/// Entries of endpoints in one datagram; with 170 bytes each it stays below a usual packet of
+/// 1,500.
+constexpr std::size_t mostEntries = 7;
 
 std::string textOf(const json::string &text)
 {
@@ -125,84 +129,250 @@
     return relay;
 }
 
-platform::RowChange changeIn(const json::object &object)
+json::object repeatsObject(const std::map<ServiceName, RepeatCounts> &repeats)
 {
-    platform::RowChange change;
-    change.row_.key_ = {textIn(object, "table"), textIn(object, "key")};
-    change.row_.version_ = RowVersion(numberIn(object, "version"));
-    change.row_.value_ = textIn(object, "value");
-    change.isRemoved_ = flagIn(object, "removed");
-    return change;
+    json::object result;
+    for (const auto &[service, counts] : repeats)
+        result[service.text()] = json::array{counts.requests_, counts.repeats_};
+    return result;
 }
 
-} // namespace
+std::map<ServiceName, RepeatCounts> repeatsIn(const json::value *value)
+{
+    std::map<ServiceName, RepeatCounts> result;
+    const auto *object = value == nullptr ? nullptr : value->if_object();
+    if (object == nullptr)
+        return result;
+    for (const auto &member : *object) {
+        const auto *pair = member.value().if_array();
+        if (pair == nullptr || pair->size() != 2 || !pair->at(0).is_number()
+            || !pair->at(1).is_number())
+            continue;
+        const std::string name(member.key().data(), member.key().size());
+        result[ServiceName(name)]
+            = {pair->at(0).to_number<double>(), pair->at(1).to_number<double>()};
+    }
+    return result;
+}
 
-std::string encode(const LoadDigest &digest)
+/// Entries that cannot be read are left out; the next roster has them again.
+std::vector<PeerSeat> rosterIn(const json::value *value)
+{
+    std::vector<PeerSeat> result;
+    const auto *seats = value == nullptr ? nullptr : value->if_array();
+    if (seats == nullptr)
+        return result;
+    for (const auto &one : *seats) {
+        const auto *seat = one.if_array();
+        const bool isWhole
+            = seat != nullptr && seat->size() == 3
+              && std::all_of(seat->begin(), seat->end(),
+                             [](const json::value &part) { return part.is_string(); });
+        if (!isWhole)
+            continue;
+        const auto address = config::addressOf(textOf(seat->at(1).get_string()));
+        if (address)
+            result.push_back({EntryId(textOf(seat->at(0).get_string())), *address,
+                              AvailabilityZone(textOf(seat->at(2).get_string()))});
+    }
+    return result;
+}
+
+json::object digestObject(const LoadDigest &digest)
 {
     json::object demand;
     for (const auto &[model, rate] : digest.demand_)
         demand[model.text()] = rate;
-    json::object params{{"from", digest.from_.text()},
-                        {"address", digest.address_.text()},
-                        {"under_way", countsOf(digest.underWay_)},
-                        {"sent", countsOf(digest.sent_)},
-                        {"silent", namesOf(digest.silent_)},
-                        {"demand", std::move(demand)},
-                        {"draining", digest.isDraining_}};
+    json::object params{
+        {"from", digest.from_.text()},    {"address", digest.address_.text()},
+        {"zone", digest.zone_.text()},    {"under_way", countsOf(digest.underWay_)},
+        {"sent", countsOf(digest.sent_)}, {"silent", namesOf(digest.silent_)},
+        {"demand", std::move(demand)},    {"repeats", repeatsObject(digest.repeats_)},
+        {"draining", digest.isDraining_}, {"endpoints", digest.endpoints_.value()}};
     if (digest.relay_)
         params["relay"] = relayObject(*digest.relay_);
-    return notification(loadMethod, std::move(params));
+    return params;
 }
 
-std::optional<LoadDigest> decodeLoadDigest(std::string_view text)
+std::optional<LoadDigest> digestIn(const json::object &params)
 {
-    const auto params = paramsOf(text, loadMethod);
-    if (!params || textIn(*params, "from").empty())
+    if (textIn(params, "from").empty())
         return std::nullopt;
     LoadDigest digest;
-    digest.from_ = EntryId(textIn(*params, "from"));
-    digest.address_ = config::addressOf(textIn(*params, "address")).value_or(Address());
-    digest.relay_ = relayIn(*params);
-    readNumbers<std::size_t>(params->if_contains("under_way"), digest.underWay_);
-    readNumbers<std::size_t>(params->if_contains("sent"), digest.sent_);
-    readNumbers<double>(params->if_contains("demand"), digest.demand_);
-    digest.silent_ = endpointsIn(params->if_contains("silent"));
-    digest.isDraining_ = flagIn(*params, "draining");
+    digest.from_ = EntryId(textIn(params, "from"));
+    digest.address_ = config::addressOf(textIn(params, "address")).value_or(Address());
+    digest.zone_ = AvailabilityZone(textIn(params, "zone"));
+    digest.relay_ = relayIn(params);
+    digest.endpoints_ = RowVersion(numberIn(params, "endpoints"));
+    readNumbers<std::size_t>(params.if_contains("under_way"), digest.underWay_);
+    readNumbers<std::size_t>(params.if_contains("sent"), digest.sent_);
+    readNumbers<double>(params.if_contains("demand"), digest.demand_);
+    digest.repeats_ = repeatsIn(params.if_contains("repeats"));
+    digest.silent_ = endpointsIn(params.if_contains("silent"));
+    digest.isDraining_ = flagIn(params, "draining");
     return digest;
 }
 
-std::string encode(const EndpointRelay &relay)
+/// Places of an entry's parts; names would double its size.
+enum EntryPart : std::size_t {
+    IdPart,
+    VersionPart,
+    ServicePart,
+    AddressPart,
+    ZonePart,
+    DomainPart,
+    SlotsPart,
+    DrainingPart,
+    ModelPart,
+    StagedPart,
+    GroupPart,
+    EpochPart,
+    RankPart,
+    StatePart,
+    EntryParts
+};
+
+json::array entryOf(const EndpointChange &change)
 {
-    json::array rows;
-    for (const auto &change : relay.changes_) {
-        const auto &row = change.row_;
-        json::object one{
-            {"table", row.key_.table_}, {"key", row.key_.key_}, {"version", row.version_.value()}};
-        if (change.isRemoved_)
-            one["removed"] = true;
-        else
-            one["value"] = row.value_;
-        rows.push_back(std::move(one));
+    json::array entry{change.id_.text(), change.version_.value()};
+    if (!change.endpoint_)
+        return entry;
+    const auto &endpoint = *change.endpoint_;
+    json::array staged;
+    for (const auto &model : endpoint.staged_)
+        staged.emplace_back(model.text());
+    const auto membership = endpoint.membership_.value_or(Membership());
+    entry.emplace_back(endpoint.service_.text());
+    entry.emplace_back(endpoint.address_.text());
+    entry.emplace_back(endpoint.zone_.text());
+    entry.emplace_back(endpoint.domain_.text());
+    entry.emplace_back(endpoint.slots_);
+    entry.emplace_back(endpoint.isDraining_);
+    entry.emplace_back(endpoint.model_.text());
+    entry.emplace_back(std::move(staged));
+    entry.emplace_back(membership.group_.text());
+    entry.emplace_back(membership.epoch_);
+    entry.emplace_back(membership.rank_);
+    entry.emplace_back(static_cast<int>(membership.state_));
+    return entry;
+}
+
+template<typename Id>
+Id idAt(const json::array &entry, std::size_t part)
+{
+    return Id(textOf(entry.at(part).as_string()));
+}
+
+template<typename Number>
+Number numberAt(const json::array &entry, std::size_t part)
+{
+    return entry.at(part).to_number<Number>();
+}
+
+Endpoint endpointIn(const json::array &entry)
+{
+    Endpoint endpoint;
+    endpoint.id_ = idAt<VmId>(entry, IdPart);
+    endpoint.service_ = idAt<ServiceName>(entry, ServicePart);
+    endpoint.address_
+        = config::addressOf(textOf(entry.at(AddressPart).as_string())).value_or(Address());
+    endpoint.zone_ = idAt<AvailabilityZone>(entry, ZonePart);
+    endpoint.domain_ = idAt<FabricDomain>(entry, DomainPart);
+    endpoint.slots_ = numberAt<std::uint32_t>(entry, SlotsPart);
+    endpoint.isDraining_ = entry.at(DrainingPart).as_bool();
+    endpoint.model_ = idAt<ModelName>(entry, ModelPart);
+    for (const auto &model : entry.at(StagedPart).as_array())
+        endpoint.staged_.emplace_back(textOf(model.as_string()));
+    const auto state = numberAt<int>(entry, StatePart);
+    const bool isMember = !entry.at(GroupPart).as_string().empty();
+    if (isMember && state >= 0 && state <= static_cast<int>(MemberState::Broken))
+        endpoint.membership_
+            = {idAt<GroupName>(entry, GroupPart), numberAt<std::uint64_t>(entry, EpochPart),
+               numberAt<std::uint32_t>(entry, RankPart), static_cast<MemberState>(state)};
+    return endpoint;
+}
+
+/// \returns nothing if a part is missing or of another type.
+std::optional<EndpointChange> changeIn(const json::value &value)
+{
+    try {
+        const auto &entry = value.as_array();
+        EndpointChange change;
+        change.id_ = idAt<VmId>(entry, IdPart);
+        change.version_ = RowVersion(numberAt<std::uint64_t>(entry, VersionPart));
+        if (entry.size() == EntryParts)
+            change.endpoint_ = endpointIn(entry);
+        return change;
+    } catch (const std::exception &) {
+        return std::nullopt; // The whole message is left out, and told again.
     }
+}
+
+} // namespace
+
+std::string encode(const LoadDigest &digest)
+{
+    return notification(loadMethod, digestObject(digest));
+}
+
+std::optional<LoadDigest> decodeLoadDigest(std::string_view text)
+{
+    const auto params = paramsOf(text, loadMethod);
+    return params ? digestIn(*params) : std::nullopt;
+}
+
+std::string encode(const LoadSummary &summary)
+{
+    json::array roster;
+    for (const auto &seat : summary.roster_)
+        roster.push_back(json::array{seat.entry_.text(), seat.address_.text(), seat.zone_.text()});
+    return notification(summaryMethod, {{"sum", digestObject(summary.sum_)},
+                                        {"since", summary.since_.value()},
+                                        {"of_zone", summary.isOfZone_},
+                                        {"roster", std::move(roster)}});
+}
+
+std::optional<LoadSummary> decodeLoadSummary(std::string_view text)
+{
+    const auto params = paramsOf(text, summaryMethod);
+    const auto *sum = params ? params->if_contains("sum") : nullptr;
+    if (sum == nullptr || !sum->is_object())
+        return std::nullopt;
+    auto digest = digestIn(sum->get_object());
+    if (!digest)
+        return std::nullopt;
+    LoadSummary summary;
+    summary.sum_ = *std::move(digest);
+    summary.since_ = Incarnation(numberIn(*params, "since"));
+    summary.isOfZone_ = flagIn(*params, "of_zone");
+    summary.roster_ = rosterIn(params->if_contains("roster"));
+    return summary;
+}
+
+std::string encode(const EndpointRelay &relay)
+{
+    json::array entries;
+    for (const auto &change : relay.changes_)
+        entries.push_back(entryOf(change));
     return notification(relayMethod, json::object{{"after", relay.after_.value()},
                                                   {"to", relay.to_.value()},
-                                                  {"rows", std::move(rows)}});
+                                                  {"entries", std::move(entries)}});
 }
 
 std::optional<EndpointRelay> decodeEndpointRelay(std::string_view text)
 {
     const auto params = paramsOf(text, relayMethod);
-    if (!params)
+    const auto *entries = params ? params->if_contains("entries") : nullptr;
+    if (entries == nullptr || !entries->is_array())
         return std::nullopt;
     EndpointRelay relay;
     relay.after_ = RowVersion(numberIn(*params, "after"));
     relay.to_ = RowVersion(numberIn(*params, "to"));
-    const auto *rows = params->if_contains("rows");
-    if (rows == nullptr || !rows->is_array())
-        return std::nullopt;
-    for (const auto &row : rows->get_array()) {
-        if (row.is_object())
-            relay.changes_.push_back(changeIn(row.get_object()));
+    for (const auto &entry : entries->get_array()) {
+        auto change = changeIn(entry);
+        if (!change)
+            return std::nullopt;
+        relay.changes_.push_back(*std::move(change));
     }
     return relay;
 }
@@ -212,20 +382,16 @@
     std::vector<EndpointRelay> result;
     EndpointRelay part;
     part.after_ = relay.after_;
-    std::size_t bytes = 0;
     for (auto &change : relay.changes_) {
-        const auto size = change.row_.value_.size();
-        // Rows of one version stay together: a reader that has the version has them all.
+        // Entries of one version stay together: a reader that has the version has them all.
         const bool isNewVersion
-            = part.changes_.empty() || part.changes_.back().row_.version_ != change.row_.version_;
-        if (!part.changes_.empty() && isNewVersion && bytes + size > mostRowBytes) {
-            part.to_ = part.changes_.back().row_.version_;
+            = !part.changes_.empty() && part.changes_.back().version_ != change.version_;
+        if (isNewVersion && part.changes_.size() >= mostEntries) {
+            part.to_ = part.changes_.back().version_;
             const auto end = part.to_;
             result.push_back(std::exchange(part, {}));
             part.after_ = end;
-            bytes = 0;
         }
-        bytes += size;
         part.changes_.push_back(std::move(change));
     }
     part.to_ = relay.to_;
--- a/src/serving/repeat_window.cpp
+++ b/src/serving/repeat_window.cpp
@@ -8,30 +8,40 @@
     const std::int64_t number = now.time_since_epoch() / length;
     auto &slice = slices_[static_cast<std::size_t>(number) % sliceCount];
     if (slice.number_ != number)
-        slice = {number, 0, 0};
+        slice = {number, {}};
     return slice;
 }
 
 void RepeatWindow::countRequest(const RepeatBound &bound, TimePoint now)
 {
-    sliceAt(bound, now).requests_ += 1;
+    sliceAt(bound, now).counts_.requests_ += 1;
 }
 
-bool RepeatWindow::take(const RepeatBound &bound, TimePoint now)
+RepeatCounts RepeatWindow::counts(const RepeatBound &bound, TimePoint now)
 {
-    auto &present = sliceAt(bound, now);
-    double requests = 0;
-    double repeats = 0;
+    const auto present = sliceAt(bound, now).number_;
+    RepeatCounts result;
     for (const auto &slice : slices_) {
-        if (slice.number_ <= present.number_ - static_cast<std::int64_t>(sliceCount))
+        if (slice.number_ <= present - static_cast<std::int64_t>(sliceCount))
             continue;
-        requests += slice.requests_;
-        repeats += slice.repeats_;
+        result.requests_ += slice.counts_.requests_;
+        result.repeats_ += slice.counts_.repeats_;
     }
-    if (repeats + 1 > requests * bound.share_ + bound.reserve_)
+    return result;
+}
+
+bool RepeatWindow::take(const RepeatBound &bound, TimePoint now)
+{
+    const auto counted = counts(bound, now);
+    if (counted.repeats_ + 1 > counted.requests_ * bound.share_ + bound.reserve_)
         return false;
-    present.repeats_ += 1;
+    sliceAt(bound, now).counts_.repeats_ += 1;
     return true;
 }
 
+void RepeatWindow::takeExtra(const RepeatBound &bound, TimePoint now)
+{
+    sliceAt(bound, now).counts_.repeats_ += 1;
+}
+
 } // namespace cardamombay::serving
--- a/src/serving/store_watch.cpp
+++ b/src/serving/store_watch.cpp
@@ -1,5 +1,9 @@
 #include <cardamombay/serving/store_watch.hpp>
 
+#include "serving/log_events.hpp"
+
+#include <cardamombay/log/log.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -12,6 +16,9 @@
 constexpr Duration firstPause = std::chrono::milliseconds(100);
 constexpr Duration longestPause = std::chrono::milliseconds(400);
 
+/// Failures in a row that are logged one by one; an outage makes three a second.
+constexpr int mostLogged = 3;
+
 } // namespace
 
 StoreWatch::StoreWatch(Clock &clock, platform::TableStore &store, platform::ChangeFeed &feed,
@@ -47,16 +54,13 @@
     ask(Duration::zero());
 }
 
-void StoreWatch::takeRelayed(RowVersion after, RowVersion to,
-                             const std::vector<platform::RowChange> &changes)
+std::optional<RowVersion> StoreWatch::takeRelayed(RowVersion after, RowVersion to,
+                                                  RowVersion lastChange)
 {
     if (!isListed_ || after > version_ || to <= version_)
-        return;
-    for (const auto &change : changes) {
-        if (change.row_.version_ > version_)
-            tell(change);
-    }
-    version_ = to;
+        return std::nullopt;
+    lastChange_ = std::max(lastChange_, lastChange);
+    return std::exchange(version_, to);
 }
 
 void StoreWatch::tell(const platform::RowChange &change)
@@ -154,7 +158,7 @@
     }
     version_ = std::max(version_, page.version_);
     if (!page.changes_.empty())
-        listener_.changesArrived(settings_.table_, before, version_, page.changes_);
+        listener_.changesArrived(settings_.table_, before, version_);
     const bool isWaitOver = page.changes_.empty() && clock_.now() - since >= wait;
     listener_.tableConfirmed(settings_.table_, isWaitOver ? since + wait : since);
     isAsking_ = false;
@@ -166,9 +170,13 @@
     later(settings_.pause_, &StoreWatch::wait);
 }
 
-void StoreWatch::failed(const Error & /*error*/)
+void StoreWatch::failed(const Error &error)
 {
-    ++failures_;
+    if (++failures_ <= mostLogged)
+        log::info(event::storeCallFailed, {{"table", settings_.table_},
+                                           {"kind", std::string(kindOf(error))},
+                                           {"problem", messageOf(error)},
+                                           {"failures", std::to_string(failures_)}});
     // A single failure is no outage: connections are cut now and then.
     if (failures_ > 1)
         reachable(false);
--- /dev/null
+++ b/tests/serving/digests.cpp
@@ -0,0 +1,192 @@
+// Who tells whom in a large fleet, and what the sums say.
+#include <cardamombay/serving/change_history.hpp>
+#include <cardamombay/serving/digest_hub.hpp>
+#include <cardamombay/serving/load_board.hpp>
+#include <cardamombay/serving/reporters.hpp>
+
+#include <algorithm>
+#include <set>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const VmId head("head");
+const TimePoint start{seconds(100)};
+
+PeerSeat seat(const std::string &name, const std::string &zone = "a")
+{
+    return {EntryId(name), {"10.0.0.1", 7340}, AvailabilityZone(zone)};
+}
+
+LoadDigest digest(const std::string &name, std::size_t underWay, std::size_t sent)
+{
+    LoadDigest result;
+    result.from_ = EntryId(name);
+    result.address_ = {"10.0.0.1", 7340};
+    result.zone_ = AvailabilityZone("a");
+    result.underWay_ = {{head, underWay}};
+    result.sent_ = {{head, sent}};
+    result.repeats_ = {{ServiceName("s"), {10, 1}}};
+    return result;
+}
+
+std::map<EntryId, AvailabilityZone> fleet(std::size_t each)
+{
+    std::map<EntryId, AvailabilityZone> result;
+    for (const auto *zone : {"a", "b", "c"}) {
+        for (std::size_t i = 0; i < each; ++i)
+            result.emplace(EntryId(std::string(zone) + std::to_string(i)), AvailabilityZone(zone));
+    }
+    return result;
+}
+
+/// The reporters of one entry VM among \p all.
+Reporters reportersOf(const std::string &name, std::map<EntryId, AvailabilityZone> all)
+{
+    Reporters result(EntryId(name), AvailabilityZone(name.substr(0, 1)));
+    all.erase(EntryId(name));
+    result.setPeers(std::move(all));
+    return result;
+}
+
+EndpointChange change(const std::string &id, std::uint64_t version, std::uint32_t slots = 1)
+{
+    Endpoint endpoint;
+    endpoint.id_ = VmId(id);
+    endpoint.slots_ = slots;
+    return {endpoint.id_, RowVersion(version), endpoint};
+}
+
+} // namespace
+
+Test(digest_hub, sums_add_up_the_zone_and_the_other_zones)
+{
+    DigestHub hub(seat("r"), Incarnation(1));
+    hub.take(digest("r", 1, 100), start);
+    hub.take(digest("m", 2, 100), start);
+    LoadSummary other;
+    other.sum_ = digest("x", 4, 100);
+    other.roster_ = {seat("x", "b"), seat("y", "b")};
+    hub.take(other, start);
+    cr_assert_eq(hub.zoneSummary(start).sum_.underWay_.at(head), 3);
+    const auto sum = hub.fleetSummary(start).sum_;
+    cr_assert_eq(sum.underWay_.at(head), 7);
+    cr_assert_eq(sum.repeats_.at(ServiceName("s")).requests_, 30);
+    cr_assert_eq(hub.roster(true, start).size(), 4);
+    cr_assert_eq(hub.roster(false, start).size(), 2);
+    cr_assert_eq(hub.members().size(), 1);
+}
+
+Test(digest_hub, source_that_falls_silent_drops_out_and_sent_tokens_never_fall)
+{
+    DigestHub hub(seat("r"), Incarnation(1));
+    hub.take(digest("m", 2, 1000), start);
+    hub.take(digest("m", 2, 1500), start + milliseconds(100));
+    const auto later = start + seconds(2);
+    hub.take(digest("n", 1, 50), later);
+    hub.expire(later);
+    hub.take(digest("n", 1, 80), later + milliseconds(100));
+    const auto sum = hub.zoneSummary(later + milliseconds(100)).sum_;
+    cr_assert_eq(sum.underWay_.at(head), 1);
+    cr_assert_eq(sum.sent_.at(head), 530);
+}
+
+Test(digest_hub, confirmations_grow_old_while_they_are_held)
+{
+    DigestHub hub(seat("r"), Incarnation(1));
+    auto watching = digest("m", 0, 0);
+    watching.relay_ = RelayState{ConfigVersion(3), milliseconds(100), RowVersion(9), {}};
+    hub.take(watching, start);
+    const auto sum = hub.fleetSummary(start + milliseconds(300)).sum_;
+    cr_assert_eq(sum.relay_->config_, ConfigVersion(3));
+    cr_assert_geq(sum.relay_->configAge_.count(), Duration(milliseconds(400)).count());
+}
+
+Test(fleet_reader, own_news_are_taken_off_the_sum_of_the_fleet)
+{
+    FleetReader reader;
+    LoadSummary fleet;
+    fleet.sum_ = digest("r", 5, 10'000);
+    fleet.since_ = Incarnation(1);
+    auto others = reader.others(fleet, digest("self", 2, 3000));
+    cr_assert_eq(others.underWay_.at(head), 3);
+    cr_assert_eq(others.repeats_.at(ServiceName("s")).repeats_, 0);
+    cr_assert_eq(others.sent_.at(head), 0);
+    // 700 more are told by this one, and reach the sum a digest later, with 500 of others.
+    others = reader.others(fleet, digest("self", 2, 3700));
+    cr_assert_eq(others.sent_.at(head), 0);
+    fleet.sum_.sent_[head] = 11'200;
+    others = reader.others(fleet, digest("self", 2, 3700));
+    cr_assert_eq(others.sent_.at(head), 500);
+}
+
+Test(reporters, small_fleet_needs_none)
+{
+    cr_assert_not(reportersOf("a0", fleet(5)).areNeeded());
+    cr_assert(reportersOf("a0", fleet(6)).areNeeded());
+}
+
+Test(reporters, all_of_a_zone_agree_on_one_and_other_zones_know_it)
+{
+    const auto all = fleet(6);
+    std::set<EntryId> chosen;
+    for (const auto &[entry, zone] : all) {
+        if (zone == AvailabilityZone("a"))
+            chosen.insert(reportersOf(entry.text(), all).own(start).value_or(entry));
+    }
+    cr_assert_eq(chosen.size(), 1);
+    const auto known = reportersOf("b0", all).others(start);
+    cr_assert_eq(known.size(), 4);
+    cr_assert(std::find(known.begin(), known.end(), *chosen.begin()) != known.end());
+}
+
+Test(reporters, one_that_brings_no_sums_is_passed_over_for_a_while)
+{
+    const auto all = fleet(6);
+    for (const auto &[entry, zone] : all) {
+        auto reporters = reportersOf(entry.text(), all);
+        const auto first = reporters.own(start);
+        if (!first)
+            continue;
+        reporters.check(start);
+        reporters.heard(*first, start + milliseconds(400));
+        reporters.check(start + milliseconds(800));
+        cr_assert(reporters.own(start + milliseconds(800)) == first);
+        reporters.check(start + milliseconds(900));
+        cr_assert(reporters.own(start + milliseconds(900)) != first);
+        cr_assert(reporters.own(start + seconds(4)) == first);
+    }
+}
+
+Test(change_history, tells_each_endpoint_once_with_its_newest_entry)
+{
+    ChangeHistory history;
+    cr_assert_not(history.after(RowVersion(1)));
+    history.restart(RowVersion(4));
+    history.add(change("x", 5, 3), start);
+    history.add(change("y", 6), start);
+    history.add(change("x", 7, 4), start);
+    const auto missed = history.after(RowVersion(4));
+    cr_assert(missed);
+    cr_assert_eq(missed->to_, RowVersion(7));
+    cr_assert_eq(missed->changes_.size(), 2);
+    cr_assert_eq(missed->changes_.back().endpoint_->slots_, 4);
+    cr_assert_not(history.after(RowVersion(7)));
+    cr_assert_not(history.after(RowVersion(3)));
+}
+
+Test(change_history, forgets_what_is_old)
+{
+    ChangeHistory history;
+    history.restart(RowVersion(4));
+    history.add(change("x", 5), start);
+    history.add(change("y", 6), start + seconds(11));
+    cr_assert_not(history.after(RowVersion(4)));
+    cr_assert(history.after(RowVersion(5)));
+}
--- a/tests/serving/sessions.cpp
+++ b/tests/serving/sessions.cpp
@@ -191,3 +191,27 @@
     cr_assert_gt(repeats, 0);
     cr_assert_leq(repeats, 20);
 }
+
+Test(sessions, repeats_that_the_other_entry_vms_leave_are_taken)
+{
+    const auto repeatsOf = [](double othersRepeats) {
+        GatewayFixture bench;
+        GatewayBounds bounds;
+        bounds.retryShare_ = 0.2;
+        bounds.retryReserve_ = 0;
+        bench.gateway_.setBounds(bounds);
+        bench.gateway_.setEntryCount(5);
+        bench.gateway_.setOthersRepeats({{ServiceName("plain"), {1000, othersRepeats}}});
+        std::size_t repeats = 0;
+        for (int i = 0; i < 4; ++i) {
+            bench.ask("/again/7");
+            const auto before = bench.upstream_.calls_.size();
+            bench.lastCall()->connect();
+            bench.lastCall()->head(500, {{"seal", "s"}});
+            repeats += bench.upstream_.calls_.size() - before;
+        }
+        return repeats;
+    };
+    cr_assert_eq(repeatsOf(0), 4);
+    cr_assert_eq(repeatsOf(140), 0); // 0.7 of 0.2 x 1,000 are used up.
+}
