Prefer kept connections; soak gateways behind links that are spoiled

And the soak had no faults on the links between the real programs. Change: a connection is kept for the time that the endpoint tells (0.8 s in reserve), or 4 s; the balancer weighs a new connection as 20 ms and compares all groups that a connection leads to. KeptUpstream has tests of its own now. The soak runs its gateways' links to the store and the endpoints through the fault proxy: delays, partitions one way and both, silence, cuts in an answer, refusals, slow links, resets, in series and overlapping.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -115,7 +115,7 @@
     , orderHttp_(context_, limitsOf(2))
     , store_(storeHttp_, {settings_.store_, storeTimeout})
     , orders_(orderHttp_, orderTimeout, stateTimeout)
-    , balancer_(book_, board_, Random(seedOf(settings_.entry_)))
+    , balancer_(book_, board_, upstream_, Random(seedOf(settings_.entry_)))
     , metrics_(registry_)
     , gateway_({clock_, upstream_, dialect_, board_, balancer_, metrics_}, settings_.bounds_,
                Random(seedOf(settings_.entry_) + 1))
--- a/include/cardamombay/net/kept_upstream.hpp
+++ b/include/cardamombay/net/kept_upstream.hpp
@@ -19,8 +19,11 @@
     /// Unused connections kept for one address. An engine's batch is a few dozen requests over all
     /// entry VMs, so one entry VM rarely has more than this many at once.
     std::size_t idlePerAddress_ = 16;
-    /// Then an unused connection is closed; below the shortest idle timeout that endpoints use.
+    /// An unused connection is not taken after that, unless the endpoint has said in a Keep-Alive
+    /// field how long it keeps it; below the shortest idle timeout that endpoints use.
     Duration idleTimeout_ = std::chrono::seconds(4);
+    /// What is sent must reach the endpoint before its own timeout is over.
+    Duration idleReserve_ = std::chrono::milliseconds(800);
 };
 
 /// \brief Starts calls over TCP on kept connections.
@@ -32,7 +35,7 @@
 /// net::KeptUpstream upstream(context);
 /// auto call = upstream.start({.address_ = {"10.0.0.7", 8080}, .target_ = "/draft"}, listener);
 /// \endcode
-class KeptUpstream final : public Upstream
+class KeptUpstream final : public Upstream, public UnusedConnections
 {
 public:
     explicit KeptUpstream(boost::asio::io_context &context, KeptUpstreamLimits limits = {});
@@ -40,6 +43,7 @@
 
     [[nodiscard]] std::unique_ptr<UpstreamCall> start(UpstreamRequest request,
                                                       UpstreamListener &listener) override;
+    [[nodiscard]] bool hasUnused(const Address &address) const override;
 
     /// \name Figures for metrics
     /// \{
--- a/include/cardamombay/net/upstream.hpp
+++ b/include/cardamombay/net/upstream.hpp
@@ -80,6 +80,18 @@
     virtual void consume(std::size_t size) = 0;
 };
 
+/// \brief Tells which addresses can be reached without a new connection.
+class UnusedConnections
+{
+public:
+    UnusedConnections() = default;
+    UnusedConnections(const UnusedConnections &) = delete;
+    UnusedConnections &operator=(const UnusedConnections &) = delete;
+    virtual ~UnusedConnections() = default;
+
+    [[nodiscard]] virtual bool hasUnused(const Address &address) const = 0;
+};
+
 /// \brief Starts calls; belongs to one traffic thread.
 class Upstream
 {
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cardamombay/core/random.hpp>
+#include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/endpoint_book.hpp>
 #include <cardamombay/serving/load_board.hpp>
 #include <cardamombay/serving/route_table.hpp>
@@ -46,8 +47,9 @@
 class Balancer
 {
 public:
-    /// \param book, board outlive the balancer.
-    Balancer(const EndpointBook &book, const LoadBoard &board, Random random);
+    /// \param book, board, connections outlive the balancer.
+    Balancer(const EndpointBook &book, const LoadBoard &board,
+             const net::UnusedConnections &connections, Random random);
 
     [[nodiscard]] Choice choose(const Demand &demand, TimePoint now);
 
@@ -77,6 +79,8 @@
                                            const Demand &demand, TimePoint now);
     [[nodiscard]] bool hasRoom(const Candidate &candidate, const Demand &demand,
                                TimePoint now) const;
+    [[nodiscard]] Duration cost(const Candidate &candidate, const Demand &demand,
+                                TimePoint now) const;
     [[nodiscard]] Duration timeToFirst(const Candidate &candidate, const Demand &demand,
                                        TimePoint now) const;
     [[nodiscard]] Duration backlog(const Candidate &candidate, const EngineProfile &profile,
@@ -84,6 +88,7 @@
 
     const EndpointBook &book_;
     const LoadBoard &board_;
+    const net::UnusedConnections &connections_;
     Random random_;
     std::map<ServiceName, Derived> derived_;
 };
--- a/src/net/kept_connection.cpp
+++ b/src/net/kept_connection.cpp
@@ -28,10 +28,12 @@
     const auto found = idle_.find(address);
     if (found == idle_.end())
         return nullptr;
-    const auto oldest = steady_clock::now() - std::min(longestIdle, limits_.idleTimeout_);
+    const auto now = steady_clock::now();
     auto &connections = found->second;
     // The last one was used last; if it is too old, all are.
-    while (!connections.empty() && connections.back()->keptAt_ >= oldest) {
+    while (!connections.empty()
+           && now - connections.back()->keptAt_
+                  <= std::min(longestIdle, connections.back()->keptFor_)) {
         auto connection = std::move(connections.back());
         connections.pop_back();
         connection->isKept_ = false;
@@ -40,15 +42,32 @@
             return connection;
         connection->close();
     }
-    for (const auto &connection : connections)
-        connection->close();
-    idle_.erase(found);
+    dropUnusable(found);
     return nullptr;
 }
 
-void KeptPool::keep(const Address &address, const std::shared_ptr<KeptConnection> &connection)
+/// What is too old for a call that runs once may still serve others.
+void KeptPool::dropUnusable(std::map<Address, Connections>::iterator place)
+{
+    const auto now = steady_clock::now();
+    auto &connections = place->second;
+    std::erase_if(connections, [now](const auto &connection) {
+        const bool isOver = now - connection->keptAt_ > connection->keptFor_;
+        if (isOver)
+            connection->close();
+        return isOver;
+    });
+    if (connections.empty())
+        idle_.erase(place);
+}
+
+void KeptPool::keep(const Address &address, const std::shared_ptr<KeptConnection> &connection,
+                    std::optional<Duration> idleTimeout)
 {
     connection->keptAt_ = steady_clock::now();
+    connection->keptFor_
+        = idleTimeout ? std::max<Duration>(Duration::zero(), *idleTimeout - limits_.idleReserve_)
+                      : limits_.idleTimeout_;
     connection->isKept_ = true;
     auto &connections = idle_[address];
     connections.push_back(connection);
--- a/src/net/kept_connection.hpp
+++ b/src/net/kept_connection.hpp
@@ -37,6 +37,7 @@
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_; ///< What was read beyond the last answer.
     std::chrono::steady_clock::time_point keptAt_;
+    Duration keptFor_{}; ///< Unused, by the endpoint's word.
     bool isKept_ = false;
 };
 
@@ -55,7 +56,11 @@
     std::shared_ptr<KeptConnection> take(const Address &address, Duration longestIdle);
 
     /// \brief Keeps a connection on which an answer has ended.
-    void keep(const Address &address, const std::shared_ptr<KeptConnection> &connection);
+    /// \param idleTimeout of the endpoint; none if it has not said.
+    void keep(const Address &address, const std::shared_ptr<KeptConnection> &connection,
+              std::optional<Duration> idleTimeout);
+
+    [[nodiscard]] bool hasUnused(const Address &address) const { return idle_.contains(address); }
 
     void close();
     void countOpened() { ++opened_; }
@@ -69,6 +74,7 @@
     void watch(const Address &address, const std::shared_ptr<KeptConnection> &connection);
     void drop(const Address &address, const std::shared_ptr<KeptConnection> &connection);
     void dropOldest(Connections &connections);
+    void dropUnusable(std::map<Address, Connections>::iterator place);
 
     boost::asio::io_context &context_;
     KeptUpstreamLimits limits_;
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <charconv>
 #include <cstring>
 #include <limits>
 #include <utility>
@@ -46,6 +47,26 @@
     return text + "\r\n";
 }
 
+/// The time in "Keep-Alive: timeout=5", seconds; none if it is not there or not a number.
+template<typename Message>
+std::optional<Duration> idleTimeoutIn(const Message &message)
+{
+    constexpr std::string_view name = "timeout=";
+    const auto field = message.find("Keep-Alive");
+    if (field == message.end())
+        return std::nullopt;
+    const auto text = textOf(field->value());
+    const auto place = text.find(name);
+    if (place == std::string::npos)
+        return std::nullopt;
+    std::uint32_t seconds = 0;
+    const auto *begin = text.data() + place + name.size();
+    const auto read = std::from_chars(begin, text.data() + text.size(), seconds);
+    if (read.ec != std::errc())
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
 std::string idOf(const UpstreamRequest &request)
 {
     for (const auto &field : request.fields_) {
@@ -274,7 +295,7 @@
 {
     const bool isReusable = parser_->keep_alive() && connection_->buffer_.size() == 0;
     if (isReusable)
-        pool_->keep(address_, connection_);
+        pool_->keep(address_, connection_, idleTimeoutIn(parser_->get()));
     else
         connection_->close();
     connection_.reset();
@@ -350,6 +371,11 @@
     return std::make_unique<Call>(std::move(exchange));
 }
 
+bool KeptUpstream::hasUnused(const Address &address) const
+{
+    return impl_->hasUnused(address);
+}
+
 std::size_t KeptUpstream::opened() const
 {
     return impl_->opened();
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -39,6 +39,9 @@
 /// groups.
 constexpr std::size_t entriesThatSeeAll = 8;
 
+/// A new connection is priced, and takes an engine's time as well; a third of a pass.
+constexpr Duration newConnectionCost = std::chrono::milliseconds(20);
+
 /// Mean context of a request, tokens.
 constexpr std::size_t usualContext = 1500;
 
@@ -68,9 +71,11 @@
 
 } // namespace
 
-Balancer::Balancer(const EndpointBook &book, const LoadBoard &board, Random random)
+Balancer::Balancer(const EndpointBook &book, const LoadBoard &board,
+                   const net::UnusedConnections &connections, Random random)
     : book_(book)
     , board_(board)
+    , connections_(connections)
     , random_(random)
 {
 }
@@ -169,26 +174,36 @@
     return toSeconds(timeToFirst(candidate, demand, now)) <= goal * goalShare;
 }
 
-/// The best of some groups that have room, drawn at random. What is known of the peers' requests is
-/// a digest old; if many entry VMs took the very best, it would be overrun until the next one.
+/// Time to the first event, and what a new connection is worth in such time.
+Duration Balancer::cost(const Candidate &candidate, const Demand &demand, TimePoint now) const
+{
+    const auto time = timeToFirst(candidate, demand, now);
+    return connections_.hasUnused(candidate.address_) ? time : time + newConnectionCost;
+}
+
+/// The best of some groups that have room: a few drawn at random and those that a connection leads
+/// to. What is known of the peers' requests is a digest old; if many entry VMs took the very best,
+/// it would be overrun until the next one.
 const Balancer::Candidate *Balancer::soonest(std::vector<const Candidate *> candidates,
                                              const Demand &demand, TimePoint now)
 {
     std::erase_if(candidates,
                   [&](const Candidate *candidate) { return !hasRoom(*candidate, demand, now); });
     const auto entries = board_.peerCount() + 1;
-    auto draws = std::max(leastDraws, candidates.size() * entriesThatSeeAll / entries);
+    const auto draws = std::max(leastDraws, candidates.size() * entriesThatSeeAll / entries);
     const Candidate *best = nullptr;
     Duration least{};
-    for (; draws > 0 && !candidates.empty(); --draws) {
+    for (std::size_t drawn = 0; !candidates.empty(); ++drawn) {
         const auto index = random_.below(candidates.size());
         const auto *candidate = candidates[index];
         candidates[index] = candidates.back();
         candidates.pop_back();
-        const auto time = timeToFirst(*candidate, demand, now);
-        if (best == nullptr || time < least) {
+        if (drawn >= draws && !connections_.hasUnused(candidate->address_))
+            continue;
+        const auto weighed = cost(*candidate, demand, now);
+        if (best == nullptr || weighed < least) {
             best = candidate;
-            least = time;
+            least = weighed;
         }
     }
     return best;
@@ -203,7 +218,8 @@
         const auto load = board_.total(candidate->endpoint_);
         if (load >= limit)
             continue;
-        const double weighed = static_cast<double>(load) + random_.unit();
+        const double connection = connections_.hasUnused(candidate->address_) ? 0 : 1;
+        const double weighed = static_cast<double>(load) + connection + random_.unit();
         if (best == nullptr || weighed < least) {
             best = candidate;
             least = weighed;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -30,7 +30,8 @@
 /// An unused connection that is older may have been dropped by the endpoint without notice. What
 /// may not run twice takes a fresh one then: a reset could not be told from a run.
 constexpr Duration longestIdleOnce = std::chrono::milliseconds(300);
-constexpr Duration longestIdle = std::chrono::seconds(3);
+/// What may run again takes older ones, as long as the endpoint keeps them.
+constexpr Duration longestIdle = std::chrono::seconds(10);
 
 /// A plain endpoint that has not answered an idempotent request by then is left for another one;
 /// its work takes 30 ms at the mean and 220 ms at most.
--- a/tests/fleet_platform/deployment.cpp
+++ b/tests/fleet_platform/deployment.cpp
@@ -88,13 +88,15 @@
 
 } // namespace
 
-Deployment::Deployment()
+Deployment::Deployment(bool hasLinks)
     : harness_(PROGRAM_FOLDER)
 {
     const auto platform
         = harness_.start("platform", harness_.program("fleet_platform_standin"), {});
     store_ = harness_.waitForPort(platform);
     configure(1);
+    if (hasLinks)
+        openLinks();
     for (std::size_t number = 0; number < gatewayCount; ++number) {
         ports_.push_back(
             {support::freePort(), support::freePort(), support::freePort(), support::freePort()});
@@ -112,6 +114,31 @@
         throw std::runtime_error("the gateways do not serve: " + harness_.output(gateways_[0]));
 }
 
+void Deployment::openLinks()
+{
+    proxy_ = harness_.waitForPort(harness_.start("links", harness_.program("fault_proxy"), {}));
+    for (std::size_t number = 0; number < gatewayCount; ++number)
+        storeLinks_.push_back(openLink(store_));
+    for (const auto &[id, port] : report().ports_)
+        tell("port/" + id, std::to_string(openLink(static_cast<std::uint16_t>(port))));
+}
+
+std::uint16_t Deployment::openLink(std::uint16_t target)
+{
+    const auto body = json::serialize(json::object{{"ip", "127.0.0.1"}, {"port", target}});
+    const auto result = support::Caller({"127.0.0.1", proxy_}).post("/test/links", body);
+    ++linkCount_;
+    return json::parse(result.body_).as_object().at("port").to_number<std::uint16_t>();
+}
+
+void Deployment::spoil(std::size_t link, const std::string &action, const std::string &body) const
+{
+    const auto path = "/test/links/" + std::to_string(link) + "/" + action;
+    const auto result = support::Caller({"127.0.0.1", proxy_}).post(path, body);
+    if (result.status_ != 200)
+        throw std::runtime_error("the proxy did not take " + path + ": " + result.body_);
+}
+
 support::ProcessId Deployment::startGateway(std::size_t number)
 {
     const auto &ports = ports_.at(number);
@@ -122,8 +149,9 @@
             + "\"\nzone = \"z\"\nfirst_start = true\ncharts = \"" SOURCE_FOLDER
               "/charts\"\n[listen]\ncallers = "
             + addressText(ports.callers_) + "readiness = " + addressText(ports.readiness_)
-            + "metrics = " + addressText(ports.metrics_) + "digests = "
-            + addressText(ports.digests_) + "[store]\naddress = " + addressText(store_)
+            + "metrics = " + addressText(ports.metrics_)
+            + "digests = " + addressText(ports.digests_) + "[store]\naddress = "
+            + addressText(storeLinks_.empty() ? store_ : storeLinks_.at(number))
             + "[bounds]\nstop_within = \"8s\"\nrevoke_within = \"5s\"\nretry_share = 0.2\n"
               "retry_window = \"10s\"\nretry_reserve = 130\n");
     return harness_.start(name, harness_.program("cardamombay-gateway"), {"--settings", settings});
@@ -180,6 +208,8 @@
         report.runs_.emplace_back(std::string(run.key()), run.value().to_number<int>());
     for (const auto &one : object.at("violations").as_array())
         report.violations_.push_back(json::value_to<std::string>(one));
+    for (const auto &port : object.at("ports").as_object())
+        report.ports_.emplace_back(std::string(port.key()), port.value().to_number<int>());
     return report;
 }
 
--- a/tests/fleet_platform/deployment.hpp
+++ b/tests/fleet_platform/deployment.hpp
@@ -15,6 +15,7 @@
 {
     std::vector<std::pair<std::string, int>> runs_; ///< Starts by request id.
     std::vector<std::string> violations_;
+    std::vector<std::pair<std::string, int>> ports_; ///< Endpoints' own ports by id.
 };
 
 /// \brief Three gateways before 12 engines in two fabric domains and two plain endpoints.
@@ -22,7 +23,9 @@
 {
 public:
     /// \brief Starts all and waits until every gateway is ready and serves both models.
-    Deployment();
+    /// \param hasLinks the gateways reach the store and the endpoints through a proxy that
+    /// spoils what passes as told.
+    explicit Deployment(bool hasLinks = false);
 
     /// \name Callers
     /// \{
@@ -44,6 +47,13 @@
     support::ProcessId startGateway(std::size_t number);
     /// \}
 
+    /// \name Links, if there are any: one of each gateway to the store, one to each endpoint
+    /// \{
+    [[nodiscard]] std::size_t linkCount() const { return linkCount_; }
+    /// \brief Tells the fault_proxy program something of a link, such as "faults".
+    void spoil(std::size_t link, const std::string &action, const std::string &body = {}) const;
+    /// \}
+
     [[nodiscard]] bool isReady(std::size_t gateway) const;
     [[nodiscard]] support::ProcessHarness &harness() { return harness_; }
     [[nodiscard]] support::ProcessId gateway(std::size_t number) const
@@ -65,8 +75,14 @@
         std::uint16_t metrics_ = 0;
     };
 
+    void openLinks();
+    [[nodiscard]] std::uint16_t openLink(std::uint16_t target);
+
     support::ProcessHarness harness_;
     std::uint16_t store_ = 0;
+    std::uint16_t proxy_ = 0;
+    std::size_t linkCount_ = 0;
+    std::vector<std::uint16_t> storeLinks_; ///< By gateway; empty without links.
     std::vector<Ports> ports_;
     std::vector<support::ProcessId> gateways_;
 };
--- a/tests/fleet_platform/soak.cpp
+++ b/tests/fleet_platform/soak.cpp
@@ -5,6 +5,7 @@
 
 #include <cardamombay/core/random.hpp>
 
+#include <array>
 #include <atomic>
 #include <cstdio>
 #include <cstdlib>
@@ -88,7 +89,7 @@
     void step()
     {
         const auto number = random_.below(Deployment::gatewayCount);
-        switch (random_.below(6)) {
+        switch (random_.below(9)) {
         case 0:
             restart(number, false);
             break;
@@ -104,6 +105,13 @@
         case 4:
             toggleStore();
             break;
+        case 5:
+        case 6:
+            spoilLink();
+            break;
+        case 7:
+            mendLinks();
+            break;
         default:
             ++version_;
             deployment_.configure(version_, version_ % 2 == 0 ? "/extra/" : "");
@@ -114,6 +122,7 @@
     {
         if (isStoreOut_)
             toggleStore();
+        mendLinks();
         for (const auto number : paused_)
             deployment_.harness().resume(processes_[number]);
         paused_.clear();
@@ -161,8 +170,37 @@
         deployment_.tell(isStoreOut_ ? "outage/503" : "outage/0");
     }
 
+    /// What a link may do to what passes, one way or both.
+    static constexpr std::array<const char *, 8> linkFaults{
+        R"({"to_server":{"delay_ms":60},"to_client":{"delay_ms":60}})",
+        R"({"to_client":{"delay_ms":400}})",
+        R"({"to_server":{"partitioned":true},"to_client":{"partitioned":true}})",
+        R"({"to_client":{"partitioned":true}})",
+        R"({"to_server":{"drop":true}})",
+        R"({"to_client":{"cut_after":900}})",
+        R"({"refuse":true})",
+        R"({"to_client":{"bytes_per_second":2000}})"};
+
+    void spoilLink()
+    {
+        const auto link = random_.below(deployment_.linkCount());
+        spoiled_.insert(link);
+        if (random_.below(4) == 0)
+            deployment_.spoil(link, "cut");
+        else
+            deployment_.spoil(link, "faults", linkFaults.at(random_.below(linkFaults.size())));
+    }
+
+    void mendLinks()
+    {
+        for (const auto link : spoiled_)
+            deployment_.spoil(link, "faults", "{}");
+        spoiled_.clear();
+    }
+
     Deployment &deployment_;
     Random random_;
+    std::set<std::size_t> spoiled_;
     std::vector<support::ProcessId> processes_;
     std::set<std::size_t> paused_;
     int lost_ = 0;
@@ -172,7 +210,7 @@
 
 void soak(std::uint64_t seed, Duration length)
 {
-    Deployment deployment;
+    Deployment deployment(true);
     Ledger ledger;
     std::atomic<bool> isStopped = false;
     std::atomic<int> falseEnds = 0;
--- /dev/null
+++ b/tests/net/kept_upstream.cpp
@@ -0,0 +1,122 @@
+// Connections to endpoints: which are used again, and whose bytes a caller gets.
+#include "support/scripted_server.hpp"
+
+#include <cardamombay/net/kept_upstream.hpp>
+
+#include <boost/asio/io_context.hpp>
+
+#include <optional>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::net;
+using namespace cardamombay::support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct Listener final : public UpstreamListener
+{
+    bool onConnected() override { return true; }
+    void onHead(HttpResponse head) override { status_ = head.status_; }
+    void onData(std::string_view /*data*/) override { }
+    void onEnd(std::string_view rest) override { body_ = rest; }
+    void onFailure(UpstreamFailure failure) override { failure_ = std::move(failure); }
+
+    [[nodiscard]] bool isOver() const { return body_ || failure_; }
+
+    std::uint32_t status_ = 0;
+    std::optional<std::string> body_;
+    std::optional<UpstreamFailure> failure_;
+};
+
+struct Bench
+{
+    /// Sends a request and waits for its answer.
+    std::optional<std::string> call(Duration longestIdle = seconds(10))
+    {
+        Listener listener;
+        UpstreamRequest request;
+        request.address_ = server_.address();
+        request.method_ = "POST";
+        request.target_ = "/x";
+        request.fields_ = {{"X-Request-Id", "own"}};
+        request.longestIdle_ = longestIdle;
+        request.connectTimeout_ = seconds(1);
+        const auto made = upstream_.start(std::move(request), listener);
+        const auto end = std::chrono::steady_clock::now() + seconds(3);
+        while (!listener.isOver() && std::chrono::steady_clock::now() < end)
+            context_.run_for(milliseconds(5));
+        context_.restart();
+        return listener.body_;
+    }
+
+    void pass(Duration time)
+    {
+        context_.run_for(time);
+        context_.restart();
+    }
+
+    boost::asio::io_context context_;
+    ScriptedServer server_{context_};
+    KeptUpstream upstream_{context_};
+};
+
+} // namespace
+
+Test(kept_upstream, connection_is_used_again_after_a_whole_answer)
+{
+    Bench bench;
+    bench.server_.add({jsonAnswer("1")});
+    bench.server_.add({jsonAnswer("2")});
+    cr_assert_eq(*bench.call(), "1");
+    cr_assert(bench.upstream_.hasUnused(bench.server_.address()));
+    cr_assert_eq(*bench.call(), "2");
+    cr_assert_eq(bench.upstream_.opened(), 1);
+}
+
+Test(kept_upstream, connection_that_was_unused_for_too_long_is_not_taken)
+{
+    Bench bench;
+    bench.server_.add({jsonAnswer("1")});
+    bench.server_.add({jsonAnswer("2")});
+    bench.server_.add({jsonAnswer("3")});
+    bench.call();
+    bench.pass(milliseconds(60));
+    cr_assert_eq(*bench.call(milliseconds(20)), "2");
+    cr_assert_eq(bench.upstream_.opened(), 2);
+    cr_assert_eq(bench.upstream_.idle(), 2, "the older one still serves what may run again");
+}
+
+Test(kept_upstream, connection_is_not_taken_after_the_time_that_the_endpoint_has_told)
+{
+    Bench bench;
+    bench.server_.add({jsonAnswer("1", 200, "Keep-Alive: timeout=1\r\n")});
+    bench.server_.add({jsonAnswer("2")});
+    bench.call();
+    bench.pass(milliseconds(300)); // 0.8 s are kept in reserve.
+    cr_assert_eq(*bench.call(), "2");
+    cr_assert_eq(bench.upstream_.opened(), 2);
+}
+
+Test(kept_upstream, connection_that_the_endpoint_closed_is_not_taken)
+{
+    Bench bench;
+    bench.server_.add({jsonAnswer("1")});
+    bench.server_.add({jsonAnswer("2")});
+    bench.call();
+    bench.server_.closeConnections();
+    bench.pass(milliseconds(20));
+    cr_assert_not(bench.upstream_.hasUnused(bench.server_.address()));
+    cr_assert_eq(*bench.call(), "2");
+}
+
+Test(kept_upstream, answer_to_another_request_is_left_out)
+{
+    Bench bench;
+    bench.server_.add({jsonAnswer("late", 200, "X-Request-Id: other\r\n")
+                       + jsonAnswer("own", 200, "X-Request-Id: own\r\n")});
+    cr_assert_eq(*bench.call(), "own");
+}
--- a/tests/serving/streams.cpp
+++ b/tests/serving/streams.cpp
@@ -4,6 +4,8 @@
 
 #include <cardamombay/serving/event_scanner.hpp>
 
+#include <set>
+
 #include <criterion/criterion.h>
 
 using namespace cardamombay;
@@ -312,3 +314,27 @@
     bench.ask("/stream/1");
     cr_assert_eq(bench.upstream_.calls_.size(), 0);
 }
+
+Test(streams, group_that_a_connection_leads_to_is_preferred_while_it_is_as_free)
+{
+    GatewayFixture bench;
+    bench.clock_.advance(seconds(1));
+    std::uint16_t port = 100;
+    for (const auto *head : {"g-0", "g-1", "g-2", "g-3"}) {
+        bench.addGroup(head);
+        auto endpoint = *bench.book_.find(VmId(head));
+        endpoint.address_.port_ = port++;
+        bench.book_.put(endpoint);
+    }
+    const auto kept = bench.book_.find(VmId("g-2"))->address_;
+    bench.upstream_.unused_ = {kept};
+    bench.ask("/stream/1");
+    cr_assert(bench.lastCall()->request_.address_ == kept);
+    // Once it has more work than a new connection is worth, the others get theirs.
+    std::set<std::string> used;
+    for (int i = 0; i < 12; ++i) {
+        bench.ask("/stream/1");
+        used.insert(bench.lastCall()->field("endpoint"));
+    }
+    cr_assert_gt(used.size(), 1);
+}
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -237,7 +237,7 @@
 }
 
 GatewayFixture::GatewayFixture()
-    : balancer_(book_, board_, Random(1))
+    : balancer_(book_, board_, upstream_, Random(1))
     , metrics_(registry_)
     , gateway_({clock_, upstream_, dialect_, board_, balancer_, metrics_}, GatewayBounds{},
                Random(2))
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -50,13 +51,19 @@
 };
 
 /// \brief Records the calls that the gateway makes.
-class FakeUpstream final : public net::Upstream
+class FakeUpstream final : public net::Upstream, public net::UnusedConnections
 {
 public:
+    [[nodiscard]] bool hasUnused(const Address &address) const override
+    {
+        return unused_.contains(address);
+    }
+
     [[nodiscard]] std::unique_ptr<net::UpstreamCall>
     start(net::UpstreamRequest request, net::UpstreamListener &listener) override;
 
     std::vector<std::shared_ptr<FakeCall>> calls_;
+    std::set<Address> unused_; ///< Addresses that a kept connection leads to.
 };
 
 /// \brief What a caller has received.
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -54,8 +54,9 @@
 
 std::string GroupEngineStandin::state() const
 {
+    const auto listed = listedPort_ == 0 ? port() : listedPort_;
     json::object entry{{"Service", service_},
-                       {"Address", "127.0.0.1:" + std::to_string(server_.port())},
+                       {"Address", "127.0.0.1:" + std::to_string(listed)},
                        {"Zone", "z"},
                        {"Slots", 8},
                        {"State", isDraining_ ? "draining" : "ready"}};
@@ -77,6 +78,12 @@
     hall_.store_.put("servers", id_, state());
 }
 
+void GroupEngineStandin::listAt(std::uint16_t port)
+{
+    listedPort_ = port;
+    list();
+}
+
 void GroupEngineStandin::drain()
 {
     isDraining_ = true;
--- a/tests/support/group_engine_standin.hpp
+++ b/tests/support/group_engine_standin.hpp
@@ -39,6 +39,9 @@
     [[nodiscard]] bool isSilent() const { return isSilent_; }
     /// \brief Says that it is leaving.
     void drain();
+    [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+    /// \brief Lists another port of this machine, which leads here.
+    void listAt(std::uint16_t port);
 
 private:
     struct Group
@@ -73,6 +76,7 @@
     std::uint64_t epochSeen_ = 0;
     bool isSilent_ = false;
     bool isDraining_ = false;
+    std::uint16_t listedPort_ = 0; ///< In place of its own, unless zero.
     StandinServer server_;
 };
 
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -1,8 +1,9 @@
 /// \file
 /// \brief Program: the users' store with engines in groups and plain endpoints, on 127.0.0.1.
 /// \details The store's port also takes what a test tells it: POST /test/config with a
-/// configuration, /test/silence/ID, /test/expire/ID, /test/drain/ID, /test/outage/STATUS, and
-/// GET /test/report with runs and violations.
+/// configuration, /test/silence/ID, /test/expire/ID, /test/drain/ID, /test/outage/STATUS,
+/// /test/port/ID with the port that the endpoint lists, and GET /test/report with runs, violations
+/// and the endpoints' own ports.
 #include "support/group_engine_standin.hpp"
 #include "support/program_options.hpp"
 
@@ -22,8 +23,12 @@
     for (const auto &[request, count] : hall.runs_)
         runs[request] = count;
     json::array violations(hall.violations_.begin(), hall.violations_.end());
-    return json::serialize(
-        json::object{{"runs", std::move(runs)}, {"violations", std::move(violations)}});
+    json::object ports;
+    for (const auto &[id, engine] : hall.engines_)
+        ports[id] = engine->port();
+    return json::serialize(json::object{{"runs", std::move(runs)},
+                                        {"violations", std::move(violations)},
+                                        {"ports", std::move(ports)}});
 }
 
 void command(EngineHall &hall, const std::string &path, const std::string &body)
@@ -39,6 +44,8 @@
         hall.store_.remove("servers", id);
     else if (verb == "/test/drain")
         hall.engines_.at(id)->drain();
+    else if (verb == "/test/port")
+        hall.engines_.at(id)->listAt(static_cast<std::uint16_t>(std::stoul(body)));
     else if (verb == "/test/outage")
         hall.store_.outage_ = static_cast<unsigned>(std::stoul(id));
 }
