--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -115,6 +115,8 @@
     , orderHttp_(context_, limitsOf(2))
     , store_(storeHttp_, {settings_.store_, storeTimeout})
     , orders_(orderHttp_, orderTimeout, stateTimeout)
+    , meteredStore_(clock_, store_, store_, registry_)
+    , meteredOrders_(clock_, orders_, registry_)
     , balancer_(book_, board_, upstream_, Random(seedOf(settings_.entry_)))
     , metrics_(registry_)
     , gateway_({clock_, upstream_, dialect_, board_, balancer_, metrics_}, settings_.bounds_,
@@ -183,13 +185,13 @@
         return errorOf(daemonProgram);
     const auto incarnation = startStamp();
     lease_ = std::make_unique<leases::LeaseKeeper>(
-        clock_, store_, Random(seedOf(settings_.entry_) + 2), leaseSettings(), settings_.entry_,
-        incarnation, FabricDomain("fleet"), valueOf(std::move(leaseProgram)));
+        clock_, meteredStore_, Random(seedOf(settings_.entry_) + 2), leaseSettings(),
+        settings_.entry_, incarnation, FabricDomain("fleet"), valueOf(std::move(leaseProgram)));
     manager_ = std::make_unique<serving::ReplicaManager>(
-        serving::ManagerParts{clock_, *lease_, orders_, book_, board_});
+        serving::ManagerParts{clock_, *lease_, meteredOrders_, book_, board_});
     node_ = std::make_unique<serving::Node>(
-        serving::NodeParts{clock_, store_, store_, format_, datagrams_, *lease_, book_, board_,
-                           gateway_, *manager_},
+        serving::NodeParts{clock_, meteredStore_, meteredStore_, format_, datagrams_, *lease_,
+                           book_, board_, gateway_, *manager_},
         serving::NodeSettings{settings_.entry_, settings_.zone_, incarnation, settings_.digests_,
                               settings_.isFirstStart_});
     traffic::LifecycleActions &actions = *this;
--- a/apps/cardamombay-gateway/gateway_daemon.hpp
+++ b/apps/cardamombay-gateway/gateway_daemon.hpp
@@ -13,6 +13,7 @@
 #include <cardamombay/net/kept_upstream.hpp>
 #include <cardamombay/net/udp_channel.hpp>
 #include <cardamombay/serving/gateway_settings.hpp>
+#include <cardamombay/serving/metered_platform.hpp>
 #include <cardamombay/serving/node.hpp>
 #include <cardamombay/traffic/lifecycle.hpp>
 
@@ -81,6 +82,8 @@
     net::UdpChannel datagrams_{context_};
     adapter::StoreClient store_;
     adapter::EngineOrders orders_;
+    serving::MeteredStore meteredStore_;
+    serving::MeteredOrders meteredOrders_;
     adapter::PlatformFormat format_;
     adapter::PlatformDialect dialect_;
     serving::EndpointBook book_;
--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -186,6 +186,7 @@
 #include <cardamombay/serving/gateway_settings.hpp>
 #include <cardamombay/serving/group_view.hpp>
 #include <cardamombay/serving/load_board.hpp>
+#include <cardamombay/serving/metered_platform.hpp>
 #include <cardamombay/serving/node.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
--- a/tests/fleet_platform/calm_day.cpp
+++ b/tests/fleet_platform/calm_day.cpp
@@ -1,5 +1,5 @@
 // Real gateways before a stand-in of the users' platform: groups, streams, changes, stops, losses.
-#include "deployment.hpp"
+#include "support/fleet_platform_deployment.hpp"
 
 #include <atomic>
 #include <thread>
--- a/tests/fleet_platform/soak.cpp
+++ b/tests/fleet_platform/soak.cpp
@@ -1,7 +1,7 @@
 // Randomized faults from outside real gateways; the promises are checked from what callers and
 // endpoints see. CARDAMOMBAY_SOAK="FIRST COUNT SECONDS" chooses other seeds than the one that CI
 // runs.
-#include "deployment.hpp"
+#include "support/fleet_platform_deployment.hpp"
 
 #include <cardamombay/core/random.hpp>
 
--- a/tests/fleet_platform/deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -1,4 +1,4 @@
-#include "deployment.hpp"
+#include "support/fleet_platform_deployment.hpp"
 
 #include <boost/json.hpp>
 
