--- a/src/serving/change_history.cpp
+++ b/src/serving/change_history.cpp
@@ -1,7 +1,7 @@
 #include <cardamombay/serving/change_history.hpp>
 
 #include <algorithm>
-#include <set>
+#include <map>
 #include <utility>
 
 namespace cardamombay::serving {
@@ -40,15 +40,17 @@
     EndpointRelay relay;
     relay.after_ = version;
     relay.to_ = entries_.back().change_.version_;
-    std::set<VmId> seen;
-    for (auto entry = entries_.rbegin(); entry != entries_.rend(); ++entry) {
-        const auto &change = entry->change_;
-        if (change.version_ <= version)
-            break;
-        if (seen.insert(change.id_).second)
-            relay.changes_.push_back(change);
+    std::map<VmId, const EndpointChange *> latest;
+    for (const auto &entry : entries_) {
+        if (entry.change_.version_ > version)
+            latest[entry.change_.id_] = &entry.change_;
     }
-    std::reverse(relay.changes_.begin(), relay.changes_.end());
+    for (const auto &[id, change] : latest)
+        relay.changes_.push_back(*change);
+    std::sort(relay.changes_.begin(), relay.changes_.end(),
+              [](const EndpointChange &left, const EndpointChange &right) {
+                  return left.version_ < right.version_;
+              });
     return relay;
 }
 
--- a/tests/net/kept_upstream.cpp
+++ b/tests/net/kept_upstream.cpp
@@ -21,7 +21,7 @@
 {
     bool onConnected() override { return true; }
     void onHead(HttpResponse head) override { status_ = head.status_; }
-    void onData(std::string_view /*data*/) override { }
+    void onData(std::string_view /*data*/) override {}
     void onEnd(std::string_view rest) override { body_ = rest; }
     void onFailure(UpstreamFailure failure) override { failure_ = std::move(failure); }
 
