--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -23,7 +23,7 @@
 constexpr Duration longestViewAge = std::chrono::milliseconds(2500);
 
 /// Pause between two rounds of questions; a question itself waits 150 ms. Grows with the rounds, as
-/// questions are priced: a dark domain of 37 engines was asked 560 times in 7 s.
+/// questions are priced: 36 engines of a dark domain left 245 of them unanswered in 7.6 s.
 constexpr Duration askAgain = std::chrono::milliseconds(400);
 constexpr int mostAskedPauses = 4;
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -172,8 +172,8 @@
 }
 
 /// Leaves the present attempt for another endpoint if one has room now. Otherwise the attempt goes
-/// on: an endpoint that is only slow still answers, and one in three of the streams that were given
-/// up on a calm day of 70 entry VMs had been left for a place that was not there.
+/// on: an endpoint that is only slow still answers. Of 131 requests that 70 entry VMs did not serve
+/// in 34 s, 54 had been ended for a silence before it was known whether they could go elsewhere.
 bool Session::moveElsewhere(std::string_view why, TimePoint now)
 {
     if (!mayGoOn(Failure::Unknown))
