Mix models only where the large one would leave no spare

Change: the first start mixes only where groups of the largest model would take a domain to its last engine.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -59,8 +59,8 @@
     /// \{
     void setRoutes(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
     [[nodiscard]] const std::shared_ptr<const RouteTable> &routes() const { return routes_; }
-    /// \brief Requests wait while this process has just started and does not know yet where they may
-    /// go; otherwise they are refused then.
+    /// \brief Requests wait while this process has just started and does not know yet where they
+    /// may go; otherwise they are refused then.
     void setLearning(bool isLearning);
     [[nodiscard]] bool isLearning() const { return isLearning_; }
     /// \brief The store confirmed at \p when that the configuration in force is the newest.
--- a/src/serving/planner_lending.cpp
+++ b/src/serving/planner_lending.cpp
@@ -52,19 +52,17 @@
     });
 }
 
-/// True if groups of several models fill a domain of \p engines as well as those of one model.
+/// True if a domain of \p engines is better filled with groups of several models: groups of the
+/// largest one would take all of its engines and leave no spare, so that each loss takes a whole
+/// group until another engine has loaded.
 bool Run::isMixedBest(std::size_t engines) const
 {
     const auto &models = input_.profile_->models_;
-    const auto [least, most] = std::minmax_element(
+    const auto largest = std::max_element(
         models.begin(), models.end(),
         [](const Model &left, const Model &right) { return left.members_ < right.members_; });
-    if (least == models.end() || !leavesALender(*most, engines))
-        return false;
-    const auto larger = (engines - least->members_) / most->members_;
-    const auto leftMixed = (engines - larger * most->members_) % least->members_;
-    const auto leftPure = std::max(engines % most->members_, engines % least->members_);
-    return leftMixed <= leftPure;
+    return largest != models.end() && leavesALender(*largest, engines)
+           && engines % largest->members_ == 0;
 }
 
 /// The model that a domain without any begins with, or goes on with.
