Reject at once what no group could serve

Cause: a request for a model that the service does not have, with a prompt beyond a group's memory, or with too little time left for an idle group's first event was held for room up to 65 in 100 of its caller's patience. Ruled out: rejecting by the likely size of the answer: the caller's guess is right within a half and twice (10 to 90 in 100). Change: whyNotServable() decides by the declaration and the fastest that a group can work, at arrival and while held.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -195,6 +195,7 @@
 #include <cardamombay/serving/replica_planner.hpp>
 #include <cardamombay/serving/reporters.hpp>
 #include <cardamombay/serving/route_table.hpp>
+#include <cardamombay/serving/servable.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
 #include <cardamombay/settings/settings.hpp>
--- /dev/null
+++ b/src/serving/servable.cpp
@@ -0,0 +1,30 @@
+#include <cardamombay/serving/servable.hpp>
+
+#include <cardamombay/serving/engine_model.hpp>
+
+#include <algorithm>
+
+namespace cardamombay::serving {
+
+std::optional<std::string_view> whyNotServable(const Service &service, const ServableDemand &demand)
+{
+    if (!service.engine_)
+        return std::nullopt;
+    const auto &profile = *service.engine_;
+    const auto model
+        = std::find_if(profile.models_.begin(), profile.models_.end(),
+                       [&demand](const Model &one) { return one.name_ == demand.model_; });
+    if (model == profile.models_.end())
+        return "the service has no such model";
+    if (profile.memoryTokens_ > 0 && demand.promptTokens_ > profile.memoryTokens_)
+        return "the prompt is larger than the memory of a group";
+    // An idle group reads the prompt alone, and sends its first event after one pass.
+    const EngineModel engine(profile, *model);
+    const auto first = engine.readTime(demand.promptTokens_)
+                       + engine.pauseBetweenEvents(1, demand.promptTokens_);
+    if (first > demand.timeLeft_)
+        return "too little time for a first event";
+    return std::nullopt;
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -5,6 +5,7 @@
 #include <cardamombay/log/log.hpp>
 #include <cardamombay/net/http_status.hpp>
 #include <cardamombay/serving/gateway.hpp>
+#include <cardamombay/serving/servable.hpp>
 
 #include <utility>
 
@@ -130,9 +131,19 @@
         refuse(statusUnavailable, "the route leads to no known service", comeBackLater);
         return false;
     }
+    if (const auto reason = hopeless(gateway_.parts().clock_.now())) {
+        refuse(statusUnavailable, *reason, std::nullopt);
+        return false;
+    }
     return true;
 }
 
+/// Why no group could serve the request any more, whatever becomes free; absent if one may.
+std::optional<std::string_view> Session::hopeless(TimePoint now) const
+{
+    return whyNotServable(*service_, {head_.model_, head_.promptTokens_, timeLeft(now)});
+}
+
 void Session::refuse(std::uint32_t status, std::string_view reason,
                      std::optional<Duration> comeBack)
 {
@@ -385,6 +396,11 @@
         giveUp("no room in time");
         return;
     }
+    if (const auto reason = isHeld_ ? hopeless(now) : std::nullopt) {
+        isHeld_ = false;
+        giveUp(*reason);
+        return;
+    }
     if (!call_ || !isStalled(now))
         return;
     gateway_.parts().board_.stalled(target_.endpoint_, now);
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -71,6 +71,7 @@
     /// \{
     void begin();
     [[nodiscard]] bool admit();
+    [[nodiscard]] std::optional<std::string_view> hopeless(TimePoint now) const;
     void refuse(std::uint32_t status, std::string_view reason, std::optional<Duration> comeBack);
     /// \}
 
