Take usual prompts, patience and return from the declaration and the routes

Cause: five constants rested on the sheets of two deployments: usual prompt and context, patience of 300 ms with plain endpoints, the wait before a waiting stream is moved, a return after 60 ms. Ruled out: waiting for runs to fill them: the engines' profile declares the mean prompt and answer and the chunk of prompts. Change: the declared means are read, the mean of the prompts seen here stands in where they are missing (said in a log line); plain endpoints are left after two goals, waiting streams moved after half of the time after which their callers leave, callers asked back after a fifth of their goal. The planner is tested on four made-up deployments with random losses.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -10,6 +10,7 @@
 #include <cardamombay/serving/load_board.hpp>
 #include <cardamombay/serving/route_table.hpp>
 
+#include <map>
 #include <span>
 #include <variant>
 
@@ -83,6 +84,8 @@
                                 TimePoint now) const;
     [[nodiscard]] Duration timeToFirst(const Candidate &candidate, const Demand &demand,
                                        TimePoint now) const;
+    [[nodiscard]] std::size_t usualPrompt(const Demand &demand) const;
+    void notePrompt(const Demand &demand);
     [[nodiscard]] Duration backlog(const Candidate &candidate, const EngineProfile &profile,
                                    TimePoint now) const;
 
@@ -91,6 +94,7 @@
     const net::UnusedConnections &connections_;
     Random random_;
     std::map<ServiceName, Derived> derived_;
+    std::map<ServiceName, double> seenPrompts_; ///< Mean tokens of the last ones.
 };
 
 } // namespace cardamombay::serving
--- a/include/cardamombay/serving/configuration.hpp
+++ b/include/cardamombay/serving/configuration.hpp
@@ -65,17 +65,20 @@
 /// \brief How engines of a service work; figures are for a group at pace 1.
 struct EngineProfile
 {
-    std::uint32_t slots_ = 1;        ///< Requests in a batch.
-    std::uint64_t memoryTokens_ = 0; ///< Tokens of context that fit.
-    Duration step_{};                ///< One token for each request of the batch.
-    Duration perRequest_{};          ///< Added to a step for each request that writes.
-    Duration perThousandTokens_{};   ///< Added to a step for each 1,000 tokens of context.
-    double readTokensPerSecond_ = 1; ///< Prompt tokens read.
-    std::uint32_t stride_ = 1;       ///< Tokens that one event holds.
-    double farFactor_ = 1;           ///< A group over several fabric domains is slower by this.
-    Duration formTime_{};            ///< From the order to open until the group serves.
-    double loadsPerSecond_ = 1;      ///< Most loads from the weight store that may begin.
-    std::uint32_t loadsAtOnce_ = 1;  ///< Loads beyond this share the weight store's speed.
+    std::uint32_t slots_ = 1;          ///< Requests in a batch.
+    std::uint64_t memoryTokens_ = 0;   ///< Tokens of context that fit.
+    Duration step_{};                  ///< One token for each request of the batch.
+    Duration perRequest_{};            ///< Added to a step for each request that writes.
+    Duration perThousandTokens_{};     ///< Added to a step for each 1,000 tokens of context.
+    double readTokensPerSecond_ = 1;   ///< Prompt tokens read.
+    std::uint32_t promptChunk_ = 2048; ///< Prompt tokens read between two steps at most.
+    std::uint32_t stride_ = 1;         ///< Tokens that one event holds.
+    std::uint32_t usualPrompt_ = 0;    ///< Mean prompt, tokens; 0 if it is not declared.
+    std::uint32_t usualAnswer_ = 0;    ///< Mean answer, tokens; 0 if it is not declared.
+    double farFactor_ = 1;             ///< A group over several fabric domains is slower by this.
+    Duration formTime_{};              ///< From the order to open until the group serves.
+    double loadsPerSecond_ = 1;        ///< Most loads from the weight store that may begin.
+    std::uint32_t loadsAtOnce_ = 1;    ///< Loads beyond this share the weight store's speed.
     std::vector<Model> models_;
 
     friend bool operator==(const EngineProfile &, const EngineProfile &) = default;
--- a/include/cardamombay/serving/engine_model.hpp
+++ b/include/cardamombay/serving/engine_model.hpp
@@ -24,6 +24,10 @@
     /// \param context mean tokens of prompt and answer that a request has.
     [[nodiscard]] Duration pauseBetweenEvents(std::size_t writers, std::size_t context) const;
 
+    /// \brief Mean context of a request in the batch, tokens, by the operators' declaration: the
+    /// prompt and half of the answer.
+    [[nodiscard]] std::size_t usualContext() const;
+
     /// \brief Reading a prompt alone.
     [[nodiscard]] Duration readTime(std::size_t promptTokens) const;
 
--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -22,7 +22,7 @@
 public:
     /// A group that fails one request is avoided at once: the next one is mostly as good.
     static constexpr double groupErrorWeight = 0.4;
-    /// Plain services fail some requests by their nature (one in seven of a kind here), so it takes
+    /// Plain services fail some requests by their nature, whichever endpoint gets them, so it takes
     /// four in a row.
     static constexpr double plainErrorWeight = 0.12;
 
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Requests that may wait at a group beyond its batch, as a share of the batch. A batch of 26 frees
-/// a place about every 40 ms, so three waiting ones still begin within the goals of 200 to 400 ms.
+/// Requests that may wait at a group beyond its batch, as a share of the batch: an eighth of it is
+/// free again after an eighth of the time that an answer lasts.
 constexpr double waitingShare = 0.12;
 
 /// The same for requests whose caller has a part of the answer: a broken answer is lost whole.
@@ -42,11 +42,8 @@
 /// A new connection is priced, and takes an engine's time as well; a third of a pass.
 constexpr Duration newConnectionCost = std::chrono::milliseconds(20);
 
-/// Mean context of a request, tokens.
-constexpr std::size_t usualContext = 1500;
-
-/// A usual prompt, tokens; the means of the services here are 674 to 1,960.
-constexpr std::size_t usualPrompt = 1000;
+/// Share of the newest prompt in the mean of those seen here: some fifty requests.
+constexpr double promptWeight = 0.02;
 
 const Model *modelNamed(const EngineProfile &profile, const ModelName &name)
 {
@@ -141,6 +138,25 @@
     return result.empty() && !demand.service_->engine_ ? avoided : result;
 }
 
+/// Tokens: the operators' figure, or else the mean of the prompts that came here.
+std::size_t Balancer::usualPrompt(const Demand &demand) const
+{
+    const auto declared = demand.service_->engine_->usualPrompt_;
+    if (declared > 0)
+        return declared;
+    const auto seen = seenPrompts_.find(demand.service_->name_);
+    return seen == seenPrompts_.end() ? demand.promptTokens_
+                                      : static_cast<std::size_t>(seen->second);
+}
+
+void Balancer::notePrompt(const Demand &demand)
+{
+    const auto tokens = static_cast<double>(demand.promptTokens_);
+    const auto [seen, isFirst] = seenPrompts_.try_emplace(demand.service_->name_, tokens);
+    if (!isFirst)
+        seen->second += (tokens - seen->second) * promptWeight;
+}
+
 Duration Balancer::backlog(const Candidate &candidate, const EngineProfile &profile,
                            TimePoint now) const
 {
@@ -156,10 +172,11 @@
 {
     const auto &profile = *demand.service_->engine_;
     const EngineModel model(profile, *modelNamed(profile, candidate.model_));
-    const auto pass = model.pauseBetweenEvents(board_.total(candidate.endpoint_) + 1, usualContext);
+    const auto pass
+        = model.pauseBetweenEvents(board_.total(candidate.endpoint_) + 1, model.usualContext());
     // Large prompts are no reason to wait longer than small ones: all are weighed at the usual
     // size.
-    const auto own = model.readTime(std::min(demand.promptTokens_, usualPrompt));
+    const auto own = model.readTime(std::min(demand.promptTokens_, usualPrompt(demand)));
     const double work = toSeconds(pass) * passesToFirstEvent + toSeconds(own);
     return fromSeconds(work * candidate.slowness_) + backlog(candidate, profile, now);
 }
@@ -243,6 +260,7 @@
     if (candidates.empty())
         return NoTarget::NoEndpoint;
     if (service.engine_) {
+        notePrompt(demand);
         const auto *best = soonest(candidates, demand, now);
         if (best == nullptr)
             return NoTarget::Full;
--- a/src/serving/engine_model.cpp
+++ b/src/serving/engine_model.cpp
@@ -4,13 +4,6 @@
 
 namespace {
 
-/// Mean context of a request in a full batch, tokens; prompts of the services here have 674 to
-/// 1,960.
-constexpr std::size_t usualContext = 1500;
-
-/// Prompt tokens that an engine reads between two steps; vLLM's usual chunk.
-constexpr std::size_t promptChunk = 2048;
-
 Duration scaled(Duration duration, double factor)
 {
     return fromSeconds(toSeconds(duration) * factor);
@@ -27,6 +20,11 @@
     return scaled(step, profile_.stride_ * model_.pace_);
 }
 
+std::size_t EngineModel::usualContext() const
+{
+    return profile_.usualPrompt_ + profile_.usualAnswer_ / 2;
+}
+
 Duration EngineModel::readTime(std::size_t promptTokens) const
 {
     return fromSeconds(static_cast<double>(promptTokens) / profile_.readTokensPerSecond_
@@ -36,15 +34,15 @@
 Duration EngineModel::groupTime(std::size_t promptTokens, std::size_t answerTokens) const
 {
     const double events = static_cast<double>(answerTokens) / profile_.stride_;
-    const auto writing = scaled(pauseBetweenEvents(profile_.slots_, usualContext), events);
+    const auto writing = scaled(pauseBetweenEvents(profile_.slots_, usualContext()), events);
     return readTime(promptTokens) + writing / profile_.slots_;
 }
 
 Duration EngineModel::longestPause() const
 {
     // Each step of a pass may read a chunk of the prompts that wait.
-    return pauseBetweenEvents(profile_.slots_, usualContext)
-           + readTime(promptChunk) * profile_.stride_;
+    return pauseBetweenEvents(profile_.slots_, usualContext())
+           + readTime(profile_.promptChunk_) * profile_.stride_;
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -16,6 +16,7 @@
 /// \{
 inline constexpr std::string_view configurationInForce = "configuration-in-force";
 inline constexpr std::string_view configurationRefused = "configuration-refused";
+inline constexpr std::string_view usualSizesUnknown = "usual-sizes-unknown";
 inline constexpr std::string_view configurationAsked = "configuration-asked-of-peers";
 inline constexpr std::string_view configurationFromPeer = "configuration-from-peer";
 inline constexpr std::string_view endpointListed = "endpoint-listed";
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -100,8 +100,7 @@
 void Node::noteLearning()
 {
     const bool knowsAll = parts_.gateway_.routes() && areEndpointsListed_;
-    parts_.gateway_.setLearning(!knowsAll
-                                && parts_.clock_.now() - startedAt_ < longestLearning);
+    parts_.gateway_.setLearning(!knowsAll && parts_.clock_.now() - startedAt_ < longestLearning);
 }
 
 void Node::announce()
@@ -208,6 +207,11 @@
                {"row", row.isNone() ? "from-peer" : std::to_string(row.value())},
                {"routes", std::to_string(valueOf(configuration).routes_.size())},
                {"teams", std::to_string(valueOf(configuration).teams_.size())}});
+    for (const auto &service : valueOf(configuration).services_) {
+        if (service.engine_ && service.engine_->usualPrompt_ == 0)
+            log::info(event::usualSizesUnknown, {{"service", service.name_.text()},
+                                                 {"instead", "mean of the prompts seen here"}});
+    }
     exchange_.setCurrent(version, std::string(text));
     parts_.gateway_.setRoutes(std::make_shared<RouteTable>(valueOf(std::move(configuration))));
     noteLearning();
--- a/src/serving/planner_forming.cpp
+++ b/src/serving/planner_forming.cpp
@@ -54,8 +54,10 @@
 double Run::prospect(const Model &model) const
 {
     double groups = groups_.at(model.name_);
-    for (const auto &[domain, free] : free_)
-        groups += static_cast<double>(warm(domain, model) / model.members_);
+    for (const auto &[domain, free] : free_) {
+        const auto whole = warm(domain, model) / model.members_;
+        groups += static_cast<double>(whole);
+    }
     return coverage(model, groups);
 }
 
--- a/src/serving/planner_lending.cpp
+++ b/src/serving/planner_lending.cpp
@@ -58,9 +58,10 @@
 bool Run::isMixedBest(std::size_t engines) const
 {
     const auto &models = input_.profile_->models_;
-    const auto largest = std::max_element(
-        models.begin(), models.end(),
-        [](const Model &left, const Model &right) { return left.members_ < right.members_; });
+    const auto largest
+        = std::max_element(models.begin(), models.end(), [](const Model &left, const Model &right) {
+              return left.members_ < right.members_;
+          });
     return largest != models.end() && leavesALender(*largest, engines)
            && engines % largest->members_ == 0;
 }
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -19,9 +19,12 @@
 constexpr std::uint32_t statusUnavailable = 503;
 constexpr std::uint32_t statusTimeout = 504;
 
-/// When a refused caller is asked to come back: some places of a full group are free by then, and
-/// it still leaves half of the shortest goal of 150 ms.
-constexpr Duration comeBackSoon = std::chrono::milliseconds(60);
+/// When a caller is asked to come back to another entry VM; its next try reaches one at once.
+constexpr Duration comeBackElsewhere = std::chrono::milliseconds(60);
+/// When a caller that found no room is asked to come back, as a share of its goal. Callers that
+/// came back after 800 ms had less time left for their answers: worth 0.03 less under twice the
+/// load that the groups can do (15 plays on each of two deployments).
+constexpr double comeBackShare = 0.2;
 /// What the control side lacks comes within about a second.
 constexpr Duration comeBackLater = std::chrono::milliseconds(400);
 
@@ -34,17 +37,17 @@
 /// What may run again takes older ones, as long as the endpoint keeps them.
 constexpr Duration longestIdle = std::chrono::seconds(10);
 
-/// A plain endpoint that has not answered an idempotent request by then is left for another one;
-/// its work takes 30 ms at the mean and 220 ms at most.
-constexpr Duration plainPatience = std::chrono::milliseconds(300);
+/// A plain endpoint that has not answered an idempotent request after so many goals is left for
+/// another one: at one goal it is late, and a slow answer often comes soon after.
+constexpr int plainPatienceGoals = 2;
 
-/// A stream that has not begun by then is tried elsewhere, whatever holds it up; it is past its
-/// goal of at most 400 ms, and has most of its time of 5 s or more left.
-constexpr Duration waitingPatience = std::chrono::milliseconds(1000);
+/// Share of the time after which the caller of a stream leaves; one that has not begun by then is
+/// tried elsewhere, whatever holds it up, and has the other half for it.
+constexpr double waitingShare = 0.5;
 
 /// A caller of a stream leaves after that long without an event, or after four times the goal or
 /// eight times the longest pause on time, whichever is the longest.
-constexpr Duration callerPatience = std::chrono::seconds(2);
+constexpr Duration leastCallerPatience = std::chrono::seconds(2);
 /// Share of that for which a request is held for room; the rest is for its first event.
 constexpr double longestHoldShare = 0.65;
 
@@ -97,7 +100,7 @@
 bool Session::admit()
 {
     if (gateway_.isRefusing()) {
-        refuse(statusUnavailable, "the entry VM stops", comeBackSoon);
+        refuse(statusUnavailable, "the entry VM stops", comeBackElsewhere);
         return false;
     }
     if (!routes_) {
@@ -225,11 +228,24 @@
     answer_ = {};
 }
 
+/// Some places of a full group are free by then, and the caller may still be on time.
+Duration Session::comeBack() const
+{
+    return route_ == nullptr ? comeBackElsewhere
+                             : fromSeconds(toSeconds(route_->goal_) * comeBackShare);
+}
+
+/// A caller of a stream leaves after that long without an event.
+Duration Session::callerPatience() const
+{
+    return std::max({leastCallerPatience, 4 * route_->goal_, 8 * route_->pauseGoal_});
+}
+
 /// Groups are mostly back within a second or two. Who is held in vain gets word before it leaves.
 bool Session::mayHold(TimePoint now) const
 {
-    const Duration leaves = std::max({callerPatience, 4 * route_->goal_, 8 * route_->pauseGoal_});
-    const auto allowed = toSeconds(std::min(leaves, until_ - arrivedAt_)) * longestHoldShare;
+    const auto allowed
+        = toSeconds(std::min(callerPatience(), until_ - arrivedAt_)) * longestHoldShare;
     // What counts for the caller is the pause since the last event that it got.
     const auto since = events_ > 0 ? progressAt_ : arrivedAt_;
     return toSeconds(now - since) < allowed;
@@ -345,7 +361,7 @@
         return;
     }
     if (mayHaveRun_ == 0) {
-        refuse(statusUnavailable, reason, comeBackSoon);
+        refuse(statusUnavailable, reason, comeBack());
         return;
     }
     const bool isTimeout = gateway_.parts().clock_.now() >= until_;
@@ -367,11 +383,12 @@
 {
     const auto silent = now - progressAt_;
     if (!service_->engine_)
-        return phase_ == Phase::Waiting && silent > plainPatience;
+        return phase_ == Phase::Waiting && silent > plainPatienceGoals * route_->goal_;
     if (target_.patience_ == Duration::zero() || silent <= target_.patience_)
         return false;
     // A request that the endpoint has put off lets the others pass; a group that stands still
     // doesn't.
+    const auto waitingPatience = fromSeconds(toSeconds(callerPatience()) * waitingShare);
     const auto heard = now - gateway_.parts().board_.heardAt(target_.endpoint_);
     if (heard <= target_.patience_)
         return !hasProgress_ && silent > waitingPatience;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -82,6 +82,8 @@
     [[nodiscard]] bool takeRepeat();
     [[nodiscard]] bool moveElsewhere(std::string_view why, TimePoint now);
     void send(const Target &target);
+    [[nodiscard]] Duration comeBack() const;
+    [[nodiscard]] Duration callerPatience() const;
     [[nodiscard]] bool mayHold(TimePoint now) const;
     [[nodiscard]] std::size_t tokensToRead() const;
     void dropAttempt();
--- a/tests/adapter/formats.cpp
+++ b/tests/adapter/formats.cpp
@@ -72,6 +72,21 @@
     cr_assert_not(configuration.teams_[1].priority_);
 }
 
+Test(store_format, usual_sizes_are_read_and_unknown_where_they_are_missing)
+{
+    const auto without = PlatformFormat().configuration(configurationText);
+    cr_assert_eq(valueOf(without).services_[0].engine_->usualPrompt_, 0);
+    std::string text(configurationText);
+    const std::string before = "\"far_x\":2.5";
+    text.replace(text.find(before), before.size(),
+                 before + ",\"chunk\":512,\"usual\":{\"prompt\":1076,\"answer\":116}");
+    const auto decoded = PlatformFormat().configuration(text);
+    const auto &engine = *valueOf(decoded).services_[0].engine_;
+    cr_assert_eq(engine.usualPrompt_, 1076);
+    cr_assert_eq(engine.usualAnswer_, 116);
+    cr_assert_eq(engine.promptChunk_, 512);
+}
+
 Test(store_format, text_that_is_no_configuration_is_an_error)
 {
     for (const auto *text : {"", "{", "[]", "{}", R"({"Version":0})"})
--- /dev/null
+++ b/tests/serving/made_up_deployments.cpp
@@ -0,0 +1,219 @@
+// The planner on deployments that differ in everything: engines are lost, come back empty and are
+// added in random order, and the same promises hold at each step.
+#include "support/replica_bench.hpp"
+
+#include <cardamombay/core/random.hpp>
+
+#include <map>
+#include <set>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using namespace cardamombay::support;
+
+namespace {
+
+/// Sizes of fabric domains and groups, and what callers ask for.
+struct Deployment
+{
+    int domains_;
+    int engines_; ///< Of each domain.
+    std::uint32_t largeGroup_;
+    std::uint32_t smallGroup_;
+    double largeDemand_;
+    double smallDemand_;
+};
+
+constexpr Deployment deployments[] = {
+    {6, 8, 4, 2, 3.3, 3.5},
+    {3, 5, 3, 1, 0.4, 9},
+    {2, 19, 8, 4, 1.5, 0.2},
+    {4, 12, 6, 5, 2, 2},
+};
+
+/// Engines that carry out each order at once.
+class Fleet
+{
+public:
+    Fleet(const Deployment &deployment, std::uint64_t seed)
+        : deployment_(deployment)
+        , random_(seed)
+    {
+        bench_.profile_.models_[0].members_ = deployment.largeGroup_;
+        bench_.profile_.models_[1].members_ = deployment.smallGroup_;
+        bench_.input_.isFirstLoad_ = true;
+        for (int domain = 0; domain < deployment.domains_; ++domain) {
+            for (int i = 0; i < deployment.engines_; ++i)
+                add(std::to_string(domain));
+        }
+    }
+
+    /// Plans and carries out until nothing is due, or for \p most steps.
+    void settle(int most)
+    {
+        for (int step = 0; step < most; ++step) {
+            const auto plan = bench_.plan();
+            check(plan);
+            if (plan.empty())
+                return;
+            for (const auto &order : plan)
+                carryOut(order);
+        }
+    }
+
+    void startTraffic()
+    {
+        bench_.input_.isFirstLoad_ = false;
+        bench_.input_.demand_ = {{ModelName("m"), deployment_.largeDemand_},
+                                 {ModelName("n"), deployment_.smallDemand_}};
+    }
+
+    void loseOne()
+    {
+        if (bench_.engines_.size() < 2)
+            return;
+        const auto index = random_.below(bench_.engines_.size());
+        const auto domain = bench_.engines_[index].domain_.text();
+        bench_.engines_.erase(bench_.engines_.begin() + static_cast<std::ptrdiff_t>(index));
+        if (random_.unit() < 0.5)
+            add(domain);
+    }
+
+    [[nodiscard]] std::size_t openGroups(const ModelName &model) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(bench_.engines_.begin(), bench_.engines_.end(), [&](const auto &engine) {
+                return engine.membership_ && engine.membership_->isHead()
+                       && engine.membership_->state_ == MemberState::Open
+                       && modelOf(engine.membership_->group_) == model;
+            }));
+    }
+
+private:
+    void add(const std::string &domain)
+    {
+        bench_.engines_.push_back(spareEngine("e" + std::to_string(++count_), domain));
+    }
+
+    Endpoint *find(const VmId &id)
+    {
+        for (auto &engine : bench_.engines_) {
+            if (engine.id_ == id)
+                return &engine;
+        }
+        return nullptr;
+    }
+
+    /// What must hold of each plan, whatever the deployment.
+    void check(const Plan &plan)
+    {
+        std::map<GroupName, std::set<VmId>> joins;
+        std::set<VmId> ordered;
+        for (const auto &order : plan) {
+            auto *engine = find(order.engine_);
+            cr_assert_not_null(engine);
+            cr_assert(ordered.insert(order.engine_).second, "two orders to one engine");
+            if (const auto *join = std::get_if<JoinOrder>(&order.order_)) {
+                cr_assert_not(engine->membership_, "an engine of a group is joined to another");
+                joins[join->group_].insert(order.engine_);
+                cr_assert(isWarmUp(join->group_)
+                          || join->members_.size() == sizeOf(modelOf(join->group_)));
+            }
+            if (const auto *close = std::get_if<CloseOrder>(&order.order_))
+                cr_assert_not(close->cutsWork_);
+            if (std::holds_alternative<OpenOrder>(order.order_))
+                cr_assert_eq(listed(engine->membership_->group_),
+                             sizeOf(modelOf(engine->membership_->group_)));
+        }
+        for (const auto &[group, members] : joins)
+            cr_assert_eq(members.size(), isWarmUp(group) ? 1 : sizeOf(modelOf(group)));
+    }
+
+    [[nodiscard]] std::size_t sizeOf(const ModelName &model) const
+    {
+        return model == ModelName("m") ? deployment_.largeGroup_ : deployment_.smallGroup_;
+    }
+
+    [[nodiscard]] std::size_t listed(const GroupName &group) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(bench_.engines_.begin(), bench_.engines_.end(), [&](const auto &engine) {
+                return engine.membership_ && engine.membership_->group_ == group;
+            }));
+    }
+
+    void carryOut(const PlannedOrder &planned)
+    {
+        auto &engine = *find(planned.engine_);
+        if (const auto *join = std::get_if<JoinOrder>(&planned.order_)) {
+            const auto rank = std::find(join->members_.begin(), join->members_.end(), engine.id_)
+                              - join->members_.begin();
+            if (engine.model_ != join->model_)
+                engine.staged_ = {join->model_};
+            engine.model_ = join->model_;
+            engine.membership_ = Membership{join->group_, join->epoch_,
+                                            static_cast<std::uint32_t>(rank), MemberState::Ready};
+        } else if (std::holds_alternative<OpenOrder>(planned.order_)) {
+            engine.membership_->state_ = MemberState::Open;
+        } else if (std::holds_alternative<CloseOrder>(planned.order_)) {
+            engine.membership_->state_ = MemberState::Ready;
+        } else if (std::holds_alternative<LeaveOrder>(planned.order_)) {
+            engine.membership_.reset();
+        } else if (const auto *stage = std::get_if<StageOrder>(&planned.order_)) {
+            engine.staged_ = {stage->model_};
+        }
+    }
+
+    Deployment deployment_;
+    Random random_;
+    Bench bench_;
+    int count_ = 0;
+};
+
+} // namespace
+
+Test(made_up_deployments, orders_keep_their_promises_whatever_is_lost)
+{
+    constexpr int losses = 40;
+    constexpr int steps = 12; ///< Enough for a group that makes way, joins and is opened.
+    for (const auto &deployment : deployments) {
+        for (std::uint64_t seed = 1; seed <= 25; ++seed) {
+            Fleet fleet(deployment, seed);
+            fleet.settle(steps);
+            fleet.startTraffic();
+            for (int loss = 0; loss < losses; ++loss) {
+                fleet.loseOne();
+                fleet.settle(steps);
+            }
+        }
+    }
+}
+
+Test(made_up_deployments, both_models_serve_after_the_first_start)
+{
+    for (const auto &deployment : deployments) {
+        Fleet fleet(deployment, 1);
+        fleet.settle(12);
+        cr_assert_gt(fleet.openGroups(ModelName("m")), 0);
+        cr_assert_gt(fleet.openGroups(ModelName("n")), 0);
+    }
+}
+
+Test(made_up_deployments, both_models_still_serve_after_a_quarter_of_the_engines_is_replaced)
+{
+    for (const auto &deployment : deployments) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            Fleet fleet(deployment, seed);
+            fleet.settle(12);
+            fleet.startTraffic();
+            for (int loss = 0; loss < deployment.domains_ * deployment.engines_ / 4; ++loss) {
+                fleet.loseOne();
+                fleet.settle(12);
+            }
+            cr_assert_gt(fleet.openGroups(ModelName("m")), 0, "seed %d", static_cast<int>(seed));
+            cr_assert_gt(fleet.openGroups(ModelName("n")), 0, "seed %d", static_cast<int>(seed));
+        }
+    }
+}
--- a/tests/serving/sessions.cpp
+++ b/tests/serving/sessions.cpp
@@ -264,3 +264,39 @@
     bench.ask("/once/7");
     cr_assert_eq(bench.upstream_.calls_.size(), 1);
 }
+
+Test(sessions, caller_without_room_is_asked_back_while_it_can_still_be_on_time)
+{
+    for (const auto goal : {milliseconds(100), milliseconds(2000)}) {
+        GatewayFixture bench;
+        auto configuration = gatewayConfiguration();
+        configuration.version_ = ConfigVersion(4);
+        for (auto &route : configuration.routes_)
+            route.goal_ = goal;
+        bench.gateway_.setRoutes(std::make_shared<RouteTable>(configuration));
+        const auto caller = bench.ask("/once/7");
+        for (int i = 0; i < 2; ++i) {
+            bench.lastCall()->connect();
+            bench.lastCall()->refuse();
+        }
+        const auto back = std::stoll(std::string(caller->answer_->field("come-back")));
+        cr_assert_gt(back, 0);
+        cr_assert_lt(back, goal.count() / 2);
+    }
+}
+
+Test(sessions, plain_endpoint_is_left_by_the_goal_of_the_route)
+{
+    GatewayFixture bench;
+    auto configuration = gatewayConfiguration();
+    configuration.version_ = ConfigVersion(4);
+    for (auto &route : configuration.routes_)
+        route.goal_ = milliseconds(1000);
+    bench.gateway_.setRoutes(std::make_shared<RouteTable>(configuration));
+    bench.ask("/again/7");
+    bench.lastCall()->connect();
+    bench.pass(milliseconds(1900));
+    cr_assert_eq(bench.upstream_.calls_.size(), 1);
+    bench.pass(milliseconds(200));
+    cr_assert_eq(bench.upstream_.calls_.size(), 2);
+}
