--- a/src/serving/planner_lending.cpp
+++ b/src/serving/planner_lending.cpp
@@ -9,10 +9,11 @@
 namespace {
 
 /// Groups per group's worth of work below which a model is short: its groups are nearly full then.
+/// Lending only below 1.5, also where survivors wait, cost 0.015 of a day's worth (s.e. 0.018).
 constexpr double enoughCoverage = 1.3;
 
-/// Part of the loads at once that reserves may take; the rest is for engines that have nothing.
-constexpr std::uint32_t reserveLoadsShare = 2;
+/// The loads at once divided by this may be reserves; the rest is for engines that have nothing.
+constexpr std::uint32_t reserveLoadsDivisor = 2;
 
 } // namespace
 
@@ -106,7 +107,9 @@
 }
 
 /// Spare engines that a larger group lacks come from smaller groups of the same domain, if their
-/// model is served better: a load takes 12 to 16 s, a group that finishes its work about 3.
+/// model is served better: a load takes 12 to 16 s, a group that finishes its work about 3. Without
+/// this callers get 0.16 less of a day's worth (standard error 0.04, 12 paired plays of 48
+/// engines).
 void Run::lend()
 {
     if (input_.demand_.empty())
@@ -178,11 +181,13 @@
 
 bool Run::mayLoadReserve() const
 {
-    return input_.isFirstLoad_ || loads_ < input_.profile_->loadsAtOnce_ / reserveLoadsShare;
+    return input_.isFirstLoad_ || loads_ < input_.profile_->loadsAtOnce_ / reserveLoadsDivisor;
 }
 
 /// Engines of the smaller groups keep the weights of the largest model on their hosts, beside the
-/// model that they serve.
+/// model that they serve. Without this callers get 0.25 less of a day's worth (standard error 0.03,
+/// 12 paired plays of 48 engines); with a reserve of a part of the groups 0.047 less (0.013, 35
+/// plays).
 void Run::stageReserve()
 {
     for (const auto *list : {&ready_, &serving_}) {
--- a/src/serving/planner_run.cpp
+++ b/src/serving/planner_run.cpp
@@ -190,7 +190,8 @@
 
 /// True while members that were ordered into the group are not listed in it yet. The feed brings
 /// their steps one after the other: of 18 groups that were ordered at one moment 4 were given up
-/// within 40 ms, since their first members were listed before the others.
+/// within 40 ms, since their first members were listed before the others. Without this callers get
+/// 0.064 less of a day's worth (standard error 0.024, 12 paired plays of 48 engines).
 bool Run::isGathering(const GroupView &group, const Model &model) const
 {
     const auto missing
