Wrap a comment as the formatter wants it

Ruled out: other files; the check over all of them passes now. Change: the line breaks of one comment.

--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -21,9 +21,10 @@
 
 /// When a caller is asked to come back to another entry VM; its next try reaches one at once.
 constexpr Duration comeBackElsewhere = std::chrono::milliseconds(60);
-/// When a caller that found no room is asked to come back, as a share of its goal. Callers that came
-/// back after 800 ms had less time left for their answers: 0.03 less of a day's worth (standard
-/// errors 0.022 and 0.015, 15 paired plays on each of two deployments that were short of engines).
+/// When a caller that found no room is asked to come back, as a share of its goal. Callers that
+/// came back after 800 ms had less time left for their answers: 0.03 less of a day's worth
+/// (standard errors 0.022 and 0.015, 15 paired plays on each of two deployments that were short of
+/// engines).
 constexpr double comeBackShare = 0.2;
 /// What the control side lacks comes within about a second.
 constexpr Duration comeBackLater = std::chrono::milliseconds(400);
