Give groups up only if nobody hears from them; gather groups over domains

And groups over domains stayed for good: none of them alone, with the spares of a domain, made a group there (47 + 13 small groups and 7 + 8 large ones for 620 and 480 engines from 22 s on). Change: digests tell what each entry VM hears; a head that somebody hears does not stand still. Far groups whose engines in a domain make a group together make way together, as much at once as the others bear; spares there wait. Tests: endpoint_lives, replica_far.

--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -54,6 +54,7 @@
         std::vector<VmId> silent_;
         TimePoint at_{};
         std::size_t entries_ = 1; ///< Entry VMs that it is the sum of.
+        std::unordered_map<VmId, std::size_t> heard_{}; ///< Those that hear from an endpoint.
     };
 
     /// \brief Takes the news of a peer, in place of its earlier ones.
@@ -76,8 +77,11 @@
     [[nodiscard]] double unread(const VmId &endpoint, double tokensPerSecond, TimePoint now) const;
     /// \brief Endpoints that stalled here and were not heard since.
     [[nodiscard]] std::vector<VmId> silentHere() const;
-    /// \brief Endpoints that stalled at this entry VM or a peer.
-    [[nodiscard]] std::vector<VmId> silentAnywhere() const;
+    /// \brief Endpoints that stand still: streams stalled at this entry VM or a peer, and nobody
+    /// hears from them.
+    [[nodiscard]] std::vector<VmId> silentEverywhere(TimePoint now) const;
+    /// \brief Endpoints that have sent something just now to requests that are still there.
+    [[nodiscard]] std::unordered_map<VmId, std::size_t> heardHere(TimePoint now) const;
     /// \brief False while the endpoint is avoided after a failure.
     [[nodiscard]] bool isUsable(const VmId &endpoint, TimePoint now) const;
     /// \brief When something came from the endpoint last; the epoch if never.
@@ -107,6 +111,7 @@
         bool isOnTrial_ = false;
         bool isSilent_ = false;
     };
+    [[nodiscard]] bool isHeard(const VmId &endpoint, TimePoint now) const;
     static void addUnread(Entry &entry, double tokens, TimePoint now);
 
     /// Mutable for the rate at which a balancer expects an endpoint to read.
--- a/src/serving/digest_hub.cpp
+++ b/src/serving/digest_hub.cpp
@@ -177,6 +177,7 @@
             continue;
         const auto &last = source.last_;
         addCounts(sum.underWay_, last.underWay_);
+        addCounts(sum.heard_, last.heard_);
         addCounts(sum.demand_, last.demand_);
         addRepeats(sum.repeats_, last.repeats_);
         sum.silent_.insert(sum.silent_.end(), last.silent_.begin(), last.silent_.end());
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -22,6 +22,12 @@
 /// A count stays in several digests, so that one that is lost does no harm.
 constexpr Duration toldFor = std::chrono::milliseconds(1200);
 
+/// A group that works sends something to its streams within one pass; 200 ms are a long one. A lost
+/// engine is found as much later where several entry VMs have streams there.
+constexpr Duration heardWithin = std::chrono::milliseconds(250);
+/// Digests come every 100 ms, sums a little later; older ones do not show that an endpoint works.
+constexpr Duration freshNews = std::chrono::milliseconds(400);
+
 constexpr Duration memoryOfIdle = std::chrono::seconds(30);
 
 } // namespace
@@ -187,13 +193,36 @@
     return result;
 }
 
-std::vector<VmId> LoadBoard::silentAnywhere() const
+/// A cut between some entry VMs and an endpoint looks there as if it stood still. Of 130 engines that
+/// 30 in 100 entry VMs could not reach, the groups were given up though they served all others.
+std::vector<VmId> LoadBoard::silentEverywhere(TimePoint now) const
 {
     auto result = silentHere();
     for (const auto &[name, peer] : peers_)
         result.insert(result.end(), peer.silent_.begin(), peer.silent_.end());
     std::sort(result.begin(), result.end());
     result.erase(std::unique(result.begin(), result.end()), result.end());
+    std::erase_if(result, [&](const VmId &endpoint) { return isHeard(endpoint, now); });
+    return result;
+}
+
+bool LoadBoard::isHeard(const VmId &endpoint, TimePoint now) const
+{
+    const auto own = entries_.find(endpoint);
+    if (own != entries_.end() && now - own->second.heardAt_ < heardWithin)
+        return true;
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto &one) {
+        return now - one.second.at_ < freshNews && one.second.heard_.contains(endpoint);
+    });
+}
+
+std::unordered_map<VmId, std::size_t> LoadBoard::heardHere(TimePoint now) const
+{
+    std::unordered_map<VmId, std::size_t> result;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.own_ > 0 && now - entry.heardAt_ < heardWithin)
+            result.emplace(id, 1);
+    }
     return result;
 }
 
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -62,6 +62,7 @@
     digest.underWay_ = parts_.board_.ownCounts();
     digest.sent_ = parts_.board_.ownSent(now);
     digest.silent_ = parts_.board_.silentHere();
+    digest.heard_ = parts_.board_.heardHere(now);
     digest.demand_ = ownDemand_;
     digest.repeats_ = parts_.gateway_.repeatCounts(now);
     digest.endpoints_ = endpointWatch_.version();
@@ -179,8 +180,9 @@
 void Node::takeLoad(const EntryId &from, LoadDigest sum, std::size_t entries, TimePoint now)
 {
     sums_[from] = {std::move(sum.demand_), std::move(sum.repeats_), now};
-    parts_.board_.setPeerLoad(from.text(), {std::move(sum.underWay_), std::move(sum.sent_),
-                                            std::move(sum.silent_), now, entries});
+    parts_.board_.setPeerLoad(from.text(),
+                              {std::move(sum.underWay_), std::move(sum.sent_),
+                               std::move(sum.silent_), now, entries, std::move(sum.heard_)});
 }
 
 std::size_t Node::entriesIn(const AvailabilityZone &zone) const
@@ -273,7 +275,8 @@
     peer.repeats_ = std::move(digest.repeats_);
     parts_.board_.setPeerLoad(
         digest.from_.text(),
-        {std::move(digest.underWay_), std::move(digest.sent_), std::move(digest.silent_), now, 1});
+        {std::move(digest.underWay_), std::move(digest.sent_), std::move(digest.silent_), now, 1,
+         std::move(digest.heard_)});
 }
 
 /// A lost engine holds up all streams of its group, so the planner is told at once; by digests it
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -37,8 +37,8 @@
     }
 }
 
-/// Requests and tokens of each endpoint side by side, since names are most of the text: 36 groups
-/// take 0.9 KB in place of 1.6.
+/// Requests, tokens and entry VMs that hear from it for each endpoint side by side, since names are
+/// most of the text: 36 groups take 0.9 KB in place of 1.6.
 json::object loadsOf(const LoadDigest &digest)
 {
     json::object result;
@@ -50,6 +50,15 @@
             load = json::array{0};
         load.as_array().emplace_back(tokens);
     }
+    for (const auto &[endpoint, count] : digest.heard_) {
+        auto &load = result[endpoint.text()];
+        if (load.is_null())
+            load = json::array{0};
+        auto &parts = load.as_array();
+        if (parts.size() == 1)
+            parts.emplace_back(nullptr);
+        parts.emplace_back(count);
+    }
     return result;
 }
 
@@ -69,6 +78,9 @@
         const auto sent = load->size() > 1 ? countIn(load->at(1)) : std::nullopt;
         if (sent)
             digest.sent_.emplace(endpoint, *sent);
+        const auto heard = load->size() > 2 ? countIn(load->at(2)) : std::nullopt;
+        if (heard)
+            digest.heard_.emplace(endpoint, *heard);
     }
 }
 
--- a/src/serving/planner_forming.cpp
+++ b/src/serving/planner_forming.cpp
@@ -10,6 +10,12 @@
 /// Added to the groups per need of a model, so that none takes all loads.
 constexpr double leastCoverage = 0.3;
 
+/// Share of a model's capacity that may make way at once, so that the other groups bear its work: a
+/// group finishes its answers within about 3 s.
+constexpr double makingWayShare = 0.15;
+/// The same for groups that only together make one in a domain, while no others make way.
+constexpr double firstShare = 0.4;
+
 } // namespace
 
 /// Groups per need; the model with the least is served worst.
@@ -145,25 +151,101 @@
     return false;
 }
 
-/// One far group of a model at a time makes way for a group in one domain, so that the others go
-/// on.
+/// Groups over several domains make way for groups in one domain: the engines of several of them
+/// and the spares of a domain may make one that none of them does alone.
 void Run::reviewFar()
 {
-    std::set<ModelName> closing;
-    for (const auto *group : serving_) {
-        if (group->state() == MemberState::Closing)
-            closing.insert(group->model_);
+    for (const auto &model : input_.profile_->models_)
+        gatherFar(model);
+}
+
+/// Spare engines of each domain that have the model at hand and are left over by whole groups.
+std::map<FabricDomain, std::size_t> Run::leftOver(const Model &model) const
+{
+    std::map<FabricDomain, std::size_t> result;
+    for (const auto &[domain, engines] : free_) {
+        const auto able = std::count_if(engines.begin(), engines.end(), [&](const auto *engine) {
+            return readinessOf(*engine, model.name_) != Readiness::Empty;
+        });
+        result[domain] = static_cast<std::size_t>(able) % model.members_;
     }
+    return result;
+}
+
+void Run::gatherFar(const Model &model)
+{
+    auto able = leftOver(model);
+    const auto count = [&able](const GroupView &group) {
+        for (const auto *member : group.members_)
+            ++able[member->domain_];
+    };
+    std::vector<const GroupView *> open;
+    const double capacity = groups_.at(model.name_);
+    double makingWay = 0;
     for (const auto *group : serving_) {
-        const bool isOpen = group->isFar() && group->state() == MemberState::Open;
-        if (!isOpen || closing.contains(group->model_)
-            || input_.pending_.contains(group->head_->id_)
-            || !isNearPossible(*group, *modelNamed(group->model_)))
+        if (group->model_ != model.name_ || !group->isFar())
+            continue;
+        if (group->state() == MemberState::Open && !input_.pending_.contains(group->head_->id_)) {
+            open.push_back(group);
             continue;
-        closing.insert(group->model_);
-        order(*group->head_, CloseOrder{group->group_, group->epoch_, false},
-              "a group in one domain is possible");
+        }
+        makingWay += weightOf(*group);
+        count(*group);
+    }
+    std::set<FabricDomain> domains;
+    for (const auto &[domain, engines] : able) {
+        if (engines >= model.members_)
+            gathering_.insert(domain);
+        domains.insert(domain);
+    }
+    for (const auto *group : open) {
+        for (const auto *member : group->members_)
+            domains.insert(member->domain_);
+    }
+    for (const auto &domain : domains) {
+        if (gathering_.contains(domain))
+            continue;
+        const auto chosen = completing(model, domain, able[domain], open);
+        const auto weight
+            = static_cast<double>(chosen.size()) / std::max(1.0, input_.profile_->farFactor_);
+        const bool isBearable = makingWay == 0
+                                    ? chosen.size() == 1 || weight <= capacity * firstShare
+                                    : makingWay + weight <= capacity * makingWayShare;
+        if (chosen.empty() || !isBearable)
+            continue;
+        makingWay += weight;
+        gathering_.insert(domain);
+        for (const auto *group : chosen) {
+            count(*group);
+            std::erase(open, group);
+            order(*group->head_, CloseOrder{group->group_, group->epoch_, false},
+                  "a group in one domain is possible");
+        }
+    }
+}
+
+/// The fewest of \p open whose engines in \p domain, with \p able others there, make a group; none
+/// if all do not.
+std::vector<const GroupView *> Run::completing(const Model &model, const FabricDomain &domain,
+                                               std::size_t able,
+                                               std::vector<const GroupView *> open)
+{
+    const auto inDomain = [&domain](const GroupView *group) {
+        return static_cast<std::size_t>(
+            std::count_if(group->members_.begin(), group->members_.end(),
+                          [&](const Endpoint *member) { return member->domain_ == domain; }));
+    };
+    std::stable_sort(open.begin(), open.end(), [&](const auto *left, const auto *right) {
+        return inDomain(left) > inDomain(right);
+    });
+    std::vector<const GroupView *> result;
+    for (const auto *group : open) {
+        if (able >= model.members_ || inDomain(group) == 0)
+            break;
+        able += inDomain(group);
+        result.push_back(group);
     }
+    return able >= model.members_ ? result : std::vector<const GroupView *>();
 }
 
 /// Spares of all domains that have the model at hand, those first whose domain has the most.
@@ -171,8 +253,8 @@
 {
     std::vector<Engines> byDomain;
     for (const auto &[domain, engines] : free_) {
-        // They wait for the engines that their own domain lends them.
-        if (borrowing_.contains(domain))
+        // They wait for the engines that their own domain lends them or far groups give back.
+        if (borrowing_.contains(domain) || gathering_.contains(domain))
             continue;
         Engines warm;
         std::copy_if(engines.begin(), engines.end(), std::back_inserter(warm),
--- a/src/serving/planner_run.hpp
+++ b/src/serving/planner_run.hpp
@@ -53,6 +53,11 @@
     void join(const Model &model, const Engines &members);
     void formFar();
     void reviewFar();
+    void gatherFar(const Model &model);
+    [[nodiscard]] std::map<FabricDomain, std::size_t> leftOver(const Model &model) const;
+    [[nodiscard]] static std::vector<const GroupView *>
+    completing(const Model &model, const FabricDomain &domain, std::size_t able,
+               std::vector<const GroupView *> open);
     [[nodiscard]] Engines spares(const Model &model) const;
     void notePresent();
     [[nodiscard]] const Model *reserveOf(const FabricDomain &domain) const;
@@ -99,6 +104,7 @@
     std::vector<const GroupView *> serving_; ///< Whole groups.
     std::vector<const GroupView *> ready_;   ///< Whole groups that may be opened.
     std::set<GroupName> lent_;               ///< Their engines are needed for a larger group.
+    std::set<FabricDomain> gathering_; ///< Their spares wait for engines of far groups.
     std::set<FabricDomain> borrowing_;       ///< Their spares wait for engines that are lent.
     Plan result_;
 };
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -87,7 +87,7 @@
 {
     const bool hasChanged = parts_.book_.revision() != plannedRevision_ || hadOrders_
                             || !pending_.empty() || !unanswered_.empty()
-                            || !parts_.board_.silentAnywhere().empty();
+                            || !parts_.board_.silentEverywhere(now).empty();
     if (!hasChanged && now - plannedAt_ < longestPlanGap)
         return false;
     plannedAt_ = now;
@@ -130,7 +130,7 @@
         if (!order.group_.isEmpty())
             input.joining_.emplace(engine, order.group_);
     }
-    const auto silent = parts_.board_.silentAnywhere();
+    const auto silent = parts_.board_.silentEverywhere(parts_.clock_.now());
     input.silent_.insert(silent.begin(), silent.end());
     for (const auto &[engine, silence] : unanswered_)
         input.unresponsive_.insert(engine);
@@ -201,7 +201,7 @@
 void ReplicaManager::inquire(const std::vector<const Endpoint *> &engines)
 {
     const auto now = parts_.clock_.now();
-    const auto silent = parts_.board_.silentAnywhere();
+    const auto silent = parts_.board_.silentEverywhere(now);
     for (const auto &group : groupsOf(engines)) {
         const bool isStalled
             = group.head_ != nullptr
--- a/tests/serving/endpoint_lives.cpp
+++ b/tests/serving/endpoint_lives.cpp
@@ -124,3 +124,41 @@
     cr_assert_eq(fixture.upstream_.calls_.size(), 1);
     cr_assert_eq(caller->status(), 502);
 }
+
+Test(load_board, endpoint_that_others_hear_from_does_not_stand_still)
+{
+    LoadBoard board;
+    const VmId engine("i");
+    board.started(engine, 10, start);
+    board.stalled(engine, start);
+    cr_assert_eq(board.silentEverywhere(start), std::vector<VmId>{engine});
+    LoadBoard::PeerLoad peer;
+    peer.at_ = start;
+    peer.heard_ = {{engine, 3}};
+    board.setPeerLoad("p", peer);
+    cr_assert(board.silentEverywhere(start + milliseconds(100)).empty());
+    // Once the peers hear nothing either, it does; and news that are old show nothing.
+    peer.heard_.clear();
+    peer.at_ = start + milliseconds(200);
+    auto old = peer;
+    board.setPeerLoad("p", peer);
+    cr_assert_eq(board.silentEverywhere(start + milliseconds(200)).size(), 1);
+    old.at_ = start;
+    old.heard_ = {{engine, 3}};
+    board.setPeerLoad("q", old);
+    cr_assert_eq(board.silentEverywhere(start + milliseconds(600)).size(), 1);
+}
+
+Test(load_board, endpoint_is_heard_while_it_sends_to_requests_that_are_there)
+{
+    LoadBoard board;
+    const VmId engine("i");
+    board.started(engine, 10, start);
+    cr_assert(board.heardHere(start).empty());
+    board.progressed(engine, start);
+    cr_assert_eq(board.heardHere(start + milliseconds(200)).at(engine), 1);
+    cr_assert(board.heardHere(start + milliseconds(300)).empty());
+    board.progressed(engine, start + milliseconds(300));
+    board.ended(engine);
+    cr_assert(board.heardHere(start + milliseconds(300)).empty());
+}
--- /dev/null
+++ b/tests/serving/replica_far.cpp
@@ -0,0 +1,78 @@
+// Groups over several fabric domains, and how their engines come together again.
+#include "support/replica_bench.hpp"
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using namespace cardamombay::support;
+
+namespace {
+
+/// Model "m" with groups of four; no traffic is measured.
+Bench fourMembers()
+{
+    Bench bench;
+    bench.profile_.models_.resize(1);
+    bench.profile_.models_.front().members_ = 4;
+    bench.profile_.farFactor_ = 2.5;
+    return bench;
+}
+
+/// An open group of model "m" whose members lie in \p domains, one after the other.
+void addFar(Bench &bench, std::uint64_t epoch, const std::vector<std::string> &domains,
+            MemberState state = MemberState::Open)
+{
+    const auto group = groupNameOf(ModelName("m"), epoch);
+    for (std::uint32_t rank = 0; rank < domains.size(); ++rank) {
+        auto engine = engineIn(group.text() + "-" + std::to_string(rank), domains[rank], group,
+                               epoch, rank, rank == 0 ? state : MemberState::Ready);
+        engine.staged_ = {ModelName("m")};
+        bench.engines_.push_back(std::move(engine));
+    }
+}
+
+} // namespace
+
+Test(far_groups, several_that_make_a_group_in_one_domain_make_way_together)
+{
+    auto bench = fourMembers();
+    addFar(bench, 1, {"a", "a", "b", "c"});
+    addFar(bench, 2, {"a", "a", "d", "e"});
+    // The only groups of the model go on.
+    cr_assert(bench.plan().empty());
+    addFar(bench, 3, {"x", "x", "x", "x"});
+    addFar(bench, 4, {"y", "y", "y", "y"});
+    cr_assert_eq(targetsOf<CloseOrder>(bench.plan()), (Names{"m.1-0", "m.2-0"}));
+}
+
+Test(far_groups, spares_of_a_domain_that_is_gathered_wait_for_the_rest)
+{
+    auto bench = fourMembers();
+    addFar(bench, 1, {"a", "a", "b", "c"}, MemberState::Closing);
+    for (const auto *spare : {"s1", "s2"})
+        bench.engines_.push_back(loadedEngine(spare, "a", "m"));
+    for (const auto *spare : {"s3", "s4"})
+        bench.engines_.push_back(loadedEngine(spare, "b", "m"));
+    cr_assert(targetsOf<JoinOrder>(bench.plan()).empty());
+}
+
+Test(far_groups, few_make_way_at_once_so_that_the_others_serve)
+{
+    auto bench = fourMembers();
+    addFar(bench, 1, {"a", "a", "c", "d"});
+    addFar(bench, 2, {"a", "a", "c", "d"});
+    addFar(bench, 3, {"e", "e", "f", "g"});
+    addFar(bench, 4, {"e", "e", "f", "g"});
+    addFar(bench, 5, {"x", "x", "x", "x"});
+    // Capacity 2.6; two groups over domains take 0.8 of it while they finish.
+    cr_assert_eq(targetsOf<CloseOrder>(bench.plan()).size(), 2);
+}
+
+Test(far_groups, groups_that_make_none_in_a_domain_go_on)
+{
+    auto bench = fourMembers();
+    addFar(bench, 1, {"a", "a", "b", "c"});
+    addFar(bench, 2, {"d", "a", "e", "f"});
+    cr_assert(bench.plan().empty());
+}
