Test whole control sides of many entry VMs; first look before the first wait

A fleet of nodes on a paused clock (clocks with different zeros, late, lost and waiting datagrams, pauses, cut links to the store) showed at once: a candidate that gained the lease stood by, since its view counted as old before its first look (a paused planner was replaced after 4.95 s). Change: tests/support/node_fleet; a watch that begins asks once without a wait; a view counts as old only after the lease was held for as long.

--- a/include/cardamombay/serving/load_board.hpp
+++ b/include/cardamombay/serving/load_board.hpp
@@ -53,7 +53,7 @@
         std::unordered_map<VmId, std::size_t> sent_; ///< Prompt tokens since it started.
         std::vector<VmId> silent_;
         TimePoint at_{};
-        std::size_t entries_ = 1; ///< Entry VMs that it is the sum of.
+        std::size_t entries_ = 1;                       ///< Entry VMs that it is the sum of.
         std::unordered_map<VmId, std::size_t> heard_{}; ///< Those that hear from an endpoint.
     };
 
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -184,12 +184,13 @@
     TimePoint behindSince_{};           ///< It has more than this one; the epoch if not.
     TimePoint endpointsConfirmedAt_{};
     TimePoint startedAt_{};
+    TimePoint plansSince_{};                ///< Since then the lease is held, or it is not.
     TimePoint standbyUntil_{};              ///< Stands by while others may plan.
     std::map<ModelName, double> ownDemand_; ///< Groups' worth of work, smoothed.
     TimePoint demandAt_{};
     bool areEndpointsListed_ = false;
     bool isLeaving_ = false;
-    bool isWatching_ = true;
+    bool isWatching_ = false;
     bool isLeaseStarted_ = false;
     std::set<VmId> refused_;      ///< Endpoints whose entries could not be read last.
     std::size_t listedCount_ = 0; ///< Entries of endpoints that came since the last line on them.
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -45,7 +45,7 @@
     RowVersion endpoints_; ///< It has all changes of endpoints up to this version.
     std::unordered_map<VmId, std::size_t> underWay_; ///< Its requests at each endpoint.
     std::unordered_map<VmId, std::size_t> sent_;     ///< Prompt tokens since it started.
-    std::vector<VmId> silent_; ///< Endpoints whose streams stalled there.
+    std::vector<VmId> silent_;                       ///< Endpoints whose streams stalled there.
     /// Entry VMs to which an endpoint has sent something just now.
     std::unordered_map<VmId, std::size_t> heard_;
     std::map<ModelName, double> demand_; ///< Its requests a second by model, times their work.
--- a/src/serving/load_board.cpp
+++ b/src/serving/load_board.cpp
@@ -193,8 +193,9 @@
     return result;
 }
 
-/// A cut between some entry VMs and an endpoint looks there as if it stood still. Of 130 engines that
-/// 30 in 100 entry VMs could not reach, the groups were given up though they served all others.
+/// A cut between some entry VMs and an endpoint looks there as if it stood still. Of 130 engines
+/// that 30 in 100 entry VMs could not reach, the groups were given up though they served all
+/// others.
 std::vector<VmId> LoadBoard::silentEverywhere(TimePoint now) const
 {
     auto result = silentHere();
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -405,8 +405,11 @@
 /// or processor may be what is overrun. One that alone is left plans on.
 void Node::noteOldView(TimePoint now)
 {
-    const auto age = now - endpointsConfirmedAt_;
-    const bool isTooOld = parts_.lease_.isHeld() && age > oldView && !peers_.empty();
+    if (!parts_.lease_.isHeld())
+        plansSince_ = now;
+    // One that has just gained the lease is about to look.
+    const auto age = now - std::max(endpointsConfirmedAt_, plansSince_);
+    const bool isTooOld = age > oldView && !peers_.empty();
     if (isTooOld && !isStandingBy(now)) {
         standbyUntil_ = now + standby;
         log::warning(event::plannerStandsBy,
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -273,10 +273,9 @@
     auto &peer = peers_[digest.from_];
     peer.demand_ = std::move(digest.demand_);
     peer.repeats_ = std::move(digest.repeats_);
-    parts_.board_.setPeerLoad(
-        digest.from_.text(),
-        {std::move(digest.underWay_), std::move(digest.sent_), std::move(digest.silent_), now, 1,
-         std::move(digest.heard_)});
+    parts_.board_.setPeerLoad(digest.from_.text(),
+                              {std::move(digest.underWay_), std::move(digest.sent_),
+                               std::move(digest.silent_), now, 1, std::move(digest.heard_)});
 }
 
 /// A lost engine holds up all streams of its group, so the planner is told at once; by digests it
--- a/src/serving/node_relays.cpp
+++ b/src/serving/node_relays.cpp
@@ -123,9 +123,12 @@
     // Who watches for all is known once the peers are.
     const bool hearsRelay = now - std::max(relayHeardAt_, startedAt_ + startPhase) < patience;
     const bool isFirst = isLeaseStarted_ && (rank_.has_value() || parts_.lease_.isHeld());
-    isWatching_ = isFirst || !hearsRelay;
+    const bool wasWatching = std::exchange(isWatching_, isFirst || !hearsRelay);
     for (auto *watch : {&configurationWatch_, &endpointWatch_}) {
         watch->setFailurePause(isFirst ? watcherFailurePause : spareFailurePause);
+        // One that begins to watch must not wait for the next change to know how things stand.
+        if (isWatching_ && !wasWatching)
+            watch->catchUp();
         watch->setActive(isWatching_);
     }
 }
--- /dev/null
+++ b/tests/serving/node_fleet.cpp
@@ -0,0 +1,151 @@
+// Whole control sides of many entry VMs: what they take for confirmed, who plans, what they ask of
+// the store.
+#include "support/node_fleet.hpp"
+
+#include <algorithm>
+#include <cstdio>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using namespace cardamombay::support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Time after which no request with a key that was taken away may run.
+constexpr Duration revocation = seconds(5);
+
+std::string keyOf(std::uint64_t version)
+{
+    return "key-" + std::to_string(version);
+}
+
+/// Nodes that let in a request with a key of a configuration that was replaced too long ago.
+std::size_t lateNodes(NodeFleet &fleet, const std::vector<TimePoint> &replacedAt)
+{
+    std::size_t result = 0;
+    for (std::size_t version = 1; version < replacedAt.size(); ++version) {
+        if (fleet.clock_.now() - replacedAt[version] <= revocation)
+            continue;
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            result += fleet.node(i).honours(keyOf(version)) ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace
+
+/// Forty changes, each of which takes the key of the one before away. Queues, losses, pauses and
+/// links to the store that are cut come and go; only what is confirmed in time may be relied on.
+Test(node_fleet, no_key_is_honoured_past_its_bound_whatever_queues_datagrams_wait_in)
+{
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        NodeFleet fleet(40, 4, 1, seed);
+        fleet.faults_ = {0.1, milliseconds(30)};
+        std::vector<TimePoint> replacedAt{{}};
+        fleet.configure(1, {keyOf(1)});
+        fleet.start();
+        fleet.pass(seconds(3));
+        std::size_t letIn = 0;
+        for (std::uint64_t version = 2; version <= 40; ++version) {
+            fleet.configure(version, {keyOf(version)});
+            replacedAt.push_back(fleet.clock_.now());
+            for (int i = 0; i < 6; ++i) {
+                auto &node = fleet.node(fleet.random_.below(fleet.size()));
+                node.readsLateBy_ = milliseconds(fleet.random_.below(2) * 7000);
+                fleet.node(fleet.random_.below(fleet.size())).store_.isCutOff_
+                    = fleet.random_.below(3) > 0;
+                fleet.node(fleet.random_.below(fleet.size()))
+                    .clock_.setPaused(fleet.random_.below(5) == 0);
+            }
+            for (int step = 0; step < 4; ++step) {
+                fleet.pass(milliseconds(fleet.random_.below(200)));
+                cr_assert_eq(lateNodes(fleet, replacedAt), 0, "seed %llu version %llu",
+                             static_cast<unsigned long long>(seed),
+                             static_cast<unsigned long long>(version));
+                for (std::size_t i = 0; i < fleet.size(); ++i)
+                    letIn += fleet.node(i).honours(keyOf(version)) ? 1 : 0;
+            }
+        }
+        // The others do serve meanwhile.
+        cr_assert_gt(letIn, 0);
+    }
+}
+
+Test(node_fleet, calls_to_the_store_do_not_grow_with_the_fleet)
+{
+    std::vector<double> perEntry;
+    std::vector<double> perSecond;
+    for (const std::size_t entries : {24U, 96U}) {
+        NodeFleet fleet(entries, 4, 2, 7);
+        fleet.faults_ = {0.01, milliseconds(5)};
+        fleet.configure(1, {keyOf(1)});
+        fleet.start();
+        fleet.pass(seconds(3));
+        const auto atStart = fleet.storeCalls();
+        perEntry.push_back(static_cast<double>(atStart) / static_cast<double>(entries));
+        for (std::uint64_t version = 2; version <= 21; ++version) {
+            fleet.configure(version, {keyOf(version)});
+            fleet.pass(milliseconds(500));
+        }
+        fleet.pass(seconds(1));
+        perSecond.push_back(static_cast<double>(fleet.storeCalls() - atStart) / 10);
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            cr_assert(fleet.node(i).honours(keyOf(21)), "node %zu", i);
+    }
+    std::printf("calls to the store: at the start %.1f and %.1f an entry VM, then %.1f and %.1f a "
+                "second (24 and 96 entry VMs)\n",
+                perEntry[0], perEntry[1], perSecond[0], perSecond[1]);
+    cr_assert_lt(perEntry[1], 8);
+    cr_assert_lt(perSecond[1], 30);
+    cr_assert_lt(perSecond[1], 1.5 * perSecond[0] + 5);
+}
+
+Test(node_fleet, large_entry_vm_plans_and_another_one_takes_over_when_its_view_is_old)
+{
+    NodeFleet fleet(40, 4, 1, 5);
+    fleet.configure(1, {keyOf(1)});
+    fleet.start();
+    fleet.pass(seconds(4));
+    auto *first = fleet.planner();
+    cr_assert_not_null(first);
+    cr_assert(first->isLarge_);
+    // It still reaches the store for its lease, but hears nothing of the endpoints.
+    first->readsLateBy_ = seconds(60);
+    first->isFeedCut_ = true;
+    FleetNode *second = nullptr;
+    for (int i = 0; i < 60 && (second == nullptr || second == first); ++i) {
+        fleet.pass(milliseconds(100));
+        second = fleet.planner();
+    }
+    cr_assert_not_null(second);
+    cr_assert_neq(second, first);
+    cr_assert(second->isLarge_);
+}
+
+Test(node_fleet, planner_that_is_paused_is_replaced_within_three_seconds)
+{
+    NodeFleet fleet(40, 4, 1, 9);
+    fleet.configure(1, {keyOf(1)});
+    fleet.start();
+    fleet.pass(seconds(4));
+    auto *first = fleet.planner();
+    cr_assert_not_null(first);
+    first->clock_.setPaused(true);
+    FleetNode *second = nullptr;
+    for (int step = 0; step < 60 && second == nullptr; ++step) {
+        fleet.pass(milliseconds(50));
+        for (std::size_t i = 0; i < fleet.size(); ++i) {
+            auto &node = fleet.node(i);
+            if (&node != first && node.lease_->isHeld())
+                second = &node;
+        }
+    }
+    cr_assert_not_null(second);
+    // When it goes on it does not hold the lease any more.
+    first->clock_.setPaused(false);
+    cr_assert_not(first->lease_->isHeldFor(Duration::zero()));
+}
--- /dev/null
+++ b/tests/support/node_fleet.cpp
@@ -0,0 +1,273 @@
+#include "support/node_fleet.hpp"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace cardamombay::support {
+
+using namespace serving;
+
+namespace {
+
+/// Pause between two looks of a waiting call for changes.
+constexpr Duration feedPoll = std::chrono::milliseconds(20);
+
+constexpr EntryCapacity largeCores = 0.5;
+constexpr EntryCapacity smallCores = 0.12;
+constexpr double largeLink = 200;
+constexpr double smallLink = 20;
+
+/// Times of the lease as the gateway sets them.
+leases::LeaseSettings leaseTimes()
+{
+    leases::LeaseSettings settings;
+    settings.duration_ = std::chrono::milliseconds(1800);
+    settings.margin_ = std::chrono::milliseconds(150);
+    settings.renewEvery_ = std::chrono::milliseconds(600);
+    settings.rankDelay_ = std::chrono::milliseconds(150);
+    settings.orderFlight_ = Duration::zero();
+    settings.writeDeadline_ = std::chrono::milliseconds(1000);
+    settings.retryDelay_ = std::chrono::milliseconds(150);
+    settings.longestRetryDelay_ = std::chrono::milliseconds(800);
+    return settings;
+}
+
+leases::LeaseProgramPtr leaseProgram()
+{
+    static const auto program = [] {
+        const auto chart = chart::ChartFolder(SOURCE_FOLDER "/charts").load("lease");
+        return valueOf(leases::LeaseKeeper::bind(valueOf(chart)));
+    }();
+    return program;
+}
+
+} // namespace
+
+TimerId NodeClock::schedule(Duration delay, std::function<void()> action)
+{
+    return clock_.schedule(
+        delay, [this, action = std::move(action)]() mutable { run(std::move(action)); });
+}
+
+void NodeClock::run(std::function<void()> action)
+{
+    if (isPaused_)
+        deferred_.push_back(std::move(action));
+    else
+        action();
+}
+
+void NodeClock::setPaused(bool isPaused)
+{
+    isPaused_ = isPaused;
+    if (isPaused)
+        return;
+    for (auto &action : std::exchange(deferred_, {}))
+        action();
+}
+
+Result<Configuration> FleetFormat::configuration(std::string_view text) const
+{
+    std::istringstream words{std::string(text)};
+    std::uint64_t version = 0;
+    Configuration result = gatewayConfiguration();
+    Team team{TeamName("team"), {}, {}};
+    words >> version;
+    for (std::string key; words >> key;)
+        team.keys_.push_back(key);
+    result.version_ = ConfigVersion(version);
+    result.teams_ = {team};
+    if (version == 0)
+        return Error(MalformedMessage{"configuration", "no version"});
+    return result;
+}
+
+Result<Endpoint> FleetFormat::endpoint(const VmId &id, std::string_view text) const
+{
+    if (text.empty())
+        return Error(MalformedMessage{"entry of " + id.text(), "empty"});
+    return spareEngine(id.text(), std::string(text), "m");
+}
+
+class FleetNode::NoOrders final : public ReplicaOrders
+{
+public:
+    void send(const Endpoint & /*engine*/, const Order & /*order*/, std::uint64_t /*fence*/,
+              Callback<OrderAnswer> /*done*/) override
+    {
+    }
+    void state(const Endpoint & /*engine*/, Callback<Endpoint> /*done*/) override {}
+};
+
+FleetNode::FleetNode(NodeFleet &fleet, std::size_t index, std::string zone, bool isLarge)
+    : fleet_(fleet)
+    , isLarge_(isLarge)
+    , address_{"10.0." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 1), 7340}
+    , clock_(fleet.clock_, std::chrono::hours(index * 7 % 50))
+    , store_(fleet.platform_)
+    , balancer_(book_, board_, upstream_, Random(index))
+    , metrics_(registry_)
+    , gateway_({clock_, upstream_, dialect_, board_, balancer_, metrics_}, GatewayBounds{},
+               Random(index))
+    , entry_("entry-" + zone + "-" + std::to_string(index))
+    , zone_(std::move(zone))
+    , orders_(std::make_unique<NoOrders>())
+{
+}
+
+void FleetNode::start(bool isFirstStart)
+{
+    const Incarnation incarnation(1000 + fleet_.random_.below(1000));
+    lease_ = std::make_unique<leases::LeaseKeeper>(clock_, *this, Random(incarnation.value()),
+                                                   leaseTimes(), entry_, incarnation,
+                                                   FabricDomain("fleet"), leaseProgram());
+    manager_
+        = std::make_unique<ReplicaManager>(ManagerParts{clock_, *lease_, *orders_, book_, board_});
+    node_ = std::make_unique<Node>(NodeParts{clock_, *this, *this, fleet_.format_, *this, *lease_,
+                                             book_, board_, gateway_, *manager_},
+                                   NodeSettings{entry_, zone_, incarnation, address_, isFirstStart,
+                                                isLarge_ ? largeCores : smallCores,
+                                                isLarge_ ? largeLink : smallLink});
+    node_->start();
+}
+
+bool FleetNode::honours(const std::string &key) const
+{
+    return gateway_.routes() && gateway_.unconfirmedFor() <= gateway_.bounds().longestUnconfirmed_
+           && gateway_.routes()->team(key) != nullptr;
+}
+
+void FleetNode::send(const Address &to, std::string_view text)
+{
+    fleet_.deliver(to, std::string(text));
+}
+
+void FleetNode::onReceived(std::function<void(std::string_view)> handler)
+{
+    handler_ = std::move(handler);
+}
+
+void FleetNode::receive(std::string text)
+{
+    clock_.schedule(readsLateBy_, [this, text = std::move(text)] {
+        if (handler_)
+            handler_(text);
+    });
+}
+
+void FleetNode::commit(platform::Transaction transaction, Callback<platform::CommitReceipt> done)
+{
+    ++storeCalls_;
+    store_.commit(std::move(transaction), [this, done = std::move(done)](const auto &result) {
+        clock_.run([done, result] { done(result); });
+    });
+}
+
+void FleetNode::read(std::vector<platform::RowKey> keys, Callback<std::vector<platform::Row>> done)
+{
+    ++storeCalls_;
+    store_.read(std::move(keys), [this, done = std::move(done)](const auto &result) {
+        clock_.run([done, result] { done(result); });
+    });
+}
+
+void FleetNode::scan(platform::Scan scan, Callback<platform::ScanPage> done)
+{
+    ++storeCalls_;
+    store_.scan(std::move(scan), [this, done = std::move(done)](const auto &result) {
+        clock_.run([done, result] { done(result); });
+    });
+}
+
+void FleetNode::changes(platform::ChangeQuery query, Callback<platform::ChangePage> done)
+{
+    ++storeCalls_;
+    const auto until = fleet_.clock_.now() + query.wait_;
+    fleet_.clock_.schedule(std::chrono::milliseconds(4),
+                           [this, query = std::move(query), until, done = std::move(done)] {
+                               poll(query, until, done);
+                           });
+}
+
+void FleetNode::poll(const platform::ChangeQuery &query, TimePoint until,
+                     const Callback<platform::ChangePage> &done)
+{
+    if (store_.isCutOff_ || isFeedCut_ || fleet_.platform_.faults_.isDown_) {
+        clock_.run([done] { done(Error(StoreUnavailable{"changes", "cut off"})); });
+        return;
+    }
+    platform::ChangePage page;
+    page.version_ = fleet_.platform_.version();
+    for (const auto &[key, row] : fleet_.platform_.rows()) {
+        if (key.table_ == query.table_ && row.version_ > query.after_)
+            page.changes_.push_back({row, false});
+    }
+    std::sort(page.changes_.begin(), page.changes_.end(), [](const auto &left, const auto &right) {
+        return left.row_.version_ < right.row_.version_;
+    });
+    if (!page.changes_.empty() || fleet_.clock_.now() >= until) {
+        clock_.run([done, page] { done(page); });
+        return;
+    }
+    fleet_.clock_.schedule(feedPoll, [this, query, until, done] { poll(query, until, done); });
+}
+
+NodeFleet::NodeFleet(std::size_t entries, std::size_t zones, std::size_t large, std::uint64_t seed)
+    : random_(seed)
+{
+    for (std::size_t index = 0; index < entries; ++index) {
+        const std::string zone(1, static_cast<char>('a' + index % zones));
+        nodes_.push_back(std::make_unique<FleetNode>(*this, index, zone, index / zones < large));
+        byAddress_.emplace(nodes_.back()->address_, nodes_.back().get());
+    }
+}
+
+NodeFleet::~NodeFleet() = default;
+
+void NodeFleet::start(bool isFirstStart)
+{
+    for (const auto &node : nodes_) {
+        pass(std::chrono::milliseconds(1));
+        node->start(isFirstStart);
+    }
+}
+
+void NodeFleet::configure(std::uint64_t version, const std::vector<std::string> &keys)
+{
+    std::string text = std::to_string(version);
+    for (const auto &key : keys)
+        text += ' ' + key;
+    platform::Transaction transaction;
+    transaction.writes_.push_back({{"config", "newest"}, text});
+    (void)platform_.apply(transaction);
+}
+
+void NodeFleet::deliver(const Address &to, std::string text)
+{
+    const auto found = byAddress_.find(to);
+    if (found == byAddress_.end() || random_.unit() < faults_.lossShare_)
+        return;
+    const Duration way = std::chrono::microseconds(200)
+                         + fromSeconds(toSeconds(faults_.longestWay_) * random_.unit());
+    clock_.schedule(way, [node = found->second, text = std::move(text)] { node->receive(text); });
+}
+
+std::size_t NodeFleet::storeCalls() const
+{
+    std::size_t result = 0;
+    for (const auto &node : nodes_)
+        result += node->storeCalls_;
+    return result;
+}
+
+FleetNode *NodeFleet::planner()
+{
+    for (const auto &node : nodes_) {
+        if (node->lease_ && node->lease_->isHeld())
+            return node.get();
+    }
+    return nullptr;
+}
+
+} // namespace cardamombay::support
--- /dev/null
+++ b/tests/support/node_fleet.hpp
@@ -0,0 +1,160 @@
+/// \file
+/// \brief Many entry VMs' control sides in one process, on a paused clock.
+/// \details Each has a clock of its own with another zero, datagrams that are late, lost and out of
+/// order, and a link to one store in memory. A node may be paused, read its datagrams late, or be
+/// cut off from the store.
+#pragma once
+
+#include "support/fake_store.hpp"
+#include "support/gateway_fixture.hpp"
+
+#include <cardamombay/core/manual_clock.hpp>
+#include <cardamombay/core/random.hpp>
+#include <cardamombay/platform/change_feed.hpp>
+#include <cardamombay/serving/node.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cardamombay::support {
+
+/// \brief A clock that is ahead of the fleet's, and stands still with its process.
+class NodeClock final : public Clock
+{
+public:
+    NodeClock(ManualClock &clock, Duration ahead)
+        : clock_(clock)
+        , ahead_(ahead)
+    {
+    }
+
+    [[nodiscard]] TimePoint now() const override { return clock_.now() + ahead_; }
+    TimerId schedule(Duration delay, std::function<void()> action) override;
+    void cancel(TimerId timer) override { clock_.cancel(timer); }
+
+    /// \brief Runs \p action now, or once the process goes on.
+    void run(std::function<void()> action);
+    void setPaused(bool isPaused);
+
+private:
+    ManualClock &clock_;
+    Duration ahead_;
+    bool isPaused_ = false;
+    std::vector<std::function<void()>> deferred_;
+};
+
+/// \brief Rows "endpoints" and "config", the latter as "version key key".
+class FleetFormat final : public serving::StoreFormat
+{
+public:
+    [[nodiscard]] std::string_view configurationTable() const override { return "config"; }
+    [[nodiscard]] std::string_view configurationKey() const override { return "newest"; }
+    [[nodiscard]] std::string_view endpointTable() const override { return "endpoints"; }
+    [[nodiscard]] Result<serving::Configuration>
+    configuration(std::string_view text) const override;
+    [[nodiscard]] Result<serving::Endpoint> endpoint(const VmId &id,
+                                                     std::string_view text) const override;
+};
+
+/// \brief Faults of the network between entry VMs.
+struct DatagramFaults
+{
+    double lossShare_ = 0;
+    Duration longestWay_ = std::chrono::milliseconds(5);
+};
+
+class FleetNode;
+
+/// \brief The entry VMs and what they share.
+class NodeFleet
+{
+public:
+    /// \param large entry VMs of each zone that are large, the first ones.
+    NodeFleet(std::size_t entries, std::size_t zones, std::size_t large, std::uint64_t seed);
+    ~NodeFleet();
+
+    void start(bool isFirstStart = true);
+    /// \brief Advances the fleet's clock.
+    void pass(Duration time) { clock_.advance(time); }
+
+    /// \brief Writes a configuration in which \p keys are valid.
+    void configure(std::uint64_t version, const std::vector<std::string> &keys);
+
+    void deliver(const Address &to, std::string text);
+    [[nodiscard]] FleetNode &node(std::size_t index) { return *nodes_[index]; }
+    [[nodiscard]] std::size_t size() const { return nodes_.size(); }
+    /// \brief Calls to the store of all nodes.
+    [[nodiscard]] std::size_t storeCalls() const;
+    /// \brief The node that holds the planner's lease; null if none does.
+    [[nodiscard]] FleetNode *planner();
+
+    ManualClock clock_;
+    FakePlatform platform_{clock_};
+    FleetFormat format_;
+    DatagramFaults faults_;
+    Random random_;
+
+private:
+    std::vector<std::unique_ptr<FleetNode>> nodes_;
+    std::map<Address, FleetNode *> byAddress_;
+};
+
+/// \brief One entry VM of a NodeFleet.
+class FleetNode final : public serving::DatagramChannel,
+                        public platform::TableStore,
+                        public platform::ChangeFeed
+{
+public:
+    FleetNode(NodeFleet &fleet, std::size_t index, std::string zone, bool isLarge);
+
+    void start(bool isFirstStart);
+    void receive(std::string text);
+
+    /// \brief True if a request with \p key would be let in now.
+    [[nodiscard]] bool honours(const std::string &key) const;
+
+    /// \name DatagramChannel, TableStore, ChangeFeed
+    /// \{
+    void send(const Address &to, std::string_view text) override;
+    void onReceived(std::function<void(std::string_view)> handler) override;
+    void commit(platform::Transaction transaction, Callback<platform::CommitReceipt> done) override;
+    void read(std::vector<platform::RowKey> keys,
+              Callback<std::vector<platform::Row>> done) override;
+    void scan(platform::Scan scan, Callback<platform::ScanPage> done) override;
+    void changes(platform::ChangeQuery query, Callback<platform::ChangePage> done) override;
+    /// \}
+
+    NodeFleet &fleet_;
+    bool isLarge_;
+    Address address_;
+    NodeClock clock_;
+    FakeTableStore store_;
+    Duration readsLateBy_{}; ///< A datagram waits that long in the queue of this node.
+    bool isFeedCut_ = false; ///< Calls for changes fail; others reach the store.
+    std::size_t storeCalls_ = 0;
+    FakeDialect dialect_;
+    FakeUpstream upstream_;
+    serving::EndpointBook book_;
+    serving::LoadBoard board_;
+    serving::Balancer balancer_;
+    metrics::Registry registry_;
+    serving::GatewayMetrics metrics_;
+    serving::Gateway gateway_;
+    std::unique_ptr<leases::LeaseKeeper> lease_;
+    std::unique_ptr<serving::ReplicaManager> manager_;
+    std::unique_ptr<serving::Node> node_;
+
+private:
+    class NoOrders;
+    void poll(const platform::ChangeQuery &query, TimePoint until,
+              const Callback<platform::ChangePage> &done);
+
+    EntryId entry_;
+    AvailabilityZone zone_;
+    std::unique_ptr<serving::ReplicaOrders> orders_;
+    std::function<void(std::string_view)> handler_;
+};
+
+} // namespace cardamombay::support
