Tell peers what changed when the store forgets its history

Change: a listing after the first is told as what changed since. Test: entry_vms_are_told_by_peers_what_changed_when_the_store_forgets_its_history.

--- a/include/cardamombay/serving/endpoint_book.hpp
+++ b/include/cardamombay/serving/endpoint_book.hpp
@@ -49,6 +49,9 @@
     /// \brief Rises with each change, so that readers may keep what they derive.
     [[nodiscard]] std::uint64_t revision() const { return revision_; }
 
+    /// \brief All endpoints that are listed.
+    [[nodiscard]] std::vector<VmId> ids() const;
+
     [[nodiscard]] std::size_t size() const { return endpoints_.size(); }
 
 private:
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -85,6 +85,7 @@
     void takeConfiguration(std::string_view text, RowVersion row);
     void partArrived(const ConfigurationPart &part);
     void followConfiguration(const RelayState &relay, const Address &teller, TimePoint now);
+    void endpointsListed(const std::vector<platform::Row> &rows);
     void takeEndpoint(const platform::RowChange &change);
     [[nodiscard]] std::optional<Endpoint> readEndpoint(const platform::Row &row);
     void endpointRestarted(const Endpoint &before);
@@ -165,7 +166,8 @@
     PeerClocks clocks_;
     SendBudget budget_; ///< For what is passed on to peers.
     ConfigurationExchange exchange_;
-    ChangeHistory history_; ///< Of the endpoints.
+    ChangeHistory history_;    ///< Of the endpoints.
+    RowVersion listedVersion_; ///< Of the newest change of endpoints that was taken.
     DigestHub hub_;
     FleetReader fleet_;
     Reporters reporters_;
--- a/src/serving/endpoint_book.cpp
+++ b/src/serving/endpoint_book.cpp
@@ -106,6 +106,14 @@
     return found == endpoints_.end() ? nullptr : &found->second;
 }
 
+std::vector<VmId> EndpointBook::ids() const
+{
+    std::vector<VmId> result;
+    for (const auto &[id, endpoint] : endpoints_)
+        result.push_back(id);
+    return result;
+}
+
 std::vector<const Endpoint *> EndpointBook::ofService(const ServiceName &service) const
 {
     std::vector<const Endpoint *> result;
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -177,14 +177,37 @@
         startLease(parts_.clock_.now());
         return;
     }
+    endpointsListed(rows);
+}
+
+/// A watch whose history was lost lists anew. Readers of this entry VM's news are told what has
+/// changed since all the same; otherwise 195 entry VMs list 1,100 endpoints within a second.
+void Node::endpointsListed(const std::vector<platform::Row> &rows)
+{
+    const auto now = parts_.clock_.now();
+    const auto version = endpointWatch_.version();
     std::vector<Endpoint> endpoints;
+    std::set<VmId> listed;
+    if (!areEndpointsListed_)
+        history_.restart(version);
     for (const auto &row : rows) {
-        if (auto endpoint = readEndpoint(row))
-            endpoints.push_back(*std::move(endpoint));
+        auto endpoint = readEndpoint(row);
+        if (!endpoint)
+            continue;
+        listed.insert(endpoint->id_);
+        if (row.version_ > listedVersion_)
+            history_.add({endpoint->id_, row.version_, endpoint}, now);
+        endpoints.push_back(*std::move(endpoint));
+    }
+    for (const auto &id : parts_.book_.ids()) {
+        if (!listed.contains(id))
+            history_.add({id, version, std::nullopt}, now);
     }
-    log::info(event::endpointListed, {{"count", std::to_string(endpoints.size())}});
-    parts_.book_.replaceAll(std::move(endpoints), parts_.clock_.now());
-    history_.restart(endpointWatch_.version());
+    log::info(event::endpointListed, {{"count", std::to_string(endpoints.size())},
+                                      {"version", std::to_string(version.value())},
+                                      {"before", std::to_string(listedVersion_.value())}});
+    parts_.book_.replaceAll(std::move(endpoints), now);
+    listedVersion_ = version;
     areEndpointsListed_ = true;
     noteLearning();
 }
@@ -290,6 +313,7 @@
 {
     const auto now = parts_.clock_.now();
     history_.add(change, now);
+    listedVersion_ = std::max(listedVersion_, change.version_);
     const auto version = std::to_string(change.version_.value());
     if (!change.endpoint_) {
         ++goneCount_;
--- a/tests/serving/node_fleet.cpp
+++ b/tests/serving/node_fleet.cpp
@@ -149,3 +149,31 @@
     first->clock_.setPaused(false);
     cr_assert_not(first->lease_->isHeldFor(Duration::zero()));
 }
+
+Test(node_fleet, entry_vms_are_told_by_peers_what_changed_when_the_store_forgets_its_history)
+{
+    NodeFleet fleet(60, 4, 1, 3);
+    fleet.configure(1, {keyOf(1)});
+    for (int i = 0; i < 30; ++i)
+        fleet.list("engine-" + std::to_string(i), "d");
+    fleet.start();
+    fleet.pass(seconds(4));
+    const auto before = fleet.storeCalls();
+    // The watches hear nothing of these changes.
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        fleet.node(i).isFeedCut_ = true;
+    fleet.list("engine-new", "d");
+    fleet.list("engine-3", "");
+    fleet.list("engine-4", "other");
+    fleet.historyFrom_ = fleet.platform_.version();
+    for (std::size_t i = 0; i < fleet.size(); ++i)
+        fleet.node(i).isFeedCut_ = false;
+    fleet.pass(seconds(3));
+    for (std::size_t i = 0; i < fleet.size(); ++i) {
+        const auto &book = fleet.node(i).book_;
+        cr_assert_not_null(book.find(VmId("engine-new")), "node %zu", i);
+        cr_assert_null(book.find(VmId("engine-3")), "node %zu", i);
+        cr_assert_eq(book.find(VmId("engine-4"))->domain_, FabricDomain("other"), "node %zu", i);
+    }
+    cr_assert_lt(fleet.storeCalls() - before, fleet.size());
+}
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -197,6 +197,10 @@
         clock_.run([done] { done(Error(StoreUnavailable{"changes", "cut off"})); });
         return;
     }
+    if (query.after_ < fleet_.historyFrom_) {
+        clock_.run([done] { done(Error(NotFound{"history"})); });
+        return;
+    }
     platform::ChangePage page;
     page.version_ = fleet_.platform_.version();
     for (const auto &[key, row] : fleet_.platform_.rows()) {
@@ -233,6 +237,14 @@
     }
 }
 
+void NodeFleet::list(const std::string &endpoint, const std::string &domain)
+{
+    platform::Transaction transaction;
+    transaction.writes_.push_back(
+        {{"endpoints", endpoint}, domain.empty() ? std::nullopt : std::optional(domain)});
+    (void)platform_.apply(transaction);
+}
+
 void NodeFleet::configure(std::uint64_t version, const std::vector<std::string> &keys)
 {
     std::string text = std::to_string(version);
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -79,6 +79,9 @@
     /// \brief Advances the fleet's clock.
     void pass(Duration time) { clock_.advance(time); }
 
+    /// \brief Lists an endpoint in fabric domain \p domain, or ends it if that is empty.
+    void list(const std::string &endpoint, const std::string &domain);
+
     /// \brief Writes a configuration in which \p keys are valid.
     void configure(std::uint64_t version, const std::vector<std::string> &keys);
 
@@ -94,6 +97,7 @@
     FakePlatform platform_{clock_};
     FleetFormat format_;
     DatagramFaults faults_;
+    RowVersion historyFrom_; ///< The store has forgotten the changes before.
     Random random_;
 
 private:
