--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -61,6 +61,7 @@
         int rounds_ = 0; ///< Of questions, without a longer pause between them.
     };
 
+    void noteFree(const std::vector<const Endpoint *> &engines);
     void logCapacity(const Service &service, const std::vector<const Endpoint *> &engines);
     void inquire(const std::vector<const Endpoint *> &engines);
     void ask(const GroupName &group, const Endpoint &member);
@@ -103,6 +104,7 @@
     };
 
     std::map<VmId, Load> loads_;
+    std::map<VmId, TimePoint> freeSince_; ///< Engines without a group.
     std::map<GroupName, Inquiry> inquiries_;
     std::map<VmId, Silence> unanswered_;
     std::size_t engineCount_ = 0; ///< Listed at the first start.
--- a/include/cardamombay/serving/replica_planner.hpp
+++ b/include/cardamombay/serving/replica_planner.hpp
@@ -25,6 +25,7 @@
     std::set<VmId> pending_;             ///< Engines with an order whose effect is not seen yet.
     std::map<VmId, GroupName> joining_;  ///< Those of them that were ordered into a group.
     std::set<VmId> unresponsive_;        ///< Listed, but they do not answer; counted as missing.
+    std::set<VmId> justFreed_;           ///< Have been without a group for a moment only.
     std::map<VmId, ModelName> loading_;  ///< What engines load from the weight store.
     bool isFirstLoad_ = false;           ///< No request has come yet, so loads are fast.
     std::map<ModelName, double> demand_; ///< Groups' worth of work by model; empty if unknown.
--- a/src/serving/planner_forming.cpp
+++ b/src/serving/planner_forming.cpp
@@ -248,7 +248,9 @@
     return able >= model.members_ ? result : std::vector<const GroupView *>();
 }
 
-/// Spares of all domains that have the model at hand, those first whose domain has the most.
+/// Spares of all domains that have the model at hand, those first whose domain has the most. Those
+/// that were freed just now wait for others of their domain: of 3,300 joins on a day with many
+/// losses 700 were to groups over domains that were given up before they opened.
 Run::Engines Run::spares(const Model &model) const
 {
     std::vector<Engines> byDomain;
@@ -258,8 +260,9 @@
             continue;
         Engines warm;
         std::copy_if(engines.begin(), engines.end(), std::back_inserter(warm),
-                     [&model](const Endpoint *engine) {
-                         return readinessOf(*engine, model.name_) != Readiness::Empty;
+                     [this, &model](const Endpoint *engine) {
+                         return readinessOf(*engine, model.name_) != Readiness::Empty
+                                && !input_.justFreed_.contains(engine->id_);
                      });
         byDomain.push_back(std::move(warm));
     }
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -34,6 +34,9 @@
 /// callers come seconds later.
 constexpr Duration listingTime = std::chrono::milliseconds(500);
 
+/// Members of one group leave it within a few hundred milliseconds of each other.
+constexpr Duration settleTime = std::chrono::milliseconds(600);
+
 constexpr Duration capacityLogPeriod = std::chrono::seconds(1);
 
 /// Group epochs of one tenure of the lease; the lease's own epoch stands before them.
@@ -136,6 +139,11 @@
         input.unresponsive_.insert(engine);
     for (const auto &[engine, load] : loads_)
         input.loading_.emplace(engine, load.model_);
+    const auto now = parts_.clock_.now();
+    for (const auto &[engine, since] : freeSince_) {
+        if (now - since < settleTime)
+            input.justFreed_.insert(engine);
+    }
     input.isFirstLoad_ = isFirstLoad_;
     input.demand_ = demand_;
     input.nextEpoch_ = [this] { return nextEpoch(); };
@@ -148,6 +156,7 @@
     if (isFirstLoad_ && !hasSettled(engines.size()))
         return;
     inquire(engines);
+    noteFree(engines);
     logCapacity(service, engines);
     const auto plan = planReplicas(inputFor(service, engines));
     hadOrders_ = hadOrders_ || !plan.empty();
@@ -155,6 +164,19 @@
         send(order, *service.engine_);
 }
 
+void ReplicaManager::noteFree(const std::vector<const Endpoint *> &engines)
+{
+    const auto now = parts_.clock_.now();
+    std::map<VmId, TimePoint> free;
+    for (const auto *engine : engines) {
+        if (engine->membership_)
+            continue;
+        const auto known = freeSince_.find(engine->id_);
+        free.emplace(engine->id_, known == freeSince_.end() ? now : known->second);
+    }
+    freeSince_ = std::move(free);
+}
+
 /// At the first start the engines are listed one after the other; how many share a fabric domain is
 /// known once no more come.
 bool ReplicaManager::hasSettled(std::size_t engines)
--- a/tests/serving/replica_far.cpp
+++ b/tests/serving/replica_far.cpp
@@ -76,3 +76,19 @@
     addFar(bench, 2, {"d", "a", "e", "f"});
     cr_assert(bench.plan().empty());
 }
+
+Test(far_groups, engines_that_were_freed_just_now_wait_for_others_of_their_domain)
+{
+    auto bench = fourMembers();
+    for (const auto *engine : {"a", "b", "c", "d"})
+        bench.engines_.push_back(loadedEngine(engine, engine, "m"));
+    bench.input_.justFreed_ = {VmId("c")};
+    cr_assert(targetsOf<JoinOrder>(bench.plan()).empty());
+    // A whole group in one domain is formed at once.
+    for (const auto *engine : {"e", "f", "g"})
+        bench.engines_.push_back(loadedEngine(engine, "c", "m"));
+    cr_assert_eq(targetsOf<JoinOrder>(bench.plan()), (Names{"c", "e", "f", "g"}));
+    bench.engines_.resize(4);
+    bench.input_.justFreed_.clear();
+    cr_assert_eq(targetsOf<JoinOrder>(bench.plan()).size(), 4);
+}
