--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -31,7 +31,7 @@
     Duration longestUnconfirmed_ = std::chrono::seconds(4);
     double retryShare_ = 0.2; ///< Repeats for each request, over all entry VMs.
     Duration retryWindow_ = std::chrono::seconds(10);
-    std::uint32_t retryReserve_ = 100; ///< Repeats in a window at any rate, over all entry VMs.
+    double retryReserve_ = 100; ///< Repeats in a window at any rate, over all entry VMs.
 };
 
 /// \brief What sessions use; all outlive the gateway.
--- a/src/config/duration_text.cpp
+++ b/src/config/duration_text.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 
 namespace cardamombay::config {
 
@@ -20,16 +21,16 @@
     {"ms", std::chrono::milliseconds(1)},
 }};
 
-constexpr std::int64_t largestCount = 100'000'000; // keeps hours within 64 bits of nanoseconds
+constexpr double largestCount = 100'000'000; // keeps hours within 64 bits of nanoseconds
 constexpr Duration largest = std::chrono::hours(24 * 365);
 
 } // namespace
 
 std::optional<Duration> durationOf(std::string_view text)
 {
-    std::int64_t count = 0;
+    double count = 0;
     const char *const end = text.data() + text.size();
-    const auto [rest, error] = std::from_chars(text.data(), end, count);
+    const auto [rest, error] = std::from_chars(text.data(), end, count, std::chars_format::fixed);
     const bool isCount = error == std::errc() && count >= 0 && count <= largestCount;
     if (!isCount)
         return std::nullopt;
@@ -37,9 +38,10 @@
     for (const auto &unit : units) {
         if (unit.name_ != name)
             continue;
-        if (count > largest / unit.length_)
+        if (count > static_cast<double>(largest / unit.length_))
             return std::nullopt;
-        return unit.length_ * count;
+        // Whole counts stay exact; a double holds them to the nanosecond within the range.
+        return Duration(std::llround(static_cast<double>(unit.length_.count()) * count));
     }
     return std::nullopt;
 }
--- a/src/serving/gateway_settings.cpp
+++ b/src/serving/gateway_settings.cpp
@@ -19,7 +19,7 @@
 constexpr Range<Duration> boundRange{milliseconds(500), minutes(10)};
 constexpr Range<double> coreRange{0.01, 1024};
 constexpr Range<double> linkRange{0.1, 1'000'000};
-constexpr std::uint32_t mostRetries = 1'000'000;
+constexpr Range<double> reserveRange{0, 1'000'000};
 
 /// Part of the time in which a taken key may still work that is left for the request's way.
 constexpr double usableShareOfRevocation = 0.8;
@@ -67,7 +67,7 @@
         bounds.longestUnconfirmed_ = fromSeconds(toSeconds(revocation) * usableShareOfRevocation);
     reader.read("retry_share", bounds.retryShare_, {0, 1});
     reader.read("retry_window", bounds.retryWindow_, boundRange);
-    reader.read("retry_reserve", bounds.retryReserve_, {0, mostRetries});
+    reader.read("retry_reserve", bounds.retryReserve_, reserveRange);
     reader.finish();
 }
 
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -274,3 +274,33 @@
     cr_assert_eq(valueOf(parsed).bounds_.retryReserve_, 132);
     cr_assert_eq(valueOf(parsed).grace_, seconds(8));
 }
+
+Test(gateway_settings, bounds_may_be_fractions)
+{
+    const auto parsed = parseGatewaySettings(R"(
+entry = "e"
+zone = "z"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+digests = "10.0.0.1:83"
+[store]
+address = "10.0.0.9:1"
+[machine]
+cores = 0.12
+link_mbps = 20
+[bounds]
+stop_within = "7.5s"
+revoke_within = "4000.5ms"
+retry_share = 0
+retry_window = "10.0s"
+retry_reserve = 41.33
+)",
+                                             "s.toml");
+    cr_assert(isOk(parsed), "%s", isOk(parsed) ? "" : messageOf(errorOf(parsed)).c_str());
+    const auto &settings = valueOf(parsed);
+    cr_assert_eq(settings.grace_, milliseconds(7500));
+    cr_assert_eq(settings.bounds_.retryWindow_, seconds(10));
+    cr_assert_float_eq(settings.bounds_.retryReserve_, 41.33, 1e-9);
+    cr_assert_float_eq(settings.cores_, 0.12, 1e-9);
+}
