--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -25,8 +25,9 @@
 constexpr Duration endpointWait = std::chrono::milliseconds(1500);
 /// Engines list each step of a group; a call for each would be most of all calls.
 constexpr Duration endpointPause = std::chrono::milliseconds(250);
-/// The planner waits for each step of a group to give the next order.
-constexpr Duration plannerPause = std::chrono::milliseconds(30);
+/// The planner waits for each step of a group to give the next order; four steps make a repair of
+/// about 1.2 s, and each call is priced.
+constexpr Duration plannerPause = std::chrono::milliseconds(60);
 /// Those that watch in case the others fail get nearly all changes passed on.
 constexpr Duration spareWatchPause = std::chrono::seconds(1);
 
