Fuzz entries, reports, configurations and datagrams of the gateway; bound figures

Cause: numbers from the wire were cast to 64 bits and to times whatever their size (undefined beyond the range); a load in a digest that is no whole number raised an exception that nobody caught and ended the process; figures that are not finite were taken, and written as text that cannot be read. Ages travel in microseconds.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -22,10 +22,10 @@
 flags="-fsanitize=fuzzer-no-link,address -O1 -g1"
 cmake -G Ninja -S . -B "$folder" -DCMAKE_CXX_COMPILER=clang++ -DBUILD_TESTING=OFF \
     -DCMAKE_CXX_FLAGS="$flags -Wno-error" >/dev/null
-ninja -C "$folder" --quiet -j "$jobs" cardamombay
-clang++ -std=c++20 -fsanitize=fuzzer,address -O1 -g1 -Iinclude -Itests \
+ninja -C "$folder" --quiet -j "$jobs" cardamombay cardamombay_platform
+clang++ -std=c++20 -fsanitize=fuzzer,address -O1 -g1 -I. -Iinclude -Itests \
     -DFUZZ_TARGET="\"$target\"" tests/fuzz/libfuzzer/driver.cpp tests/fuzz/fuzz_targets.cpp \
-    "$folder/libcardamombay.a" \
+    "$folder/libcardamombay_platform.a" "$folder/libcardamombay.a" \
     -lboost_json -ljsonrpccpp-server -ljsonrpccpp-common -ljsoncpp -lprometheus-cpp-core \
     -lopentracing -ltomlplusplus -lpopt -lxxhash -llog4cxx -lssl -lcrypto \
     -o "$folder/fuzz_$target"
--- a/src/serving/notification.cpp
+++ b/src/serving/notification.cpp
@@ -2,6 +2,8 @@
 
 #include <cardamombay/core/whole_number.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cardamombay::serving::impl {
@@ -13,6 +15,8 @@
 /// Bytes at the front within which a notification names its method.
 constexpr std::size_t frontBytes = 80;
 
+constexpr Duration longestTime = std::chrono::hours(24 * 365 * 100);
+
 } // namespace
 
 std::string textOf(const json::string &text)
@@ -58,10 +62,16 @@
     return value == nullptr ? 0 : countIn(*value).value_or(0);
 }
 
+std::optional<double> figureIn(const json::value &value)
+{
+    const double figure = value.is_number() ? value.to_number<double>() : -1;
+    return std::isfinite(figure) && figure >= 0 ? std::optional(figure) : std::nullopt;
+}
+
 double realIn(const json::object &object, std::string_view name)
 {
     const auto *value = object.if_contains(name);
-    return value != nullptr && value->is_number() ? value->to_number<double>() : 0;
+    return value == nullptr ? 0 : figureIn(*value).value_or(0);
 }
 
 std::int64_t microsecondsOf(Duration duration)
@@ -69,6 +79,11 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(duration).count();
 }
 
+Duration microsecondsIn(const json::object &object, std::string_view name)
+{
+    return std::min<Duration>(std::chrono::microseconds(numberIn(object, name)), longestTime);
+}
+
 bool flagIn(const json::object &object, std::string_view name)
 {
     const auto *value = object.if_contains(name);
--- a/src/serving/notification.hpp
+++ b/src/serving/notification.hpp
@@ -29,11 +29,17 @@
 /// \brief \p value as a count; nothing if it is none.
 [[nodiscard]] std::optional<std::uint64_t> countIn(const boost::json::value &value);
 
+/// \brief \p value as a figure; nothing if it is negative, not finite or no number.
+[[nodiscard]] std::optional<double> figureIn(const boost::json::value &value);
+
 /// \name Values by name; those that are absent or of another type are empty
 /// \{
 [[nodiscard]] std::string textIn(const boost::json::object &object, std::string_view name);
 [[nodiscard]] std::uint64_t numberIn(const boost::json::object &object, std::string_view name);
+/// \returns 0 also for what is negative or not finite.
 [[nodiscard]] double realIn(const boost::json::object &object, std::string_view name);
+/// \brief A time in microseconds; at most a century, so that sums of two stay within a Duration.
+[[nodiscard]] Duration microsecondsIn(const boost::json::object &object, std::string_view name);
 [[nodiscard]] bool flagIn(const boost::json::object &object, std::string_view name);
 /// \}
 
--- a/src/serving/peer_clocks.cpp
+++ b/src/serving/peer_clocks.cpp
@@ -26,11 +26,6 @@
 /// Peers that are followed are asked every second.
 constexpr Duration forgottenAfter = std::chrono::seconds(20);
 
-Duration durationIn(const json::object &params, std::string_view name)
-{
-    return std::chrono::microseconds(numberIn(params, name));
-}
-
 } // namespace
 
 std::string encode(const ClockQuestion &question)
@@ -53,7 +48,7 @@
     const auto params = paramsOf(text, questionMethod);
     if (!params || textIn(*params, "address").empty())
         return std::nullopt;
-    return ClockQuestion{textIn(*params, "address"), durationIn(*params, "asked")};
+    return ClockQuestion{textIn(*params, "address"), microsecondsIn(*params, "asked")};
 }
 
 std::optional<ClockAnswer> decodeClockAnswer(std::string_view text)
@@ -61,9 +56,10 @@
     const auto params = paramsOf(text, answerMethod);
     if (!params || textIn(*params, "from").empty())
         return std::nullopt;
-    return ClockAnswer{EntryId(textIn(*params, "from")),
-                       {Incarnation(numberIn(*params, "since")), durationIn(*params, "reading")},
-                       durationIn(*params, "asked")};
+    return ClockAnswer{
+        EntryId(textIn(*params, "from")),
+        {Incarnation(numberIn(*params, "since")), microsecondsIn(*params, "reading")},
+        microsecondsIn(*params, "asked")};
 }
 
 Duration readingOf(TimePoint now)
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -32,8 +32,8 @@
         return;
     for (const auto &member : *object) {
         const std::string name(member.key().data(), member.key().size());
-        if (member.value().is_number())
-            demand.emplace(name, member.value().to_number<double>());
+        if (const auto figure = figureIn(member.value()))
+            demand.emplace(name, *figure);
     }
 }
 
@@ -107,9 +107,9 @@
 json::object relayObject(const RelayState &relay)
 {
     return {{"config", relay.config_.value()},
-            {"config_age", toMilliseconds(relay.configAge_)},
+            {"config_age", microsecondsOf(relay.configAge_)},
             {"endpoints", relay.endpoints_.value()},
-            {"endpoints_age", toMilliseconds(relay.endpointsAge_)}};
+            {"endpoints_age", microsecondsOf(relay.endpointsAge_)}};
 }
 
 std::optional<RelayState> relayIn(const json::object &params)
@@ -120,9 +120,9 @@
         return std::nullopt;
     RelayState relay;
     relay.config_ = ConfigVersion(numberIn(*object, "config"));
-    relay.configAge_ = std::chrono::milliseconds(numberIn(*object, "config_age"));
+    relay.configAge_ = microsecondsIn(*object, "config_age");
     relay.endpoints_ = RowVersion(numberIn(*object, "endpoints"));
-    relay.endpointsAge_ = std::chrono::milliseconds(numberIn(*object, "endpoints_age"));
+    relay.endpointsAge_ = microsecondsIn(*object, "endpoints_age");
     return relay;
 }
 
@@ -142,12 +142,13 @@
         return result;
     for (const auto &member : *object) {
         const auto *pair = member.value().if_array();
-        if (pair == nullptr || pair->size() != 2 || !pair->at(0).is_number()
-            || !pair->at(1).is_number())
+        if (pair == nullptr || pair->size() != 2)
             continue;
+        const auto requests = figureIn(pair->at(0));
+        const auto repeats = figureIn(pair->at(1));
         const std::string name(member.key().data(), member.key().size());
-        result[ServiceName(name)]
-            = {pair->at(0).to_number<double>(), pair->at(1).to_number<double>()};
+        if (requests && repeats)
+            result[ServiceName(name)] = {*requests, *repeats};
     }
     return result;
 }
@@ -162,7 +163,7 @@
     for (const auto &one : *seats) {
         const auto *seat = one.if_array();
         const bool isWhole
-            = seat != nullptr && seat->size() == seatParts && seat->at(3).is_number()
+            = seat != nullptr && seat->size() == seatParts && figureIn(seat->at(3))
               && std::all_of(seat->begin(), seat->begin() + 3,
                              [](const json::value &part) { return part.is_string(); });
         if (!isWhole)
@@ -207,8 +208,7 @@
     digest.address_ = config::addressOf(textIn(params, "address")).value_or(Address());
     digest.zone_ = AvailabilityZone(textIn(params, "zone"));
     digest.capacity_ = realIn(params, "capacity");
-    digest.stamp_ = {Incarnation(numberIn(params, "since")),
-                     std::chrono::microseconds(numberIn(params, "sent_at"))};
+    digest.stamp_ = {Incarnation(numberIn(params, "since")), microsecondsIn(params, "sent_at")};
     digest.relay_ = relayIn(params);
     digest.endpoints_ = RowVersion(numberIn(params, "endpoints"));
     readLoads(params.if_contains("loads"), digest);
--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -1,5 +1,9 @@
 #include "fuzz_targets.hpp"
 
+#include <platform/engine_orders.hpp>
+#include <platform/store_client.hpp>
+#include <platform/store_format.hpp>
+
 #include <cardamombay/admin/admin_ack.hpp>
 #include <cardamombay/admin/admin_config.hpp>
 #include <cardamombay/admin/admin_event.hpp>
@@ -19,6 +23,9 @@
 #include <cardamombay/rpc/digest_codec.hpp>
 #include <cardamombay/rpc/json_rpc_dispatcher.hpp>
 #include <cardamombay/rpc/json_rpc_peer_transport.hpp>
+#include <cardamombay/serving/configuration_exchange.hpp>
+#include <cardamombay/serving/digest_hub.hpp>
+#include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/settings/settings.hpp>
 #include <cardamombay/traffic/request_parser.hpp>
 
@@ -265,7 +272,51 @@
     (void)admin::decodeVms(text);
 }
 
-constexpr std::array<FuzzTarget, 10> allTargets{{
+/// What stands in the users' platform's store, and what engines answer.
+void runStoreEntries(std::string_view text)
+{
+    const adapter::PlatformFormat format;
+    if (const auto entry = format.endpoint(VmId("i"), text); isOk(entry)) {
+        require(valueOf(entry).slots_ > 0, "an endpoint has a slot");
+        require(!valueOf(entry).service_.isEmpty(), "an endpoint has a service");
+    }
+    if (const auto configuration = format.configuration(text); isOk(configuration))
+        require(!valueOf(configuration).version_.isNone(), "a configuration has a version");
+    OneAnswerClient client(text);
+    adapter::EngineOrders orders(client, std::chrono::seconds(1), std::chrono::seconds(1));
+    orders.state({}, [](const auto &) {});
+    adapter::StoreClient store(client, {});
+    store.scan({}, [](const auto &) {});
+    store.changes({}, [](const auto &) {});
+}
+
+/// What entry VMs tell each other.
+void runDatagrams(std::string_view text)
+{
+    using namespace serving;
+    if (const auto digest = decodeLoadDigest(text)) {
+        require(decodeLoadDigest(encode(*digest)).has_value(), "an encoded digest can be read");
+        DigestHub hub({EntryId("self"), {}, AvailabilityZone("z")}, Incarnation(1));
+        hub.take(*digest, TimePoint{});
+        (void)hub.fleetSummary(TimePoint{});
+    }
+    if (const auto summary = decodeLoadSummary(text))
+        require(decodeLoadSummary(encode(*summary)).has_value(), "an encoded sum can be read");
+    if (const auto relay = decodeEndpointRelay(text))
+        require(decodeEndpointRelay(encode(*relay)).has_value(), "encoded changes can be read");
+    if (const auto answer = decodeClockAnswer(text)) {
+        PeerClocks clocks;
+        (void)clocks.isQuestionDue(answer->from_, answer->stamp_.since_, TimePoint{});
+        clocks.take(*answer, TimePoint{} + std::chrono::hours(1));
+        (void)clocks.longestAge(answer->from_, answer->stamp_, TimePoint{} + std::chrono::hours(1));
+    }
+    (void)decodeClockQuestion(text);
+    (void)decodeSilenceAlarm(text);
+    (void)decodeConfigurationWanted(text);
+    (void)decodeConfigurationPart(text);
+}
+
+constexpr std::array<FuzzTarget, 12> allTargets{{
     {"configuration", runConfiguration},
     {"settings", runSettings},
     {"chart", runChart},
@@ -276,6 +327,8 @@
     {"platform", runPlatform},
     {"rows", runRows},
     {"admin", runAdmin},
+    {"store_entries", runStoreEntries},
+    {"datagrams", runDatagrams},
 }};
 
 } // namespace
--- a/tests/fuzz/regressions.cpp
+++ b/tests/fuzz/regressions.cpp
@@ -3,6 +3,7 @@
 #include <cardamombay/chart/chart.hpp>
 #include <cardamombay/config/config_parser.hpp>
 #include <cardamombay/leases/lease_row.hpp>
+#include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/settings/settings.hpp>
 
 #include <criterion/criterion.h>
@@ -61,3 +62,18 @@
         cr_expect(isError<MalformedMessage>(vms), "%s", age);
     }
 }
+
+// An infinite capacity was written as a number that cannot be read, so that all sums of its zone
+// were lost; an infinite demand would have ruled the planner.
+Test(fuzz_regressions, figure_that_is_not_finite_is_left_out_of_a_digest)
+{
+    const auto digest = serving::decodeLoadDigest(
+        R"({"jsonrpc":"2.0","method":"load","params":{"from":"e","capacity":100.1e308,)"
+        R"("demand":{"m":1e999,"n":2},"repeats":{"s":[1e400,1]},"loads":{"i":[1.5]}}})");
+    cr_assert(digest);
+    cr_assert_eq(digest->capacity_, 0);
+    cr_assert_eq(digest->demand_.size(), 1);
+    cr_assert(digest->repeats_.empty());
+    cr_assert(digest->underWay_.empty());
+    cr_assert(serving::decodeLoadDigest(serving::encode(*digest)) == *digest);
+}
--- a/tests/fuzz/seeded_fuzz.cpp
+++ b/tests/fuzz/seeded_fuzz.cpp
@@ -189,6 +189,16 @@
     fuzz("admin");
 }
 
+Test(seeded_fuzz, store_entries)
+{
+    fuzz("store_entries");
+}
+
+Test(seeded_fuzz, datagrams)
+{
+    fuzz("datagrams");
+}
+
 Test(seeded_fuzz, same_seed_gives_the_same_texts)
 {
     Mutator first({"{\"a\": 1}", "[]"}, 7);
