--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -69,6 +69,7 @@
 #include <cardamombay/core/random.hpp>
 #include <cardamombay/core/result.hpp>
 #include <cardamombay/core/time.hpp>
+#include <cardamombay/core/whole_number.hpp>
 
 #include <cardamombay/endpoint/endpoint_codec.hpp>
 #include <cardamombay/endpoint/endpoint_orders.hpp>
@@ -176,6 +177,7 @@
 #include <cardamombay/serving/configuration_exchange.hpp>
 #include <cardamombay/serving/dialects.hpp>
 #include <cardamombay/serving/digest_hub.hpp>
+#include <cardamombay/serving/duty_order.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/endpoint_book.hpp>
 #include <cardamombay/serving/engine_model.hpp>
@@ -184,10 +186,12 @@
 #include <cardamombay/serving/gateway.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
 #include <cardamombay/serving/gateway_settings.hpp>
+#include <cardamombay/serving/group_heads.hpp>
 #include <cardamombay/serving/group_view.hpp>
 #include <cardamombay/serving/load_board.hpp>
 #include <cardamombay/serving/metered_platform.hpp>
 #include <cardamombay/serving/node.hpp>
+#include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
@@ -195,6 +199,7 @@
 #include <cardamombay/serving/replica_planner.hpp>
 #include <cardamombay/serving/reporters.hpp>
 #include <cardamombay/serving/route_table.hpp>
+#include <cardamombay/serving/send_budget.hpp>
 #include <cardamombay/serving/servable.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
--- a/include/cardamombay/serving/configuration_exchange.hpp
+++ b/include/cardamombay/serving/configuration_exchange.hpp
@@ -59,9 +59,9 @@
 
     /// \brief The same for an entry VM that leaves the store to others: asks the peer that says so
     /// at once.
-    /// \param teller address of that peer.
+    /// \param source address of that peer.
     /// \returns how long the version has been missing here.
-    Duration askTeller(ConfigVersion version, const Address &teller, TimePoint now);
+    Duration askSource(ConfigVersion version, const Address &source, TimePoint now);
 
     /// \brief Answers a peer that has an older configuration with the parts that it lacks.
     /// \param budget parts that it does not bear are left out; they are asked for again.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -84,7 +84,7 @@
 private:
     void takeConfiguration(std::string_view text, RowVersion row);
     void partArrived(const ConfigurationPart &part);
-    void followConfiguration(const RelayState &relay, const Address &teller, TimePoint now);
+    void followConfiguration(const RelayState &relay, const Address &source, TimePoint now);
     void endpointsListed(const std::vector<platform::Row> &rows);
     void takeEndpoint(const platform::RowChange &change);
     [[nodiscard]] std::optional<Endpoint> readEndpoint(const platform::Row &row);
@@ -120,7 +120,7 @@
     [[nodiscard]] std::map<ServiceName, RepeatCounts> othersRepeats() const;
     [[nodiscard]] std::vector<Address> relayTargets() const;
     void passOn(EndpointRelay relay, const std::vector<Address> &targets);
-    void followRelay(const RelayState &relay, const Address &teller, TimePoint now);
+    void followRelay(const RelayState &relay, const Address &source, TimePoint now);
     void followEndpoints(const RelayState &relay, TimePoint now);
     void ageRelay(LoadDigest &digest, TimePoint now);
     void clockAsked(const ClockQuestion &question);
--- a/src/serving/configuration_exchange.cpp
+++ b/src/serving/configuration_exchange.cpp
@@ -136,7 +136,7 @@
     awaited_ = std::max(awaited_, version);
 }
 
-Duration ConfigurationExchange::askTeller(ConfigVersion version, const Address &teller,
+Duration ConfigurationExchange::askSource(ConfigVersion version, const Address &source,
                                           TimePoint now)
 {
     if (version <= version_)
@@ -144,7 +144,7 @@
     await(version, now);
     if (now - askedAt_ >= askAgain) {
         askedAt_ = now;
-        ask(teller);
+        ask(source);
     }
     return now - awaitedSince_;
 }
--- a/src/serving/node_relays.cpp
+++ b/src/serving/node_relays.cpp
@@ -136,7 +136,7 @@
 /// Those that watch the store for all ask it for a newer configuration, and peers if the store
 /// turns them away; the others ask the peer that tells of it, and the store if that does not
 /// answer.
-void Node::followConfiguration(const RelayState &relay, const Address &teller, TimePoint now)
+void Node::followConfiguration(const RelayState &relay, const Address &source, TimePoint now)
 {
     const auto &routes = parts_.gateway_.routes();
     const auto version = routes ? routes->version() : ConfigVersion();
@@ -144,7 +144,7 @@
         parts_.gateway_.confirm(now - relay.configAge_);
     if (relay.config_ <= version)
         return;
-    if (!isWatching_ && exchange_.askTeller(relay.config_, teller, now) < configurationFromPeers)
+    if (!isWatching_ && exchange_.askSource(relay.config_, source, now) < configurationFromPeers)
         return;
     if (now - configAskedAt_ >= askStoreAgain) {
         configAskedAt_ = now;
@@ -195,13 +195,13 @@
 }
 
 /// What the store confirmed to a peer is confirmed here too if this one has the same version.
-void Node::followRelay(const RelayState &relay, const Address &teller, TimePoint now)
+void Node::followRelay(const RelayState &relay, const Address &source, TimePoint now)
 {
     const auto fresh = hasReporters_ ? freshSum : freshRelay;
     if (relay.configAge_ >= fresh || relay.endpointsAge_ >= fresh)
         return;
     relayHeardAt_ = now;
-    followConfiguration(relay, teller, now);
+    followConfiguration(relay, source, now);
     followEndpoints(relay, now);
 }
 
--- a/tests/net/kept_upstream.cpp
+++ b/tests/net/kept_upstream.cpp
@@ -90,6 +90,19 @@
     cr_assert_eq(bench.upstream_.idle(), 2, "the older one still serves what may run again");
 }
 
+Test(kept_upstream, dropped_connections_are_not_taken)
+{
+    Bench bench;
+    bench.server_.add({jsonAnswer("1")});
+    bench.server_.add({jsonAnswer("2")});
+    bench.call();
+    bench.upstream_.dropUnused(bench.server_.address());
+    cr_assert_not(bench.upstream_.hasUnused(bench.server_.address()));
+    cr_assert_eq(bench.upstream_.idle(), 0);
+    cr_assert_eq(*bench.call(), "2");
+    cr_assert_eq(bench.upstream_.opened(), 2);
+}
+
 Test(kept_upstream, connection_is_not_taken_after_the_time_that_the_endpoint_has_told)
 {
     Bench bench;
