Split the node's and the session's files; one copy of the lease's times

Change: node_endpoints (what endpoints list), session_end (what a caller is told at the end), plannerLeaseTimes(); functions are moved as they were.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -4,6 +4,7 @@
 #include <cardamombay/core/hash.hpp>
 #include <cardamombay/log/events.hpp>
 #include <cardamombay/log/log.hpp>
+#include <cardamombay/serving/planner_lease.hpp>
 
 #include <csignal>
 #include <utility>
@@ -33,21 +34,6 @@
 constexpr Duration leftPoll = std::chrono::milliseconds(20);
 constexpr int leftTurns = 20;
 
-/// Times of the planner's lease: a planner that died is replaced within about two seconds.
-leases::LeaseSettings leaseSettings()
-{
-    leases::LeaseSettings settings;
-    settings.duration_ = std::chrono::milliseconds(1800);
-    settings.margin_ = std::chrono::milliseconds(150);
-    settings.renewEvery_ = std::chrono::milliseconds(600);
-    settings.rankDelay_ = std::chrono::milliseconds(150);
-    settings.orderFlight_ = Duration::zero(); // Fencing numbers stop late orders.
-    settings.writeDeadline_ = std::chrono::milliseconds(1000);
-    settings.retryDelay_ = std::chrono::milliseconds(150);
-    settings.longestRetryDelay_ = std::chrono::milliseconds(800);
-    return settings;
-}
-
 net::HttpClientLimits limitsOf(std::size_t connections)
 {
     net::HttpClientLimits limits;
@@ -185,7 +171,7 @@
         return errorOf(daemonProgram);
     const auto incarnation = startStamp();
     lease_ = std::make_unique<leases::LeaseKeeper>(
-        clock_, meteredStore_, Random(seedOf(settings_.entry_) + 2), leaseSettings(),
+        clock_, meteredStore_, Random(seedOf(settings_.entry_) + 2), serving::plannerLeaseTimes(),
         settings_.entry_, incarnation, FabricDomain("fleet"), valueOf(std::move(leaseProgram)));
     manager_ = std::make_unique<serving::ReplicaManager>(
         serving::ManagerParts{clock_, *lease_, meteredOrders_, book_, board_});
--- /dev/null
+++ b/src/serving/node_endpoints.cpp
@@ -0,0 +1,149 @@
+// What the endpoints list of themselves: read, told to the book and to peers, logged.
+#include <cardamombay/serving/node.hpp>
+
+#include "serving/log_events.hpp"
+
+#include <cardamombay/log/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamombay::serving {
+
+namespace {
+
+/// Entries that another writer has spoiled and that are told of; bounds the memory for them.
+constexpr std::size_t mostRefused = 1000;
+
+/// Between two lines on the endpoints at entry VMs that do not plan: with a line for each of 1,100
+/// endpoints at each of 195 entry VMs they were three quarters of all lines.
+constexpr Duration endpointsLogPeriod = std::chrono::seconds(1);
+
+} // namespace
+
+/// A watch whose history was lost lists anew. Readers of this entry VM's news are told what has
+/// changed since all the same; otherwise 195 entry VMs list 1,100 endpoints within a second.
+void Node::endpointsListed(const std::vector<platform::Row> &rows)
+{
+    const auto now = parts_.clock_.now();
+    const auto version = endpointWatch_.version();
+    std::vector<Endpoint> endpoints;
+    std::set<VmId> listed;
+    if (!areEndpointsListed_)
+        history_.restart(version);
+    for (const auto &row : rows) {
+        auto endpoint = readEndpoint(row);
+        if (!endpoint)
+            continue;
+        listed.insert(endpoint->id_);
+        if (row.version_ > listedVersion_)
+            history_.add({endpoint->id_, row.version_, endpoint}, now);
+        endpoints.push_back(*std::move(endpoint));
+    }
+    for (const auto &id : parts_.book_.ids()) {
+        if (!listed.contains(id))
+            history_.add({id, version, std::nullopt}, now);
+    }
+    log::info(event::endpointListed, {{"count", std::to_string(endpoints.size())},
+                                      {"version", std::to_string(version.value())},
+                                      {"before", std::to_string(listedVersion_.value())}});
+    parts_.book_.replaceAll(std::move(endpoints), now);
+    listedVersion_ = version;
+    areEndpointsListed_ = true;
+    noteLearning();
+}
+
+/// What changes where requests may go, at the entry VMs that plan or may; the steps on the way only
+/// at the planner, which acts on them.
+bool Node::isWorthLogging(const Endpoint *known, const Endpoint &now) const
+{
+    if (!rank_ && !parts_.lease_.isHeld())
+        return false;
+    if (known == nullptr || known->isDraining_ != now.isDraining_ || parts_.lease_.isHeld())
+        return known == nullptr || *known != now;
+    const auto isServing = [](const Endpoint &one) {
+        return one.membership_ && one.membership_->isHead()
+               && one.membership_->state_ == MemberState::Open;
+    };
+    return isServing(*known) != isServing(now);
+}
+
+void Node::takeEndpoint(const platform::RowChange &change)
+{
+    const auto &row = change.row_;
+    EndpointChange result{VmId(row.key_.key_), row.version_, std::nullopt};
+    if (change.isRemoved_)
+        refused_.erase(result.id_);
+    else
+        result.endpoint_ = readEndpoint(row);
+    endpointChanged(result);
+}
+
+/// An entry that another writer has spoiled names nothing to use, until the endpoint writes it
+/// anew. It is logged once, however often it is written.
+std::optional<Endpoint> Node::readEndpoint(const platform::Row &row)
+{
+    const VmId id(row.key_.key_);
+    auto endpoint = parts_.format_.endpoint(id, row.value_);
+    if (isOk(endpoint)) {
+        refused_.erase(id);
+        return valueOf(std::move(endpoint));
+    }
+    if (refused_.size() < mostRefused && refused_.insert(id).second)
+        log::warning(event::endpointRefused, {{"endpoint", id.text()},
+                                              {"version", std::to_string(row.version_.value())},
+                                              {"problem", messageOf(errorOf(endpoint))}});
+    return std::nullopt;
+}
+
+void Node::endpointRestarted(const Endpoint &before)
+{
+    if (rank_ || parts_.lease_.isHeld())
+        log::info(event::endpointRestarted, {{"endpoint", before.id_.text()},
+                                             {"born-before", std::to_string(before.bornAt_)}});
+    parts_.gateway_.endpointRestarted(before.id_, before.address_);
+}
+
+void Node::endpointChanged(const EndpointChange &change)
+{
+    const auto now = parts_.clock_.now();
+    history_.add(change, now);
+    listedVersion_ = std::max(listedVersion_, change.version_);
+    const auto version = std::to_string(change.version_.value());
+    if (!change.endpoint_) {
+        ++goneCount_;
+        if (rank_ || parts_.lease_.isHeld())
+            log::info(event::endpointGone, {{"endpoint", change.id_.text()}, {"version", version}});
+        parts_.book_.remove(change.id_, now);
+        return;
+    }
+    const auto &endpoint = *change.endpoint_;
+    ++listedCount_;
+    if (isWorthLogging(parts_.book_.find(change.id_), endpoint)) {
+        const auto &membership = endpoint.membership_;
+        log::info(event::endpointListed,
+                  {{"endpoint", change.id_.text()},
+                   {"domain", endpoint.domain_.text()},
+                   {"draining", endpoint.isDraining_ ? "yes" : "no"},
+                   {"staged", endpoint.staged_.empty() ? "" : endpoint.staged_.front().text()},
+                   {"group", membership ? membership->group_.text() : ""},
+                   {"rank", membership ? std::to_string(membership->rank_) : ""},
+                   {"state", membership ? std::string(nameOf(membership->state_)) : ""},
+                   {"version", version}});
+    }
+    parts_.book_.put(endpoint);
+}
+
+void Node::logEndpoints(TimePoint now)
+{
+    if (now - endpointsLoggedAt_ < endpointsLogPeriod || listedCount_ + goneCount_ == 0)
+        return;
+    endpointsLoggedAt_ = now;
+    log::info(event::endpointsChanged,
+              {{"entries", std::to_string(std::exchange(listedCount_, 0))},
+               {"gone", std::to_string(std::exchange(goneCount_, 0))},
+               {"version", std::to_string(endpointWatch_.version().value())},
+               {"view-age-ms", std::to_string(toMilliseconds(now - endpointsConfirmedAt_))}});
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -1,9 +1,7 @@
 #include "serving/session.hpp"
 
-#include "serving/log_events.hpp"
+#include "serving/caller_status.hpp"
 
-#include <cardamombay/log/log.hpp>
-#include <cardamombay/net/http_status.hpp>
 #include <cardamombay/serving/gateway.hpp>
 #include <cardamombay/serving/servable.hpp>
 
@@ -11,13 +9,9 @@
 
 namespace cardamombay::serving {
 
-namespace {
+using namespace impl;
 
-constexpr std::uint32_t statusUnauthorized = 401;
-constexpr std::uint32_t statusUnknownRoute = 404;
-constexpr std::uint32_t statusBadGateway = 502;
-constexpr std::uint32_t statusUnavailable = 503;
-constexpr std::uint32_t statusTimeout = 504;
+namespace {
 
 /// When a caller is asked to come back to another entry VM; its next try reaches one at once.
 constexpr Duration comeBackElsewhere = std::chrono::milliseconds(60);
@@ -148,14 +142,6 @@
     return whyNotServable(*service_, {head_.model_, head_.promptTokens_, timeLeft(now)});
 }
 
-void Session::refuse(std::uint32_t status, std::string_view reason,
-                     std::optional<Duration> comeBack)
-{
-    auto exchange = std::exchange(exchange_, nullptr);
-    exchange->respond(gateway_.parts().dialect_.failure(status, reason, comeBack));
-    finish("refused", reason);
-}
-
 /// \returns false if no endpoint has room, also for others that ask for the same model.
 bool Session::dispatch()
 {
@@ -340,38 +326,6 @@
         giveUp(detail);
 }
 
-void Session::logFailure(std::string_view detail) const
-{
-    log::info(event::attemptFailed,
-              {{"request", head_.request_.text()},
-               {"endpoint", target_.endpoint_.text()},
-               {"detail", std::string(detail)},
-               {"events", std::to_string(events_)},
-               {"sends", std::to_string(sends_)},
-               {"elapsed-ms",
-                std::to_string(toMilliseconds(gateway_.parts().clock_.now() - arrivedAt_))}});
-}
-
-/// Nothing more will be tried. "Not run" is said only if no attempt can have run.
-void Session::giveUp(std::string_view reason)
-{
-    if (events_ > 0) {
-        exchange_->abort();
-        exchange_.reset();
-        finish("broken-off", reason);
-        return;
-    }
-    if (mayHaveRun_ == 0) {
-        refuse(statusUnavailable, reason, comeBack());
-        return;
-    }
-    const bool isTimeout = gateway_.parts().clock_.now() >= until_;
-    auto exchange = std::exchange(exchange_, nullptr);
-    exchange->respond(gateway_.parts().dialect_.failure(
-        isTimeout ? statusTimeout : statusBadGateway, reason, std::nullopt));
-    finish("unknown", reason);
-}
-
 void Session::noteProgress(TimePoint now)
 {
     progressAt_ = now;
@@ -450,41 +404,4 @@
     finish("caller-left", "");
 }
 
-void Session::finish(std::string_view outcome, std::string_view reason)
-{
-    isDone_ = true;
-    dropAttempt();
-    auto &metrics = gateway_.parts().metrics_;
-    const auto elapsed = gateway_.parts().clock_.now() - arrivedAt_;
-    if (outcome == "served") {
-        metrics.served_.increment();
-        metrics.whole_.observe(toSeconds(elapsed));
-    } else if (outcome == "refused") {
-        metrics.refused_.increment();
-    } else if (outcome == "caller-left") {
-        metrics.callerLeft_.increment();
-    } else {
-        metrics.failed_.increment();
-    }
-    log::info(event::requestFinished,
-              {{"request", head_.request_.text()},
-               {"outcome", std::string(outcome)},
-               {"reason", std::string(reason)},
-               {"route", route_ == nullptr ? "" : route_->name_},
-               {"model", head_.model_.text()},
-               {"endpoint", target_.endpoint_.text()},
-               {"config", routes_ ? std::to_string(routes_->version().value()) : "0"},
-               {"config-age-ms", std::to_string(toMilliseconds(gateway_.unconfirmedFor()))},
-               {"events", std::to_string(events_)},
-               {"sends", std::to_string(sends_)},
-               {"may-have-run", std::to_string(mayHaveRun_)},
-               {"first-ms", std::to_string(toMilliseconds(firstAfter_))},
-               {"longest-pause-ms", std::to_string(toMilliseconds(longestPause_))},
-               {"prompt", std::to_string(head_.promptTokens_)},
-               {"most-answer", std::to_string(head_.mostAnswerTokens_)},
-               {"likely-answer", std::to_string(head_.likelyAnswerTokens_)},
-               {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}});
-    gateway_.release(*this);
-}
-
 } // namespace cardamombay::serving
--- /dev/null
+++ b/src/serving/session_end.cpp
@@ -0,0 +1,93 @@
+// The end of a request: what its caller is told, and what is logged and counted.
+#include "serving/session.hpp"
+
+#include "serving/caller_status.hpp"
+#include "serving/log_events.hpp"
+
+#include <cardamombay/log/log.hpp>
+#include <cardamombay/serving/gateway.hpp>
+
+#include <utility>
+
+namespace cardamombay::serving {
+
+using namespace impl;
+
+void Session::refuse(std::uint32_t status, std::string_view reason,
+                     std::optional<Duration> comeBack)
+{
+    auto exchange = std::exchange(exchange_, nullptr);
+    exchange->respond(gateway_.parts().dialect_.failure(status, reason, comeBack));
+    finish("refused", reason);
+}
+
+void Session::logFailure(std::string_view detail) const
+{
+    log::info(event::attemptFailed,
+              {{"request", head_.request_.text()},
+               {"endpoint", target_.endpoint_.text()},
+               {"detail", std::string(detail)},
+               {"events", std::to_string(events_)},
+               {"sends", std::to_string(sends_)},
+               {"elapsed-ms",
+                std::to_string(toMilliseconds(gateway_.parts().clock_.now() - arrivedAt_))}});
+}
+
+/// Nothing more will be tried. "Not run" is said only if no attempt can have run.
+void Session::giveUp(std::string_view reason)
+{
+    if (events_ > 0) {
+        exchange_->abort();
+        exchange_.reset();
+        finish("broken-off", reason);
+        return;
+    }
+    if (mayHaveRun_ == 0) {
+        refuse(statusUnavailable, reason, comeBack());
+        return;
+    }
+    const bool isTimeout = gateway_.parts().clock_.now() >= until_;
+    auto exchange = std::exchange(exchange_, nullptr);
+    exchange->respond(gateway_.parts().dialect_.failure(
+        isTimeout ? statusTimeout : statusBadGateway, reason, std::nullopt));
+    finish("unknown", reason);
+}
+
+void Session::finish(std::string_view outcome, std::string_view reason)
+{
+    isDone_ = true;
+    dropAttempt();
+    auto &metrics = gateway_.parts().metrics_;
+    const auto elapsed = gateway_.parts().clock_.now() - arrivedAt_;
+    if (outcome == "served") {
+        metrics.served_.increment();
+        metrics.whole_.observe(toSeconds(elapsed));
+    } else if (outcome == "refused") {
+        metrics.refused_.increment();
+    } else if (outcome == "caller-left") {
+        metrics.callerLeft_.increment();
+    } else {
+        metrics.failed_.increment();
+    }
+    log::info(event::requestFinished,
+              {{"request", head_.request_.text()},
+               {"outcome", std::string(outcome)},
+               {"reason", std::string(reason)},
+               {"route", route_ == nullptr ? "" : route_->name_},
+               {"model", head_.model_.text()},
+               {"endpoint", target_.endpoint_.text()},
+               {"config", routes_ ? std::to_string(routes_->version().value()) : "0"},
+               {"config-age-ms", std::to_string(toMilliseconds(gateway_.unconfirmedFor()))},
+               {"events", std::to_string(events_)},
+               {"sends", std::to_string(sends_)},
+               {"may-have-run", std::to_string(mayHaveRun_)},
+               {"first-ms", std::to_string(toMilliseconds(firstAfter_))},
+               {"longest-pause-ms", std::to_string(toMilliseconds(longestPause_))},
+               {"prompt", std::to_string(head_.promptTokens_)},
+               {"most-answer", std::to_string(head_.mostAnswerTokens_)},
+               {"likely-answer", std::to_string(head_.likelyAnswerTokens_)},
+               {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}});
+    gateway_.release(*this);
+}
+
+} // namespace cardamombay::serving
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -1,5 +1,7 @@
 #include "support/node_fleet.hpp"
 
+#include <cardamombay/serving/planner_lease.hpp>
+
 #include <algorithm>
 #include <sstream>
 #include <utility>
@@ -18,21 +20,6 @@
 constexpr double largeLink = 200;
 constexpr double smallLink = 20;
 
-/// Times of the lease as the gateway sets them.
-leases::LeaseSettings leaseTimes()
-{
-    leases::LeaseSettings settings;
-    settings.duration_ = std::chrono::milliseconds(1800);
-    settings.margin_ = std::chrono::milliseconds(150);
-    settings.renewEvery_ = std::chrono::milliseconds(600);
-    settings.rankDelay_ = std::chrono::milliseconds(150);
-    settings.orderFlight_ = Duration::zero();
-    settings.writeDeadline_ = std::chrono::milliseconds(1000);
-    settings.retryDelay_ = std::chrono::milliseconds(150);
-    settings.longestRetryDelay_ = std::chrono::milliseconds(800);
-    return settings;
-}
-
 leases::LeaseProgramPtr leaseProgram()
 {
     static const auto program = [] {
@@ -120,7 +107,7 @@
 {
     const Incarnation incarnation(1000 + fleet_.random_.below(1000));
     lease_ = std::make_unique<leases::LeaseKeeper>(clock_, *this, Random(incarnation.value()),
-                                                   leaseTimes(), entry_, incarnation,
+                                                   plannerLeaseTimes(), entry_, incarnation,
                                                    FabricDomain("fleet"), leaseProgram());
     manager_
         = std::make_unique<ReplicaManager>(ManagerParts{clock_, *lease_, *orders_, book_, board_});
