--- a/include/cardamombay/platform/change_feed.hpp
+++ b/include/cardamombay/platform/change_feed.hpp
@@ -19,7 +19,7 @@
 struct ChangePage
 {
     std::vector<RowChange> changes_;
-    RowVersion version_;  ///< Ask on from here.
+    RowVersion version_; ///< Ask on from here.
     bool isLast_ = true; ///< False if more changes wait there already.
 };
 
--- a/src/serving/planner_run.hpp
+++ b/src/serving/planner_run.hpp
@@ -105,7 +105,7 @@
     std::vector<const GroupView *> serving_; ///< Whole groups.
     std::vector<const GroupView *> ready_;   ///< Whole groups that may be opened.
     std::set<GroupName> lent_;               ///< Their engines are needed for a larger group.
-    std::set<FabricDomain> gathering_; ///< Their spares wait for engines of far groups.
+    std::set<FabricDomain> gathering_;       ///< Their spares wait for engines of far groups.
     std::set<FabricDomain> borrowing_;       ///< Their spares wait for engines that are lent.
     Plan result_;
 };
