Show a group as usable only if requests are routed to it; the demo fails on a broken stream

Change: whyNotRouted(); the demo checks that its stream ends with [DONE]. Test: group_is_not_shown_as_usable_before_requests_are_routed_to_it.

--- a/include/cardamombay/control/admin_view.hpp
+++ b/include/cardamombay/control/admin_view.hpp
@@ -15,6 +15,15 @@
 
 namespace cardamombay::control {
 
+/// \brief Why requests do not go to a group whose members are all in order: the traffic threads
+/// have not been told of it. Without this a group was shown as usable, and the next request refused
+/// for want of capacity.
+///
+/// \returns nothing if they do.
+[[nodiscard]] std::string whyNotRouted(const routing::RoutingSnapshot &snapshot,
+                                       const ServiceName &service, const GroupId &group,
+                                       TimePoint now);
+
 /// \brief State of the node; \p lifecycleState comes from the daemon's chart.
 [[nodiscard]] admin::AdminStatus statusOf(const ControlNode &node, std::string_view lifecycleState);
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -124,7 +124,12 @@
 say "a streamed completion"
 curl -sS -N -D "$work/head" "http://$caller/v1/completions" -H 'X-Team: studio' \
     -H 'traceparent: 00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01' \
-    -d '{"model":"writer","prompt":"Breathe in, and","max_tokens":8,"stream":true}'
+    -d '{"model":"writer","prompt":"Breathe in, and","max_tokens":8,"stream":true}' \
+    | tee "$work/stream"
+grep -qx 'data: \[DONE\]' <(tr -d '\r' <"$work/stream") || {
+    echo "the stream is not whole" >&2
+    exit 1
+}
 grep -i -E '^(HTTP|x-outcome|x-request-id)' "$work/head"
 
 say "why it went where it did"
--- a/src/control/admin_view.cpp
+++ b/src/control/admin_view.cpp
@@ -90,6 +90,8 @@
         group.members_.push_back(memberOf(node, member));
     group.inFlight_ = inFlightAt(node, row.group_);
     group.whyNot_ = whyNot(node, row);
+    if (group.whyNot_.empty())
+        group.whyNot_ = whyNotRouted(*node.snapshot(), row.service_, row.group_, node.now());
     group.isUsable_ = group.whyNot_.empty();
     group.phase_ = group.isUsable_ ? nameOf(groups::GroupPhase::Serving) : nameOf(row.phase_);
     return group;
@@ -140,6 +142,17 @@
     return status;
 }
 
+std::string whyNotRouted(const routing::RoutingSnapshot &snapshot, const ServiceName &service,
+                         const GroupId &group, TimePoint now)
+{
+    const auto *groups = snapshot.service(service);
+    const bool isRouted
+        = groups != nullptr
+          && std::any_of(groups->groups_.begin(), groups->groups_.end(),
+                         [&](const auto &one) { return one.group_ == group && one.isUsable(now); });
+    return isRouted ? std::string() : "requests are not routed to it yet";
+}
+
 std::vector<AdminGroup> groupsOf(const ControlNode &node)
 {
     const auto phases = plannedPhases(node);
--- a/tests/control/views.cpp
+++ b/tests/control/views.cpp
@@ -73,6 +73,21 @@
     cr_assert(gaps[0] == (control::ReplicaGap{ServiceName("lm"), 0}));
 }
 
+Test(admin_view, group_is_not_shown_as_usable_before_requests_are_routed_to_it)
+{
+    auto snapshot = snapshotOfTwoZones();
+    auto &groups = snapshot.services_[0].groups_;
+    groups[0].group_ = GroupId("lm/zone-a/0");
+    groups[1].group_ = GroupId("lm/zone-a/1");
+    const auto whyNot = [&](const char *group, const char *service = "lm") {
+        return control::whyNotRouted(snapshot, ServiceName(service), GroupId(group), now);
+    };
+    cr_assert_eq(whyNot("lm/zone-a/0"), "");
+    cr_assert_neq(whyNot("lm/zone-a/1"), "", "lapsed");
+    cr_assert_neq(whyNot("lm/zone-a/2"), "", "not in the snapshot");
+    cr_assert_neq(whyNot("lm/zone-a/0", "other"), "", "of a service without groups");
+}
+
 Test(control_metrics, healthy_vm_of_a_lapsed_group_or_none_is_stranded)
 {
     const std::vector<VmId> healthy{VmId("vm-1"), VmId("vm-2"), VmId("vm-3"), VmId("vm-5")};
