--- a/bench/capacity_page.cpp
+++ b/bench/capacity_page.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Rewrites the measured tables of docs/CAPACITY.md and draws the slopes.
+/// \brief Rewrites the measured tables of docs/capacity/cardamombayd.md and draws the slopes.
 /// \details bench_capacity_page [folder of docs]. Reads capacity/fleet.csv as bench_capacity
 /// printed it; a table stands between the lines "begin: name" and "end: name" of the page.
 
@@ -181,14 +181,14 @@
 void rewrite(const std::string &docs)
 {
     const Results results(docs + "/capacity/fleet.csv");
-    std::string page = readFile(docs + "/CAPACITY.md");
+    std::string page = readFile(docs + "/capacity/cardamombayd.md");
     replaceBetween(page, "processor", tableOf(results, figuresWith(results, {"cpu", "memory"})));
     replaceBetween(page, "messages", tableOf(results, messageFigures(results)));
     replaceBetween(page, "store", tableOf(results, figuresWith(results, {"fleet store"})));
     replaceBetween(page, "events",
                    tableOf(results, figuresWith(results, {"start", "groups", "usable", "change",
                                                           "outage", "VM list"})));
-    std::ofstream(docs + "/CAPACITY.md") << page;
+    std::ofstream(docs + "/capacity/cardamombayd.md") << page;
     draw(results, docs + "/capacity");
 }
 
--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Measures control nodes at several fleet sizes again, rewrites the tables of docs/CAPACITY.md and
+# Measures control nodes at several fleet sizes again, rewrites the tables of docs/capacity/cardamombayd.md and
 # draws the slopes. Usage: scripts/capacity.sh [build folder] [sizes ...]; the default sizes took about two
 # minutes of one core; 140 and 340 did not end within 200 and 240 s.
 set -euo pipefail
