Remember heads and freed engines for each service

Change: ReplicaManager::Memory for each service. Test: survivors_serve_over_ domains_also_beside_a_second_service_of_engines (not seen failing).

--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -62,17 +62,29 @@
         int rounds_ = 0; ///< Of questions, without a longer pause between them.
     };
 
-    void askLeftOut(const std::vector<const Endpoint *> &engines);
-    void noteFree(const std::vector<const Endpoint *> &engines);
-    void logCapacity(const Service &service, const std::vector<const Endpoint *> &engines);
+    /// What is remembered of one service's engines.
+    struct Memory
+    {
+        GroupHeads heads_;
+        std::map<VmId, TimePoint> freeSince_; ///< Engines without a group.
+        TimePoint leftOutAskedAt_{};
+        std::size_t engineCount_ = 0; ///< Listed at the first start.
+        TimePoint countedAt_{};       ///< When that changed last.
+        TimePoint loggedAt_{};
+    };
+
+    void noteFree(Memory &memory, const std::vector<const Endpoint *> &engines) const;
+    void askLeftOut(Memory &memory, const std::vector<const Endpoint *> &engines);
+    void logCapacity(const Service &service, Memory &memory,
+                     const std::vector<const Endpoint *> &engines);
     void inquire(const std::vector<const Endpoint *> &engines);
     void ask(const GroupName &group, const Endpoint &member);
     void memberAnswered(const GroupName &group, const VmId &member, std::uint64_t bornAt,
                         const Result<Endpoint> &answer);
     void planService(const Service &service);
-    [[nodiscard]] bool hasSettled(std::size_t engines);
+    [[nodiscard]] bool hasSettled(Memory &memory, std::size_t engines) const;
     [[nodiscard]] bool isDue(TimePoint now);
-    [[nodiscard]] PlanInput inputFor(const Service &service,
+    [[nodiscard]] PlanInput inputFor(const Service &service, const Memory &memory,
                                      const std::vector<const Endpoint *> &engines);
     void send(const PlannedOrder &planned, const EngineProfile &profile);
     void answered(const VmId &engine, const Order &order, const Result<OrderAnswer> &answer);
@@ -106,17 +118,12 @@
     };
 
     std::map<VmId, Load> loads_;
-    std::map<VmId, TimePoint> freeSince_; ///< Engines without a group.
-    GroupHeads heads_;
-    TimePoint leftOutAskedAt_{};
+    std::map<ServiceName, Memory> memories_;
     std::map<GroupName, Inquiry> inquiries_;
     std::map<VmId, Silence> unanswered_;
-    std::size_t engineCount_ = 0; ///< Listed at the first start.
-    TimePoint countedAt_{};       ///< When that changed last.
     TimePoint plannedAt_{};
     std::uint64_t plannedRevision_ = 0; ///< Of the book when the last plan was made.
     bool hadOrders_ = false;            ///< Orders were given or have ended since the last plan.
-    TimePoint loggedAt_{};
     Epoch countedFor_;
     std::uint64_t counter_ = 0;
     bool wasHeld_ = false;
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -122,7 +122,7 @@
     });
 }
 
-PlanInput ReplicaManager::inputFor(const Service &service,
+PlanInput ReplicaManager::inputFor(const Service &service, const Memory &memory,
                                    const std::vector<const Endpoint *> &engines)
 {
     PlanInput input;
@@ -140,11 +140,11 @@
     for (const auto &[engine, load] : loads_)
         input.loading_.emplace(engine, load.model_);
     const auto now = parts_.clock_.now();
-    for (const auto &[engine, since] : freeSince_) {
+    for (const auto &[engine, since] : memory.freeSince_) {
         if (now - since < settleTime)
             input.justFreed_.insert(engine);
     }
-    input.released_ = heads_.released(engines);
+    input.released_ = memory.heads_.released(engines);
     input.isFirstLoad_ = isFirstLoad_;
     input.demand_ = demand_;
     input.nextEpoch_ = [this] { return nextEpoch(); };
@@ -154,50 +154,51 @@
 void ReplicaManager::planService(const Service &service)
 {
     const auto engines = parts_.book_.ofService(service.name_);
-    if (isFirstLoad_ && !hasSettled(engines.size()))
+    auto &memory = memories_[service.name_];
+    if (isFirstLoad_ && !hasSettled(memory, engines.size()))
         return;
     inquire(engines);
-    askLeftOut(engines);
-    noteFree(engines);
-    heads_.note(engines);
-    logCapacity(service, engines);
-    const auto plan = planReplicas(inputFor(service, engines));
+    askLeftOut(memory, engines);
+    noteFree(memory, engines);
+    memory.heads_.note(engines);
+    logCapacity(service, memory, engines);
+    const auto plan = planReplicas(inputFor(service, memory, engines));
     hadOrders_ = hadOrders_ || !plan.empty();
     for (const auto &order : plan)
         send(order, *service.engine_);
 }
 
-void ReplicaManager::noteFree(const std::vector<const Endpoint *> &engines)
+void ReplicaManager::noteFree(Memory &memory, const std::vector<const Endpoint *> &engines) const
 {
     const auto now = parts_.clock_.now();
     std::map<VmId, TimePoint> free;
     for (const auto *engine : engines) {
         if (engine->membership_)
             continue;
-        const auto known = freeSince_.find(engine->id_);
-        free.emplace(engine->id_, known == freeSince_.end() ? now : known->second);
+        const auto known = memory.freeSince_.find(engine->id_);
+        free.emplace(engine->id_, known == memory.freeSince_.end() ? now : known->second);
     }
-    freeSince_ = std::move(free);
+    memory.freeSince_ = std::move(free);
 }
 
 /// At the first start the engines are listed one after the other; how many share a fabric domain is
 /// known once no more come.
-bool ReplicaManager::hasSettled(std::size_t engines)
+bool ReplicaManager::hasSettled(Memory &memory, std::size_t engines) const
 {
     const auto now = parts_.clock_.now();
-    if (std::exchange(engineCount_, engines) != engines)
-        countedAt_ = now;
-    return now - countedAt_ >= listingTime;
+    if (std::exchange(memory.engineCount_, engines) != engines)
+        memory.countedAt_ = now;
+    return now - memory.countedAt_ >= listingTime;
 }
 
 /// One line a model each second: what serves, what is asked for and what could serve.
-void ReplicaManager::logCapacity(const Service &service,
+void ReplicaManager::logCapacity(const Service &service, Memory &memory,
                                  const std::vector<const Endpoint *> &engines)
 {
     const auto now = parts_.clock_.now();
-    if (now - loggedAt_ < capacityLogPeriod)
+    if (now - memory.loggedAt_ < capacityLogPeriod)
         return;
-    loggedAt_ = now;
+    memory.loggedAt_ = now;
     const auto groups = groupsOf(engines);
     for (const auto &model : service.engine_->models_) {
         const auto near = std::count_if(groups.begin(), groups.end(), [&](const GroupView &one) {
@@ -250,12 +251,12 @@
 }
 
 /// Engines that were left out and are in no group any more would be left out for good.
-void ReplicaManager::askLeftOut(const std::vector<const Endpoint *> &engines)
+void ReplicaManager::askLeftOut(Memory &memory, const std::vector<const Endpoint *> &engines)
 {
     const auto now = parts_.clock_.now();
-    if (now - leftOutAskedAt_ < askAgain * mostAskedPauses)
+    if (now - memory.leftOutAskedAt_ < askAgain * mostAskedPauses)
         return;
-    leftOutAskedAt_ = now;
+    memory.leftOutAskedAt_ = now;
     for (const auto *engine : engines) {
         if (!engine->membership_ && unanswered_.contains(engine->id_))
             ask({}, *engine);
--- a/tests/serving/replica_manager.cpp
+++ b/tests/serving/replica_manager.cpp
@@ -34,6 +34,14 @@
     std::vector<std::pair<Endpoint, Callback<Endpoint>>> questions_;
 };
 
+/// A spare engine with the weights in its memory.
+Endpoint loadedIn(const std::string &id, const std::string &domain)
+{
+    auto result = spareEngine(id, domain, "m");
+    result.model_ = ModelName("m");
+    return result;
+}
+
 struct Bench
 {
     Bench()
@@ -167,3 +175,24 @@
     bench.manager_.tick(bench.routes_, bench.clock_.now());
     cr_assert_eq(bench.orders_.sent_.size(), 2);
 }
+
+/// What is remembered of the engines of one service must not be lost with those of another.
+Test(replica_manager, survivors_serve_over_domains_also_beside_a_second_service_of_engines)
+{
+    Bench bench;
+    auto configuration = gatewayConfiguration();
+    auto second = configuration.services_.front();
+    second.name_ = ServiceName("more-engines");
+    configuration.services_.push_back(second);
+    const RouteTable routes(configuration);
+    bench.book_.put(loadedIn("a", "d"));
+    bench.book_.put(loadedIn("b", "e"));
+    auto other = loadedIn("c", "d");
+    other.service_ = second.name_;
+    bench.book_.put(other);
+    for (int step = 0; step < 40 && bench.orders_.sent_.empty(); ++step) {
+        bench.manager_.tick(routes, bench.clock_.now());
+        bench.clock_.advance(milliseconds(100));
+    }
+    cr_assert_eq(bench.orders_.sent_.size(), 2);
+}
