Do not take an entry of another version for the end of an endpoint

Cause: a change of an endpoint with other parts than this version writes was read as the endpoint's end; during an update group after group would vanish. Change: such a message is left out, and told again with the next digest. Test: entry_with_other_parts_is_not_taken_for_the_end_of_an_endpoint (seen failing).

--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -223,7 +223,8 @@
 enum EntryPart : std::size_t {
     IdPart,
     VersionPart,
-    ServicePart,
+    EndParts, ///< Of an endpoint that is no longer listed.
+    ServicePart = EndParts,
     AddressPart,
     ZonePart,
     DomainPart,
@@ -309,8 +310,12 @@
         EndpointChange change;
         change.id_ = idAt<VmId>(entry, IdPart);
         change.version_ = RowVersion(numberAt<std::uint64_t>(entry, VersionPart));
-        if (entry.size() == EntryParts)
-            change.endpoint_ = endpointIn(entry);
+        if (entry.size() == EndParts)
+            return change;
+        // Entries of another version of this program must not be taken for an endpoint's end.
+        if (entry.size() != EntryParts)
+            return std::nullopt;
+        change.endpoint_ = endpointIn(entry);
         return change;
     } catch (const std::exception &) {
         return std::nullopt; // The whole message is left out, and told again.
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -231,6 +231,19 @@
     cr_assert(changes == relay.changes_);
 }
 
+Test(peer_digests, entry_with_other_parts_is_not_taken_for_the_end_of_an_endpoint)
+{
+    const auto relayed = [](const std::string &entry) {
+        return decodeEndpointRelay(R"({"jsonrpc":"2.0","method":"endpoints","params":{"after":4,)"
+                                   R"("to":6,"entries":[)"
+                                   + entry + "]}}");
+    };
+    const auto end = relayed(R"(["i",5])");
+    cr_assert(end);
+    cr_assert_not(end->changes_.front().endpoint_);
+    cr_assert_not(relayed(R"(["i",5,"lm","10.0.0.9:80","a","d",26,false,"m",["m"],"m.1",1,0,2])"));
+}
+
 Test(engine_model, pause_grows_with_the_batch_and_reading_with_the_prompt)
 {
     const auto profile = *gatewayConfiguration().services_.front().engine_;
