Quarantine requests under which endpoints end, over the whole fleet

Cause: what a request did to endpoints was known to its session only; its caller's next attempt, or another entry VM, sent it on as a new one. Ruled out: the budget of repeats (it bounds repeats of a service, not what one request does; within it in the tests); ends for other reasons as the cause (the tests have no other). A suspect goes to the same endpoint from all entry VMs.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -195,6 +195,7 @@
 #include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/planner_lease.hpp>
+#include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
 #include <cardamombay/serving/replica_orders.hpp>
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -8,9 +8,11 @@
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/endpoint_book.hpp>
 #include <cardamombay/serving/load_board.hpp>
+#include <cardamombay/serving/request_fingerprint.hpp>
 #include <cardamombay/serving/route_table.hpp>
 
 #include <map>
+#include <optional>
 #include <span>
 #include <variant>
 
@@ -26,6 +28,9 @@
     Duration goal_{};       ///< Time to the first event that counts as on time.
     bool isHeld_ = false;   ///< It has waited here, and is late already.
     bool hasBegun_ = false; ///< Its caller has a part of the answer already.
+    /// Endpoints have ended under it. All entry VMs send a suspect to the same endpoint, so that
+    /// one that does end them ends one at a time, and suspects of one end go to different ones.
+    std::optional<RequestFingerprint> suspect_;
 };
 
 /// \brief Where a request goes.
@@ -80,6 +85,8 @@
     [[nodiscard]] std::vector<const Candidate *> usable(const Demand &demand, TimePoint now);
     [[nodiscard]] const Candidate *leastLoaded(const std::vector<const Candidate *> &candidates,
                                                std::size_t limit);
+    [[nodiscard]] static const Candidate *first(const std::vector<const Candidate *> &candidates,
+                                                const RequestFingerprint &suspect);
     [[nodiscard]] const Candidate *soonest(std::vector<const Candidate *> candidates,
                                            const Demand &demand, TimePoint now);
     [[nodiscard]] bool hasRoom(const Candidate &candidate, const Demand &demand,
--- a/include/cardamombay/serving/endpoint.hpp
+++ b/include/cardamombay/serving/endpoint.hpp
@@ -48,6 +48,7 @@
 
     /// \brief The id, and the start if the endpoint says it.
     [[nodiscard]] std::string text() const;
+    [[nodiscard]] static EndpointLife parse(std::string_view text);
     friend auto operator<=>(const EndpointLife &, const EndpointLife &) = default;
 };
 
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -12,6 +12,7 @@
 #include <cardamombay/serving/crash_detector.hpp>
 #include <cardamombay/serving/dialects.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
+#include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
 
 #include <map>
@@ -83,6 +84,12 @@
     /// \brief Ends all requests: what has not run is refused, the rest is broken off.
     void cutAll();
 
+    /// \brief What is known of requests that end endpoints.
+    [[nodiscard]] PoisonPills &poisonPills() { return poisonPills_; }
+    /// \brief Called when an endpoint has ended under requests from here, so that peers hear of it
+    /// at once.
+    void onEndpointCrash(std::function<void()> action) { crashSeen_ = std::move(action); }
+
     /// \brief An endpoint has started again: what it had of requests is lost, and they go on
     /// elsewhere at once.
     /// \param endpoint its earlier life.
@@ -117,6 +124,7 @@
 
 private:
     void endpointCrashed(const EndpointCrash &crash);
+    void requestQuarantined(const PoisonVerdict &verdict);
     void retryHeld(std::vector<std::shared_ptr<Session>> &sessions);
     [[nodiscard]] RepeatBound repeatBound() const;
     [[nodiscard]] std::optional<double> fleetLeft(const ServiceName &service, double margin,
@@ -137,6 +145,8 @@
     std::map<ServiceName, RepeatCounts> othersRepeats_;
     std::map<ServiceName, double> extraRepeats_; ///< Taken since the others' counts came.
     CrashDetector crashDetector_;
+    PoisonPills poisonPills_;
+    std::function<void()> crashSeen_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> ended_;
 };
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -19,6 +19,7 @@
     metrics::Counter repeats_;
     metrics::Counter stalls_;          ///< Attempts ended since the endpoint was silent.
     metrics::Counter endpointCrashes_; ///< Endpoints that ended under requests from here.
+    metrics::Counter quarantined_;     ///< Requests refused since they end endpoints.
     metrics::Histogram firstByte_; ///< Seconds from the request to the first event or the answer.
     metrics::Histogram pause_;     ///< Seconds between two events.
     metrics::Histogram whole_;     ///< Seconds from the request to the end of its answer.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -92,6 +92,8 @@
     void endpointChanged(const EndpointChange &change);
     void relayArrived(const EndpointRelay &relay);
     [[nodiscard]] bool isWorthLogging(const Endpoint *known, const Endpoint &now) const;
+    void quarantinesListed(const std::vector<platform::Row> &rows);
+    void keepQuarantines(TimePoint now);
     void takePeer(const platform::RowChange &change);
     void noteLearning();
     void announce();
@@ -149,6 +151,9 @@
         TimePoint at_{};
     };
 
+    /// Rows of quarantined requests: the fingerprint is the key, the endpoints that ended the
+    /// value.
+    static constexpr auto quarantineTable = "quarantine";
     /// Between two digests: a group begins about three requests in that time.
     static constexpr Duration digestPeriod = std::chrono::milliseconds(100);
     /// Entry VMs that start together have all written their rows by then, and those that start
@@ -160,6 +165,7 @@
     StoreWatch configurationWatch_;
     StoreWatch endpointWatch_;
     StoreWatch peerWatch_;
+    StoreWatch quarantineWatch_;
     std::function<void(const Configuration &)> configured_;
     std::map<EntryId, Peer> peers_;
     std::map<EntryId, TimePoint> leftAt_;
@@ -190,6 +196,10 @@
     TimePoint standbyUntil_{};              ///< Stands by while others may plan.
     std::map<ModelName, double> ownDemand_; ///< Groups' worth of work, smoothed.
     TimePoint demandAt_{};
+    /// Quarantines that the store holds, as far as this entry VM knows; kept by the planner.
+    std::set<RequestFingerprint> keptQuarantines_;
+    bool isKeeping_ = false; ///< A write of quarantines is under way.
+    TimePoint quarantinesListedAt_{};
     bool areEndpointsListed_ = false;
     bool isLeaving_ = false;
     bool isWatching_ = false;
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/serving/duty_order.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
+#include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
 
 #include <functional>
@@ -50,6 +51,7 @@
     std::unordered_map<VmId, std::size_t> heard_;
     std::map<ModelName, double> demand_; ///< Its requests a second by model, times their work.
     std::map<ServiceName, RepeatCounts> repeats_; ///< Of the last window.
+    PoisonNews poison_;                           ///< Requests that end endpoints.
     bool isDraining_ = false;
 
     friend bool operator==(const LoadDigest &, const LoadDigest &) = default;
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -1,5 +1,6 @@
 #include <cardamombay/serving/balancer.hpp>
 
+#include <cardamombay/core/hash.hpp>
 #include <cardamombay/serving/engine_model.hpp>
 
 #include <algorithm>
@@ -203,6 +204,22 @@
     return connections_.hasUnused(candidate.address_) ? time : time + newConnectionCost;
 }
 
+const Balancer::Candidate *Balancer::first(const std::vector<const Candidate *> &candidates,
+                                           const RequestFingerprint &suspect)
+{
+    const auto key = suspect.text();
+    const Candidate *best = nullptr;
+    std::uint64_t most = 0;
+    for (const auto *candidate : candidates) {
+        const auto weight = rendezvousWeight(key, candidate->endpoint_.text());
+        if (best == nullptr || weight > most) {
+            best = candidate;
+            most = weight;
+        }
+    }
+    return best;
+}
+
 /// The best of some groups that have room: a few drawn at random, and one more that a connection
 /// leads to. What is known of the peers' requests is a digest old; if many entry VMs took the very
 /// best, it would be overrun until the next one.
@@ -211,6 +228,8 @@
 {
     std::erase_if(candidates,
                   [&](const Candidate *candidate) { return !hasRoom(*candidate, demand, now); });
+    if (demand.suspect_)
+        return first(candidates, *demand.suspect_);
     const auto entries = board_.peerCount() + 1;
     const auto draws = std::max(leastDraws, candidates.size() * entriesThatSeeAll / entries);
     const Candidate *best = nullptr;
--- a/src/serving/digest_hub.cpp
+++ b/src/serving/digest_hub.cpp
@@ -180,6 +180,7 @@
         addCounts(sum.heard_, last.heard_);
         addCounts(sum.demand_, last.demand_);
         addRepeats(sum.repeats_, last.repeats_);
+        mergeNews(sum.poison_, last.poison_);
         sum.silent_.insert(sum.silent_.end(), last.silent_.begin(), last.silent_.end());
         add(totals, source);
         if (last.relay_) {
--- a/src/serving/endpoint.cpp
+++ b/src/serving/endpoint.cpp
@@ -1,6 +1,7 @@
 #include <cardamombay/serving/endpoint.hpp>
 
 #include <algorithm>
+#include <charconv>
 
 namespace cardamombay::serving {
 
@@ -31,4 +32,15 @@
     return bornAt_ == 0 ? id_.text() : id_.text() + "@" + std::to_string(bornAt_);
 }
 
+EndpointLife EndpointLife::parse(std::string_view text)
+{
+    const auto place = text.rfind('@');
+    if (place == std::string_view::npos)
+        return {VmId(text), 0};
+    EndpointLife result{VmId(text.substr(0, place)), 0};
+    const auto *end = text.data() + text.size();
+    const auto read = std::from_chars(text.data() + place + 1, end, result.bornAt_);
+    return read.ec == std::errc() && read.ptr == end ? result : EndpointLife{VmId(text), 0};
+}
+
 } // namespace cardamombay::serving
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -49,6 +49,7 @@
     , crashDetector_(parts.clock_, parts.upstream_)
 {
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
+    poisonPills_.onVerdict([this](const PoisonVerdict &verdict) { requestQuarantined(verdict); });
 }
 
 Gateway::~Gateway() = default;
@@ -122,6 +123,25 @@
                                           {"under-way", std::to_string(crash.witnesses_.size())},
                                           {"had-events", std::to_string(begun)},
                                           {"without-events", waiting}});
+    poisonPills_.endpointCrashed(crash, parts_.clock_.now());
+    if (crashSeen_)
+        crashSeen_();
+}
+
+/// Those that wait in an endpoint's queue would end it when they begin.
+void Gateway::requestQuarantined(const PoisonVerdict &verdict)
+{
+    const auto all = poisonPills_.quarantined(parts_.clock_.now());
+    std::string endpoints;
+    for (const auto &endpoint : all.at(verdict.request_))
+        endpoints += (endpoints.empty() ? "" : ",") + endpoint.text();
+    log::warning(event::requestQuarantined,
+                 {{"fingerprint", verdict.request_.text()},
+                  {"for-ms", std::to_string(toMilliseconds(verdict.left_))},
+                  {"endpoints", endpoints.empty() ? "told-by-a-peer" : endpoints}});
+    const auto sessions = sessions_;
+    for (const auto &[key, session] : sessions)
+        session->quarantined(verdict);
 }
 
 /// The most urgent requests go first, then those that wait the longest; where one finds no room,
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -23,6 +23,9 @@
                                "Attempts ended because the endpoint was silent."))
     , endpointCrashes_(registry.counter("cardamombay_gateway_endpoint_crashes_total",
                                         "Endpoints that ended while they had requests from here."))
+    , quarantined_(
+          registry.counter("cardamombay_gateway_quarantined_total",
+                           "Requests refused because they end the endpoints that run them."))
     , firstByte_(registry.histogram("cardamombay_gateway_first_byte_seconds",
                                     "From a request to its first event or its answer.", buckets))
     , pause_(registry.histogram("cardamombay_gateway_pause_seconds",
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -10,6 +10,8 @@
 /// \{
 inline constexpr std::string_view requestFinished = "request-finished";
 inline constexpr std::string_view attemptFailed = "attempt-failed";
+inline constexpr std::string_view requestQuarantined = "request-quarantined";
+inline constexpr std::string_view quarantineLifted = "quarantine-lifted";
 inline constexpr std::string_view endpointCrashed = "endpoint-crashed";
 /// \}
 
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -66,6 +66,7 @@
                      {std::string(parts.format_.endpointTable()), endpointWait, endpointPause},
                      *this)
     , peerWatch_(parts.clock_, parts.store_, parts.feed_, {peerTable, {}, {}}, *this)
+    , quarantineWatch_(parts.clock_, parts.store_, parts.feed_, {quarantineTable, {}, {}}, *this)
     , budget_(settings_.linkMegabits_ * bytesPerMegabit * sharedLink)
     , exchange_(parts.datagrams_, settings_.digests_,
                 Random(stableHash(settings_.entry_.text(), settings_.incarnation_.value())))
@@ -78,6 +79,7 @@
 Node::~Node()
 {
     parts_.book_.onRestarted({});
+    parts_.gateway_.onEndpointCrash({});
 }
 
 void Node::start()
@@ -90,6 +92,10 @@
     endpointWatch_.start();
     // Peers that start later find this one listed, and are known by their first digest.
     peerWatch_.setActive(false);
+    // The verdicts of a fleet that is restarted as a whole; later ones are told by peers.
+    quarantineWatch_.setActive(false);
+    quarantineWatch_.start();
+    parts_.gateway_.onEndpointCrash([this] { report(parts_.clock_.now()); });
     announce();
     peersChanged();
     if (settings_.isFirstStart_)
@@ -171,6 +177,10 @@
         startLease(parts_.clock_.now());
         return;
     }
+    if (table == quarantineTable) {
+        quarantinesListed(rows);
+        return;
+    }
     endpointsListed(rows);
 }
 
@@ -344,6 +354,7 @@
     parts_.book_.expire(now);
     parts_.board_.expire(now);
     clocks_.expire(now);
+    parts_.gateway_.poisonPills().expire(now);
     noteOldView(now);
     logEndpoints(now);
     if (!parts_.gateway_.routes() || !areEndpointsListed_)
@@ -355,6 +366,8 @@
     const bool isPlanner = parts_.lease_.isHeld();
     const auto watcherPause = rank_ == 0 ? endpointPause : spareWatchPause;
     endpointWatch_.setPause(isPlanner ? plannerPause : watcherPause);
+    if (isPlanner)
+        keepQuarantines(now);
     parts_.manager_.setDemand(demand);
     parts_.manager_.tick(*parts_.gateway_.routes(), endpointsConfirmedAt_);
 }
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -65,6 +65,7 @@
     digest.heard_ = parts_.board_.heardHere(now);
     digest.demand_ = ownDemand_;
     digest.repeats_ = parts_.gateway_.repeatCounts(now);
+    digest.poison_ = parts_.gateway_.poisonPills().news(now);
     digest.endpoints_ = endpointWatch_.version();
     digest.isDraining_ = isLeaving_;
     if (isWatching_ && areEndpointsListed_)
@@ -159,6 +160,7 @@
 {
     const auto now = parts_.clock_.now();
     ageRelay(summary.sum_, now);
+    parts_.gateway_.poisonPills().take(summary.sum_.poison_, now);
     const auto &from = summary.sum_.from_;
     meet({from, summary.sum_.address_, summary.sum_.zone_, summary.sum_.capacity_}, now);
     for (const auto &seat : summary.roster_)
@@ -261,6 +263,7 @@
     if (!meet({digest.from_, digest.address_, digest.zone_, digest.capacity_}, now))
         return;
     ageRelay(digest, now);
+    parts_.gateway_.poisonPills().take(digest.poison_, now);
     if (digest.relay_)
         followRelay(*digest.relay_, digest.address_, now);
     if (hasReporters_) {
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -1,6 +1,7 @@
 #include <cardamombay/serving/peer_digests.hpp>
 
 #include "serving/notification.hpp"
+#include "serving/poison_news.hpp"
 
 #include <cardamombay/config/address_text.hpp>
 
@@ -194,6 +195,8 @@
                         {"repeats", repeatsObject(digest.repeats_)},
                         {"draining", digest.isDraining_},
                         {"endpoints", digest.endpoints_.value()}};
+    if (!digest.poison_.isEmpty())
+        params["poison"] = poisonObject(digest.poison_);
     if (digest.relay_)
         params["relay"] = relayObject(*digest.relay_);
     return params;
@@ -215,6 +218,7 @@
     readDemand(params.if_contains("demand"), digest.demand_);
     digest.repeats_ = repeatsIn(params.if_contains("repeats"));
     digest.silent_ = endpointsIn(params.if_contains("silent"));
+    digest.poison_ = poisonIn(params.if_contains("poison"));
     digest.isDraining_ = flagIn(params, "draining");
     return digest;
 }
--- /dev/null
+++ b/src/serving/poison_news.cpp
@@ -0,0 +1,105 @@
+#include "serving/poison_news.hpp"
+
+#include "serving/notification.hpp"
+
+namespace cardamombay::serving::impl {
+
+namespace json = boost::json;
+
+namespace {
+
+/// A quarantine in a message may last so long at most, whatever a faulty peer tells.
+constexpr Duration longestQuarantine = std::chrono::hours(48);
+
+/// Requests without an event in the first list, those with some in the second one.
+json::array witnessLists(const std::vector<CrashWitness> &witnesses)
+{
+    json::array without;
+    json::array with;
+    for (const auto &witness : witnesses)
+        (witness.hadEvents_ ? with : without).emplace_back(witness.request_.text());
+    return {std::move(without), std::move(with)};
+}
+
+std::vector<RequestFingerprint> fingerprintsIn(const json::value *value)
+{
+    std::vector<RequestFingerprint> result;
+    const auto *list = value == nullptr ? nullptr : value->if_array();
+    if (list == nullptr)
+        return result;
+    for (const auto &one : *list) {
+        const auto *text = one.if_string();
+        const auto fingerprint
+            = text == nullptr ? std::nullopt : RequestFingerprint::parse(textOf(*text));
+        if (fingerprint)
+            result.push_back(*fingerprint);
+    }
+    return result;
+}
+
+void readCrashes(const json::value *value, PoisonNews &news)
+{
+    const auto *crashes = value == nullptr ? nullptr : value->if_object();
+    if (crashes == nullptr)
+        return;
+    for (const auto &member : *crashes) {
+        const auto *lists = member.value().if_array();
+        if (lists == nullptr || lists->size() != 2)
+            continue;
+        auto &witnesses = news.crashes_[EndpointLife::parse(
+            std::string_view(member.key().data(), member.key().size()))];
+        for (const auto &request : fingerprintsIn(&lists->at(0)))
+            witnesses.push_back({request, false});
+        for (const auto &request : fingerprintsIn(&lists->at(1)))
+            witnesses.push_back({request, true});
+    }
+}
+
+void readVerdicts(const json::value *value, PoisonNews &news)
+{
+    const auto *verdicts = value == nullptr ? nullptr : value->if_object();
+    if (verdicts == nullptr)
+        return;
+    for (const auto &member : *verdicts) {
+        const auto request
+            = RequestFingerprint::parse(std::string_view(member.key().data(), member.key().size()));
+        const auto microseconds = countIn(member.value());
+        if (!request || !microseconds)
+            continue;
+        const auto longest = static_cast<std::uint64_t>(microsecondsOf(longestQuarantine));
+        news.verdicts_.push_back(
+            {*request, std::chrono::microseconds(std::min(*microseconds, longest))});
+    }
+}
+
+} // namespace
+
+json::object poisonObject(const PoisonNews &news)
+{
+    json::object crashes;
+    for (const auto &[endpoint, witnesses] : news.crashes_)
+        crashes[endpoint.text()] = witnessLists(witnesses);
+    json::object verdicts;
+    for (const auto &verdict : news.verdicts_)
+        verdicts[verdict.request_.text()] = microsecondsOf(verdict.left_);
+    json::array acquitted;
+    for (const auto &request : news.acquitted_)
+        acquitted.emplace_back(request.text());
+    return {{"crashes", std::move(crashes)},
+            {"verdicts", std::move(verdicts)},
+            {"acquitted", std::move(acquitted)}};
+}
+
+PoisonNews poisonIn(const json::value *value)
+{
+    PoisonNews result;
+    const auto *object = value == nullptr ? nullptr : value->if_object();
+    if (object == nullptr)
+        return result;
+    readCrashes(object->if_contains("crashes"), result);
+    readVerdicts(object->if_contains("verdicts"), result);
+    result.acquitted_ = fingerprintsIn(object->if_contains("acquitted"));
+    return result;
+}
+
+} // namespace cardamombay::serving::impl
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -46,6 +46,8 @@
 /// Share of that for which a request is held for room; the rest is for its first event.
 constexpr double longestHoldShare = 0.65;
 
+constexpr std::string_view poisonReason = "the request ends the endpoints that run it";
+
 constexpr Duration connectPatience = std::chrono::milliseconds(250);
 
 } // namespace
@@ -131,6 +133,8 @@
     }
     fingerprint_
         = fingerprintOf({request_.method_, head_.host_, request_.target_, team_, request_.body_});
+    if (refuseQuarantined())
+        return false;
     if (const auto reason = hopeless(gateway_.parts().clock_.now())) {
         refuse(statusUnavailable, *reason, std::nullopt);
         return false;
@@ -138,6 +142,34 @@
     return true;
 }
 
+/// It has not run here, and will not before the time that its caller is told: a status that forbids
+/// callers to come back would outlast a verdict that an operator lifts.
+bool Session::refuseQuarantined()
+{
+    const auto left
+        = gateway_.poisonPills().quarantinedFor(fingerprint_, gateway_.parts().clock_.now());
+    if (!left)
+        return false;
+    gateway_.parts().metrics_.quarantined_.increment();
+    refuse(statusUnavailable, poisonReason, *left);
+    return true;
+}
+
+/// One that an endpoint is answering has begun without ending it, and goes on there.
+void Session::quarantined(const PoisonVerdict &verdict)
+{
+    const bool isAdmitted = !isDone_ && !isWaiting_ && service_ != nullptr;
+    const bool isAnswered = isStreamEnded_ || (call_ && hasProgress_);
+    if (!isAdmitted || isAnswered || fingerprint_ != verdict.request_)
+        return;
+    isHeld_ = false;
+    dropAttempt();
+    if (mayHaveRun_ > 0 || events_ > 0)
+        giveUp(poisonReason);
+    else
+        (void)refuseQuarantined();
+}
+
 /// Why no group could serve the request any more, whatever becomes free; absent if one may.
 std::optional<std::string_view> Session::hopeless(TimePoint now) const
 {
@@ -178,6 +210,8 @@
     demand.goal_ = route_->goal_;
     demand.isHeld_ = wasHeld_;
     demand.hasBegun_ = events_ > 0;
+    if (gateway_.poisonPills().isSuspect(fingerprint_))
+        demand.suspect_ = fingerprint_;
     return gateway_.parts().balancer_.choose(demand, now);
 }
 
@@ -310,7 +344,8 @@
 
 bool Session::mayGoOn(Failure failure) const
 {
-    if (sends_ >= mostSends)
+    if (sends_ >= mostSends
+        || gateway_.poisonPills().quarantinedFor(fingerprint_, gateway_.parts().clock_.now()))
         return false;
     if (failure != Failure::Unknown)
         return true;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -9,7 +9,7 @@
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/dialects.hpp>
-#include <cardamombay/serving/request_fingerprint.hpp>
+#include <cardamombay/serving/poison_pills.hpp>
 
 #include <memory>
 #include <optional>
@@ -52,6 +52,9 @@
     /// \brief Leaves \p endpoint, which knows nothing of the request any more.
     void endpointRestarted(const VmId &endpoint);
 
+    /// \brief Ends the request if it is the one that \p verdict is on.
+    void quarantined(const PoisonVerdict &verdict);
+
     /// \name Events of the attempt
     /// \{
     bool onConnected() override;
@@ -76,6 +79,7 @@
     void begin();
     [[nodiscard]] bool admit();
     [[nodiscard]] std::optional<std::string_view> hopeless(TimePoint now) const;
+    [[nodiscard]] bool refuseQuarantined();
     void refuse(std::uint32_t status, std::string_view reason, std::optional<Duration> comeBack);
     /// \}
 
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -61,6 +61,7 @@
     auto &metrics = gateway_.parts().metrics_;
     const auto elapsed = gateway_.parts().clock_.now() - arrivedAt_;
     if (outcome == "served") {
+        gateway_.poisonPills().served(fingerprint_, gateway_.parts().clock_.now());
         metrics.served_.increment();
         metrics.whole_.observe(toSeconds(elapsed));
     } else if (outcome == "refused") {
