Measure what other callers get while one request ends endpoints

Cause: a mend that only bounds sends of the harmful request may leave its victims unserved; nothing measured them.

--- /dev/null
+++ b/tests/crashing_requests/load.cpp
@@ -0,0 +1,307 @@
+#include "load.hpp"
+
+#include <algorithm>
+
+namespace cardamombay::crashing {
+
+using namespace serving;
+using namespace support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration step = milliseconds(20);
+constexpr Duration settling = seconds(4);
+constexpr Duration entryLapses = milliseconds(3600);
+constexpr Duration engineBack = seconds(6);
+constexpr Duration onTime = seconds(1);
+constexpr Duration bound = seconds(3);
+constexpr auto poisonPath = "/stream/poison";
+
+struct Run
+{
+    std::shared_ptr<FakeCall> call_;
+    TimePoint beginsAt_;
+    TimePoint endsAt_;
+    bool hasBegun_ = false;
+    bool isPoison_ = false;
+};
+
+struct Group
+{
+    std::vector<Run> runs_;
+    TimePoint endedAt_{};
+    bool isListed_ = true;
+
+    [[nodiscard]] bool hasEnded() const { return endedAt_ != TimePoint{}; }
+};
+
+struct Caller
+{
+    std::string path_;
+    std::shared_ptr<CallerView> view_;
+    TimePoint since_;
+    TimePoint againAt_{};
+    int tries_ = 1;
+    bool hasEvent_ = false;
+    bool isPoison_ = false;
+    bool isDone_ = false;
+};
+
+/// One play.
+class Play
+{
+public:
+    Play(const Load &load, std::uint64_t seed)
+        : load_(load)
+        , random_(seed)
+        , fleet_(load.entries_, load.entries_ > 7 ? 5 : 3, 2, seed)
+        , scanned_(load.entries_, 0)
+    {
+        fleet_.faults_.lossShare_ = load.lossShare_;
+        for (std::size_t i = 0; i < load.groups_; ++i)
+            open();
+        fleet_.configure(1, {"key"});
+        fleet_.start();
+        fleet_.pass(settling);
+        startedAt_ = now();
+        crashedAt_ = now();
+    }
+
+    Outcome run()
+    {
+        while (now() - startedAt_ < load_.length_) {
+            arrive();
+            fleet_.pass(step);
+            takeCalls();
+            work();
+            crashSome();
+            replaceEnded();
+            listen();
+        }
+        return outcome_;
+    }
+
+private:
+    [[nodiscard]] TimePoint now() const { return fleet_.clock_.now(); }
+
+    void open()
+    {
+        const auto head = "head-" + std::to_string(opened_++);
+        groups_.emplace(head, Group{});
+        fleet_.listGroup(head);
+    }
+
+    void ask(Caller &caller)
+    {
+        auto &node = fleet_.node(random_.below(fleet_.size()));
+        caller.view_ = askAt(node.gateway_, caller.path_, "m", "key");
+        caller.againAt_ = {};
+    }
+
+    void arrive()
+    {
+        due_ += load_.callersPerSecond_ * toSeconds(step);
+        for (; due_ >= 1; due_ -= 1) {
+            Caller caller;
+            caller.path_ = "/stream/" + std::to_string(outcome_.asked_++);
+            caller.since_ = now();
+            ask(caller);
+            callers_.push_back(std::move(caller));
+        }
+        const auto since = now() - startedAt_;
+        if (!isPoisoned_ && load_.poisonCallers_ > 0 && since > seconds(2)) {
+            isPoisoned_ = true;
+            for (std::size_t i = 0; i < load_.poisonCallers_; ++i) {
+                Caller caller;
+                caller.path_ = poisonPath;
+                caller.since_ = now();
+                caller.isPoison_ = true;
+                ask(caller);
+                callers_.push_back(std::move(caller));
+            }
+        }
+    }
+
+    void takeCalls()
+    {
+        for (std::size_t i = 0; i < fleet_.size(); ++i) {
+            auto &calls = fleet_.node(i).upstream_.calls_;
+            for (; scanned_[i] < calls.size(); ++scanned_[i])
+                take(calls[scanned_[i]]);
+        }
+    }
+
+    void take(const std::shared_ptr<FakeCall> &call)
+    {
+        if (call->isDropped())
+            return;
+        const auto found = groups_.find(call->field("endpoint"));
+        if (found == groups_.end() || found->second.hasEnded()) {
+            call->fail(false);
+            return;
+        }
+        call->connect();
+        Run run{call, {}, {}, false, call->request_.target_ == poisonPath};
+        run.beginsAt_ = now() + milliseconds(40 + random_.below(300));
+        run.endsAt_ = run.beginsAt_ + milliseconds(800 + random_.below(1500));
+        if (run.isPoison_)
+            notePoison();
+        found->second.runs_.push_back(std::move(run));
+    }
+
+    void notePoison()
+    {
+        ++outcome_.poisonSends_;
+        if (thirdEnd_ != TimePoint{} && now() - thirdEnd_ > bound)
+            ++outcome_.poisonLate_;
+    }
+
+    void work()
+    {
+        for (auto &[head, group] : groups_) {
+            if (group.hasEnded())
+                continue;
+            std::erase_if(group.runs_, [](const Run &run) { return run.call_->isDropped(); });
+            for (std::size_t i = 0; i < group.runs_.size() && !group.hasEnded(); ++i)
+                proceed(head, group, i);
+        }
+    }
+
+    void proceed(const std::string &head, Group &group, std::size_t index)
+    {
+        auto &run = group.runs_[index];
+        if (run.call_->isDropped() || now() < run.beginsAt_)
+            return;
+        if (!std::exchange(run.hasBegun_, true)) {
+            if (run.isPoison_ && !load_.answersFirst_) {
+                endUnderPoison(head, group);
+                return;
+            }
+            const auto call = run.call_;
+            call->sealedHead();
+            call->data("id: 1\ndata: x\n\n");
+            return;
+        }
+        if (run.isPoison_ && now() - run.beginsAt_ > milliseconds(200)) {
+            endUnderPoison(head, group);
+            return;
+        }
+        if (!run.isPoison_ && now() >= run.endsAt_) {
+            const auto call = run.call_;
+            call->end("");
+        }
+    }
+
+    void endUnderPoison(const std::string &head, Group &group)
+    {
+        if (++outcome_.ended_ == 3)
+            thirdEnd_ = now();
+        end(head, group);
+    }
+
+    void end(const std::string &head, Group &group)
+    {
+        group.endedAt_ = now();
+        for (std::size_t i = 0; i < fleet_.size(); ++i)
+            fleet_.node(i).upstream_.ended_.insert(engineAddress(head));
+        const auto runs = std::exchange(group.runs_, {});
+        for (const auto &run : runs) {
+            if (!run.call_->isDropped())
+                run.call_->fail(true);
+        }
+    }
+
+    void crashSome()
+    {
+        if (load_.crashEvery_ == Duration::zero() || now() - crashedAt_ < load_.crashEvery_)
+            return;
+        crashedAt_ = now();
+        std::vector<std::string> alive;
+        for (const auto &[head, group] : groups_) {
+            if (!group.hasEnded())
+                alive.push_back(head);
+        }
+        for (std::size_t i = 0; i < (load_.groups_ + 6) / 7 && !alive.empty(); ++i) {
+            const auto index = random_.below(alive.size());
+            end(alive[index], groups_.at(alive[index]));
+            alive.erase(alive.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+    }
+
+    void replaceEnded()
+    {
+        std::size_t back = 0;
+        for (auto &[head, group] : groups_) {
+            if (group.isListed_ && group.hasEnded() && now() - group.endedAt_ > entryLapses) {
+                group.isListed_ = false;
+                fleet_.list(head, "");
+            }
+            back += group.hasEnded() && now() - group.endedAt_ > engineBack ? 1 : 0;
+        }
+        for (; replaced_ < back; ++replaced_)
+            open();
+    }
+
+    void listen()
+    {
+        for (auto &caller : callers_) {
+            if (!caller.isDone_)
+                listen(caller);
+        }
+        std::erase_if(callers_, [](const Caller &caller) { return caller.isDone_; });
+    }
+
+    void listen(Caller &caller)
+    {
+        const auto &view = *caller.view_;
+        if (caller.againAt_ != TimePoint{}) {
+            if (now() >= caller.againAt_)
+                ask(caller);
+            return;
+        }
+        if (!caller.isPoison_ && !view.streamed_.empty() && !std::exchange(caller.hasEvent_, true))
+            outcome_.onTime_ += now() - caller.since_ <= onTime ? 1 : 0;
+        if (view.isFinished_) {
+            outcome_.served_ += caller.isPoison_ ? 0 : 1;
+            caller.isDone_ = true;
+            return;
+        }
+        if (!view.answer_ && !view.isAborted_)
+            return;
+        const bool isPoisonous
+            = view.answer_ && view.answer_->body_.find("ends the endpoints") != std::string::npos;
+        outcome_.quarantined_ += isPoisonous && !caller.isPoison_ ? 1 : 0;
+        const bool comesAgain = caller.isPoison_
+                                    ? now() - startedAt_ < seconds(2) + load_.poisonFor_
+                                    : caller.tries_ < 2;
+        caller.isDone_ = !comesAgain;
+        ++caller.tries_;
+        caller.againAt_ = now() + milliseconds(60);
+    }
+
+    Load load_;
+    Random random_;
+    NodeFleet fleet_;
+    Outcome outcome_;
+    std::map<std::string, Group> groups_;
+    std::vector<Caller> callers_;
+    std::vector<std::size_t> scanned_; ///< Calls of each node that were taken.
+    std::size_t opened_ = 0;
+    std::size_t replaced_ = 0;
+    double due_ = 0;
+    bool isPoisoned_ = false;
+    TimePoint startedAt_{};
+    TimePoint crashedAt_{};
+    TimePoint thirdEnd_{};
+};
+
+} // namespace
+
+Outcome play(const Load &load, std::uint64_t seed)
+{
+    return Play(load, seed).run();
+}
+
+} // namespace cardamombay::crashing
--- a/tests/crashing_requests/regressions.cpp
+++ b/tests/crashing_requests/regressions.cpp
@@ -26,20 +26,18 @@
 /// Sends of such a request that may be under way or tried again once three endpoints have ended.
 constexpr std::size_t mostMore = 3;
 
-const Address engines{"10.0.0.2", 80};
-
 /// Lets the endpoints of all new calls for \p path end as they begin to run it.
 /// \returns how many ended.
 std::size_t crashCalls(FakeUpstream &upstream, std::string_view path,
                        const std::function<void(const std::string &)> &ended)
 {
     std::size_t result = 0;
-    upstream.ended_.insert(engines);
     // A call that fails makes the next one.
     for (std::size_t i = 0; i < upstream.calls_.size(); ++i) {
         const auto call = upstream.calls_[i];
         if (call->isDropped() || call->request_.target_ != path)
             continue;
+        upstream.ended_.insert(call->request_.address_);
         ended(call->field("endpoint"));
         call->connect();
         call->fail(true);
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -1,5 +1,6 @@
 #include "support/node_fleet.hpp"
 
+#include <cardamombay/core/hash.hpp>
 #include <cardamombay/serving/planner_lease.hpp>
 
 #include <algorithm>
@@ -79,10 +80,18 @@
     std::string group;
     std::uint32_t rank = 0;
     words >> domain >> group >> rank;
-    if (group.empty())
-        return spareEngine(id.text(), domain, "m");
-    return engineIn(id.text(), domain, GroupName(group), 1, rank,
-                    rank == 0 ? MemberState::Open : MemberState::Ready);
+    const auto state = rank == 0 ? MemberState::Open : MemberState::Ready;
+    auto result = group.empty() ? spareEngine(id.text(), domain, "m")
+                                : engineIn(id.text(), domain, GroupName(group), 1, rank, state);
+    result.address_ = engineAddress(id.text());
+    return result;
+}
+
+Address engineAddress(const std::string &endpoint)
+{
+    const auto hash = stableHash(endpoint);
+    return {"10.9." + std::to_string(hash % 251) + "." + std::to_string(hash / 251 % 251),
+            static_cast<std::uint16_t>(1024 + hash / 63001 % 60000)};
 }
 
 class FleetNode::NoOrders final : public ReplicaOrders
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -59,6 +59,9 @@
                                                      std::string_view text) const override;
 };
 
+/// \brief Where an endpoint of a NodeFleet listens.
+[[nodiscard]] Address engineAddress(const std::string &endpoint);
+
 /// \brief Faults of the network between entry VMs.
 struct DatagramFaults
 {
