Test what entry VMs tell each other of requests that end endpoints

Cause: the verdict is only as good as its spread, its memory and its end; none was tested by itself.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -92,6 +92,7 @@
     void endpointChanged(const EndpointChange &change);
     void relayArrived(const EndpointRelay &relay);
     [[nodiscard]] bool isWorthLogging(const Endpoint *known, const Endpoint &now) const;
+    void readQuarantines();
     void quarantinesListed(const std::vector<platform::Row> &rows);
     void keepQuarantines(TimePoint now);
     void takePeer(const platform::RowChange &change);
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -92,9 +92,7 @@
     endpointWatch_.start();
     // Peers that start later find this one listed, and are known by their first digest.
     peerWatch_.setActive(false);
-    // The verdicts of a fleet that is restarted as a whole; later ones are told by peers.
-    quarantineWatch_.setActive(false);
-    quarantineWatch_.start();
+    readQuarantines();
     parts_.gateway_.onEndpointCrash([this] { report(parts_.clock_.now()); });
     announce();
     peersChanged();
--- a/src/serving/node_quarantines.cpp
+++ b/src/serving/node_quarantines.cpp
@@ -28,6 +28,16 @@
 
 } // namespace
 
+/// The verdicts of a fleet that is restarted as a whole; later ones are told by peers.
+void Node::readQuarantines()
+{
+    quarantineWatch_.setActive(false);
+    if (settings_.isFirstStart_)
+        quarantinesListedAt_ = parts_.clock_.now(); // There are none yet.
+    else
+        quarantineWatch_.start();
+}
+
 /// A row that is gone though its quarantine has not ended was deleted by an operator.
 void Node::quarantinesListed(const std::vector<platform::Row> &rows)
 {
--- /dev/null
+++ b/tests/serving/poison_pills.cpp
@@ -0,0 +1,299 @@
+// Which requests are quarantined, for how long, and what entry VMs tell each other of it.
+#include <cardamombay/core/random.hpp>
+#include <cardamombay/serving/digest_hub.hpp>
+#include <cardamombay/serving/poison_pills.hpp>
+
+#include <criterion/criterion.h>
+
+#include <set>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint start{seconds(100)};
+const RequestFingerprint pill(7);
+const RequestFingerprint innocent(8);
+
+EndpointLife engine(int number, std::uint64_t bornAt = 1)
+{
+    return {VmId("e-" + std::to_string(number)), bornAt};
+}
+
+/// Ends of endpoints \p first to \p last under the pill.
+void crash(PoisonPills &pills, int first, int last, TimePoint now, bool hadEvents = false)
+{
+    for (int number = first; number <= last; ++number)
+        pills.endpointCrashed({engine(number), {{pill, hadEvents}}}, now);
+}
+
+PoisonNews newsOf(const EndpointCrash &crash)
+{
+    PoisonNews news;
+    news.crashes_[crash.endpoint_] = crash.witnesses_;
+    return news;
+}
+
+} // namespace
+
+Test(poison_pills, third_end_under_a_request_quarantines_it)
+{
+    PoisonPills pills;
+    std::size_t verdicts = 0;
+    pills.onVerdict([&](const PoisonVerdict &verdict) {
+        cr_assert_eq(verdict.request_, pill);
+        ++verdicts;
+    });
+    crash(pills, 1, 2, start);
+    cr_assert(pills.isSuspect(pill));
+    cr_assert_not(pills.quarantinedFor(pill, start));
+    crash(pills, 3, 3, start);
+    cr_assert_eq(*pills.quarantinedFor(pill, start), PoisonPills::firstQuarantine);
+    crash(pills, 4, 9, start);
+    cr_assert_eq(verdicts, 1);
+}
+
+Test(poison_pills, one_end_that_several_entry_vms_saw_is_one)
+{
+    PoisonPills pills;
+    crash(pills, 1, 1, start);
+    for (int i = 0; i < 5; ++i)
+        pills.take(newsOf({engine(1), {{pill, false}}}), start);
+    cr_assert_not(pills.quarantinedFor(pill, start));
+}
+
+Test(poison_pills, endpoint_that_starts_again_under_its_id_can_end_again)
+{
+    PoisonPills pills;
+    for (std::uint64_t bornAt = 1; bornAt <= 3; ++bornAt)
+        pills.endpointCrashed({engine(1, bornAt), {{pill, false}}}, start);
+    cr_assert(pills.quarantinedFor(pill, start));
+}
+
+Test(poison_pills, end_in_the_middle_of_an_answer_weighs_half)
+{
+    PoisonPills pills;
+    crash(pills, 1, 5, start, true);
+    cr_assert_not(pills.quarantinedFor(pill, start));
+    crash(pills, 6, 6, start, true);
+    cr_assert(pills.quarantinedFor(pill, start));
+}
+
+Test(poison_pills, end_that_another_entry_vm_saw_at_its_beginning_weighs_whole)
+{
+    PoisonPills pills;
+    crash(pills, 1, 3, start, true);
+    for (int number = 1; number <= 3; ++number)
+        pills.take(newsOf({engine(number), {{pill, false}}}), start);
+    cr_assert(pills.quarantinedFor(pill, start));
+}
+
+Test(poison_pills, request_that_was_served_in_between_is_no_poison_pill)
+{
+    PoisonPills pills;
+    crash(pills, 1, 2, start);
+    pills.served(pill, start);
+    cr_assert_not(pills.isSuspect(pill));
+    // News of the ends before come late, and count no more.
+    crash(pills, 1, 2, start);
+    crash(pills, 3, 4, start);
+    cr_assert_not(pills.quarantinedFor(pill, start));
+    crash(pills, 5, 5, start);
+    cr_assert(pills.quarantinedFor(pill, start));
+}
+
+Test(poison_pills, peers_hear_that_a_request_was_served)
+{
+    PoisonPills here;
+    PoisonPills there;
+    crash(here, 1, 2, start);
+    there.take(here.news(start), start);
+    there.served(pill, start);
+    here.take(there.news(start), start);
+    crash(here, 3, 3, start);
+    cr_assert_not(here.quarantinedFor(pill, start));
+}
+
+Test(poison_pills, news_are_told_for_a_while_and_verdicts_as_long_as_they_hold)
+{
+    PoisonPills pills;
+    crash(pills, 1, 3, start);
+    cr_assert_eq(pills.news(start + milliseconds(500)).crashes_.size(), 3);
+    pills.expire(start + seconds(2));
+    const auto later = pills.news(start + seconds(2));
+    cr_assert(later.crashes_.empty());
+    cr_assert_eq(later.verdicts_.size(), 1);
+}
+
+Test(poison_pills, all_verdicts_are_told_in_turn)
+{
+    PoisonPills pills;
+    for (std::uint64_t request = 1; request <= 11; ++request)
+        pills.restore(RequestFingerprint(request), start);
+    std::set<RequestFingerprint> told;
+    for (int i = 0; i < 3; ++i) {
+        const auto news = pills.news(start);
+        cr_assert_leq(news.verdicts_.size(), 4);
+        for (const auto &verdict : news.verdicts_)
+            told.insert(verdict.request_);
+    }
+    cr_assert_eq(told.size(), 11);
+}
+
+Test(poison_pills, quarantine_ends_and_the_next_end_brings_one_twice_as_long)
+{
+    PoisonPills pills;
+    crash(pills, 1, 3, start);
+    const auto over = start + PoisonPills::firstQuarantine;
+    pills.expire(over);
+    cr_assert_not(pills.quarantinedFor(pill, over));
+    crash(pills, 4, 4, over);
+    cr_assert_eq(*pills.quarantinedFor(pill, over), PoisonPills::firstQuarantine * 2);
+}
+
+Test(poison_pills, request_that_is_served_after_its_quarantine_is_forgotten)
+{
+    PoisonPills pills;
+    crash(pills, 1, 3, start);
+    const auto over = start + PoisonPills::firstQuarantine;
+    pills.expire(over);
+    pills.served(pill, over);
+    crash(pills, 4, 5, over);
+    cr_assert_not(pills.quarantinedFor(pill, over));
+    pills.expire(over + minutes(30));
+    cr_assert_eq(pills.suspects(), 0);
+}
+
+Test(poison_pills, two_entry_vms_that_tell_each_other_do_not_prolong_a_quarantine)
+{
+    PoisonPills here;
+    PoisonPills there;
+    crash(here, 1, 3, start);
+    const Duration way = milliseconds(200);
+    auto now = start;
+    for (; now < start + PoisonPills::firstQuarantine + seconds(1); now += way) {
+        const auto news = here.news(now);
+        there.take(news, now + way);
+        here.take(there.news(now), now + way);
+        here.expire(now);
+        there.expire(now);
+    }
+    cr_assert_not(here.quarantinedFor(pill, now));
+    cr_assert_not(there.quarantinedFor(pill, now));
+}
+
+Test(poison_pills, lifted_quarantine_is_not_brought_back_by_a_peer_that_was_cut_off)
+{
+    PoisonPills here;
+    PoisonPills cutOff;
+    crash(here, 1, 3, start);
+    cutOff.take(here.news(start), start);
+    here.lift(pill, start);
+    cr_assert_not(here.quarantinedFor(pill, start));
+    here.take(cutOff.news(start + seconds(2)), start + seconds(2));
+    cr_assert_not(here.quarantinedFor(pill, start + seconds(2)));
+}
+
+Test(poison_pills, flood_of_suspects_takes_no_more_memory_and_no_verdict)
+{
+    PoisonPills pills;
+    crash(pills, 1, 3, start);
+    for (std::uint64_t i = 0; i < 20'000; ++i)
+        pills.endpointCrashed({engine(100), {{RequestFingerprint(1000 + i), false}}},
+                              start + milliseconds(i));
+    cr_assert_leq(pills.suspects(), 4096);
+    cr_assert(pills.quarantinedFor(pill, start + seconds(20)));
+}
+
+Test(poison_pills, digest_and_sums_carry_the_news)
+{
+    PoisonPills pills;
+    crash(pills, 1, 3, start);
+    pills.endpointCrashed({engine(4), {{innocent, true}, {pill, false}}}, start);
+    pills.served(innocent, start);
+    LoadDigest digest;
+    digest.from_ = EntryId("entry-1");
+    digest.address_ = {"10.0.0.1", 7340};
+    digest.poison_ = pills.news(start);
+    cr_assert_eq(digest.poison_.crashes_.size(), 4);
+    cr_assert_eq(digest.poison_.acquitted_.size(), 1);
+    const auto read = decodeLoadDigest(encode(digest));
+    cr_assert(read->poison_ == digest.poison_);
+    DigestHub hub({EntryId("entry-2"), {"10.0.0.2", 7340}, AvailabilityZone("a")}, Incarnation(1));
+    hub.take(digest, start);
+    digest.from_ = EntryId("entry-3");
+    hub.take(digest, start);
+    PoisonPills reader;
+    reader.take(decodeLoadSummary(encode(hub.fleetSummary(start)))->sum_.poison_, start);
+    cr_assert(reader.quarantinedFor(pill, start));
+    cr_assert_not(reader.isSuspect(innocent));
+}
+
+Test(poison_pills, news_that_another_version_or_a_faulty_peer_has_spoiled_are_left_out)
+{
+    for (
+        const auto *text :
+        {R"("poison":7)", R"("poison":{"crashes":[1],"verdicts":3,"acquitted":"x"})",
+         R"("poison":{"crashes":{"e-1":[["zz",4],["0000000000000007"]],"e-2":7},"verdicts":{"x":1,"0000000000000009":-4},"acquitted":[1,"00"]})"}) {
+        const auto digest = decodeLoadDigest(
+            R"({"jsonrpc":"2.0","method":"load","params":{"from":"a",)" + std::string(text) + "}}");
+        cr_assert(digest);
+        PoisonPills pills;
+        pills.take(digest->poison_, start);
+        cr_assert(pills.quarantined(start).empty());
+    }
+}
+
+/// Five entry VMs tell each other with losses, late and twice, and start again now and then.
+/// Whatever the order: nobody is quarantined for fewer than three ends, and the pill is known
+/// everywhere soon.
+Test(poison_pills, no_order_of_news_losses_and_restarts_condemns_for_fewer_than_three_ends)
+{
+    for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+        Random random(seed);
+        std::vector<PoisonPills> fleet(5);
+        std::vector<std::pair<TimePoint, PoisonNews>> onTheWay;
+        std::map<RequestFingerprint, std::set<EndpointLife>> ends;
+        auto now = start;
+        const auto check = [&] {
+            for (const auto &one : fleet) {
+                for (const auto &[request, endpoints] : one.quarantined(now))
+                    cr_assert_geq(ends[request].size(), 3, "seed %llu",
+                                  static_cast<unsigned long long>(seed));
+            }
+        };
+        for (int step = 0; step < 400; ++step) {
+            now += milliseconds(50);
+            auto &one = fleet[random.below(fleet.size())];
+            if (random.below(12) == 0) {
+                const RequestFingerprint request(random.below(6));
+                const auto life = engine(static_cast<int>(random.below(5)), random.below(3));
+                ends[request].insert(life);
+                one.endpointCrashed({life, {{request, random.below(4) == 0}}}, now);
+            }
+            if (random.below(60) == 0)
+                one.served(RequestFingerprint(random.below(3)), now);
+            if (random.below(80) == 0)
+                one = PoisonPills();
+            for (auto &sender : fleet) {
+                sender.expire(now);
+                if (random.below(3) > 0)
+                    onTheWay.emplace_back(now + milliseconds(random.below(600)), sender.news(now));
+            }
+            std::erase_if(onTheWay, [&](const auto &message) {
+                if (message.first > now)
+                    return false;
+                for (auto &receiver : fleet) {
+                    if (random.below(3) > 0)
+                        receiver.take(message.second, now);
+                }
+                return true;
+            });
+            check();
+        }
+    }
+}
