Let kept connections age while the VM is suspended

Cause: the pool of kept connections read the monotonic clock, which stands still in a suspended VM; a connection that its endpoint had closed looked fresh after it, and a request that may run once was sent on it. Ruled out: timers and deadlines of decisions (they read CLOCK_BOOTTIME since AsioClock). Change: KeptPool reads the runtime's clock; timeouts of one connection's operations stand in src/net/timeouts.hpp, which says why they may stand still; scripts/check.sh keeps other readers out.

--- a/apps/cardamombay-gateway/gateway_daemon.hpp
+++ b/apps/cardamombay-gateway/gateway_daemon.hpp
@@ -78,7 +78,7 @@
     metrics::Registry registry_;
     net::AsioHttpClient storeHttp_;
     net::AsioHttpClient orderHttp_;
-    net::KeptUpstream upstream_{context_};
+    net::KeptUpstream upstream_{context_, clock_};
     net::UdpChannel datagrams_{context_};
     adapter::StoreClient store_;
     adapter::EngineOrders orders_;
--- a/include/cardamombay/net/kept_upstream.hpp
+++ b/include/cardamombay/net/kept_upstream.hpp
@@ -2,6 +2,7 @@
 /// \brief Upstream that keeps connections to endpoints open between requests.
 #pragma once
 
+#include <cardamombay/core/clock.hpp>
 #include <cardamombay/net/upstream.hpp>
 
 #include <cstddef>
@@ -32,13 +33,15 @@
 /// request's id is read and dropped, and the call waits for its own. A kept connection can turn out
 /// dead only after the request was written; UpstreamFailure then says that it may have left.
 /// \code
-/// net::KeptUpstream upstream(context);
+/// net::KeptUpstream upstream(context, clock);
 /// auto call = upstream.start({.address_ = {"10.0.0.7", 8080}, .target_ = "/draft"}, listener);
 /// \endcode
 class KeptUpstream final : public Upstream, public UnusedConnections
 {
 public:
-    explicit KeptUpstream(boost::asio::io_context &context, KeptUpstreamLimits limits = {});
+    /// \param clock for the age of connections; outlives the upstream, like \p context.
+    KeptUpstream(boost::asio::io_context &context, const Clock &clock,
+                 KeptUpstreamLimits limits = {});
     ~KeptUpstream() override;
 
     [[nodiscard]] std::unique_ptr<UpstreamCall> start(UpstreamRequest request,
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -13,6 +13,12 @@
     exit 1
 fi
 echo "check: platform/ has $(git ls-files platform | xargs cat | wc -l) lines; no name of it elsewhere"
+# These stand still while the VM is suspended; src/net/timeouts.hpp says what may use them.
+if git grep -nE 'steady_clock::now|steady_timer|expires_(after|at)\(' -- src platform apps \
+        ':!src/net/timeouts.hpp' ':!src/load'; then
+    echo "check: a clock that stands still in a suspended VM is read outside src/net/timeouts.hpp" >&2
+    exit 1
+fi
 [ "${1:-}" = --format-only ] && exit 0
 
 cmake -G Ninja -S . -B "$folder" >/dev/null
--- a/src/net/asio_http_client.cpp
+++ b/src/net/asio_http_client.cpp
@@ -1,12 +1,12 @@
 #include <cardamombay/net/asio_http_client.hpp>
 
 #include "net/http_messages.hpp"
+#include "net/timeouts.hpp"
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
@@ -44,7 +44,7 @@
 
     tcp::socket socket_;
     boost::beast::flat_buffer buffer_;
-    asio::steady_timer idleTimer_;
+    impl::TimeoutTimer idleTimer_;
 };
 
 struct Exchange
@@ -58,7 +58,7 @@
     RequestMessage message_;
     std::optional<http::response_parser<http::string_body>> parser_;
     std::function<void(HttpResult)> done_;
-    asio::steady_timer timer_;
+    impl::TimeoutTimer timer_;
     std::shared_ptr<Connection> connection_;
     bool hasBegunToWrite_ = false;
     bool isFinished_ = false;
@@ -139,7 +139,7 @@
 
 void AsioHttpClient::Impl::startTimer(const ExchangePointer &exchange, Duration timeout)
 {
-    exchange->timer_.expires_after(timeout);
+    impl::setTimeout(exchange->timer_, timeout);
     exchange->timer_.async_wait([self = shared_from_this(), exchange](error_code failure) {
         if (!failure)
             self->fail(exchange, {exchange->hasBegunToWrite_, true, "no answer in time"});
@@ -281,7 +281,7 @@
     };
     // Readable while idle means that the peer closed, or sent what nobody asked for.
     connection->socket_.async_wait(tcp::socket::wait_read, drop);
-    connection->idleTimer_.expires_after(limits_.idleTimeout_);
+    impl::setTimeout(connection->idleTimer_, limits_.idleTimeout_);
     connection->idleTimer_.async_wait(drop);
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,3 +1,5 @@
+#include "net/timeouts.hpp"
+
 #include <cardamombay/net/http_server.hpp>
 
 #include <net/http_server_connection.hpp>
@@ -93,7 +95,7 @@
     void pauseAccepting();
 
     impl::Tcp::acceptor acceptor_;
-    boost::asio::steady_timer pause_;
+    impl::TimeoutTimer pause_;
     std::shared_ptr<impl::ServerState> state_;
     std::vector<std::shared_ptr<impl::WorkerState>> workers_;
     std::size_t next_ = 0;
@@ -152,7 +154,7 @@
 /// Out of descriptors or at the limit: callers wait in the listener's backlog meanwhile.
 void HttpServer::Impl::pauseAccepting()
 {
-    pause_.expires_after(acceptPause);
+    impl::setTimeout(pause_, acceptPause);
     pause_.async_wait([self = shared_from_this()](impl::error_code error) {
         if (!error && self->acceptor_.is_open())
             self->accept();
--- a/src/net/http_server_answer.cpp
+++ b/src/net/http_server_answer.cpp
@@ -1,4 +1,6 @@
 // The writing half of ServerConnection.
+#include "net/timeouts.hpp"
+
 #include <net/http_server_connection.hpp>
 
 #include <boost/asio/write.hpp>
@@ -85,7 +87,7 @@
     body_.clear();
     if (!isHead_ && hasBody(response.status_))
         body_ = std::move(response.body_);
-    stream_.expires_after(worker_->server_->limits_.writeTimeout_);
+    setTimeout(stream_, worker_->server_->limits_.writeTimeout_);
     const Buffers buffers{bufferOf(head_), bufferOf(body_)};
     boost::asio::async_write(stream_, buffers,
                              [self = shared_from_this(), isLast](error_code error, std::size_t) {
@@ -118,14 +120,14 @@
         buffers.push_back(bufferOf(part));
     if (isChunked_)
         buffers.push_back(bufferOf(lineEnd));
-    stream_.expires_after(worker_->server_->limits_.writeTimeout_);
+    setTimeout(stream_, worker_->server_->limits_.writeTimeout_);
     auto handler
         = [self = shared_from_this(), done = std::move(written)](error_code error, std::size_t) {
               if (error) {
                   self->lose();
                   return;
               }
-              self->stream_.expires_never();
+              clearTimeout(self->stream_);
               self->head_.clear();
               done();
           };
@@ -143,7 +145,7 @@
         head_ += lineEnd;
     }
     const Buffers buffers{bufferOf(head_)};
-    stream_.expires_after(worker_->server_->limits_.writeTimeout_);
+    setTimeout(stream_, worker_->server_->limits_.writeTimeout_);
     boost::asio::async_write(stream_, buffers,
                              [self = shared_from_this(), isLast](error_code error, std::size_t) {
                                  self->answered(error, isLast);
@@ -174,7 +176,7 @@
     setActivity(Activity::Closing);
     error_code ignored;
     stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-    stream_.expires_after(lingerTime);
+    setTimeout(stream_, lingerTime);
     buffer_.clear();
     readUntilEnd();
 }
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -1,3 +1,5 @@
+#include "net/timeouts.hpp"
+
 #include <net/http_server_connection.hpp>
 
 #include <net/http_server_exchange.hpp>
@@ -134,7 +136,7 @@
         readHeader();
         return;
     }
-    stream_.expires_after(limits.idleTimeout_);
+    setTimeout(stream_, limits.idleTimeout_);
     stream_.async_read_some(buffer_.prepare(firstRead),
                             [self = shared_from_this()](error_code error, std::size_t size) {
                                 if (error) {
@@ -149,7 +151,7 @@
 /// The stream's own timeout would close the socket, and a slow caller is to be told.
 void ServerConnection::startReadTimer()
 {
-    readTimer_.expires_after(worker_->server_->limits_.readTimeout_);
+    setTimeout(readTimer_, worker_->server_->limits_.readTimeout_);
     readTimer_.async_wait([self = shared_from_this()](error_code error) {
         if (error || self->activity_ != Activity::Reading)
             return;
@@ -161,7 +163,7 @@
 void ServerConnection::readHeader()
 {
     setActivity(Activity::Reading);
-    stream_.expires_never();
+    clearTimeout(stream_);
     startReadTimer();
     http::async_read_header(stream_, buffer_, *parser_,
                             [self = shared_from_this()](error_code error, std::size_t) {
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -2,11 +2,12 @@
 /// \brief One caller's connection: reads requests one after the other and writes the answers.
 #pragma once
 
+#include "net/timeouts.hpp"
+
 #include <net/http_server_state.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -79,7 +80,7 @@
     /// \}
 
     beast::tcp_stream stream_;
-    boost::asio::steady_timer readTimer_;
+    TimeoutTimer readTimer_;
     std::shared_ptr<WorkerState> worker_;
     std::string callerIp_;
     beast::flat_buffer buffer_;
--- a/src/net/kept_connection.cpp
+++ b/src/net/kept_connection.cpp
@@ -8,8 +8,6 @@
 
 namespace cardamombay::net::impl {
 
-using std::chrono::steady_clock;
-
 namespace {
 
 /// False if the endpoint has closed or sent something, which its watcher may not have told yet.
@@ -28,7 +26,7 @@
     const auto found = idle_.find(address);
     if (found == idle_.end())
         return nullptr;
-    const auto now = steady_clock::now();
+    const auto now = clock_.now();
     auto &connections = found->second;
     // The last one was used last; if it is too old, all are.
     while (!connections.empty()
@@ -49,7 +47,7 @@
 /// What is too old for a call that runs once may still serve others.
 void KeptPool::dropUnusable(std::map<Address, Connections>::iterator place)
 {
-    const auto now = steady_clock::now();
+    const auto now = clock_.now();
     auto &connections = place->second;
     std::erase_if(connections, [now](const auto &connection) {
         const bool isOver = now - connection->keptAt_ > connection->keptFor_;
@@ -74,7 +72,7 @@
 void KeptPool::keep(const Address &address, const std::shared_ptr<KeptConnection> &connection,
                     std::optional<Duration> idleTimeout)
 {
-    connection->keptAt_ = steady_clock::now();
+    connection->keptAt_ = clock_.now();
     connection->keptFor_
         = idleTimeout ? std::max<Duration>(Duration::zero(), *idleTimeout - limits_.idleReserve_)
                       : limits_.idleTimeout_;
--- a/src/net/kept_connection.hpp
+++ b/src/net/kept_connection.hpp
@@ -36,7 +36,7 @@
 
     boost::beast::tcp_stream stream_;
     boost::beast::flat_buffer buffer_; ///< What was read beyond the last answer.
-    std::chrono::steady_clock::time_point keptAt_;
+    TimePoint keptAt_;
     Duration keptFor_{}; ///< Unused, by the endpoint's word.
     bool isKept_ = false;
 };
@@ -45,8 +45,9 @@
 class KeptPool : public std::enable_shared_from_this<KeptPool>
 {
 public:
-    KeptPool(boost::asio::io_context &context, KeptUpstreamLimits limits)
+    KeptPool(boost::asio::io_context &context, const Clock &clock, KeptUpstreamLimits limits)
         : context_(context)
+        , clock_(clock)
         , limits_(limits)
     {
     }
@@ -80,6 +81,8 @@
     void dropUnusable(std::map<Address, Connections>::iterator place);
 
     boost::asio::io_context &context_;
+    /// A connection ages while the VM is suspended: its endpoint may have closed it meanwhile.
+    const Clock &clock_;
     KeptUpstreamLimits limits_;
     std::map<Address, Connections> idle_;
     std::size_t opened_ = 0;
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -1,6 +1,7 @@
 #include <cardamombay/net/kept_upstream.hpp>
 
 #include "net/kept_connection.hpp"
+#include "net/timeouts.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -150,7 +151,7 @@
     connection_ = std::make_shared<KeptConnection>(pool_->context());
     pool_->countOpened();
     auto &stream = connection_->stream_;
-    stream.expires_after(connectTimeout_);
+    impl::setTimeout(stream, connectTimeout_);
     stream.async_connect(impl::Tcp::endpoint(ip, address_.port_),
                          [self = shared_from_this()](impl::error_code failure) {
                              if (failure) {
@@ -168,7 +169,7 @@
 {
     if (listener_ == nullptr)
         return;
-    connection_->stream_.expires_never();
+    impl::clearTimeout(connection_->stream_);
     if (listener_->onConnected())
         send();
     else
@@ -354,8 +355,9 @@
     using KeptPool::KeptPool;
 };
 
-KeptUpstream::KeptUpstream(boost::asio::io_context &context, KeptUpstreamLimits limits)
-    : impl_(std::make_shared<Impl>(context, limits))
+KeptUpstream::KeptUpstream(boost::asio::io_context &context, const Clock &clock,
+                           KeptUpstreamLimits limits)
+    : impl_(std::make_shared<Impl>(context, clock, limits))
 {
 }
 
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -1,3 +1,5 @@
+#include "net/timeouts.hpp"
+
 #include <cardamombay/net/upstream_client.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -104,7 +106,7 @@
 
 void Exchange::connect(const asio::ip::tcp::endpoint &endpoint)
 {
-    stream_.expires_after(connectTimeout_);
+    impl::setTimeout(stream_, connectTimeout_);
     stream_.async_connect(endpoint, [self = shared_from_this()](error_code error) {
         if (error)
             self->fail(error, false);
@@ -117,7 +119,7 @@
 {
     error_code ignored;
     stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    stream_.expires_never();
+    impl::clearTimeout(stream_);
     http::async_write(stream_, message_,
                       [self = shared_from_this()](error_code error, std::size_t) {
                           if (error)
--- a/tests/net/kept_upstream.cpp
+++ b/tests/net/kept_upstream.cpp
@@ -1,6 +1,8 @@
 // Connections to endpoints: which are used again, and whose bytes a caller gets.
 #include "support/scripted_server.hpp"
 
+#include <cardamombay/core/manual_clock.hpp>
+#include <cardamombay/net/asio_clock.hpp>
 #include <cardamombay/net/kept_upstream.hpp>
 
 #include <boost/asio/io_context.hpp>
@@ -32,7 +34,18 @@
     std::optional<UpstreamFailure> failure_;
 };
 
-struct Bench
+template<typename ClockType>
+ClockType makeClock(boost::asio::io_context &context)
+{
+    if constexpr (std::is_same_v<ClockType, AsioClock>)
+        return AsioClock(context);
+    else
+        return ClockType();
+}
+
+/// Connections age by \p ClockType.
+template<typename ClockType>
+struct BenchOn
 {
     /// Sends a request and waits for its answer.
     std::optional<std::string> call(Duration longestIdle = seconds(10))
@@ -61,9 +74,12 @@
 
     boost::asio::io_context context_;
     ScriptedServer server_{context_};
-    KeptUpstream upstream_{context_};
+    ClockType clock_ = makeClock<ClockType>(context_);
+    KeptUpstream upstream_{context_, clock_};
 };
 
+using Bench = BenchOn<AsioClock>;
+
 } // namespace
 
 Test(kept_upstream, connection_is_used_again_after_a_whole_answer)
@@ -133,3 +149,17 @@
                        + jsonAnswer("own", 200, "X-Request-Id: own\r\n")});
     cr_assert_eq(*bench.call(), "own");
 }
+
+/// A VM that is suspended for six seconds wakes with connections that its monotonic clock takes for
+/// fresh. A request that may run once was sent on one that the endpoint had closed meanwhile, and
+/// its caller was told that it may have run.
+Test(kept_upstream, connection_is_too_old_after_the_vm_was_suspended)
+{
+    BenchOn<ManualClock> bench;
+    bench.server_.add({jsonAnswer("1", 200, "Keep-Alive: timeout=5\r\n")});
+    bench.server_.add({jsonAnswer("2")});
+    cr_assert_eq(*bench.call(), "1");
+    bench.clock_.advance(seconds(6));
+    cr_assert_eq(*bench.call(), "2");
+    cr_assert_eq(bench.upstream_.opened(), 2);
+}
