End requests whose time passed while the VM was suspended before they are sent on

Cause: after a jump of the clock a failed attempt was followed by another one without time left, and a held request that had just been ended was sent from the list of held ones. Ruled out: requests that wait for an answer, answers that were ready, keys, quarantines (tests of the same kind). Change: dispatch() looks at the time first; a finished session is not held any more; label serving: suspension.

--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -180,6 +180,11 @@
 bool Session::dispatch()
 {
     const auto now = gateway_.parts().clock_.now();
+    // A VM that was suspended may learn of a failure before it sees that the time is over.
+    if (now >= until_) {
+        giveUp("time-out");
+        return true;
+    }
     const auto choice = choose(now);
     const auto *target = std::get_if<Target>(&choice);
     if (target != nullptr && takeRepeat()) {
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -57,6 +57,7 @@
 void Session::finish(std::string_view outcome, std::string_view reason)
 {
     isDone_ = true;
+    isHeld_ = false;
     dropAttempt();
     auto &metrics = gateway_.parts().metrics_;
     const auto elapsed = gateway_.parts().clock_.now() - arrivedAt_;
