Hold no ends of endpoints against a request that was served just now

Cause: read, not seen: a popular request (one path, caller and body) is under way at several endpoints; a rack that fails ends them at once, and three ends made a verdict on all its callers. Ruled out: evidence that comes late for a request that was served since (excused before). Change: an entry VM that served the request within ten seconds takes no evidence or verdict on it and tells the others so.

--- a/include/cardamombay/serving/poison_pills.hpp
+++ b/include/cardamombay/serving/poison_pills.hpp
@@ -14,7 +14,7 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace cardamombay::serving {
@@ -66,7 +66,8 @@
     /// \{
     /// \brief An endpoint ended under requests from here.
     void endpointCrashed(const EndpointCrash &crash, TimePoint now);
-    /// \brief A request was answered whole, so it does not end endpoints.
+    /// \brief A request was answered whole, so it does not end endpoints. What others ask for with
+    /// the same content is under way at many endpoints, and a rack that fails ends several at once.
     void served(const RequestFingerprint &request, TimePoint now);
     /// \brief Takes what a peer tells.
     void take(const PoisonNews &news, TimePoint now);
@@ -110,6 +111,8 @@
         TimePoint at_{};
     };
 
+    [[nodiscard]] bool wasServedLately(const RequestFingerprint &request, TimePoint now) const;
+    void object(const RequestFingerprint &request, TimePoint now);
     void note(const EndpointLife &endpoint, const CrashWitness &witness, TimePoint now);
     void takeVerdict(const PoisonVerdict &verdict, TimePoint now);
     void condemn(const RequestFingerprint &request, Record &record, Duration time, TimePoint now);
@@ -118,6 +121,7 @@
 
     std::function<void(const PoisonVerdict &)> condemned_;
     std::map<RequestFingerprint, Record> records_;
+    std::unordered_map<RequestFingerprint, TimePoint> servedAt_; ///< Lately, here.
     std::vector<Told<EndpointCrash>> ownCrashes_;
     std::vector<Told<RequestFingerprint>> ownAcquittals_;
     std::optional<RequestFingerprint> lastTold_; ///< Verdict, for the turn of the next ones.
--- a/include/cardamombay/serving/request_fingerprint.hpp
+++ b/include/cardamombay/serving/request_fingerprint.hpp
@@ -5,7 +5,9 @@
 #include <cardamombay/core/ids.hpp>
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -51,3 +53,13 @@
 [[nodiscard]] RequestFingerprint fingerprintOf(const RequestContent &content);
 
 } // namespace cardamombay::serving
+
+/// \brief Makes fingerprints usable as keys of unordered containers; they are hashes already.
+template<>
+struct std::hash<cardamombay::serving::RequestFingerprint>
+{
+    std::size_t operator()(const cardamombay::serving::RequestFingerprint &request) const noexcept
+    {
+        return static_cast<std::size_t>(request.value());
+    }
+};
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -352,7 +352,6 @@
     parts_.book_.expire(now);
     parts_.board_.expire(now);
     clocks_.expire(now);
-    parts_.gateway_.poisonPills().expire(now);
     noteOldView(now);
     logEndpoints(now);
     if (!parts_.gateway_.routes() || !areEndpointsListed_)
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -40,6 +40,7 @@
         const double rate = found == asked.end() ? 0 : found->second / seconds;
         demand += (rate - demand) * weight;
     }
+    parts_.gateway_.poisonPills().expire(now);
     report(now);
     forgetSilent(now);
     chooseWatches(now);
--- a/src/serving/poison_pills.cpp
+++ b/src/serving/poison_pills.cpp
@@ -36,6 +36,12 @@
 /// seconds.
 constexpr std::size_t mostExcused = 32;
 
+/// A request that was served so lately at any entry VM is no poison pill. What is under way at
+/// three endpoints at once, for two seconds each, is served more than once a second by the fleet.
+constexpr Duration servedLately = std::chrono::seconds(10);
+/// Requests served in that time that are remembered; some 40 bytes each.
+constexpr std::size_t mostServed = 8192;
+
 /// Crashes and acquittals are told in seven digests, on up to three hops each.
 constexpr Duration toldFor = std::chrono::milliseconds(700);
 /// Witnesses of one end that are told; one batch. A message with all of six ends is 3 KB.
@@ -107,8 +113,27 @@
         note(told.endpoint_, witness, now);
 }
 
+bool PoisonPills::wasServedLately(const RequestFingerprint &request, TimePoint now) const
+{
+    const auto found = servedAt_.find(request);
+    return found != servedAt_.end() && now - found->second <= servedLately;
+}
+
+/// Tells the others that the request was served here, once in a while.
+void PoisonPills::object(const RequestFingerprint &request, TimePoint now)
+{
+    const bool isTold = std::any_of(ownAcquittals_.begin(), ownAcquittals_.end(),
+                                    [&](const auto &one) { return one.value_ == request; });
+    if (!isTold)
+        ownAcquittals_.push_back({request, now});
+}
+
 void PoisonPills::note(const EndpointLife &endpoint, const CrashWitness &witness, TimePoint now)
 {
+    if (wasServedLately(witness.request_, now)) {
+        object(witness.request_, now);
+        return;
+    }
     if (!records_.contains(witness.request_))
         makeRoom();
     auto &record = records_[witness.request_];
@@ -138,8 +163,11 @@
 
 void PoisonPills::served(const RequestFingerprint &request, TimePoint now)
 {
+    if (servedAt_.size() >= mostServed)
+        servedAt_.clear();
+    servedAt_.insert_or_assign(request, now);
     if (acquit(request, now, false))
-        ownAcquittals_.push_back({request, now});
+        object(request, now);
 }
 
 /// Ends that it was told of count no more; those of later ends do. One that was already under way
@@ -179,6 +207,10 @@
 
 void PoisonPills::takeVerdict(const PoisonVerdict &verdict, TimePoint now)
 {
+    if (wasServedLately(verdict.request_, now)) {
+        object(verdict.request_, now);
+        return;
+    }
     if (const auto known = quarantinedFor(verdict.request_, now)) {
         if (verdict.left_ <= *known + retoldWithin)
             return;
@@ -228,6 +260,7 @@
         while (isOver && weightOf(record.crashes_) >= verdictWeight)
             record.crashes_.erase(record.crashes_.begin());
     }
+    std::erase_if(servedAt_, [now](const auto &one) { return now - one.second > servedLately; });
     const auto isOld = [now](const auto &one) { return now - one.at_ > toldFor; };
     std::erase_if(ownCrashes_, isOld);
     std::erase_if(ownAcquittals_, isOld);
