--- a/tests/fleet_platform/soak.cpp
+++ b/tests/fleet_platform/soak.cpp
@@ -208,9 +208,29 @@
     bool isStoreOut_ = false;
 };
 
-void soak(std::uint64_t seed, Duration length)
+/// Ends of engines under one poison pill that comes again and again. Entry VMs that start again
+/// have forgotten the evidence, but not the verdict; those that were paused or cut off from their
+/// peers send it on until they are told.
+constexpr int mostCrashes = 12;
+
+/// The caller of a poison pill, who never gives up.
+void poisonUntil(const Deployment &deployment, const std::atomic<bool> &isStopped,
+                 std::uint64_t seed)
+{
+    Random random(seed);
+    for (int i = 0; !isStopped; ++i) {
+        const auto gateway = random.below(Deployment::gatewayCount);
+        const auto id = "pill-" + std::to_string(seed) + "-" + std::to_string(i);
+        (void)deployment.stream(gateway, id, "m", "key-a", "/stream/pill");
+        std::this_thread::sleep_for(milliseconds(50));
+    }
+}
+
+/// \param withPill a request ends the engines that run it, beside all other faults. Endpoints are
+/// reached without a proxy then, which would answer for an engine that has ended.
+void soak(std::uint64_t seed, Duration length, bool withPill)
 {
-    Deployment deployment(true);
+    Deployment deployment(withPill ? Links::Store : Links::StoreAndEndpoints);
     Ledger ledger;
     std::atomic<bool> isStopped = false;
     std::atomic<int> falseEnds = 0;
@@ -219,6 +239,8 @@
         callers.emplace_back([&, number] {
             callUntil(deployment, isStopped, seed * 10 + number, ledger, falseEnds);
         });
+    if (withPill)
+        callers.emplace_back([&] { poisonUntil(deployment, isStopped, seed * 10 + 7); });
     Faults faults(deployment, seed);
     const auto end = std::chrono::steady_clock::now() + length;
     while (std::chrono::steady_clock::now() < end) {
@@ -237,7 +259,12 @@
     isStopped = true;
     for (auto &caller : callers)
         caller.join();
-    const auto broken = ledger.broken(deployment.report());
+    const auto report = deployment.report();
+    if (withPill)
+        std::printf("seed %llu: %d engines ended under the poison pill\n",
+                    static_cast<unsigned long long>(seed), report.crashes_);
+    cr_assert_leq(report.crashes_, mostCrashes, "seed %llu", static_cast<unsigned long long>(seed));
+    const auto broken = ledger.broken(report);
     for (const auto &promise : broken)
         std::fprintf(stderr, "seed %llu: %s\n", static_cast<unsigned long long>(seed),
                      promise.c_str());
@@ -246,9 +273,7 @@
     cr_assert(recovers, "seed %llu", static_cast<unsigned long long>(seed));
 }
 
-} // namespace
-
-Test(soak, faults_break_no_promise)
+void soakAll(bool withPill)
 {
     unsigned long long first = 1;
     unsigned long long count = 1;
@@ -256,5 +281,17 @@
     if (const char *text = std::getenv("CARDAMOMBAY_SOAK"))
         std::sscanf(text, "%llu %llu %llu", &first, &count, &length);
     for (unsigned long long seed = first; seed < first + count; ++seed)
-        soak(seed, seconds(length));
+        soak(seed, seconds(length), withPill);
+}
+
+} // namespace
+
+Test(soak, faults_break_no_promise)
+{
+    soakAll(false);
+}
+
+Test(soak, poison_pill_among_faults_ends_few_engines)
+{
+    soakAll(true);
 }
--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -88,15 +88,15 @@
 
 } // namespace
 
-Deployment::Deployment(bool hasLinks)
+Deployment::Deployment(Links links)
     : harness_(PROGRAM_FOLDER)
 {
     const auto platform
         = harness_.start("platform", harness_.program("fleet_platform_standin"), {});
     store_ = harness_.waitForPort(platform);
     configure(1);
-    if (hasLinks)
-        openLinks();
+    if (links != Links::None)
+        openLinks(links);
     for (std::size_t number = 0; number < gatewayCount; ++number) {
         ports_.push_back(
             {support::freePort(), support::freePort(), support::freePort(), support::freePort()});
@@ -114,11 +114,13 @@
         throw std::runtime_error("the gateways do not serve: " + harness_.output(gateways_[0]));
 }
 
-void Deployment::openLinks()
+void Deployment::openLinks(Links links)
 {
     proxy_ = harness_.waitForPort(harness_.start("links", harness_.program("fault_proxy"), {}));
     for (std::size_t number = 0; number < gatewayCount; ++number)
         storeLinks_.push_back(openLink(store_));
+    if (links == Links::Store)
+        return;
     for (const auto &[id, port] : report().ports_)
         tell("port/" + id, std::to_string(openLink(static_cast<std::uint16_t>(port))));
 }
@@ -142,12 +144,13 @@
 support::ProcessId Deployment::startGateway(std::size_t number)
 {
     const auto &ports = ports_.at(number);
+    const bool isFirst = number >= gateways_.size();
     const auto name = "entry-" + std::to_string(number);
     const auto settings = harness_.writeFile(
         name + ".toml",
         "entry = \"" + name
-            + "\"\nzone = \"z\"\nfirst_start = true\ncharts = \"" SOURCE_FOLDER
-              "/charts\"\n[listen]\ncallers = "
+            + "\"\nzone = \"z\"\nfirst_start = " + std::string(isFirst ? "true" : "false")
+            + "\ncharts = \"" SOURCE_FOLDER "/charts\"\n[listen]\ncallers = "
             + addressText(ports.callers_) + "readiness = " + addressText(ports.readiness_)
             + "metrics = " + addressText(ports.metrics_)
             + "digests = " + addressText(ports.digests_) + "[store]\naddress = "
@@ -158,11 +161,12 @@
 }
 
 load::CallResult Deployment::stream(std::size_t gateway, const std::string &id,
-                                    const std::string &model, const std::string &key) const
+                                    const std::string &model, const std::string &key,
+                                    const std::string &path) const
 {
     load::Call call;
     call.address_ = {"127.0.0.1", ports_.at(gateway).callers_};
-    call.target_ = "/stream/7";
+    call.target_ = path;
     call.timeout_ = callTimeout;
     call.fields_ = {{"Host", "h"},
                     {"X-Request-Id", id},
@@ -204,6 +208,7 @@
     const auto result = support::Caller({"127.0.0.1", store_}).fetch("/test/report");
     const auto object = json::parse(result.body_).as_object();
     EngineReport report;
+    report.crashes_ = object.at("crashes").to_number<int>();
     for (const auto &run : object.at("runs").as_object())
         report.runs_.emplace_back(std::string(run.key()), run.value().to_number<int>());
     for (const auto &one : object.at("violations").as_array())
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -16,22 +16,26 @@
     std::vector<std::pair<std::string, int>> runs_; ///< Starts by request id.
     std::vector<std::string> violations_;
     std::vector<std::pair<std::string, int>> ports_; ///< Endpoints' own ports by id.
+    int crashes_ = 0;                                ///< Endpoints that ended under a poison pill.
 };
 
+/// \brief What is behind a proxy. One hides from its callers that an endpoint's port is closed.
+enum class Links { None, Store, StoreAndEndpoints };
+
 /// \brief Three gateways before 12 engines in two fabric domains and two plain endpoints.
 class Deployment
 {
 public:
     /// \brief Starts all and waits until every gateway is ready and serves both models.
-    /// \param hasLinks the gateways reach the store and the endpoints through a proxy that
-    /// spoils what passes as told.
-    explicit Deployment(bool hasLinks = false);
+    /// \param links what the gateways reach through a proxy that spoils what passes as told.
+    explicit Deployment(Links links = Links::None);
 
     /// \name Callers
     /// \{
     /// \brief A completion in 20 events, by the stream route.
     load::CallResult stream(std::size_t gateway, const std::string &id,
-                            const std::string &model = "m", const std::string &key = "key-a") const;
+                            const std::string &model = "m", const std::string &key = "key-a",
+                            const std::string &path = "/stream/7") const;
     /// \brief A call to the plain service.
     load::CallResult call(std::size_t gateway, const std::string &path, const std::string &id,
                           const std::string &key = "key-a") const;
@@ -75,7 +79,7 @@
         std::uint16_t metrics_ = 0;
     };
 
-    void openLinks();
+    void openLinks(Links links);
     [[nodiscard]] std::uint16_t openLink(std::uint16_t target);
 
     support::ProcessHarness harness_;
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -17,6 +17,7 @@
 constexpr auto openTime = std::chrono::milliseconds(20);
 constexpr auto eventPause = std::chrono::milliseconds(20);
 constexpr auto plainTime = std::chrono::milliseconds(20);
+constexpr auto downTime = std::chrono::milliseconds(1500);
 constexpr int eventsOfStream = 20;
 
 StandinResponse refusal(unsigned status, const std::string &id)
@@ -55,11 +56,9 @@
 std::string GroupEngineStandin::state() const
 {
     const auto listed = listedPort_ == 0 ? port() : listedPort_;
-    json::object entry{{"Service", service_},
-                       {"Address", "127.0.0.1:" + std::to_string(listed)},
-                       {"Zone", "z"},
-                       {"Slots", 8},
-                       {"State", isDraining_ ? "draining" : "ready"}};
+    json::object entry{{"Service", service_}, {"Address", "127.0.0.1:" + std::to_string(listed)},
+                       {"Zone", "z"},         {"Slots", 8},
+                       {"born", bornAt_},     {"State", isDraining_ ? "draining" : "ready"}};
     if (domain_.empty())
         return json::serialize(entry);
     entry["Domain"] = domain_;
@@ -116,6 +115,15 @@
 asio::awaitable<void> GroupEngineStandin::run(StandinExchange &exchange)
 {
     const auto request = headerOf(exchange.request(), "X-Request-Id");
+    const std::string_view target(exchange.request().target().data(),
+                                  exchange.request().target().size());
+    const bool isOpen = !group_ || (group_->state_ == "open" && group_->rank_ == 0);
+    if (target.ends_with("/pill") && isOpen) {
+        co_await pauseFor(eventPause);
+        exchange.drop();
+        crash();
+        co_return;
+    }
     if (!headerOf(exchange.request(), "Authorization").empty())
         hall_.violations_.push_back("the key reached " + id_);
     if (domain_.empty()) {
@@ -166,6 +174,27 @@
     co_await exchange.finishStream();
 }
 
+void GroupEngineStandin::crash()
+{
+    if (std::exchange(isDown_, true))
+        return;
+    ++hall_.crashes_;
+    server_.stop();
+    group_.reset();
+    fence_ = 0;
+    epochSeen_ = 0;
+    asio::co_spawn(context_, startAgain(), asio::detached);
+}
+
+asio::awaitable<void> GroupEngineStandin::startAgain()
+{
+    co_await pauseFor(downTime);
+    ++bornAt_;
+    isDown_ = false;
+    server_.listenAgain();
+    list();
+}
+
 bool GroupEngineStandin::isWhole() const
 {
     for (const auto &member : group_->members_) {
--- a/tests/support/group_engine_standin.hpp
+++ b/tests/support/group_engine_standin.hpp
@@ -20,12 +20,14 @@
     std::map<std::string, std::shared_ptr<GroupEngineStandin>> engines_;
     std::map<std::string, int> runs_; ///< Starts of a run by request id.
     std::vector<std::string> violations_;
+    int crashes_ = 0; ///< Engines that ended under a poison pill.
 };
 
 /// \brief One engine, or one endpoint of a plain service if it has no domain.
 /// \details A group streams only while all its members listen; a request that begins in an
 /// incomplete group, and a join while the head of the engine's group serves, are written down as
-/// violations.
+/// violations. A request for a path that ends with "/pill" ends the engine as it begins to run; it
+/// is back after a second and a half, under its id and without a group.
 class GroupEngineStandin
 {
 public:
@@ -61,6 +63,9 @@
     unsigned change(const std::string &body);
     boost::asio::awaitable<void> becomeReady(std::uint64_t epoch, bool wasStaged);
     boost::asio::awaitable<void> becomeOpen(std::uint64_t epoch);
+    /// \brief Ends as a process does, and starts again after a while.
+    void crash();
+    boost::asio::awaitable<void> startAgain();
     [[nodiscard]] bool isWhole() const;
     [[nodiscard]] bool isStalled() const;
     [[nodiscard]] std::string state() const;
@@ -72,9 +77,11 @@
     std::string domain_;
     std::string staged_;
     std::optional<Group> group_;
+    std::uint64_t bornAt_ = 1;
     std::uint64_t fence_ = 0;
     std::uint64_t epochSeen_ = 0;
     bool isSilent_ = false;
+    bool isDown_ = false;
     bool isDraining_ = false;
     std::uint16_t listedPort_ = 0; ///< In place of its own, unless zero.
     StandinServer server_;
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -27,6 +27,7 @@
     for (const auto &[id, engine] : hall.engines_)
         ports[id] = engine->port();
     return json::serialize(json::object{{"runs", std::move(runs)},
+                                        {"crashes", hall.crashes_},
                                         {"violations", std::move(violations)},
                                         {"ports", std::move(ports)}});
 }
@@ -75,7 +76,7 @@
         .parse(argc, argv);
     boost::asio::io_context context;
     RowStoreStandin store;
-    EngineHall hall{store, {}, {}, {}};
+    EngineHall hall{store, {}, {}, {}, 0};
     const auto add = [&](const std::string &id, const std::string &service,
                          const std::string &domain) {
         auto engine = std::make_shared<GroupEngineStandin>(context, hall, id, service, domain);
--- a/tests/support/standin_server.cpp
+++ b/tests/support/standin_server.cpp
@@ -27,6 +27,25 @@
 
 constexpr std::size_t bodyLimit = 16UL * 1024 * 1024;
 
+/// Names a connection in a set as long as it lives.
+class Registration
+{
+public:
+    Registration(std::set<beast::tcp_stream *> &set, beast::tcp_stream &stream)
+        : set_(set)
+        , stream_(stream)
+    {
+        set_.insert(&stream_);
+    }
+    ~Registration() { set_.erase(&stream_); }
+    Registration(const Registration &) = delete;
+    Registration &operator=(const Registration &) = delete;
+
+private:
+    std::set<beast::tcp_stream *> &set_;
+    beast::tcp_stream &stream_;
+};
+
 asio::ip::tcp::endpoint loopback(std::uint16_t port)
 {
     return {asio::ip::address_v4::loopback(), port};
@@ -104,11 +123,26 @@
 StandinServer::StandinServer(asio::io_context &context, std::uint16_t port, Handler handler)
     : context_(context)
     , acceptor_(context, loopback(port))
+    , port_(acceptor_.local_endpoint().port())
     , handler_(std::move(handler))
 {
     asio::co_spawn(context_, accept(), asio::detached);
 }
 
+void StandinServer::stop()
+{
+    beast::error_code ignored;
+    acceptor_.close(ignored);
+    for (auto *stream : open_)
+        stream->socket().close(ignored);
+}
+
+void StandinServer::listenAgain()
+{
+    acceptor_ = asio::ip::tcp::acceptor(context_, loopback(port_));
+    asio::co_spawn(context_, accept(), asio::detached);
+}
+
 asio::awaitable<void> StandinServer::accept()
 {
     for (;;) {
@@ -125,6 +159,7 @@
 asio::awaitable<void> StandinServer::serve(asio::ip::tcp::socket socket)
 {
     beast::tcp_stream stream(std::move(socket));
+    const Registration registration(open_, stream);
     beast::flat_buffer buffer;
     try {
         for (;;) {
--- a/tests/support/standin_server.hpp
+++ b/tests/support/standin_server.hpp
@@ -13,6 +13,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -70,7 +71,12 @@
     /// \param handler answers each request.
     StandinServer(boost::asio::io_context &context, std::uint16_t port, Handler handler);
 
-    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+    [[nodiscard]] std::uint16_t port() const { return port_; }
+
+    /// \brief Closes the port and all connections, as the end of a process does.
+    void stop();
+    /// \brief Listens on the same port again.
+    void listenAgain();
 
 private:
     boost::asio::awaitable<void> accept();
@@ -78,7 +84,9 @@
 
     boost::asio::io_context &context_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_;
     Handler handler_;
+    std::set<boost::beast::tcp_stream *> open_;
 };
 
 /// \brief Prints "listening port=N" and runs \p context until SIGTERM or SIGINT.
