Count only whole answers as on time where requests end endpoints

Change: on time is a whole answer whose first event came within a second; callers of the last seconds are waited for.

--- a/tests/crashing_requests/load.cpp
+++ b/tests/crashing_requests/load.cpp
@@ -45,6 +45,7 @@
     TimePoint againAt_{};
     int tries_ = 1;
     bool hasEvent_ = false;
+    bool isOnTime_ = false;
     bool isPoison_ = false;
     bool isDone_ = false;
 };
@@ -71,8 +72,9 @@
 
     Outcome run()
     {
-        while (now() - startedAt_ < load_.length_) {
-            arrive();
+        while (now() - startedAt_ < load_.length_ + settling) {
+            if (now() - startedAt_ < load_.length_)
+                arrive();
             fleet_.pass(step);
             takeCalls();
             work();
@@ -261,10 +263,11 @@
                 ask(caller);
             return;
         }
-        if (!caller.isPoison_ && !view.streamed_.empty() && !std::exchange(caller.hasEvent_, true))
-            outcome_.onTime_ += now() - caller.since_ <= onTime ? 1 : 0;
+        if (!view.streamed_.empty() && !std::exchange(caller.hasEvent_, true))
+            caller.isOnTime_ = now() - caller.since_ <= onTime;
         if (view.isFinished_) {
             outcome_.served_ += caller.isPoison_ ? 0 : 1;
+            outcome_.onTime_ += !caller.isPoison_ && caller.isOnTime_ ? 1 : 0;
             caller.isDone_ = true;
             return;
         }
--- a/tests/crashing_requests/load.hpp
+++ b/tests/crashing_requests/load.hpp
@@ -24,7 +24,7 @@
     Duration poisonFor_{};          ///< From two seconds on.
     Duration crashEvery_{};     ///< A seventh of the groups end for another reason; zero: never.
     bool answersFirst_ = false; ///< The poison pill ends a group after its first event.
-    Duration length_ = std::chrono::seconds(20);
+    Duration length_ = std::chrono::seconds(20); ///< Callers come no more after it.
     double lossShare_ = 0.01;
 };
 
@@ -32,8 +32,8 @@
 struct Outcome
 {
     std::size_t asked_ = 0;
-    std::size_t onTime_ = 0; ///< First event within a second of the first try.
-    std::size_t served_ = 0;
+    std::size_t onTime_ = 0;      ///< Whole, and the first event within a second of the first try.
+    std::size_t served_ = 0;      ///< Whole.
     std::size_t quarantined_ = 0; ///< Innocents that were refused as poison pills.
     std::size_t poisonSends_ = 0; ///< To groups that began them.
     std::size_t poisonLate_ = 0;  ///< Later than three seconds after the third end.
