Do not hold a request's failures against every endpoint that it was sent to

Ruled out: endpoints that fail different requests (still avoided at once, tested). Change: FailureBlame compares where a request failed within thirty seconds; its second endpoint is not blamed.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -183,6 +183,7 @@
 #include <cardamombay/serving/endpoint_book.hpp>
 #include <cardamombay/serving/engine_model.hpp>
 #include <cardamombay/serving/event_scanner.hpp>
+#include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/formats.hpp>
 #include <cardamombay/serving/gateway.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -11,6 +11,7 @@
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/crash_detector.hpp>
 #include <cardamombay/serving/dialects.hpp>
+#include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
@@ -118,6 +119,8 @@
     [[nodiscard]] bool mayRepeat(const ServiceName &service);
     /// \brief An attempt broke at \p target before its answer was whole.
     void attemptBroke(const Target &target, CrashWitness witness);
+    /// \brief True if a failure of the endpoint's own speaks against it.
+    [[nodiscard]] bool blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint);
     void countRequest(const Service &service, const CallerHead &head);
     [[nodiscard]] Duration unconfirmedFor() const;
     [[nodiscard]] const GatewayBounds &bounds() const { return bounds_; }
@@ -146,6 +149,7 @@
     std::unordered_map<ServiceName, RepeatWindow> repeats_;
     std::map<ServiceName, RepeatCounts> othersRepeats_;
     std::map<ServiceName, double> extraRepeats_; ///< Taken since the others' counts came.
+    FailureBlame failureBlame_;
     CrashDetector crashDetector_;
     PoisonPills poisonPills_;
     std::function<void()> crashSeen_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -107,6 +107,11 @@
     crashDetector_.attemptBroke(target.life(), target.address_, witness);
 }
 
+bool Gateway::blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint)
+{
+    return failureBlame_.isEndpoints(request, endpoint, parts_.clock_.now());
+}
+
 void Gateway::endpointCrashed(const EndpointCrash &crash)
 {
     parts_.metrics_.endpointCrashes_.increment();
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -49,7 +49,8 @@
     answer_.body_.clear();
 }
 
-/// A failure of the endpoint's own counts as run, and against the endpoint.
+/// A failure of the endpoint's own counts as run, and against the endpoint unless the request has
+/// failed elsewhere too.
 void Session::noteAnswer(std::uint32_t status, TimePoint now)
 {
     auto &board = gateway_.parts().board_;
@@ -58,6 +59,8 @@
         return;
     }
     noteProgress(now);
+    if (!gateway_.blamesEndpoint(fingerprint_, target_.endpoint_))
+        return;
     board.erred(target_.endpoint_,
                 service_->engine_ ? LoadBoard::groupErrorWeight : LoadBoard::plainErrorWeight, now);
 }
