--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -295,7 +295,12 @@
 {
     using namespace serving;
     if (const auto digest = decodeLoadDigest(text)) {
-        require(decodeLoadDigest(encode(*digest)).has_value(), "an encoded digest can be read");
+        const auto again = decodeLoadDigest(encode(*digest));
+        require(again.has_value(), "an encoded digest can be read");
+        require(again->poison_ == digest->poison_, "news of poison pills are read as they were");
+        PoisonPills pills;
+        pills.take(digest->poison_, TimePoint{});
+        pills.expire(TimePoint{} + std::chrono::hours(1));
         DigestHub hub({EntryId("self"), {}, AvailabilityZone("z")}, Incarnation(1));
         hub.take(*digest, TimePoint{});
         (void)hub.fleetSummary(TimePoint{});
