--- a/tests/crashing_requests/callers.cpp
+++ b/tests/crashing_requests/callers.cpp
@@ -53,6 +53,18 @@
     cr_assert_leq(sum.quarantined_, sum.asked_ / 1000);
 }
 
+Test(crashing_requests, poison_pill_is_quarantined_though_a_third_of_all_datagrams_is_lost)
+{
+    Load load;
+    load.poisonCallers_ = 4;
+    load.poisonFor_ = seconds(15);
+    load.lossShare_ = 0.33;
+    load.entries_ = 20;
+    const auto sum = playAll(load, 20, "poison pill, 20 entry VMs, a third of the datagrams lost");
+    cr_assert_leq(sum.poisonLate_, 3);
+    cr_assert_leq(sum.quarantined_, sum.asked_ / 1000);
+}
+
 Test(crashing_requests, poison_pill_that_ends_endpoints_in_the_middle_of_its_answer_is_quarantined)
 {
     Load load;
