Use the usual words for what is known of poison pills

Cause: read as a newcomer: witnesses, acquittals and condemning were a picture of the code's own. Change: RequestAtCrash, clear, quarantine, ignored; blamesEndpoint.

--- a/include/cardamombay/serving/crash_detector.hpp
+++ b/include/cardamombay/serving/crash_detector.hpp
@@ -19,19 +19,19 @@
 namespace cardamombay::serving {
 
 /// \brief A request that was under way at an endpoint when it ended.
-struct CrashWitness
+struct RequestAtCrash
 {
-    RequestFingerprint request_;
+    RequestFingerprint fingerprint_;
     bool hadEvents_ = false; ///< The endpoint had begun to answer it.
 
-    friend bool operator==(const CrashWitness &, const CrashWitness &) = default;
+    friend bool operator==(const RequestAtCrash &, const RequestAtCrash &) = default;
 };
 
 /// \brief The end of an endpoint, as seen from here.
 struct EndpointCrash
 {
     EndpointLife endpoint_;
-    std::vector<CrashWitness> witnesses_;
+    std::vector<RequestAtCrash> requests_;
 };
 
 /// \brief Watches attempts that break; belongs to the gateway's thread.
@@ -42,7 +42,7 @@
     CrashDetector(Clock &clock, net::Upstream &upstream);
     ~CrashDetector();
 
-    /// \brief Called from sweep() for each endpoint that has ended; once more for witnesses that
+    /// \brief Called from sweep() for each endpoint that has ended; once more for requests that
     /// came later.
     void onCrash(std::function<void(const EndpointCrash &)> action)
     {
@@ -50,7 +50,7 @@
     }
 
     /// \brief An attempt at the endpoint broke before its answer was whole.
-    void attemptBroke(const EndpointLife &endpoint, const Address &address, CrashWitness witness);
+    void attemptBroke(const EndpointLife &endpoint, const Address &address, RequestAtCrash request);
 
     /// \brief The platform's list says that the endpoint has started anew since.
     void endpointRestarted(const EndpointLife &endpoint);
@@ -66,7 +66,7 @@
         TimePoint openedAt_{};
         bool isRestarted_ = false;
         std::unique_ptr<Probe> probe_;
-        std::vector<CrashWitness> witnesses_; ///< Not reported yet.
+        std::vector<RequestAtCrash> requests_; ///< Not reported yet.
     };
 
     [[nodiscard]] Verdict verdictOn(const Case &one) const;
--- a/include/cardamombay/serving/failure_blame.hpp
+++ b/include/cardamombay/serving/failure_blame.hpp
@@ -19,8 +19,8 @@
     /// \brief Notes that \p endpoint answered \p request with a failure of its own.
     /// \returns true if that may be the endpoint's fault; false if the request has failed elsewhere
     /// too.
-    [[nodiscard]] bool isEndpoints(const RequestFingerprint &request, const VmId &endpoint,
-                                   TimePoint now);
+    [[nodiscard]] bool blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint,
+                                      TimePoint now);
 
 private:
     struct Failures
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -118,7 +118,7 @@
     /// \brief Takes one repeat from this entry VM's part of the fleet's budget.
     [[nodiscard]] bool mayRepeat(const ServiceName &service);
     /// \brief An attempt broke at \p target before its answer was whole.
-    void attemptBroke(const Target &target, CrashWitness witness);
+    void attemptBroke(const Target &target, RequestAtCrash request);
     /// \brief True if a failure of the endpoint's own speaks against it.
     [[nodiscard]] bool blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint);
     void countRequest(const Service &service, const CallerHead &head);
--- a/include/cardamombay/serving/poison_pills.hpp
+++ b/include/cardamombay/serving/poison_pills.hpp
@@ -32,10 +32,10 @@
 struct PoisonNews
 {
     /// Requests that were under way at endpoints that ended just now.
-    std::map<EndpointLife, std::vector<CrashWitness>> crashes_;
+    std::map<EndpointLife, std::vector<RequestAtCrash>> crashes_;
     std::vector<PoisonVerdict> verdicts_; ///< Some of those in force, all of them in turn.
     /// Requests that were served, or whose quarantine was lifted, just now.
-    std::vector<RequestFingerprint> acquitted_;
+    std::vector<RequestFingerprint> cleared_;
 
     [[nodiscard]] bool isEmpty() const;
     friend bool operator==(const PoisonNews &, const PoisonNews &) = default;
@@ -59,7 +59,7 @@
     /// \brief Called with each new verdict.
     void onVerdict(std::function<void(const PoisonVerdict &)> action)
     {
-        condemned_ = std::move(action);
+        quarantined_ = std::move(action);
     }
 
     /// \name News
@@ -74,8 +74,8 @@
     /// \brief Takes a verdict that was kept over a restart.
     void restore(const RequestFingerprint &request, TimePoint now);
     /// \brief An operator ends a quarantine.
-    void lift(const RequestFingerprint &request, TimePoint now) { acquit(request, now, true); }
-    /// \brief Drops what is old. Call about once a second.
+    void lift(const RequestFingerprint &request, TimePoint now) { clear(request, now, true); }
+    /// \brief Drops what is old. Call with each digest.
     void expire(TimePoint now);
     /// \}
 
@@ -98,10 +98,10 @@
     struct Record
     {
         std::map<EndpointLife, bool> crashes_; ///< True if the endpoint had begun to answer.
-        std::vector<EndpointLife> excused_;    ///< Ends before the request was served.
+        std::vector<EndpointLife> ignored_;    ///< Ends before the request was served.
         TimePoint seenAt_{};
         TimePoint until_{}; ///< End of the quarantine; the epoch if there was none.
-        TimePoint acquittedAt_{};
+        TimePoint clearedAt_{};
         std::size_t verdicts_ = 0;
     };
     template<typename Value>
@@ -112,18 +112,19 @@
     };
 
     [[nodiscard]] bool wasServedLately(const RequestFingerprint &request, TimePoint now) const;
-    void object(const RequestFingerprint &request, TimePoint now);
-    void note(const EndpointLife &endpoint, const CrashWitness &witness, TimePoint now);
+    void tellCleared(const RequestFingerprint &request, TimePoint now);
+    void note(const EndpointLife &endpoint, const RequestAtCrash &request, TimePoint now);
     void takeVerdict(const PoisonVerdict &verdict, TimePoint now);
-    void condemn(const RequestFingerprint &request, Record &record, Duration time, TimePoint now);
-    bool acquit(const RequestFingerprint &request, TimePoint now, bool isLifted);
+    void quarantine(const RequestFingerprint &request, Record &record, Duration time,
+                    TimePoint now);
+    bool clear(const RequestFingerprint &request, TimePoint now, bool isLifted);
     void makeRoom();
 
-    std::function<void(const PoisonVerdict &)> condemned_;
+    std::function<void(const PoisonVerdict &)> quarantined_;
     std::map<RequestFingerprint, Record> records_;
     std::unordered_map<RequestFingerprint, TimePoint> servedAt_; ///< Lately, here.
     std::vector<Told<EndpointCrash>> ownCrashes_;
-    std::vector<Told<RequestFingerprint>> ownAcquittals_;
+    std::vector<Told<RequestFingerprint>> ownCleared_;
     std::optional<RequestFingerprint> lastTold_; ///< Verdict, for the turn of the next ones.
 };
 
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -18,8 +18,8 @@
 /// Somebody who listens answers within a millisecond or two; longer than a lost packet takes.
 constexpr Duration probeTimeout = std::chrono::milliseconds(500);
 
-/// Witnesses of one end at one entry VM; bounds memory. Several batches.
-constexpr std::size_t mostWitnesses = 128;
+/// Requests of one end at one entry VM; bounds memory. Several batches.
+constexpr std::size_t mostRequests = 128;
 
 } // namespace
 
@@ -63,7 +63,7 @@
 CrashDetector::~CrashDetector() = default;
 
 void CrashDetector::attemptBroke(const EndpointLife &endpoint, const Address &address,
-                                 CrashWitness witness)
+                                 RequestAtCrash request)
 {
     const auto [place, isNew] = cases_.try_emplace(endpoint);
     auto &one = place->second;
@@ -71,8 +71,8 @@
         one.openedAt_ = clock_.now();
         one.probe_ = std::make_unique<Probe>(upstream_, address);
     }
-    if (one.witnesses_.size() < mostWitnesses)
-        one.witnesses_.push_back(witness);
+    if (one.requests_.size() < mostRequests)
+        one.requests_.push_back(request);
 }
 
 void CrashDetector::endpointRestarted(const EndpointLife &endpoint)
@@ -89,8 +89,8 @@
         const auto &endpoint = place->first;
         auto &one = place->second;
         const auto verdict = verdictOn(one);
-        if (verdict == Verdict::Ended && !one.witnesses_.empty())
-            crashes.push_back({endpoint, std::exchange(one.witnesses_, {})});
+        if (verdict == Verdict::Ended && !one.requests_.empty())
+            crashes.push_back({endpoint, std::exchange(one.requests_, {})});
         const bool isOver
             = verdict == Verdict::Lives || clock_.now() - one.openedAt_ > caseLifetime;
         place = isOver ? cases_.erase(place) : std::next(place);
--- a/src/serving/failure_blame.cpp
+++ b/src/serving/failure_blame.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-bool FailureBlame::isEndpoints(const RequestFingerprint &request, const VmId &endpoint,
-                               TimePoint now)
+bool FailureBlame::blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint,
+                                  TimePoint now)
 {
     if (failures_.size() >= mostRequests)
         std::erase_if(failures_,
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -102,14 +102,14 @@
     retryHeld(sessions);
 }
 
-void Gateway::attemptBroke(const Target &target, CrashWitness witness)
+void Gateway::attemptBroke(const Target &target, RequestAtCrash request)
 {
-    crashDetector_.attemptBroke(target.life(), target.address_, witness);
+    crashDetector_.attemptBroke(target.life(), target.address_, request);
 }
 
 bool Gateway::blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint)
 {
-    return failureBlame_.isEndpoints(request, endpoint, parts_.clock_.now());
+    return failureBlame_.blamesEndpoint(request, endpoint, parts_.clock_.now());
 }
 
 void Gateway::endpointCrashed(const EndpointCrash &crash)
@@ -118,14 +118,14 @@
     std::string waiting;
     std::size_t named = 0;
     std::size_t begun = 0;
-    for (const auto &witness : crash.witnesses_) {
-        if (witness.hadEvents_)
+    for (const auto &request : crash.requests_) {
+        if (request.hadEvents_)
             ++begun;
         else if (named++ < mostNamed)
-            waiting += (waiting.empty() ? "" : ",") + witness.request_.text();
+            waiting += (waiting.empty() ? "" : ",") + request.fingerprint_.text();
     }
     log::warning(event::endpointCrashed, {{"endpoint", crash.endpoint_.text()},
-                                          {"under-way", std::to_string(crash.witnesses_.size())},
+                                          {"under-way", std::to_string(crash.requests_.size())},
                                           {"had-events", std::to_string(begun)},
                                           {"without-events", waiting}});
     parts_.board_.crashed(crash.endpoint_, parts_.clock_.now());
@@ -137,7 +137,7 @@
 void Gateway::takePoisonNews(const PoisonNews &news)
 {
     const auto now = parts_.clock_.now();
-    for (const auto &[endpoint, witnesses] : news.crashes_)
+    for (const auto &[endpoint, requests] : news.crashes_)
         parts_.board_.crashed(endpoint, now);
     poisonPills_.take(news, now);
 }
--- a/src/serving/poison_news.cpp
+++ b/src/serving/poison_news.cpp
@@ -12,12 +12,12 @@
 constexpr Duration longestQuarantine = std::chrono::hours(48);
 
 /// Requests without an event in the first list, those with some in the second one.
-json::array witnessLists(const std::vector<CrashWitness> &witnesses)
+json::array requestLists(const std::vector<RequestAtCrash> &requests)
 {
     json::array without;
     json::array with;
-    for (const auto &witness : witnesses)
-        (witness.hadEvents_ ? with : without).emplace_back(witness.request_.text());
+    for (const auto &request : requests)
+        (request.hadEvents_ ? with : without).emplace_back(request.fingerprint_.text());
     return {std::move(without), std::move(with)};
 }
 
@@ -46,12 +46,12 @@
         const auto *lists = member.value().if_array();
         if (lists == nullptr || lists->size() != 2)
             continue;
-        auto &witnesses = news.crashes_[EndpointLife::parse(
+        auto &requests = news.crashes_[EndpointLife::parse(
             std::string_view(member.key().data(), member.key().size()))];
         for (const auto &request : fingerprintsIn(&lists->at(0)))
-            witnesses.push_back({request, false});
+            requests.push_back({request, false});
         for (const auto &request : fingerprintsIn(&lists->at(1)))
-            witnesses.push_back({request, true});
+            requests.push_back({request, true});
     }
 }
 
@@ -77,17 +77,17 @@
 json::object poisonObject(const PoisonNews &news)
 {
     json::object crashes;
-    for (const auto &[endpoint, witnesses] : news.crashes_)
-        crashes[endpoint.text()] = witnessLists(witnesses);
+    for (const auto &[endpoint, requests] : news.crashes_)
+        crashes[endpoint.text()] = requestLists(requests);
     json::object verdicts;
     for (const auto &verdict : news.verdicts_)
         verdicts[verdict.request_.text()] = microsecondsOf(verdict.left_);
-    json::array acquitted;
-    for (const auto &request : news.acquitted_)
-        acquitted.emplace_back(request.text());
+    json::array cleared;
+    for (const auto &request : news.cleared_)
+        cleared.emplace_back(request.text());
     return {{"crashes", std::move(crashes)},
             {"verdicts", std::move(verdicts)},
-            {"acquitted", std::move(acquitted)}};
+            {"cleared", std::move(cleared)}};
 }
 
 PoisonNews poisonIn(const json::value *value)
@@ -98,7 +98,7 @@
         return result;
     readCrashes(object->if_contains("crashes"), result);
     readVerdicts(object->if_contains("verdicts"), result);
-    result.acquitted_ = fingerprintsIn(object->if_contains("acquitted"));
+    result.cleared_ = fingerprintsIn(object->if_contains("cleared"));
     return result;
 }
 
--- a/src/serving/poison_pills.cpp
+++ b/src/serving/poison_pills.cpp
@@ -30,11 +30,11 @@
 
 /// Not worth taking over: entry VMs end a quarantine at slightly different times.
 constexpr Duration leastLeft = std::chrono::seconds(5);
-/// A peer that was cut off when a request was acquitted still tells of its quarantine meanwhile.
-constexpr Duration acquittedFor = std::chrono::seconds(30);
-/// Ends that are remembered as excused; those of one trouble, since news of them come within
+/// A peer that was cut off when a request was cleared still tells of its quarantine meanwhile.
+constexpr Duration clearedFor = std::chrono::seconds(30);
+/// Ends that are remembered as ignored; those of one trouble, since news of them come within
 /// seconds.
-constexpr std::size_t mostExcused = 32;
+constexpr std::size_t mostIgnored = 32;
 
 /// A request that was served so lately at any entry VM is no poison pill. What is under way at
 /// three endpoints at once, for two seconds each, is served more than once a second by the fleet.
@@ -42,10 +42,10 @@
 /// Requests served in that time that are remembered; some 40 bytes each.
 constexpr std::size_t mostServed = 8192;
 
-/// Crashes and acquittals are told in seven digests, on up to three hops each.
+/// Crashes and clearings are told in seven digests, on up to three hops each.
 constexpr Duration toldFor = std::chrono::milliseconds(700);
-/// Witnesses of one end that are told; one batch. A message with all of six ends is 3 KB.
-constexpr std::size_t mostWitnesses = 24;
+/// Requests of one end that are told; one batch. A message with all of six ends is 3 KB.
+constexpr std::size_t mostRequests = 24;
 /// Ends that one entry VM tells of at once; more are no work of one request. Bounds its messages
 /// where a whole fabric domain fails.
 constexpr std::size_t mostToldCrashes = 24;
@@ -64,13 +64,13 @@
 }
 
 /// Those that had no event first, since they are more likely the cause.
-std::vector<CrashWitness> likeliest(std::vector<CrashWitness> witnesses)
+std::vector<RequestAtCrash> likeliest(std::vector<RequestAtCrash> requests)
 {
-    std::stable_partition(witnesses.begin(), witnesses.end(),
-                          [](const CrashWitness &one) { return !one.hadEvents_; });
-    if (witnesses.size() > mostWitnesses)
-        witnesses.resize(mostWitnesses);
-    return witnesses;
+    std::stable_partition(requests.begin(), requests.end(),
+                          [](const RequestAtCrash &one) { return !one.hadEvents_; });
+    if (requests.size() > mostRequests)
+        requests.resize(mostRequests);
+    return requests;
 }
 
 template<typename Values>
@@ -83,16 +83,16 @@
 
 bool PoisonNews::isEmpty() const
 {
-    return crashes_.empty() && verdicts_.empty() && acquitted_.empty();
+    return crashes_.empty() && verdicts_.empty() && cleared_.empty();
 }
 
 void mergeNews(PoisonNews &into, const PoisonNews &from)
 {
-    for (const auto &[endpoint, witnesses] : from.crashes_) {
+    for (const auto &[endpoint, requests] : from.crashes_) {
         auto &known = into.crashes_[endpoint];
-        for (const auto &witness : witnesses) {
-            if (!contains(known, witness))
-                known.push_back(witness);
+        for (const auto &request : requests) {
+            if (!contains(known, request))
+                known.push_back(request);
         }
     }
     for (const auto &verdict : from.verdicts_) {
@@ -102,20 +102,20 @@
         if (!isKnown)
             into.verdicts_.push_back(verdict);
     }
-    for (const auto &request : from.acquitted_) {
-        if (!contains(into.acquitted_, request))
-            into.acquitted_.push_back(request);
+    for (const auto &request : from.cleared_) {
+        if (!contains(into.cleared_, request))
+            into.cleared_.push_back(request);
     }
 }
 
 void PoisonPills::endpointCrashed(const EndpointCrash &crash, TimePoint now)
 {
-    const EndpointCrash told{crash.endpoint_, likeliest(crash.witnesses_)};
+    const EndpointCrash told{crash.endpoint_, likeliest(crash.requests_)};
     ownCrashes_.push_back({told, now});
     if (ownCrashes_.size() > mostToldCrashes)
         ownCrashes_.erase(ownCrashes_.begin());
-    for (const auto &witness : told.witnesses_)
-        note(told.endpoint_, witness, now);
+    for (const auto &request : told.requests_)
+        note(told.endpoint_, request, now);
 }
 
 bool PoisonPills::wasServedLately(const RequestFingerprint &request, TimePoint now) const
@@ -125,45 +125,45 @@
 }
 
 /// Tells the others that the request was served here, once in a while.
-void PoisonPills::object(const RequestFingerprint &request, TimePoint now)
+void PoisonPills::tellCleared(const RequestFingerprint &request, TimePoint now)
 {
-    const bool isTold = std::any_of(ownAcquittals_.begin(), ownAcquittals_.end(),
+    const bool isTold = std::any_of(ownCleared_.begin(), ownCleared_.end(),
                                     [&](const auto &one) { return one.value_ == request; });
     if (!isTold)
-        ownAcquittals_.push_back({request, now});
+        ownCleared_.push_back({request, now});
 }
 
-void PoisonPills::note(const EndpointLife &endpoint, const CrashWitness &witness, TimePoint now)
+void PoisonPills::note(const EndpointLife &endpoint, const RequestAtCrash &request, TimePoint now)
 {
-    if (wasServedLately(witness.request_, now)) {
-        object(witness.request_, now);
+    if (wasServedLately(request.fingerprint_, now)) {
+        tellCleared(request.fingerprint_, now);
         return;
     }
-    if (!records_.contains(witness.request_))
+    if (!records_.contains(request.fingerprint_))
         makeRoom();
-    auto &record = records_[witness.request_];
-    if (contains(record.excused_, endpoint))
+    auto &record = records_[request.fingerprint_];
+    if (contains(record.ignored_, endpoint))
         return;
-    const auto [place, isNew] = record.crashes_.try_emplace(endpoint, witness.hadEvents_);
-    const bool isStronger = place->second && !witness.hadEvents_;
+    const auto [place, isNew] = record.crashes_.try_emplace(endpoint, request.hadEvents_);
+    const bool isStronger = place->second && !request.hadEvents_;
     if (!isNew && !isStronger)
         return;
-    place->second = witness.hadEvents_;
+    place->second = request.hadEvents_;
     record.seenAt_ = now;
     if (weightOf(record.crashes_) >= verdictWeight && now >= record.until_) {
         const auto doublings = std::min(record.verdicts_, mostDoublings);
-        condemn(witness.request_, record, firstQuarantine * (1 << doublings), now);
+        quarantine(request.fingerprint_, record, firstQuarantine * (1 << doublings), now);
     }
 }
 
-void PoisonPills::condemn(const RequestFingerprint &request, Record &record, Duration time,
-                          TimePoint now)
+void PoisonPills::quarantine(const RequestFingerprint &request, Record &record, Duration time,
+                             TimePoint now)
 {
     record.until_ = now + time;
     record.seenAt_ = now;
     ++record.verdicts_;
-    if (condemned_)
-        condemned_({request, time});
+    if (quarantined_)
+        quarantined_({request, time});
 }
 
 void PoisonPills::served(const RequestFingerprint &request, TimePoint now)
@@ -171,13 +171,13 @@
     if (servedAt_.size() >= mostServed)
         servedAt_.clear();
     servedAt_.insert_or_assign(request, now);
-    if (acquit(request, now, false))
-        object(request, now);
+    if (clear(request, now, false))
+        tellCleared(request, now);
 }
 
 /// Ends that it was told of count no more; those of later ends do. One that was already under way
 /// when it was quarantined may still be served by the last endpoint that it reached.
-bool PoisonPills::acquit(const RequestFingerprint &request, TimePoint now, bool isLifted)
+bool PoisonPills::clear(const RequestFingerprint &request, TimePoint now, bool isLifted)
 {
     const auto found = records_.find(request);
     const bool isKnown = found != records_.end()
@@ -186,34 +186,34 @@
         return false;
     auto &record = found->second;
     for (const auto &[endpoint, hadEvents] : record.crashes_)
-        record.excused_.push_back(endpoint);
-    if (record.excused_.size() > mostExcused)
-        record.excused_.erase(record.excused_.begin(), record.excused_.end() - mostExcused);
+        record.ignored_.push_back(endpoint);
+    if (record.ignored_.size() > mostIgnored)
+        record.ignored_.erase(record.ignored_.begin(), record.ignored_.end() - mostIgnored);
     record.crashes_.clear();
     record.until_ = {};
     record.verdicts_ = 0;
-    record.acquittedAt_ = now;
+    record.clearedAt_ = now;
     if (isLifted)
-        ownAcquittals_.push_back({request, now});
+        ownCleared_.push_back({request, now});
     return true;
 }
 
 void PoisonPills::take(const PoisonNews &news, TimePoint now)
 {
-    for (const auto &[endpoint, witnesses] : news.crashes_) {
-        for (const auto &witness : witnesses)
-            note(endpoint, witness, now);
+    for (const auto &[endpoint, requests] : news.crashes_) {
+        for (const auto &request : requests)
+            note(endpoint, request, now);
     }
     for (const auto &verdict : news.verdicts_)
         takeVerdict(verdict, now);
-    for (const auto &request : news.acquitted_)
-        (void)acquit(request, now, false);
+    for (const auto &request : news.cleared_)
+        (void)clear(request, now, false);
 }
 
 void PoisonPills::takeVerdict(const PoisonVerdict &verdict, TimePoint now)
 {
     if (wasServedLately(verdict.request_, now)) {
-        object(verdict.request_, now);
+        tellCleared(verdict.request_, now);
         return;
     }
     if (const auto known = quarantinedFor(verdict.request_, now)) {
@@ -225,16 +225,15 @@
     if (!records_.contains(verdict.request_))
         makeRoom();
     auto &record = records_[verdict.request_];
-    const bool isAcquitted
-        = record.acquittedAt_ != TimePoint{} && now - record.acquittedAt_ < acquittedFor;
-    if (!isAcquitted)
-        condemn(verdict.request_, record, verdict.left_, now);
+    const bool isCleared = record.clearedAt_ != TimePoint{} && now - record.clearedAt_ < clearedFor;
+    if (!isCleared)
+        quarantine(verdict.request_, record, verdict.left_, now);
 }
 
 void PoisonPills::restore(const RequestFingerprint &request, TimePoint now)
 {
     if (!quarantinedFor(request, now))
-        condemn(request, records_[request], firstQuarantine, now);
+        quarantine(request, records_[request], firstQuarantine, now);
 }
 
 /// A flood of requests with contents of their own must not take the memory: the suspect that was
@@ -268,7 +267,7 @@
     std::erase_if(servedAt_, [now](const auto &one) { return now - one.second > servedLately; });
     const auto isOld = [now](const auto &one) { return now - one.at_ > toldFor; };
     std::erase_if(ownCrashes_, isOld);
-    std::erase_if(ownAcquittals_, isOld);
+    std::erase_if(ownCleared_, isOld);
 }
 
 std::optional<Duration> PoisonPills::quarantinedFor(const RequestFingerprint &request,
@@ -306,12 +305,12 @@
     for (const auto &crash : ownCrashes_) {
         if (now - crash.at_ <= toldFor)
             result.crashes_[crash.value_.endpoint_].insert(
-                result.crashes_[crash.value_.endpoint_].end(), crash.value_.witnesses_.begin(),
-                crash.value_.witnesses_.end());
+                result.crashes_[crash.value_.endpoint_].end(), crash.value_.requests_.begin(),
+                crash.value_.requests_.end());
     }
-    for (const auto &acquittal : ownAcquittals_) {
-        if (now - acquittal.at_ <= toldFor)
-            result.acquitted_.push_back(acquittal.value_);
+    for (const auto &cleared : ownCleared_) {
+        if (now - cleared.at_ <= toldFor)
+            result.cleared_.push_back(cleared.value_);
     }
     std::vector<PoisonVerdict> inForce;
     for (const auto &[request, record] : records_) {
--- a/tests/crashing_requests/callers.cpp
+++ b/tests/crashing_requests/callers.cpp
@@ -29,7 +29,7 @@
         mostLate = std::max(mostLate, one.poisonLate_);
         mostEnded = std::max(mostEnded, one.ended_);
     }
-    std::printf("%s: %zu asked, %.3f on time, %.3f served, %zu innocents quarantined; poison pill: "
+    std::printf("%s: %zu asked, %.3f on time, %.3f served, %zu others quarantined; poison pill: "
                 "%zu sends, %zu ends (%zu at most), %zu sends late at most\n",
                 name, sum.asked_,
                 static_cast<double>(sum.onTime_) / static_cast<double>(sum.asked_),
@@ -84,7 +84,7 @@
     cr_assert_eq(sum.quarantined_, 0);
 }
 
-Test(crashing_requests, poison_pill_among_ordinary_crashes_condemns_no_innocent)
+Test(crashing_requests, poison_pill_among_ordinary_crashes_quarantines_nobody_else)
 {
     Load load;
     load.crashEvery_ = seconds(3);
--- a/tests/crashing_requests/load.hpp
+++ b/tests/crashing_requests/load.hpp
@@ -34,7 +34,7 @@
     std::size_t asked_ = 0;
     std::size_t onTime_ = 0;      ///< Whole, and the first event within a second of the first try.
     std::size_t served_ = 0;      ///< Whole.
-    std::size_t quarantined_ = 0; ///< Innocents that were refused as poison pills.
+    std::size_t quarantined_ = 0; ///< Other callers that were refused as senders of a poison pill.
     std::size_t poisonSends_ = 0; ///< To groups that began them.
     std::size_t poisonLate_ = 0;  ///< Later than three seconds after the third end.
     std::size_t ended_ = 0;       ///< Groups, under the poison pill.
--- a/tests/serving/crash_detector.cpp
+++ b/tests/serving/crash_detector.cpp
@@ -37,7 +37,7 @@
     std::vector<EndpointCrash> crashes_;
 };
 
-CrashWitness witness(std::uint64_t number, bool hadEvents = false)
+RequestAtCrash request(std::uint64_t number, bool hadEvents = false)
 {
     return {RequestFingerprint(number), hadEvents};
 }
@@ -48,45 +48,45 @@
 {
     Bench bench;
     bench.upstream_.ended_.insert(address);
-    bench.detector_.attemptBroke(engine, address, witness(1));
-    bench.detector_.attemptBroke(engine, address, witness(2, true));
+    bench.detector_.attemptBroke(engine, address, request(1));
+    bench.detector_.attemptBroke(engine, address, request(2, true));
     bench.pass(milliseconds(40));
     cr_assert_eq(bench.crashes_.size(), 1);
     cr_assert_eq(bench.crashes_[0].endpoint_, engine);
-    cr_assert_eq(bench.crashes_[0].witnesses_.size(), 2);
+    cr_assert_eq(bench.crashes_[0].requests_.size(), 2);
     cr_assert_eq(bench.upstream_.probes_, 1);
 }
 
 Test(crash_detector, endpoint_that_still_listens_has_only_broken_an_answer_off)
 {
     Bench bench;
-    bench.detector_.attemptBroke(engine, address, witness(1));
+    bench.detector_.attemptBroke(engine, address, request(1));
     bench.pass(milliseconds(100));
     cr_assert(bench.crashes_.empty());
     // The next broken answer is looked into anew.
     bench.upstream_.ended_.insert(address);
-    bench.detector_.attemptBroke(engine, address, witness(1));
+    bench.detector_.attemptBroke(engine, address, request(1));
     bench.pass(milliseconds(100));
     cr_assert_eq(bench.crashes_.size(), 1);
 }
 
-Test(crash_detector, witness_that_comes_later_is_reported_once_more_for_the_same_end)
+Test(crash_detector, request_that_breaks_later_is_reported_once_more_for_the_same_end)
 {
     Bench bench;
     bench.upstream_.ended_.insert(address);
-    bench.detector_.attemptBroke(engine, address, witness(1));
+    bench.detector_.attemptBroke(engine, address, request(1));
     bench.pass(milliseconds(100));
-    bench.detector_.attemptBroke(engine, address, witness(2));
+    bench.detector_.attemptBroke(engine, address, request(2));
     bench.pass(milliseconds(100));
     cr_assert_eq(bench.crashes_.size(), 2);
-    cr_assert_eq(bench.crashes_[1].witnesses_.size(), 1);
+    cr_assert_eq(bench.crashes_[1].requests_.size(), 1);
     cr_assert_eq(bench.crashes_[1].endpoint_, engine);
 }
 
 Test(crash_detector, endpoint_that_is_listed_with_a_new_start_has_ended)
 {
     Bench bench;
-    bench.detector_.attemptBroke(engine, address, witness(1));
+    bench.detector_.attemptBroke(engine, address, request(1));
     bench.detector_.endpointRestarted(engine);
     bench.pass(milliseconds(100));
     cr_assert_eq(bench.crashes_.size(), 1);
--- a/tests/serving/poison_pills.cpp
+++ b/tests/serving/poison_pills.cpp
@@ -17,7 +17,7 @@
 
 const TimePoint start{seconds(100)};
 const RequestFingerprint pill(7);
-const RequestFingerprint innocent(8);
+const RequestFingerprint other(8);
 
 EndpointLife engine(int number, std::uint64_t bornAt = 1)
 {
@@ -34,7 +34,7 @@
 PoisonNews newsOf(const EndpointCrash &crash)
 {
     PoisonNews news;
-    news.crashes_[crash.endpoint_] = crash.witnesses_;
+    news.crashes_[crash.endpoint_] = crash.requests_;
     return news;
 }
 
@@ -232,14 +232,14 @@
 {
     PoisonPills pills;
     crash(pills, 1, 3, start);
-    pills.endpointCrashed({engine(4), {{innocent, true}, {pill, false}}}, start);
-    pills.served(innocent, start);
+    pills.endpointCrashed({engine(4), {{other, true}, {pill, false}}}, start);
+    pills.served(other, start);
     LoadDigest digest;
     digest.from_ = EntryId("entry-1");
     digest.address_ = {"10.0.0.1", 7340};
     digest.poison_ = pills.news(start);
     cr_assert_eq(digest.poison_.crashes_.size(), 4);
-    cr_assert_eq(digest.poison_.acquitted_.size(), 1);
+    cr_assert_eq(digest.poison_.cleared_.size(), 1);
     const auto read = decodeLoadDigest(encode(digest));
     cr_assert(read->poison_ == digest.poison_);
     DigestHub hub({EntryId("entry-2"), {"10.0.0.2", 7340}, AvailabilityZone("a")}, Incarnation(1));
@@ -249,15 +249,15 @@
     PoisonPills reader;
     reader.take(decodeLoadSummary(encode(hub.fleetSummary(start)))->sum_.poison_, start);
     cr_assert(reader.quarantinedFor(pill, start));
-    cr_assert_not(reader.isSuspect(innocent));
+    cr_assert_not(reader.isSuspect(other));
 }
 
 Test(poison_pills, news_that_another_version_or_a_faulty_peer_has_spoiled_are_left_out)
 {
     for (
         const auto *text :
-        {R"("poison":7)", R"("poison":{"crashes":[1],"verdicts":3,"acquitted":"x"})",
-         R"("poison":{"crashes":{"e-1":[["zz",4],["0000000000000007"]],"e-2":7},"verdicts":{"x":1,"0000000000000009":-4},"acquitted":[1,"00"]})"}) {
+        {R"("poison":7)", R"("poison":{"crashes":[1],"verdicts":3,"cleared":"x"})",
+         R"("poison":{"crashes":{"e-1":[["zz",4],["0000000000000007"]],"e-2":7},"verdicts":{"x":1,"0000000000000009":-4},"cleared":[1,"00"]})"}) {
         const auto digest = decodeLoadDigest(
             R"({"jsonrpc":"2.0","method":"load","params":{"from":"a",)" + std::string(text) + "}}");
         cr_assert(digest);
@@ -270,7 +270,7 @@
 /// Five entry VMs tell each other with losses, late and twice, and start again now and then.
 /// Whatever the order: nobody is quarantined for fewer than three ends, and the pill is known
 /// everywhere soon.
-Test(poison_pills, no_order_of_news_losses_and_restarts_condemns_for_fewer_than_three_ends)
+Test(poison_pills, no_order_of_news_losses_and_restarts_quarantines_for_fewer_than_three_ends)
 {
     for (std::uint64_t seed = 1; seed <= 200; ++seed) {
         Random random(seed);
--- a/tests/serving/quarantined_sessions.cpp
+++ b/tests/serving/quarantined_sessions.cpp
@@ -21,7 +21,7 @@
 }
 
 /// Three endpoints end under the request at other entry VMs.
-void condemn(GatewayFixture &bench)
+void quarantine(GatewayFixture &bench)
 {
     PoisonNews news;
     for (int i = 0; i < 3; ++i)
@@ -35,7 +35,7 @@
 {
     GatewayFixture bench;
     bench.addGroup("head-1");
-    condemn(bench);
+    quarantine(bench);
     bench.pass(seconds(10));
     const auto caller = bench.ask(path);
     cr_assert_eq(caller->status(), 503);
@@ -47,7 +47,7 @@
 {
     GatewayFixture bench;
     bench.addGroup("head-1");
-    condemn(bench);
+    quarantine(bench);
     (void)bench.ask("/stream/8");
     (void)bench.ask(path, "m", "key-b");
     cr_assert_eq(bench.upstream_.calls_.size(), 2);
@@ -58,7 +58,7 @@
     GatewayFixture bench;
     const auto caller = bench.ask(path);
     cr_assert_not(caller->answer_);
-    condemn(bench);
+    quarantine(bench);
     cr_assert_eq(caller->status(), 503);
     bench.addGroup("head-1");
     bench.pass(milliseconds(100));
@@ -72,13 +72,13 @@
     bench.addGroup("head-2");
     const auto caller = bench.ask(path);
     bench.lastCall()->connect();
-    condemn(bench);
+    quarantine(bench);
     cr_assert(bench.lastCall()->isDropped());
     cr_assert_eq(caller->status(), 502);
     cr_assert_eq(bench.upstream_.calls_.size(), 1);
 }
 
-Test(quarantined_sessions, answer_that_has_begun_goes_on_and_acquits)
+Test(quarantined_sessions, answer_that_has_begun_goes_on_and_clears_the_request)
 {
     GatewayFixture bench;
     bench.addGroup("head-1");
@@ -86,7 +86,7 @@
     bench.lastCall()->connect();
     bench.lastCall()->sealedHead();
     bench.lastCall()->data(event);
-    condemn(bench);
+    quarantine(bench);
     cr_assert_not(bench.lastCall()->isDropped());
     bench.lastCall()->end("");
     cr_assert(caller->isFinished_);
@@ -102,7 +102,7 @@
     bench.lastCall()->connect();
     bench.lastCall()->sealedHead();
     bench.lastCall()->data(event);
-    condemn(bench);
+    quarantine(bench);
     bench.lastCall()->fail(true);
     cr_assert_eq(bench.upstream_.calls_.size(), 1);
     cr_assert(caller->isAborted_);
