Run the tests where no KNOWN-RED.txt stands

Cause: the list of known red tests was read though there is none; the script ended with 2 before the tests. Ruled out: a failing test (none had run).

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,7 +5,10 @@
 cd "$(dirname "$0")/.."
 folder=${BUILD_FOLDER:-build}
 
-red=$(sed -n 's/^\([a-z-]*\) .*/\1/p' KNOWN-RED.txt 2>/dev/null | sort -u | paste -sd'|')
+red=""
+if [ -f KNOWN-RED.txt ]; then
+    red=$(sed -n 's/^\([a-z-]*\) .*/\1/p' KNOWN-RED.txt | sort -u | paste -sd'|')
+fi
 labels=()
 arguments=(--output-on-failure --no-tests=error -j 6)
 while [ $# -gt 0 ]; do
@@ -15,6 +18,7 @@
         shift 2
         ;;
     --red)
+        [ -n "$red" ] || { echo "KNOWN-RED.txt names no test"; exit 0; }
         labels=(-L "^($red)\$")
         shift
         ;;
