Judge the mix of models after the loss of a group

Ruled out: places (scripts wait for none before 12 s). Change: both models are weighed with one group less.

--- a/include/cardamombay/serving/model_mix.hpp
+++ b/include/cardamombay/serving/model_mix.hpp
@@ -18,9 +18,10 @@
     double groups_ = 0; ///< That serve or will; one over fabric domains counts less.
     double demand_ = 0; ///< Groups' worth of work.
 
-    /// \returns groups per group's worth of work; below 1 callers wait for each other.
+    /// \returns groups per group's worth of work once one of them is lost; below 1 callers wait for
+    /// each other.
     /// \param more groups that are added, or taken away if it is negative.
-    [[nodiscard]] double coverage(double more = 0) const;
+    [[nodiscard]] double coverageAfterLoss(double more = 0) const;
 };
 
 /// \brief A group of one model becomes groups of another.
--- a/src/serving/model_mix.cpp
+++ b/src/serving/model_mix.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Groups per group's worth of work beyond which a model gets no more of another's: the places that
-/// are free then bear the loss of a fabric domain and a burst of half of the work more.
+/// Groups per group's worth of work, after a loss, beyond which a model gets no more of another's:
+/// the places that are free then bear the loss of a fabric domain and a burst of half of the work
+/// more.
 constexpr double enoughCoverage = 1.6;
 
 /// What a conversion must gain for the model that is served worst, as a factor; a group is away for
@@ -22,9 +23,11 @@
 
 } // namespace
 
-double ModelLoad::coverage(double more) const
+/// An engine that is lost takes its whole group; of a model with few large ones that is more of its
+/// work.
+double ModelLoad::coverageAfterLoss(double more) const
 {
-    return (groups_ + more) / std::max(demand_, leastDemand);
+    return std::max(0.0, groups_ + more - 1) / std::max(demand_, leastDemand);
 }
 
 /// Engines that are left over make fabric domains in which neither model repairs itself. With
@@ -48,15 +51,16 @@
     std::optional<Conversion> best;
     double most = 0;
     for (const auto &to : models) {
-        if (to.coverage() >= enoughCoverage)
+        if (to.coverageAfterLoss() >= enoughCoverage)
             continue;
         for (const auto &from : models) {
             const Conversion one{from.model_, to.model_};
             if (from.model_ == to.model_ || from.groups_ - 1 < leastLeft || one.groupsMade() == 0)
                 continue;
-            const auto gained = to.coverage(static_cast<double>(one.groupsMade()));
-            const auto worst = std::min(gained, from.coverage(-1));
-            if (worst < std::min(to.coverage(), from.coverage()) * leastGain || worst <= most)
+            const auto gained = to.coverageAfterLoss(static_cast<double>(one.groupsMade()));
+            const auto worst = std::min(gained, from.coverageAfterLoss(-1));
+            if (worst < std::min(to.coverageAfterLoss(), from.coverageAfterLoss()) * leastGain
+                || worst <= most)
                 continue;
             best = one;
             most = worst;
