Wrap a comment of the model mix as the formatter does

Cause: scripts/check.sh was run before the last edit of model_mix.hpp; its format check fails on one comment. Ruled out: other files (the check ran over all). Change: the comment's lines. No behaviour, nothing measured again.

--- a/include/cardamombay/serving/model_mix.hpp
+++ b/include/cardamombay/serving/model_mix.hpp
@@ -30,8 +30,8 @@
     const Model *from_ = nullptr;
     const Model *to_ = nullptr;
 
-    /// \returns groups of \p to_ that the engines of a group of \p from_ make; none if engines would
-    /// be left over.
+    /// \returns groups of \p to_ that the engines of a group of \p from_ make; none if engines
+    /// would be left over.
     [[nodiscard]] std::size_t groupsMade() const;
 };
 
