Let a model give only what it has beyond enough, and prepare no hosts at the start

Every other large group had the small model on its hosts from the start, and a host keeps one model over a restart: engines of a domain that was dark came back with the wrong one and formed small groups. Groups also went to whoever was served worse for a moment. Change: hosts keep the model of their group until a conversion is due; a model gives only what it has beyond enough; what hosts have for a conversion does not count as a model of the domain.

--- a/src/serving/planner_converting.cpp
+++ b/src/serving/planner_converting.cpp
@@ -9,11 +9,6 @@
 
 constexpr std::string_view convertReason = "its engines are needed for another model";
 
-/// One of so many groups of a domain has a smaller model on its hosts from the first start on, when
-/// loads do not slow callers down: it serves that model 1 s after it has finished its work, in
-/// place of 13. The others keep their own, which a restart of the engine needs.
-constexpr std::size_t preparedOneOf = 2;
-
 } // namespace
 
 std::vector<ModelLoad> Run::modelLoads() const
@@ -107,35 +102,4 @@
     }
 }
 
-/// What operators declare of the mix may be old: before traffic comes nobody knows.
-void Run::prepareAtStart()
-{
-    if (!input_.isFirstLoad_ || input_.mix_ == nullptr)
-        return;
-    std::map<FabricDomain, std::size_t> seen;
-    for (const auto *list : {&ready_, &serving_}) {
-        for (const auto *group : *list) {
-            const auto *model = smallerModel(*modelNamed(group->model_));
-            if (model == nullptr || group->isFar())
-                continue;
-            if (++seen[group->head_->domain_] % preparedOneOf == 0)
-                prepare(*group, *model);
-        }
-    }
-}
-
-/// The worst served model whose groups the engines of a group of \p model make; null if there is
-/// none.
-const Model *Run::smallerModel(const Model &model) const
-{
-    const Model *best = nullptr;
-    for (const auto &one : input_.profile_->models_) {
-        const bool fits
-            = one.members_ < model.members_ && Conversion{&model, &one}.groupsMade() > 0;
-        if (fits && (best == nullptr || coverage(one) < coverage(*best)))
-            best = &one;
-    }
-    return best;
-}
-
 } // namespace cardamombay::serving::impl
--- a/src/serving/planner_lending.cpp
+++ b/src/serving/planner_lending.cpp
@@ -28,11 +28,23 @@
         note(engine->model_);
         if (engine->membership_)
             note(modelOf(engine->membership_->group_));
-        for (const auto &model : engine->staged_)
-            note(model);
+        for (const auto &model : engine->staged_) {
+            if (!isPreparedFor(*engine, model))
+                note(model);
+        }
     }
 }
 
+/// True if the host of a member has \p model for the case that its group is converted. Its domain
+/// does not serve that model yet, and engines that come empty load the domain's own.
+bool Run::isPreparedFor(const Endpoint &engine, const ModelName &model) const
+{
+    const auto *staged = modelNamed(model);
+    const auto *own
+        = engine.membership_ ? modelNamed(modelOf(engine.membership_->group_)) : nullptr;
+    return staged != nullptr && own != nullptr && staged->members_ < own->members_;
+}
+
 /// The model that engines of smaller groups keep on their hosts; null in a domain of one model.
 const Model *Run::reserveOf(const FabricDomain &domain) const
 {
--- a/src/serving/planner_run.cpp
+++ b/src/serving/planner_run.cpp
@@ -75,7 +75,6 @@
     for (const auto &[domain, engines] : free_)
         warmUp(engines);
     stageReserve();
-    prepareAtStart();
     return std::move(result_);
 }
 
--- a/src/serving/planner_run.hpp
+++ b/src/serving/planner_run.hpp
@@ -61,6 +61,7 @@
                std::vector<const GroupView *> open);
     [[nodiscard]] Engines spares(const Model &model) const;
     void notePresent();
+    [[nodiscard]] bool isPreparedFor(const Endpoint &engine, const ModelName &model) const;
     [[nodiscard]] const Model *reserveOf(const FabricDomain &domain) const;
     void lend();
     void lendTo(const Model &model, const FabricDomain &domain);
@@ -97,8 +98,6 @@
     [[nodiscard]] static bool isPrepared(const GroupView &group, const Model &model);
     void makeWay(const GroupView &group);
     void prepare(const GroupView &group, const Model &model);
-    void prepareAtStart();
-    [[nodiscard]] const Model *smallerModel(const Model &model) const;
 
     [[nodiscard]] double needOfDomains(const Model &model) const;
     [[nodiscard]] std::map<FabricDomain, const Model *> domainModels();
--- a/tests/serving/model_mix.cpp
+++ b/tests/serving/model_mix.cpp
@@ -73,6 +73,13 @@
     cr_assert_not(DemandMix().next(models.loads(2, 0, 10, 30)).has_value());
 }
 
+/// A fabric domain of the small model goes dark for seconds; the large one has enough and no more.
+Test(model_mix, model_without_more_than_enough_gives_nothing_while_another_one_is_short)
+{
+    const TwoModels models;
+    cr_assert_not(DemandMix().next(models.loads(7, 3.9, 10, 28)).has_value());
+}
+
 Test(model_mix, model_that_is_served_as_badly_gives_nothing)
 {
     const TwoModels models;
--- /dev/null
+++ b/tests/support/shifting_fleet.hpp
@@ -0,0 +1,328 @@
+/// \file
+/// \brief The planner with engines that take their time, and callers who need a place at a group
+/// while the mix of their requests moves away from operators' shares.
+#pragma once
+
+#include "support/replica_bench.hpp"
+
+#include <cardamombay/core/random.hpp>
+
+#include <cstdio>
+#include <map>
+#include <queue>
+#include <set>
+
+namespace cardamombay::support {
+
+using namespace cardamombay::serving;
+
+inline constexpr int domains = 9;
+inline constexpr int enginesPerDomain = 18;
+inline constexpr std::uint32_t largeGroup = 8;
+inline constexpr std::uint32_t smallGroup = 2;
+inline constexpr std::size_t places = 20;
+
+/// Seconds that the steps of engines take.
+inline constexpr double loadSeconds = 12;
+inline constexpr double stagedSeconds = 1.1; ///< To join with weights from the host.
+inline constexpr double loadedSeconds = 0.2; ///< To join with weights in memory.
+inline constexpr double openSeconds = 0.3;
+inline constexpr double finishSeconds = 2; ///< The rest of the answers of a group that makes way.
+inline constexpr double answerSeconds = 1.8;
+inline constexpr double lossGapSeconds = 1.5;
+inline constexpr double replacedAfterSeconds = 5;
+
+/// Requests a second for the small and the large model.
+struct Sheet
+{
+    double small_;
+    double large_;
+};
+
+/// The mix that the shares were made for, half of the way, and the mix that callers ask for now, at
+/// the crest of its hours, which are a fifth above the mean.
+inline constexpr Sheet oldSheet{200, 90};
+inline constexpr Sheet halfWay{286, 65};
+inline constexpr Sheet shiftedSheet{373, 43};
+
+/// Shares of the callers who found no free place at once.
+struct Waits
+{
+    double small_ = 0;
+    double large_ = 0;
+    int conversions_ = 0; ///< Groups that were told to make way.
+};
+
+/// 162 engines that carry out the planner's orders in their own time, and lose one every 1.5 s.
+class ShiftingFleet
+{
+public:
+    ShiftingFleet(const ModelMix &mix, std::uint64_t seed)
+        : random_(seed)
+    {
+        bench_.profile_.models_[0].members_ = largeGroup;
+        bench_.profile_.models_[1].members_ = smallGroup;
+        bench_.profile_.models_[0].share_ = 0.5;
+        bench_.profile_.models_[1].share_ = 0.5;
+        bench_.profile_.loadsAtOnce_ = 20;
+        bench_.input_.mix_ = &mix;
+        bench_.input_.isFirstLoad_ = true;
+        for (int i = 0; i < domains * enginesPerDomain; ++i)
+            add("d" + std::to_string(i / enginesPerDomain));
+        for (; now_ < 12; now_ += step)
+            advance();
+        bench_.input_.isFirstLoad_ = false;
+        now_ = 0;
+        started_ = true;
+    }
+
+    /// Callers come by \p sheet for that long; who finds no place is counted.
+    Waits serve(double seconds, Sheet sheet)
+    {
+        std::map<ModelName, Count> counts;
+        for (const double end = now_ + seconds; now_ < end; now_ += step) {
+            measure(sheet);
+            advance();
+            ask(ModelName("m"), sheet.large_, counts[ModelName("m")]);
+            ask(ModelName("n"), sheet.small_, counts[ModelName("n")]);
+        }
+        const auto share = [&](const char *name) {
+            const auto &count = counts[ModelName(name)];
+            return count.asked_ == 0
+                       ? 0
+                       : static_cast<double>(count.waited_) / static_cast<double>(count.asked_);
+        };
+        return {share("n"), share("m"), conversions_};
+    }
+
+private:
+    static constexpr double step = 0.05;
+
+    struct Count
+    {
+        std::size_t asked_ = 0;
+        std::size_t waited_ = 0;
+    };
+
+    void add(const std::string &domain)
+    {
+        bench_.engines_.push_back(spareEngine("e" + std::to_string(++count_), domain));
+    }
+
+    Endpoint *find(const VmId &id)
+    {
+        const auto found = std::find_if(bench_.engines_.begin(), bench_.engines_.end(),
+                                        [&id](const Endpoint &one) { return one.id_ == id; });
+        return found == bench_.engines_.end() ? nullptr : &*found;
+    }
+
+    /// As entry VMs do: smoothed over four seconds, in groups' worth.
+    void measure(const Sheet &sheet)
+    {
+        const auto smooth = [&](const char *model, double perSecond) {
+            const double groups = perSecond * answerSeconds / static_cast<double>(places);
+            auto &known = bench_.input_.demand_[ModelName(model)];
+            known += (groups - known) * step / 4;
+        };
+        smooth("m", sheet.large_);
+        smooth("n", sheet.small_);
+    }
+
+    void advance()
+    {
+        if (started_ && now_ >= nextLoss_) {
+            nextLoss_ = now_ + lossGapSeconds;
+            loseOne();
+        }
+        while (!arrivals_.empty() && arrivals_.front().first <= now_) {
+            add(arrivals_.front().second);
+            arrivals_.pop();
+        }
+        carryOutDue();
+        for (const auto &order : bench_.plan())
+            take(order);
+    }
+
+    /// A group that has lost an engine ends, and its survivors are free.
+    void loseOne()
+    {
+        const auto index = random_.below(bench_.engines_.size());
+        const auto lost = bench_.engines_[index];
+        bench_.engines_.erase(bench_.engines_.begin() + static_cast<std::ptrdiff_t>(index));
+        due_.erase(lost.id_);
+        forgetOrder(lost.id_);
+        arrivals_.push({now_ + replacedAfterSeconds, lost.domain_.text()});
+        if (!lost.membership_)
+            return;
+        for (auto &engine : bench_.engines_) {
+            if (engine.membership_ && engine.membership_->group_ == lost.membership_->group_) {
+                engine.membership_.reset();
+                forgetOrder(engine.id_);
+                due_.erase(engine.id_);
+            }
+        }
+        busyUntil_.erase(lost.membership_->group_);
+    }
+
+    void forgetOrder(const VmId &engine)
+    {
+        bench_.input_.pending_.erase(engine);
+        bench_.input_.joining_.erase(engine);
+        bench_.input_.loading_.erase(engine);
+    }
+
+    [[nodiscard]] double timeOf(const Endpoint &engine, const Order &order) const
+    {
+        const double slow = bench_.input_.isFirstLoad_ ? 0.1 : 1;
+        if (const auto *join = std::get_if<JoinOrder>(&order)) {
+            if (engine.model_ == join->model_)
+                return loadedSeconds;
+            return engine.hasStaged(join->model_) ? stagedSeconds : loadSeconds * slow;
+        }
+        if (std::holds_alternative<StageOrder>(order))
+            return loadSeconds * slow;
+        if (std::holds_alternative<OpenOrder>(order))
+            return openSeconds;
+        return std::holds_alternative<CloseOrder>(order) ? finishSeconds : 0;
+    }
+
+    void take(const PlannedOrder &planned)
+    {
+        auto &engine = *find(planned.engine_);
+        // Weights come onto the host beside all that the engine does.
+        if (const auto *stage = std::get_if<StageOrder>(&planned.order_)) {
+            bench_.input_.loading_[engine.id_] = stage->model_;
+            loads_[engine.id_] = {now_ + timeOf(engine, planned.order_), planned};
+            return;
+        }
+        bench_.input_.pending_.insert(engine.id_);
+        if (const auto *join = std::get_if<JoinOrder>(&planned.order_)) {
+            bench_.input_.joining_[engine.id_] = join->group_;
+        } else if (std::holds_alternative<CloseOrder>(planned.order_)) {
+            engine.membership_->state_ = MemberState::Closing;
+            conversions_ += started_ ? 1 : 0;
+        }
+        due_[engine.id_] = {now_ + timeOf(engine, planned.order_), planned};
+    }
+
+    void carryOutDue()
+    {
+        for (auto *orders : {&due_, &loads_}) {
+            for (auto one = orders->begin(); one != orders->end();) {
+                if (one->second.first > now_) {
+                    ++one;
+                    continue;
+                }
+                const auto planned = one->second.second;
+                one = orders->erase(one);
+                if (auto *engine = find(planned.engine_))
+                    carryOut(*engine, planned.order_);
+            }
+        }
+    }
+
+    void carryOut(Endpoint &engine, const Order &order)
+    {
+        if (const auto *stage = std::get_if<StageOrder>(&order)) {
+            engine.staged_ = {stage->model_};
+            bench_.input_.loading_.erase(engine.id_);
+            return;
+        }
+        bench_.input_.pending_.erase(engine.id_);
+        bench_.input_.joining_.erase(engine.id_);
+        if (const auto *join = std::get_if<JoinOrder>(&order)) {
+            const auto rank = std::find(join->members_.begin(), join->members_.end(), engine.id_)
+                              - join->members_.begin();
+            if (engine.model_ != join->model_ && !engine.hasStaged(join->model_))
+                engine.staged_ = {join->model_};
+            engine.model_ = join->model_;
+            engine.membership_ = Membership{join->group_, join->epoch_,
+                                            static_cast<std::uint32_t>(rank), MemberState::Ready};
+        } else if (std::holds_alternative<LeaveOrder>(order)) {
+            engine.membership_.reset();
+        } else if (engine.membership_) {
+            const bool opens = std::holds_alternative<OpenOrder>(order);
+            engine.membership_->state_ = opens ? MemberState::Open : MemberState::Ready;
+        }
+    }
+
+    /// Entry VMs choose by news that are a digest old, which leaves the better of two groups drawn
+    /// at random; callers who find it full wait.
+    void ask(const ModelName &model, double perSecond, Count &count)
+    {
+        const auto groups = openGroups(model);
+        for (owed_[model] += perSecond * step; owed_[model] >= 1; owed_[model] -= 1) {
+            ++count.asked_;
+            std::vector<double> *best = nullptr;
+            for (int draw = 0; draw < 2 && !groups.empty(); ++draw) {
+                auto &busy = busyUntil_[groups[random_.below(groups.size())]];
+                std::erase_if(busy, [this](double until) { return until <= now_; });
+                if (best == nullptr || busy.size() < best->size())
+                    best = &busy;
+            }
+            if (best == nullptr || best->size() >= places)
+                ++count.waited_;
+            else
+                best->push_back(now_ + answerSeconds * (0.5 + random_.unit()));
+        }
+    }
+
+    [[nodiscard]] std::vector<GroupName> openGroups(const ModelName &model) const
+    {
+        std::vector<GroupName> result;
+        for (const auto &engine : bench_.engines_) {
+            const bool serves = engine.membership_ && engine.membership_->isHead()
+                                && engine.membership_->state_ == MemberState::Open
+                                && modelOf(engine.membership_->group_) == model;
+            if (serves)
+                result.push_back(engine.membership_->group_);
+        }
+        return result;
+    }
+
+    Random random_;
+    Bench bench_;
+    double now_ = 0;
+    bool started_ = false;
+    double nextLoss_ = lossGapSeconds;
+    int count_ = 0;
+    int conversions_ = 0;
+    std::queue<std::pair<double, std::string>> arrivals_;
+    std::map<VmId, std::pair<double, PlannedOrder>> due_;
+    std::map<VmId, std::pair<double, PlannedOrder>> loads_;
+    std::map<ModelName, double> owed_;
+    std::map<GroupName, std::vector<double>> busyUntil_;
+};
+
+/// Callers come by \p before for \p settling seconds, and are counted while they come by \p sheet.
+inline Waits meanOf(const ModelMix &mix, Sheet sheet, Sheet before = {}, double settling = 0)
+{
+    constexpr std::uint64_t seeds = 5;
+    constexpr double seconds = 40;
+    Waits sum;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        ShiftingFleet fleet(mix, seed);
+        if (settling > 0) {
+            (void)fleet.serve(seconds / 2, before);
+            (void)fleet.serve(settling, sheet);
+        }
+        const auto one = fleet.serve(seconds, sheet);
+        sum.small_ += one.small_ / seeds;
+        sum.large_ += one.large_ / seeds;
+        sum.conversions_ += one.conversions_;
+    }
+    return sum;
+}
+
+inline void print(const char *sheet, const Waits &kept, const Waits &mixed)
+{
+    std::printf("%s: callers without a place, small model %.4f and %.4f, large model %.4f and "
+                "%.4f; groups that made way %d and %d (kept and by demand)\n",
+                sheet, kept.small_, mixed.small_, kept.large_, mixed.large_, kept.conversions_,
+                mixed.conversions_);
+}
+
+/// Share of the callers that may find no place at once: those that wait are late.
+inline constexpr double mostWaiting = 0.01;
+
+} // namespace cardamombay::support
