Log how each entry VM learns that an endpoint leaves, and how old what it knew was

Cause: the lines could not tell who knew of a leaving, since when and from whom: only entry VMs that watch the store named it, and no line told the age of what a request was sent by. Ruled out: nothing; no logic is changed. Change: endpoint-leaving at every entry VM (from store, peer or listing, with the age of the view), view-behind when the store is asked for what a peer has, endpoints-age-ms in request-finished, and a histogram of that age. Conclusion: from a request's id its endpoint and the age of the belief, from the endpoint the lines of all entry VMs.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -70,6 +70,12 @@
     /// \brief The store confirmed at \p when that the configuration in force is the newest.
     void confirm(TimePoint when) { confirmedAt_ = std::max(confirmedAt_, when); }
     [[nodiscard]] TimePoint confirmedAt() const { return confirmedAt_; }
+    /// \brief What is known here of the endpoints held all that was committed at \p when.
+    void confirmEndpoints(TimePoint when)
+    {
+        endpointsConfirmedAt_ = std::max(endpointsConfirmedAt_, when);
+    }
+    [[nodiscard]] TimePoint endpointsConfirmedAt() const { return endpointsConfirmedAt_; }
     /// \brief Entry VMs that share the fleet's retries, self included.
     void setEntryCount(std::size_t count);
     /// \brief What the other entry VMs counted in the last window, as they told last.
@@ -144,6 +150,7 @@
     bool isLearning_ = false;
     std::shared_ptr<const RouteTable> routes_;
     TimePoint confirmedAt_{};
+    TimePoint endpointsConfirmedAt_{};
     TimePoint sweptAt_{};
     std::map<ModelName, double> demand_;
     std::unordered_map<ServiceName, RepeatWindow> repeats_;
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -20,6 +20,8 @@
     metrics::Counter stalls_;          ///< Attempts ended since the endpoint was silent.
     metrics::Counter endpointCrashes_; ///< Endpoints that ended under requests from here.
     metrics::Counter quarantined_;     ///< Requests refused since they end endpoints.
+    /// Seconds since the store confirmed what is known of the endpoints, at each send.
+    metrics::Histogram endpointsAge_;
     metrics::Histogram firstByte_; ///< Seconds from the request to the first event or the answer.
     metrics::Histogram pause_;     ///< Seconds between two events.
     metrics::Histogram whole_;     ///< Seconds from the request to the end of its answer.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -89,7 +89,9 @@
     void takeEndpoint(const platform::RowChange &change);
     [[nodiscard]] std::optional<Endpoint> readEndpoint(const platform::Row &row);
     void endpointRestarted(const Endpoint &before);
-    void endpointChanged(const EndpointChange &change);
+    void endpointChanged(const EndpointChange &change, std::string_view source);
+    void logLeaving(const EndpointChange &change, std::string_view source) const;
+    [[nodiscard]] Duration viewAge() const;
     void relayArrived(const EndpointRelay &relay);
     [[nodiscard]] bool isWorthLogging(const Endpoint *known, const Endpoint &now) const;
     void readQuarantines();
@@ -199,7 +201,6 @@
     TimePoint relayHeardAt_{};          ///< An entry VM with fresh knowledge of the store.
     TimePoint configAskedAt_{};         ///< Of the store, for a version that a peer has.
     TimePoint behindSince_{};           ///< It has more than this one; the epoch if not.
-    TimePoint endpointsConfirmedAt_{};
     TimePoint startedAt_{};
     TimePoint plansSince_{};                ///< Since then the lease is held, or it is not.
     TimePoint standbyUntil_{};              ///< Stands by while others may plan.
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -284,7 +284,7 @@
         parts_.gateway_.confirm(asOf);
         noteLearning();
     } else if (table == parts_.format_.endpointTable()) {
-        endpointsConfirmedAt_ = std::max(endpointsConfirmedAt_, asOf);
+        parts_.gateway_.confirmEndpoints(asOf);
     }
 }
 
@@ -326,7 +326,7 @@
     if (!parts_.lease_.isHeld())
         plansSince_ = now;
     // One that has just gained the lease is about to look.
-    const auto age = now - std::max(endpointsConfirmedAt_, plansSince_);
+    const auto age = now - std::max(parts_.gateway_.endpointsConfirmedAt(), plansSince_);
     const bool isTooOld = age > oldView && !peers_.empty();
     if (isTooOld && !isStandingBy(now)) {
         standbyUntil_ = now + standby;
@@ -371,7 +371,7 @@
     if (isPlanner)
         keepQuarantines(now);
     parts_.manager_.setDemand(demand);
-    parts_.manager_.tick(*parts_.gateway_.routes(), endpointsConfirmedAt_);
+    parts_.manager_.tick(*parts_.gateway_.routes(), parts_.gateway_.endpointsConfirmedAt());
 }
 
 std::map<ModelName, double> Node::fleetDemand() const
--- a/src/serving/node_endpoints.cpp
+++ b/src/serving/node_endpoints.cpp
@@ -19,6 +19,9 @@
 /// endpoints at each of 195 entry VMs they were three quarters of all lines.
 constexpr Duration endpointsLogPeriod = std::chrono::seconds(1);
 
+constexpr std::string_view heardFromStore = "store";
+constexpr std::string_view heardFromListing = "listing";
+
 } // namespace
 
 /// A watch whose history was lost lists anew. Readers of this entry VM's news are told what has
@@ -41,8 +44,11 @@
         endpoints.push_back(*std::move(endpoint));
     }
     for (const auto &id : parts_.book_.ids()) {
-        if (!listed.contains(id))
-            history_.add({id, version, std::nullopt}, now);
+        if (listed.contains(id))
+            continue;
+        const EndpointChange end{id, version, std::nullopt};
+        logLeaving(end, heardFromListing);
+        history_.add(end, now);
     }
     log::info(event::endpointListed, {{"count", std::to_string(endpoints.size())},
                                       {"version", std::to_string(version.value())},
@@ -76,7 +82,7 @@
         refused_.erase(result.id_);
     else
         result.endpoint_ = readEndpoint(row);
-    endpointChanged(result);
+    endpointChanged(result, heardFromStore);
 }
 
 /// An entry that another writer has spoiled names nothing to use, until the endpoint writes it
@@ -104,9 +110,31 @@
     parts_.gateway_.endpointRestarted(before.life(), before.address_);
 }
 
-void Node::endpointChanged(const EndpointChange &change)
+Duration Node::viewAge() const
+{
+    return parts_.clock_.now() - parts_.gateway_.endpointsConfirmedAt();
+}
+
+/// One line at each entry VM when it learns that an endpoint gets nothing new any more. The store
+/// had acknowledged that `view-age-ms` before, at the most.
+void Node::logLeaving(const EndpointChange &change, std::string_view source) const
+{
+    const auto *known = parts_.book_.find(change.id_);
+    const bool isLeaving = !change.endpoint_ || change.endpoint_->isDraining_;
+    if (known == nullptr || known->isDraining_ || !isLeaving)
+        return;
+    log::info(event::endpointLeaving, {{"endpoint", change.id_.text()},
+                                       {"how", change.endpoint_ ? "draining" : "gone"},
+                                       {"heard-from", std::string(source)},
+                                       {"version", std::to_string(change.version_.value())},
+                                       {"view-age-ms", std::to_string(toMilliseconds(viewAge()))}});
+}
+
+/// \param source where the news comes from, for the log.
+void Node::endpointChanged(const EndpointChange &change, std::string_view source)
 {
     const auto now = parts_.clock_.now();
+    logLeaving(change, source);
     history_.add(change, now);
     listedVersion_ = std::max(listedVersion_, change.version_);
     const auto version = std::to_string(change.version_.value());
@@ -143,7 +171,7 @@
               {{"entries", std::to_string(std::exchange(listedCount_, 0))},
                {"gone", std::to_string(std::exchange(goneCount_, 0))},
                {"version", std::to_string(endpointWatch_.version().value())},
-               {"view-age-ms", std::to_string(toMilliseconds(now - endpointsConfirmedAt_))}});
+               {"view-age-ms", std::to_string(toMilliseconds(viewAge()))}});
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/node_relays.cpp
+++ b/src/serving/node_relays.cpp
@@ -43,6 +43,7 @@
 /// priced.
 constexpr Duration watcherFailurePause = std::chrono::milliseconds(400);
 constexpr Duration spareFailurePause = std::chrono::milliseconds(2500);
+constexpr std::string_view heardFromPeer = "peer";
 /// Entry VMs that pass changes of endpoints on beside the planner, which hears of them first.
 constexpr std::uint32_t relayCount = 1;
 
@@ -70,7 +71,7 @@
         behindSince_ = parts_.clock_.now();
     for (const auto &change : relay.changes_) {
         if (change.version_ > *had)
-            endpointChanged(change);
+            endpointChanged(change, heardFromPeer);
     }
 }
 
@@ -115,7 +116,7 @@
     relay.config_ = routes ? routes->version() : ConfigVersion();
     relay.configAge_ = now - parts_.gateway_.confirmedAt();
     relay.endpoints_ = endpointWatch_.lastChange();
-    relay.endpointsAge_ = now - endpointsConfirmedAt_;
+    relay.endpointsAge_ = now - parts_.gateway_.endpointsConfirmedAt();
     return relay;
 }
 
@@ -236,13 +237,18 @@
 {
     if (relay.endpoints_ <= endpointWatch_.version()) {
         behindSince_ = {};
-        endpointsConfirmedAt_ = std::max(endpointsConfirmedAt_, now - relay.endpointsAge_);
+        parts_.gateway_.confirmEndpoints(now - relay.endpointsAge_);
         return;
     }
     if (behindSince_ == TimePoint{})
         behindSince_ = now;
     const auto patience = reporter_ ? catchUpFromSums : catchUpAfter;
     if (now - behindSince_ >= patience) {
+        log::info(event::viewBehind,
+                  {{"version", std::to_string(endpointWatch_.version().value())},
+                   {"peer-has", std::to_string(relay.endpoints_.value())},
+                   {"behind-ms", std::to_string(toMilliseconds(now - behindSince_))},
+                   {"view-age-ms", std::to_string(toMilliseconds(viewAge()))}});
         behindSince_ = {};
         endpointWatch_.catchUp();
     }
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -305,6 +305,8 @@
 {
     const auto now = gateway_.parts().clock_.now();
     target_ = target;
+    viewAge_ = now - gateway_.endpointsConfirmedAt();
+    gateway_.parts().metrics_.endpointsAge_.observe(toSeconds(viewAge_));
     tried_.push_back(target.endpoint_);
     ++sends_;
     isConnected_ = false;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -139,6 +139,7 @@
 
     std::unique_ptr<net::UpstreamCall> call_;
     Target target_;
+    Duration viewAge_{}; ///< Of what was known of the endpoints at the last send.
     bool isConnected_ = false;
     TimePoint attemptAt_;
     TimePoint progressAt_;
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -82,6 +82,7 @@
                {"endpoint", target_.endpoint_.text()},
                {"config", routes_ ? std::to_string(routes_->version().value()) : "0"},
                {"config-age-ms", std::to_string(toMilliseconds(gateway_.unconfirmedFor()))},
+               {"endpoints-age-ms", std::to_string(toMilliseconds(viewAge_))},
                {"events", std::to_string(events_)},
                {"sends", std::to_string(sends_)},
                {"may-have-run", std::to_string(mayHaveRun_)},
