--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -82,11 +82,16 @@
     std::string domain;
     std::string group;
     std::uint32_t rank = 0;
-    words >> domain >> group >> rank;
+    words >> domain;
+    const bool isDraining = domain == FleetFormat::drainingMark;
+    if (isDraining)
+        words >> domain;
+    words >> group >> rank;
     const auto state = rank == 0 ? MemberState::Open : MemberState::Ready;
     auto result = group.empty() ? spareEngine(id.text(), domain, "m")
                                 : engineIn(id.text(), domain, GroupName(group), 1, rank, state);
     result.address_ = engineAddress(id.text());
+    result.isDraining_ = isDraining;
     return result;
 }
 
@@ -240,6 +245,10 @@
         if (key.table_ == query.table_ && row.version_ > query.after_)
             page.changes_.push_back({row, false});
     }
+    for (const auto &[endpoint, version] : fleet_.ended_) {
+        if (query.table_ == fleet_.format_.endpointTable() && version > query.after_)
+            page.changes_.push_back({{{query.table_, endpoint}, {}, version, {}}, true});
+    }
     std::sort(page.changes_.begin(), page.changes_.end(), [](const auto &left, const auto &right) {
         return left.row_.version_ < right.row_.version_;
     });
@@ -276,6 +285,15 @@
     transaction.writes_.push_back(
         {{"endpoints", endpoint}, domain.empty() ? std::nullopt : std::optional(domain)});
     (void)platform_.apply(transaction);
+    ended_.erase(endpoint);
+    if (domain.empty())
+        ended_.emplace(endpoint, platform_.version());
+}
+
+void NodeFleet::drain(const std::string &endpoint)
+{
+    const auto *row = platform_.row({std::string(format_.endpointTable()), endpoint});
+    list(endpoint, std::string(FleetFormat::drainingMark) + ' ' + row->value_);
 }
 
 void NodeFleet::listGroup(const std::string &head)
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -47,10 +47,12 @@
 };
 
 /// \brief Rows "endpoints", as "domain" or "domain group rank", and "config", the latter as
-/// "version key key".
+/// "version key key". An endpoint that leaves has drainingMark before its domain.
 class FleetFormat final : public serving::StoreFormat
 {
 public:
+    static constexpr std::string_view drainingMark = "draining";
+
     [[nodiscard]] std::string_view configurationTable() const override { return "config"; }
     [[nodiscard]] std::string_view configurationKey() const override { return "newest"; }
     [[nodiscard]] std::string_view endpointTable() const override { return "endpoints"; }
@@ -87,6 +89,9 @@
     /// \brief Lists an endpoint in fabric domain \p domain, or ends it if that is empty.
     void list(const std::string &endpoint, const std::string &domain);
 
+    /// \brief A listed endpoint says that it leaves.
+    void drain(const std::string &endpoint);
+
     /// \brief Lists an open group of two engines of model "m" whose head is \p head.
     void listGroup(const std::string &head);
 
@@ -105,7 +110,8 @@
     FakePlatform platform_{clock_};
     FleetFormat format_;
     DatagramFaults faults_;
-    RowVersion historyFrom_; ///< The store has forgotten the changes before.
+    RowVersion historyFrom_;                  ///< The store has forgotten the changes before.
+    std::map<std::string, RowVersion> ended_; ///< Endpoints that are listed no more, since when.
     Random random_;
 
 private:
