Keep in mind that a peer has newer entries of endpoints until they are here

Cause: callers' requests reached an endpoint up to 2.2 s after it had said that it leaves. Entry VMs that do not watch the store hear from several that do. The word of one that had lost the store (older entries, confirmed until then) reset the wait for the changes that another one had told of, ten times a second, until it was 2.2 s old. Then the store was asked at once. Ruled out: a lost watch of all that watch for others (one of them knew after 5 ms in all three traces); entries left out for the endpoint's start (none was); excused absences (the endpoints were listed as draining). Change: the newest version heard of is kept; what an older word confirms is still taken, but it takes nothing back.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -200,7 +200,8 @@
     std::optional<std::uint32_t> rank_; ///< Among those that watch the store for all.
     TimePoint relayHeardAt_{};          ///< An entry VM with fresh knowledge of the store.
     TimePoint configAskedAt_{};         ///< Of the store, for a version that a peer has.
-    TimePoint behindSince_{};           ///< It has more than this one; the epoch if not.
+    RowVersion heardVersion_;           ///< Of the newest change of endpoints that a peer has.
+    TimePoint behindSince_{};           ///< Changes are missing here; the epoch if not.
     TimePoint startedAt_{};
     TimePoint plansSince_{};                ///< Since then the lease is held, or it is not.
     TimePoint standbyUntil_{};              ///< Stands by while others may plan.
--- a/src/serving/node_relays.cpp
+++ b/src/serving/node_relays.cpp
@@ -233,11 +233,16 @@
     followEndpoints(relay, now);
 }
 
+/// A peer that knows no more than this entry VM confirms what is known here as of its own last
+/// word from the store. It does not take back what another one has told: entry VMs that had lost
+/// the store kept others, which reached it, from asking for a change that they had heard of.
 void Node::followEndpoints(const RelayState &relay, TimePoint now)
 {
-    if (relay.endpoints_ <= endpointWatch_.version()) {
-        behindSince_ = {};
+    if (relay.endpoints_ <= endpointWatch_.version())
         parts_.gateway_.confirmEndpoints(now - relay.endpointsAge_);
+    heardVersion_ = std::max(heardVersion_, relay.endpoints_);
+    if (heardVersion_ <= endpointWatch_.version()) {
+        behindSince_ = {};
         return;
     }
     if (behindSince_ == TimePoint{})
@@ -246,7 +251,7 @@
     if (now - behindSince_ >= patience) {
         log::info(event::viewBehind,
                   {{"version", std::to_string(endpointWatch_.version().value())},
-                   {"peer-has", std::to_string(relay.endpoints_.value())},
+                   {"peer-has", std::to_string(heardVersion_.value())},
                    {"behind-ms", std::to_string(toMilliseconds(now - behindSince_))},
                    {"view-age-ms", std::to_string(toMilliseconds(viewAge()))}});
         behindSince_ = {};
