Let the steps of news of the store follow from the time in which it must be known

Cause: the waits of the watches, the age beyond which a peer's word is not taken and the silence after which an entry VM asks for itself were constants that added up to 1.8 to 2.6 s whatever the platform's bound; the table of endpoints had no such guard at all: its confirmations might stop for good while the configuration's went on. A pause after changes ends when the next confirmation is due. A peer's word is not thrown away for its age any more: it cannot stand in for newer ones.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/serving/digest_hub.hpp>
 #include <cardamombay/serving/formats.hpp>
 #include <cardamombay/serving/gateway.hpp>
+#include <cardamombay/serving/news_budget.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
 #include <cardamombay/serving/reporters.hpp>
@@ -28,6 +29,8 @@
     bool isFirstStart_ = false; ///< The whole system starts for the first time.
     double cores_ = 1;
     double linkMegabits_ = 1000; ///< Of its network link, Mbit/s.
+    /// Time in which a leaving endpoint and a configuration must be known to all entry VMs.
+    Duration newsBound_ = std::chrono::seconds(2);
 
     [[nodiscard]] EntryCapacity capacity() const { return cores_ * linkMegabits_; }
 };
@@ -131,7 +134,8 @@
     void ageRelay(LoadDigest &digest, TimePoint now);
     void clockAsked(const ClockQuestion &question);
     void chooseWatches(TimePoint now);
-    [[nodiscard]] Duration longestWithoutNews() const;
+    [[nodiscard]] Duration ownTurn() const;
+    void setBudget(bool hasReporters);
     [[nodiscard]] RelayState relayState(TimePoint now) const;
     void peersChanged();
     void lookForPeers(TimePoint now);
@@ -159,17 +163,13 @@
     /// Rows of quarantined requests: the fingerprint is the key, the endpoints that ended the
     /// value.
     static constexpr auto quarantineTable = "quarantine";
-    /// Between two digests: a group begins about three requests in that time.
-    static constexpr Duration digestPeriod = std::chrono::milliseconds(100);
-    /// A call of the watch on the configuration; the age of its confirmation stays far below the
-    /// three seconds after which an entry VM counts as cut off.
-    static constexpr Duration configurationWait = std::chrono::milliseconds(1500);
     /// Entry VMs that start together have all written their rows by then, and those that start
     /// later tell of themselves.
     static constexpr Duration startPhase = std::chrono::milliseconds(700);
 
     NodeParts parts_;
     NodeSettings settings_;
+    NewsBudget news_; ///< How long each step of news of the store may take.
     StoreWatch configurationWatch_;
     StoreWatch endpointWatch_;
     StoreWatch peerWatch_;
@@ -192,10 +192,10 @@
     std::vector<EntryId> planners_; ///< Peers that may hold the planner's lease.
     std::vector<VmId> alarmed_;     ///< Silent endpoints that they were told of.
     std::size_t sumsSent_ = 0;
-    std::size_t mostPeers_ = 0;         ///< Since the peers were listed last.
-    TimePoint peersListedAt_{};         ///< Beside the listing at the start.
-    TimePoint lastConfirmed_{};         ///< Of the configuration, as of the last digest.
-    TimePoint confirmationMovedAt_{};   ///< When that came to be known here.
+    std::size_t mostPeers_ = 0; ///< Since the peers were listed last.
+    TimePoint peersListedAt_{}; ///< Beside the listing at the start.
+    ConfirmationTrail configurationTrail_;
+    ConfirmationTrail endpointTrail_;
     std::size_t dutyPlace_ = 0;         ///< Among all entry VMs, in the order of duties.
     std::optional<std::uint32_t> rank_; ///< Among those that watch the store for all.
     TimePoint relayHeardAt_{};          ///< An entry VM with fresh knowledge of the store.
--- a/include/cardamombay/serving/store_watch.hpp
+++ b/include/cardamombay/serving/store_watch.hpp
@@ -45,9 +45,10 @@
     struct Settings
     {
         std::string table_;
-        Duration wait_{};  ///< Longest wait of one call; a call costs. Without a pause no
-                           ///< confirmation is older while the store answers.
-        Duration pause_{}; ///< After a call that brought changes, so that one call brings several.
+        Duration wait_{}; ///< Longest wait of one call, and longest time between two
+                          ///< confirmations while the store answers; a call costs.
+        /// Longest pause after a call that brought changes, so that one call brings several.
+        Duration pause_{};
         /// Longest pause after failures: what depends on the watch may be two seconds late at most.
         Duration failurePause_ = std::chrono::milliseconds(400);
     };
@@ -78,6 +79,10 @@
     /// \brief Changes the longest pause after failures.
     void setFailurePause(Duration pause) { settings_.failurePause_ = pause; }
 
+    /// \brief Changes the longest wait of a call, and with it the longest time between two
+    /// confirmations.
+    void setWait(Duration wait) { settings_.wait_ = wait; }
+
     /// \brief Changes the pause after a call that brought changes.
     void setPause(Duration pause) { settings_.pause_ = pause; }
 
@@ -97,12 +102,12 @@
                   RowVersion version);
     void listed(const std::vector<platform::Row> &rows, RowVersion version, TimePoint since);
     void next();
-    void next(Duration wait);
-    [[nodiscard]] Duration remainingWait(TimePoint since, Duration wait) const;
+    [[nodiscard]] Duration remainingWait() const;
     void wait();
     void ask(Duration wait);
     void changed(const platform::ChangePage &page, TimePoint since, Duration wait);
     void failed(const Error &error);
+    void confirmed(TimePoint asOf);
     void tell(const platform::RowChange &change);
     void reachable(bool isReachable);
     void later(Duration pause, void (StoreWatch::*step)());
@@ -114,6 +119,7 @@
     WatchListener &listener_;
     RowVersion version_;
     RowVersion lastChange_;
+    TimePoint confirmedAt_{}; ///< By the own calls.
     bool isListed_ = false;
     bool isActive_ = true;
     bool isAsking_ = false;  ///< A call is under way or due.
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -18,15 +18,11 @@
 /// Rows of entry VMs: the name is the key, the address of the digests the value.
 constexpr auto peerTable = "entries";
 
-/// Endpoints must be known to leave within two seconds, also if the connection died silently.
-constexpr Duration endpointWait = std::chrono::milliseconds(1500);
 /// Engines list each step of a group; a call for each would be most of all calls.
 constexpr Duration endpointPause = std::chrono::milliseconds(250);
 /// The planner waits for each step of a group to give the next order; four steps make a repair of
 /// about 1.2 s, and each call is priced.
 constexpr Duration plannerPause = std::chrono::milliseconds(60);
-/// Those that watch in case the others fail get nearly all changes passed on.
-constexpr Duration spareWatchPause = std::chrono::seconds(1);
 
 /// An entry VM without a confirmation for that long sends callers elsewhere.
 constexpr Duration readyUnconfirmed = std::chrono::milliseconds(3500);
@@ -56,11 +52,11 @@
 Node::Node(NodeParts parts, NodeSettings settings)
     : parts_(parts)
     , settings_(std::move(settings))
+    , news_(newsBudget(settings_.newsBound_, false))
     , configurationWatch_(parts.clock_, parts.store_, parts.feed_,
-                          {std::string(parts.format_.configurationTable()), configurationWait, {}},
-                          *this)
+                          {std::string(parts.format_.configurationTable()), news_.wait_, {}}, *this)
     , endpointWatch_(parts.clock_, parts.store_, parts.feed_,
-                     {std::string(parts.format_.endpointTable()), endpointWait, endpointPause},
+                     {std::string(parts.format_.endpointTable()), news_.wait_, endpointPause},
                      *this)
     , peerWatch_(parts.clock_, parts.store_, parts.feed_, {peerTable, {}, {}}, *this)
     , quarantineWatch_(parts.clock_, parts.store_, parts.feed_, {quarantineTable, {}, {}}, *this)
@@ -366,7 +362,8 @@
     if (!demand.empty())
         parts_.manager_.setTrafficSeen();
     const bool isPlanner = parts_.lease_.isHeld();
-    const auto watcherPause = rank_ == 0 ? endpointPause : spareWatchPause;
+    // The others get nearly all changes passed on.
+    const auto watcherPause = rank_ == 0 ? endpointPause : news_.sparePause_;
     endpointWatch_.setPause(isPlanner ? plannerPause : watcherPause);
     if (isPlanner)
         keepQuarantines(now);
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -116,6 +116,7 @@
         return;
     reporter_ = reporter;
     hasReporters_ = isNeeded;
+    setBudget(isNeeded);
     parts_.board_.forgetPeers();
     sums_.clear();
     for (auto &[entry, peer] : peers_) {
--- a/src/serving/node_relays.cpp
+++ b/src/serving/node_relays.cpp
@@ -14,21 +14,11 @@
 
 namespace {
 
-/// Three missed digests and some jitter: then an entry VM watches the store itself.
-constexpr int missedDigests = 3;
-constexpr Duration digestJitter = std::chrono::milliseconds(100);
-/// From an entry VM to its reporter, to another zone's and to its members; one may fail meanwhile.
-constexpr int hopsOfSums = 4;
-/// Knowledge of the store that is older is not relied on; a watch confirms it every 1.5 s.
-constexpr Duration freshRelay = std::chrono::milliseconds(2200);
-/// The same for what came in sums, over three datagrams with a pause of a digest before each; an
-/// entry VM is ready for callers up to 3.5 s.
-constexpr Duration freshSum = std::chrono::milliseconds(2900);
+/// News that did not come so often in a row: then an entry VM watches the store itself.
+constexpr int missedNews = 2;
 /// Between those that begin to watch since all watches seem to have failed, in the order of duties,
-/// so that most hear from the first ones before their own turn. All entry VMs of a large fleet have
-/// begun within the longest turn.
+/// so that most hear from the first ones before their own turn.
 constexpr Duration watchTurn = std::chrono::milliseconds(10);
-constexpr Duration longestWatchTurn = std::chrono::milliseconds(400);
 /// Changes that were passed on arrive by then; what is still missing is asked for.
 constexpr Duration catchUpAfter = std::chrono::milliseconds(120);
 /// The same for an entry VM whose reporter answers each of its digests with what it lacks.
@@ -121,21 +111,20 @@
 }
 
 /// A few entry VMs watch the store and pass on what they learn; the others list it once, and watch
-/// only while they hear none of these. Calls to the store then do not grow with the fleet.
+/// only while they hear none of these, or while no newer confirmation comes: those that watch may
+/// have lost the store and go on to send digests. Calls to the store do not grow with the fleet.
 void Node::chooseWatches(TimePoint now)
 {
-    const Duration patience
-        = digestPeriod * missedDigests * (hasReporters_ ? hopsOfSums : 1) + digestJitter;
     // Who watches for all is known once the peers are.
     const auto knowsPeersAt = startedAt_ + startPhase;
-    const auto confirmedAt = parts_.gateway_.confirmedAt();
-    if (confirmedAt - lastConfirmed_ > digestPeriod) {
-        lastConfirmed_ = confirmedAt;
-        confirmationMovedAt_ = now;
-    }
-    const bool hearsRelay
-        = now - std::max(relayHeardAt_, knowsPeersAt) < patience
-          && now - std::max(confirmationMovedAt_, knowsPeersAt) < longestWithoutNews();
+    configurationTrail_.startAt(knowsPeersAt);
+    configurationTrail_.note(parts_.gateway_.confirmedAt(), now);
+    endpointTrail_.startAt(knowsPeersAt);
+    endpointTrail_.note(parts_.gateway_.endpointsConfirmedAt(), now);
+    const auto silence
+        = std::max(configurationTrail_.silentFor(now), endpointTrail_.silentFor(now));
+    const bool hearsRelay = now - std::max(relayHeardAt_, knowsPeersAt) < news_.told_ * missedNews
+                            && silence < news_.wait_ + news_.told_ + ownTurn();
     const bool isFirst = isLeaseStarted_ && (rank_.has_value() || parts_.lease_.isHeld());
     const bool wasWatching = std::exchange(isWatching_, isFirst || !hearsRelay);
     for (auto *watch : {&configurationWatch_, &endpointWatch_}) {
@@ -147,18 +136,16 @@
     }
 }
 
-/// Time without a newer confirmation that shows that none of those that watch for all hears from
-/// the store, though they still send digests: a call of theirs that gets no answer ends 0.9 s after
-/// its wait. A change is in force within 2.5 s then in a fleet of 40, where it took up to 4.3 s
-/// while only the digests were waited for (1.8 and 2.6 s in one of seven; on the paused clock, over
-/// all phases of the calls). The age of the confirmation would not do: with datagrams that take up
-/// to 1.2 s 96 entry VMs made 47 calls a second by it, 12 by this, 9 with datagrams of 5 ms.
-Duration Node::longestWithoutNews() const
+Duration Node::ownTurn() const
 {
-    const Duration told = digestPeriod * (hasReporters_ ? hopsOfSums : 1) + digestJitter;
-    const auto turn = hasReporters_ ? std::min<Duration>(watchTurn * dutyPlace_, longestWatchTurn)
-                                    : Duration::zero();
-    return configurationWait + told + turn;
+    return std::min<Duration>(watchTurn * dutyPlace_, news_.turns_);
+}
+
+void Node::setBudget(bool hasReporters)
+{
+    news_ = newsBudget(settings_.newsBound_, hasReporters);
+    configurationWatch_.setWait(news_.wait_);
+    endpointWatch_.setWait(news_.wait_);
 }
 
 /// Those that watch the store for all ask it for a newer configuration, and peers if the store
@@ -225,9 +212,6 @@
 /// What the store confirmed to a peer is confirmed here too if this one has the same version.
 void Node::followRelay(const RelayState &relay, const Address &source, TimePoint now)
 {
-    const auto fresh = hasReporters_ ? freshSum : freshRelay;
-    if (relay.configAge_ >= fresh || relay.endpointsAge_ >= fresh)
-        return;
     relayHeardAt_ = now;
     followConfiguration(relay, source, now);
     followEndpoints(relay, now);
--- a/src/serving/store_watch.cpp
+++ b/src/serving/store_watch.cpp
@@ -113,33 +113,35 @@
     isListed_ = true;
     reachable(true);
     listener_.tableListed(settings_.table_, rows);
-    listener_.tableConfirmed(settings_.table_, since);
+    confirmed(since);
     isAsking_ = false;
     next();
 }
 
-void StoreWatch::next()
+void StoreWatch::confirmed(TimePoint asOf)
 {
-    next(settings_.wait_);
+    confirmedAt_ = std::max(confirmedAt_, asOf);
+    listener_.tableConfirmed(settings_.table_, asOf);
 }
 
-void StoreWatch::next(Duration wait)
+void StoreWatch::next()
 {
     if (isActive_ && !isAsking_ && isListed_)
-        ask(wait);
+        wait();
 }
 
 /// An answer with changes confirms the table only as of its call, so the next call waits no longer
-/// than that one would have. With whole waits a confirmation was up to two of them old, and nobody
-/// could tell a watch that hears nothing from a store that has nothing to say.
-Duration StoreWatch::remainingWait(TimePoint since, Duration wait) const
+/// than until the next confirmation is due. Otherwise nobody could tell a watch that hears nothing
+/// from a store that has nothing to say.
+Duration StoreWatch::remainingWait() const
 {
-    return std::clamp<Duration>(since + wait - clock_.now(), Duration::zero(), settings_.wait_);
+    return std::clamp<Duration>(confirmedAt_ + settings_.wait_ - clock_.now(), Duration::zero(),
+                                settings_.wait_);
 }
 
 void StoreWatch::wait()
 {
-    ask(settings_.wait_);
+    ask(remainingWait());
 }
 
 void StoreWatch::ask(Duration wait)
@@ -182,18 +184,15 @@
         return;
     }
     const bool isWaitOver = page.changes_.empty() && clock_.now() - since >= wait;
-    listener_.tableConfirmed(settings_.table_, isWaitOver ? since + wait : since);
+    confirmed(isWaitOver ? since + wait : since);
     isAsking_ = false;
-    if (page.changes_.empty()) {
+    const auto pause = std::min(settings_.pause_, remainingWait());
+    if (page.changes_.empty() || pause == Duration::zero()) {
         next();
         return;
     }
-    if (settings_.pause_ == Duration::zero()) {
-        next(remainingWait(since, wait));
-        return;
-    }
     isAsking_ = true;
-    later(settings_.pause_, &StoreWatch::wait);
+    later(pause, &StoreWatch::wait);
 }
 
 void StoreWatch::failed(const Error &error)
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -98,6 +98,9 @@
     /// \brief Writes a configuration in which \p keys are valid.
     void configure(std::uint64_t version, const std::vector<std::string> &keys);
 
+    /// \brief Time in which all entry VMs must know of a change.
+    [[nodiscard]] Duration newsBound() const;
+
     void deliver(const Address &to, std::string text);
     [[nodiscard]] FleetNode &node(std::size_t index) { return *nodes_[index]; }
     [[nodiscard]] std::size_t size() const { return nodes_.size(); }
