Excuse entries that are missing only if the store answered nobody for long

Cause: requests reached endpoints for 1.9 s after it was known that they had ended. Each entry VM took its own failed calls for an outage of the store, and its next answered call for the store's return. Most do not watch the store: the next call may come long after, and for the very reason that an endpoint's end was missed; or the outage was one of this entry VM's link alone. Change: what counts is a gap between two answers that any entry VM got, longer than an undisturbed one goes without a confirmation (NewsBudget::longestGap_); absence-excused logs it. Entries that lapsed in outages of 2.4 to 6 s are used until they are back, as before.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -101,6 +101,7 @@
     void quarantinesListed(const std::vector<platform::Row> &rows);
     void keepQuarantines(TimePoint now);
     void takePeer(const platform::RowChange &change);
+    void storeAnswered(TimePoint asOf);
     void noteLearning();
     void announce();
     [[nodiscard]] std::string peerRow() const;
@@ -202,6 +203,7 @@
     TimePoint configAskedAt_{};         ///< Of the store, for a version that a peer has.
     RowVersion heardVersion_;           ///< Of the newest change of endpoints that a peer has.
     TimePoint behindSince_{};           ///< Changes are missing here; the epoch if not.
+    TimePoint storeAnsweredAt_{}; ///< The newest answer that any entry VM is known to have got.
     TimePoint startedAt_{};
     TimePoint plansSince_{};                ///< Since then the lease is held, or it is not.
     TimePoint standbyUntil_{};              ///< Stands by while others may plan.
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -80,6 +80,7 @@
     parts_.datagrams_.onReceived([this](std::string_view text) { datagramArrived(text); });
     parts_.book_.onRestarted([this](const Endpoint &before) { endpointRestarted(before); });
     startedAt_ = parts_.clock_.now();
+    storeAnsweredAt_ = startedAt_;
     noteLearning();
     configurationWatch_.start();
     endpointWatch_.start();
@@ -280,6 +281,7 @@
         parts_.gateway_.confirm(asOf);
         noteLearning();
     } else if (table == parts_.format_.endpointTable()) {
+        storeAnswered(asOf);
         parts_.gateway_.confirmEndpoints(asOf);
     }
 }
@@ -290,10 +292,22 @@
         isReachable ? event::storeRegained : event::storeLost,
         {{"table", table},
          {"unconfirmed-ms", std::to_string(toMilliseconds(parts_.gateway_.unconfirmedFor()))}});
-    if (table != parts_.format_.endpointTable())
+}
+
+/// Entries may have lapsed while the store was away. It was if it answered no entry VM for longer
+/// than an undisturbed one goes without a confirmation; that this one's own calls failed, or that
+/// it made none for long, says nothing about the store, and would excuse endpoints that have ended.
+void Node::storeAnswered(TimePoint asOf)
+{
+    const auto gap = asOf - storeAnsweredAt_;
+    if (gap <= Duration::zero())
+        return;
+    storeAnsweredAt_ = asOf;
+    if (gap <= news_.longestGap_)
         return;
-    if (isReachable)
-        parts_.book_.excuseAbsence(parts_.clock_.now() + absenceGrace);
+    log::info(event::absenceExcused, {{"gap-ms", std::to_string(toMilliseconds(gap))},
+                                      {"for-ms", std::to_string(toMilliseconds(absenceGrace))}});
+    parts_.book_.excuseAbsence(asOf + absenceGrace);
 }
 
 void Node::tickFast()
--- a/src/serving/node_endpoints.cpp
+++ b/src/serving/node_endpoints.cpp
@@ -30,6 +30,7 @@
 {
     const auto now = parts_.clock_.now();
     const auto version = endpointWatch_.version();
+    storeAnswered(now);
     std::vector<Endpoint> endpoints;
     std::set<VmId> listed;
     if (!areEndpointsListed_)
@@ -135,6 +136,8 @@
 {
     const auto now = parts_.clock_.now();
     logLeaving(change, source);
+    // Some entry VM has it from the store just now.
+    storeAnswered(now);
     history_.add(change, now);
     listedVersion_ = std::max(listedVersion_, change.version_);
     const auto version = std::to_string(change.version_.value());
--- a/src/serving/node_relays.cpp
+++ b/src/serving/node_relays.cpp
@@ -222,6 +222,7 @@
 /// the store kept others, which reached it, from asking for a change that they had heard of.
 void Node::followEndpoints(const RelayState &relay, TimePoint now)
 {
+    storeAnswered(now - relay.endpointsAge_);
     if (relay.endpoints_ <= endpointWatch_.version())
         parts_.gateway_.confirmEndpoints(now - relay.endpointsAge_);
     heardVersion_ = std::max(heardVersion_, relay.endpoints_);
--- a/tests/leaving_endpoints/regressions.cpp
+++ b/tests/leaving_endpoints/regressions.cpp
@@ -307,7 +307,34 @@
     cr_assert_lt(times.longest().count(), leavingBound.count());
 }
 
-/// The same in fleets whose digests go by way of reporters, for sets that are drawn.
+/// What the excuse is for: entries lapse while the store is away, and endpoints that live write
+/// them again within two seconds of its return.
+Test(leaving_endpoints, entry_that_lapsed_in_an_outage_is_used_until_it_is_back)
+{
+    for (int outage = 2400; outage <= 6000; outage += 600) {
+        NodeFleet fleet(7, 3, 0, 5);
+        fleet.configure(1, {"key"});
+        fleet.list("e0", "d");
+        fleet.start();
+        fleet.pass(seconds(6));
+        fleet.platform_.faults_.isDown_ = true;
+        fleet.pass(milliseconds(outage));
+        fleet.list("e0", "");
+        fleet.platform_.faults_.isDown_ = false;
+        for (int passed = 0; passed < 1800; passed += 10) {
+            fleet.pass(step);
+            for (std::size_t i = 0; i < fleet.size(); ++i)
+                cr_assert_not_null(fleet.node(i).book_.find(VmId("e0")),
+                                   "node %zu, %d ms after an outage of %d ms", i, passed, outage);
+        }
+        fleet.list("e0", "d");
+        fleet.pass(seconds(3));
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            cr_assert_not_null(fleet.node(i).book_.find(VmId("e0")), "node %zu", i);
+    }
+}
+
+/// Sets of entry VMs lose the store in fleets whose digests go by way of reporters; they are drawn.
 Test(leaving_endpoints, none_is_used_after_its_bound_in_large_fleets)
 {
     for (const std::size_t entries : {40U, 195U}) {
