Look again at the endpoint before a request is written to it

Cause: an endpoint is chosen before the connection to it is up, which takes up to 250 ms; a process may also stand still in between. What it learns meanwhile was not looked at: the request went to an endpoint that had said it leaves. Change: when the connection is up and the endpoint leaves or is gone, the attempt counts as not sent and the request goes on elsewhere. Figures: the test failed before (request sent), for both ways of leaving.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -62,6 +62,9 @@
 
     [[nodiscard]] Choice choose(const Demand &demand, TimePoint now);
 
+    /// \brief True if the endpoint gets nothing new: it says that it leaves, or is no longer listed.
+    [[nodiscard]] bool hasLeft(const VmId &endpoint) const;
+
     /// \brief Groups that serve \p model now.
     [[nodiscard]] std::size_t servingGroups(const Service &service, const ModelName &model);
 
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -111,6 +111,12 @@
     return derived.candidates_;
 }
 
+bool Balancer::hasLeft(const VmId &endpoint) const
+{
+    const auto *known = book_.find(endpoint);
+    return known == nullptr || known->isDraining_;
+}
+
 std::size_t Balancer::servingGroups(const Service &service, const ModelName &model)
 {
     const auto &candidates = candidatesOf(service);
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -338,8 +338,13 @@
     gateway_.parts().board_.ended(target_.endpoint_);
 }
 
+/// The choice is as old as the connection took, or as long as the process was suspended meanwhile.
 bool Session::onConnected()
 {
+    if (gateway_.parts().balancer_.hasLeft(target_.endpoint_)) {
+        attemptFailed(Failure::NotSent, "the endpoint leaves");
+        return false;
+    }
     isConnected_ = true;
     ++mayHaveRun_;
     return true;
--- a/tests/leaving_endpoints/regressions.cpp
+++ b/tests/leaving_endpoints/regressions.cpp
@@ -356,6 +356,28 @@
     }
 }
 
+/// Read, not seen: a connection may take 250 ms, and a process may stand still before its request
+/// is written. The endpoint may say meanwhile that it leaves.
+Test(leaving_endpoints, request_is_not_sent_to_an_endpoint_that_left_before_the_connection_was_up)
+{
+    for (const bool isNoticed : {true, false}) {
+        GatewayFixture bench;
+        const auto caller = bench.ask("/once/7");
+        const auto first = bench.lastCall();
+        auto endpoint = *bench.book_.find(VmId(first->field("endpoint")));
+        endpoint.isDraining_ = true;
+        if (isNoticed)
+            bench.book_.put(endpoint);
+        else
+            bench.book_.remove(endpoint.id_, bench.clock_.now());
+        cr_assert_not(first->connect());
+        cr_assert_eq(bench.upstream_.calls_.size(), 2);
+        cr_assert_neq(bench.lastCall()->field("endpoint"), endpoint.id_.text());
+        cr_assert(bench.lastCall()->connect());
+        cr_assert_not(caller->answer_);
+    }
+}
+
 /// Leaving beside pauses of entry VMs, other cuts and outages of the store that come one after the
 /// other and overlap.
 Test(leaving_endpoints, none_is_used_after_its_bound_by_an_undisturbed_entry_vm)
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -159,9 +159,9 @@
     return fieldIn(request_.fields_, name);
 }
 
-void FakeCall::connect() const
+bool FakeCall::connect() const
 {
-    listener_->onConnected();
+    return listener_->onConnected();
 }
 
 void FakeCall::head(std::uint32_t status, std::vector<net::HttpField> fields) const
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -40,7 +40,9 @@
 
     /// \name What the endpoint does
     /// \{
-    void connect() const;
+    /// \brief The connection is up.
+    /// \returns true if the request is sent.
+    bool connect() const;
     void head(std::uint32_t status, std::vector<net::HttpField> fields) const;
     void sealedHead() const { head(200, {{"seal", "s"}}); }
     void refuse() const { head(503, {{"refused", "1"}}); }
