Restore the store from a backup in the soak of real processes

Cause: no test with real processes let versions go back; ruled out: nothing. Change: the stand-in names its timeline in every answer, keeps backups of the last ten seconds, and comes back from one of a chosen age while feeds and writes are under way; operators and engines write again 1.5 s later. A soak plays that every third step, half of the time twice in a row, beside kills, restarts, pauses, outages and spoiled links.

--- a/tests/fleet_platform/soak.cpp
+++ b/tests/fleet_platform/soak.cpp
@@ -118,6 +118,13 @@
         }
     }
 
+    /// The store comes back from a backup; now and then twice in a row.
+    void restoreStore()
+    {
+        for (std::size_t i = 0; i <= random_.below(2); ++i)
+            deployment_.tell("restore/" + std::to_string(500 + random_.below(4000)));
+    }
+
     void undo()
     {
         if (isStoreOut_)
@@ -226,10 +233,14 @@
     }
 }
 
-/// \param withPill a request ends the engines that run it, beside all other faults. Endpoints are
-/// reached without a proxy then, which would answer for an engine that has ended.
-void soak(std::uint64_t seed, Duration length, bool withPill)
+/// What is played beside the usual faults.
+enum class Beside { Nothing, Pill, Restores };
+
+/// \param beside with a pill a request ends the engines that run it, beside all other faults.
+/// Endpoints are reached without a proxy then, which would answer for an engine that has ended.
+void soak(std::uint64_t seed, Duration length, Beside beside)
 {
+    const bool withPill = beside == Beside::Pill;
     Deployment deployment(withPill ? Links::Store : Links::StoreAndEndpoints);
     Ledger ledger;
     std::atomic<bool> isStopped = false;
@@ -243,8 +254,11 @@
         callers.emplace_back([&] { poisonUntil(deployment, isStopped, seed * 10 + 7); });
     Faults faults(deployment, seed);
     const auto end = std::chrono::steady_clock::now() + length;
-    while (std::chrono::steady_clock::now() < end) {
-        faults.step();
+    for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+        if (beside == Beside::Restores && i % 3 == 1)
+            faults.restoreStore();
+        else
+            faults.step();
         std::this_thread::sleep_for(milliseconds(700));
     }
     faults.undo();
@@ -273,7 +287,7 @@
     cr_assert(recovers, "seed %llu", static_cast<unsigned long long>(seed));
 }
 
-void soakAll(bool withPill)
+void soakAll(Beside beside)
 {
     unsigned long long first = 1;
     unsigned long long count = 1;
@@ -281,17 +295,23 @@
     if (const char *text = std::getenv("CARDAMOMBAY_SOAK"))
         std::sscanf(text, "%llu %llu %llu", &first, &count, &length);
     for (unsigned long long seed = first; seed < first + count; ++seed)
-        soak(seed, seconds(length), withPill);
+        soak(seed, seconds(length), beside);
 }
 
 } // namespace
 
 Test(soak, faults_break_no_promise)
 {
-    soakAll(false);
+    soakAll(Beside::Nothing);
 }
 
 Test(soak, poison_pill_among_faults_ends_few_engines)
 {
-    soakAll(true);
+    soakAll(Beside::Pill);
+}
+
+/// Read, not seen: versions go back, and what was written in the last seconds is gone.
+Test(soak, restores_of_the_store_among_faults_break_no_promise)
+{
+    soakAll(Beside::Restores);
 }
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -2,8 +2,8 @@
 /// \brief Program: the users' store with engines in groups and plain endpoints, on 127.0.0.1.
 /// \details The store's port also takes what a test tells it: POST /test/config with a
 /// configuration, /test/silence/ID, /test/expire/ID, /test/drain/ID, /test/outage/STATUS,
-/// /test/port/ID with the port that the endpoint lists, and GET /test/report with runs, violations
-/// and the endpoints' own ports.
+/// /test/restore/AGE with the age of the backup in milliseconds, /test/port/ID with the port that
+/// the endpoint lists, and GET /test/report with runs, violations and the endpoints' own ports.
 #include "support/group_engine_standin.hpp"
 #include "support/program_options.hpp"
 
@@ -47,6 +47,8 @@
         hall.engines_.at(id)->drain();
     else if (verb == "/test/port")
         hall.engines_.at(id)->listAt(static_cast<std::uint16_t>(std::stoul(body)));
+    else if (verb == "/test/restore")
+        hall.store_.restore(std::chrono::milliseconds(std::stoul(id)));
     else if (verb == "/test/outage")
         hall.store_.outage_ = static_cast<unsigned>(std::stoul(id));
 }
--- a/tests/support/row_store_standin.cpp
+++ b/tests/support/row_store_standin.cpp
@@ -4,6 +4,8 @@
 #include <boost/beast/core/detail/base64.hpp>
 #include <boost/json.hpp>
 
+#include <utility>
+
 namespace cardamombay::support {
 
 namespace json = boost::json;
@@ -15,6 +17,12 @@
 
 constexpr auto feedPoll = std::chrono::milliseconds(5);
 
+constexpr auto timelineField = "Store-Era";
+constexpr auto backupPeriod = std::chrono::milliseconds(250);
+constexpr auto backupsKept = std::chrono::seconds(10);
+/// Engines and operators have noticed by then, and written again.
+constexpr auto writingAgainAfter = std::chrono::milliseconds(1500);
+
 std::string encoded(const std::string &text)
 {
     std::string result(base64::encoded_size(text.size()), '\0');
@@ -68,6 +76,7 @@
                           const std::string &value)
 {
     rows_[{table, key}] = {encoded(value), ++version_, false};
+    others_[{table, key}] = rows_[{table, key}];
 }
 
 void RowStoreStandin::remove(const std::string &table, const std::string &key)
@@ -75,6 +84,42 @@
     auto &row = rows_[{table, key}];
     if (!row.isRemoved_)
         row = {"", ++version_, true};
+    others_[{table, key}] = row;
+}
+
+void RowStoreStandin::keepBackups()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (!backups_.empty() && now - backups_.back().at_ < backupPeriod)
+        return;
+    backups_.push_back({now, rows_, version_});
+    while (now - backups_.front().at_ > backupsKept)
+        backups_.pop_front();
+}
+
+void RowStoreStandin::restore(std::chrono::milliseconds age)
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (backups_.size() > 1 && now - backups_.back().at_ < age)
+        backups_.pop_back();
+    if (backups_.empty())
+        return;
+    rows_ = backups_.back().rows_;
+    version_ = backups_.back().version_;
+    writesAgainAt_ = now + writingAgainAfter;
+    ++timeline_;
+}
+
+void RowStoreStandin::writeAgain()
+{
+    if (!writesAgainAt_ || std::chrono::steady_clock::now() < *writesAgainAt_)
+        return;
+    writesAgainAt_.reset();
+    for (const auto &[key, newest] : others_) {
+        auto &row = rows_[key];
+        if (row.value_ != newest.value_ || row.isRemoved_ != newest.isRemoved_)
+            row = {newest.value_, ++version_, newest.isRemoved_};
+    }
 }
 
 std::uint64_t RowStoreStandin::versionOf(const Key &key) const
@@ -137,9 +182,12 @@
         }
         return false;
     };
-    while (!hasChanged() && std::chrono::steady_clock::now() < end)
+    const auto timeline = timeline_;
+    while (timeline == timeline_ && !hasChanged() && std::chrono::steady_clock::now() < end)
         co_await pauseFor(feedPoll);
-    auto response = jsonResponse(200, changes(table, after));
+    const bool isGone = timeline != timeline_ || after > version_;
+    auto response = isGone ? jsonResponse(410, "") : jsonResponse(200, changes(table, after));
+    response.set(timelineField, std::to_string(timeline_));
     co_await exchange.respond(std::move(response));
 }
 
@@ -179,11 +227,14 @@
     const std::string target(exchange.request().target());
     if (!target.starts_with("/-/rows-"))
         co_return false;
+    keepBackups();
+    writeAgain();
     if (outage_ == 0 && target.starts_with("/-/rows-feed")) {
         co_await feed(exchange, queryOf(target));
         co_return true;
     }
     auto response = answerTo(target, exchange.request().body());
+    response.set(timelineField, std::to_string(timeline_));
     co_await exchange.respond(std::move(response));
     co_return true;
 }
--- a/tests/support/row_store_standin.hpp
+++ b/tests/support/row_store_standin.hpp
@@ -4,9 +4,11 @@
 
 #include "support/standin_server.hpp"
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace cardamombay::support {
@@ -24,6 +26,10 @@
     /// \brief Answers a call; false if the path is none of the store's.
     boost::asio::awaitable<bool> handle(StandinExchange &exchange);
 
+    /// \brief Comes back from a backup that is at least \p age old, on a new timeline. Operators
+    /// and engines write again what it lacks of theirs, some time later.
+    void restore(std::chrono::milliseconds age);
+
     /// \brief While set, every call gets this status.
     unsigned outage_ = 0;
 
@@ -44,8 +50,22 @@
     StandinResponse transact(const std::string &body);
     StandinResponse answerTo(const std::string &target, const std::string &body);
 
+    using Time = std::chrono::steady_clock::time_point;
+    struct Backup
+    {
+        Time at_;
+        std::map<Key, Row> rows_;
+        std::uint64_t version_ = 0;
+    };
+    void keepBackups();
+    void writeAgain();
+
     std::map<Key, Row> rows_;
     std::uint64_t version_ = 0;
+    std::uint64_t timeline_ = 1;
+    std::deque<Backup> backups_;
+    std::map<Key, Row> others_; ///< What operators and engines wrote last.
+    std::optional<Time> writesAgainAt_;
 };
 
 } // namespace cardamombay::support
