--- a/include/cardamombay/serving/change_history.hpp
+++ b/include/cardamombay/serving/change_history.hpp
@@ -13,9 +13,7 @@
 
 /// \brief The newest change of each endpoint, in the order of their versions.
 /// \details Grows with the endpoints that live, not with their changes: a member that missed some
-/// gets them however many there were. A bound of 1,200 changes was overrun within the second in
-/// which 1,100 engines formed their groups, and 195 entry VMs made 3,665 calls to the store for
-/// what their reporters had dropped.
+/// gets them however many there were, also in the second in which all engines form their groups.
 /// \code
 /// if (const auto missed = history.after(member.endpoints_))
 ///     send(member, *missed);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -19,8 +19,7 @@
 constexpr double budgetMargin = 0.7;
 
 /// Share of the fleet's budget beyond which an entry VM leaves its own part untouched as well: the
-/// others may have taken it as left over. With 195 entry VMs, whose losses came one after the
-/// other, 2,854 repeats were sent in 10 s where 2,643 were allowed.
+/// others may have taken it as left over, one after the other.
 constexpr double fleetMargin = 0.82;
 
 /// Even parts of what the fleet has left that one entry VM may take until it hears of the others
--- a/src/serving/node_endpoints.cpp
+++ b/src/serving/node_endpoints.cpp
@@ -15,8 +15,8 @@
 /// Entries that another writer has spoiled and that are told of; bounds the memory for them.
 constexpr std::size_t mostRefused = 1000;
 
-/// Between two lines on the endpoints at entry VMs that do not plan: with a line for each of 1,100
-/// endpoints at each of 195 entry VMs they were three quarters of all lines.
+/// Between two lines on the endpoints at entry VMs that do not plan; a line for each endpoint at
+/// each entry VM would be most of all lines.
 constexpr Duration endpointsLogPeriod = std::chrono::seconds(1);
 
 constexpr std::string_view heardFromStore = "store";
@@ -25,7 +25,7 @@
 } // namespace
 
 /// A watch whose history was lost lists anew. Readers of this entry VM's news are told what has
-/// changed since all the same; otherwise 195 entry VMs list 1,100 endpoints within a second.
+/// changed since all the same; otherwise all entry VMs list all endpoints at the same moment.
 void Node::endpointsListed(const std::vector<platform::Row> &rows)
 {
     const auto now = parts_.clock_.now();
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Entries of the roster that one sum carries, about 350 bytes; all 70 of a fleet take 0.9 s.
-/// Whole rosters made bursts of 160 KB, of which a link of 20 Mbit/s dropped the end.
+/// Entries of the roster that one sum carries; whole rosters make bursts of which a small link drops
+/// the end.
 constexpr std::size_t rosterPage = 8;
 
 /// A peer that is not heard of for that long no longer counts; it is back with its next digest.
@@ -307,8 +307,7 @@
     }
 }
 
-/// The sooner peers know what was under way at an endpoint that ended, the fewer end under it: 4.5
-/// in place of 5.4 in a play with 20 entry VMs that lose a third of their datagrams (20 seeds).
+/// The sooner peers know what was under way at an endpoint that ended, the fewer end under it.
 void Node::tellCrashes()
 {
     const auto now = parts_.clock_.now();
--- a/src/serving/node_relays.cpp
+++ b/src/serving/node_relays.cpp
@@ -26,17 +26,16 @@
 /// The store is not asked more often for a configuration that a peer has; refused calls are priced.
 constexpr Duration askStoreAgain = std::chrono::milliseconds(800);
 /// A peer answers within a few milliseconds; two of its answers may be lost, or its link be full.
-/// A configuration must be in force after two seconds.
 constexpr Duration configurationFromPeers = std::chrono::milliseconds(600);
 /// Longest pauses between calls that fail. Those that watch for all find out when the store is
-/// back; while it turned everybody away, 88 entry VMs made 4,000 refused calls in 9 s, which are
-/// priced.
+/// back; refused calls are priced.
 constexpr Duration watcherFailurePause = std::chrono::milliseconds(400);
 constexpr Duration spareFailurePause = std::chrono::milliseconds(2500);
-constexpr std::string_view heardFromPeer = "peer";
 /// Entry VMs that pass changes of endpoints on beside the planner, which hears of them first.
 constexpr std::uint32_t relayCount = 1;
 
+constexpr std::string_view heardFromPeer = "peer";
+
 } // namespace
 
 void Node::changesArrived(const std::string &table, RowVersion after, RowVersion to)
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -15,10 +15,8 @@
 
 /// When a caller is asked to come back to another entry VM; its next try reaches one at once.
 constexpr Duration comeBackElsewhere = std::chrono::milliseconds(60);
-/// When a caller that found no room is asked to come back, as a share of its goal. Callers that
-/// came back after 800 ms had less time left for their answers: 0.03 less of a day's worth
-/// (standard errors 0.022 and 0.015, 15 paired plays on each of two deployments that were short of
-/// engines).
+/// When a caller that found no room is asked to come back, as a share of its goal; those that come
+/// back later have less time left for their answers.
 constexpr double comeBackShare = 0.2;
 /// What the control side lacks comes within about a second.
 constexpr Duration comeBackLater = std::chrono::milliseconds(400);
@@ -241,8 +239,7 @@
 }
 
 /// Leaves the present attempt for another endpoint if one has room now. Otherwise the attempt goes
-/// on: an endpoint that is only slow still answers. Of 131 requests that 70 entry VMs did not serve
-/// in 34 s, 54 had been ended for a silence before it was known whether they could go elsewhere.
+/// on: an endpoint that is only slow still answers.
 bool Session::moveElsewhere(std::string_view why, TimePoint now)
 {
     if (!mayGoOn(Failure::Unknown))
--- a/src/serving/store_watch.cpp
+++ b/src/serving/store_watch.cpp
@@ -183,8 +183,7 @@
 }
 
 /// An answer without changes is given when the wait is over, not before; it shows the table as of
-/// then. One that is full shows an earlier state: at 1,100 changes a second a watch that took each
-/// for the newest, and paused after it, fell 3 s behind within 8.
+/// then. One that is full shows an earlier state; a watch that paused after it would fall behind.
 void StoreWatch::changed(const platform::ChangePage &page, TimePoint since, Duration wait)
 {
     reachable(true);
