Do not chase a version that only a peer tells of

Cause: since the newest version heard of is kept, one absurd figure of a peer made all entry VMs ask the store for what it has never had, for good; a timeline far ahead passed for a restore and hid the next real one. Ruled out: refusing high versions as such (a peer may be ahead by any number of commits). Change: the store's own confirmation ends the chase; a timeline more than 64 restores ahead is refused and logged five times at the most.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -210,6 +210,7 @@
     TimePoint behindSince_{};           ///< Changes are missing here; the epoch if not.
     TimePoint storeAnsweredAt_{}; ///< The newest answer that any entry VM is known to have got.
     std::optional<StoreTimeline> timeline_; ///< Of the store, the latest that is known.
+    std::size_t timelinesRefused_ = 0;
     /// Until then the store may not hold yet what was written there before it was restored.
     TimePoint settledAt_{};
     TimePoint startedAt_{};
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -32,6 +32,7 @@
 inline constexpr std::string_view storeCallFailed = "store-call-failed";
 inline constexpr std::string_view storeLost = "store-lost";
 inline constexpr std::string_view absenceExcused = "absence-excused";
+inline constexpr std::string_view timelineRefused = "store-timeline-refused";
 inline constexpr std::string_view storeRestored = "store-restored";
 inline constexpr std::string_view storeRegained = "store-regained";
 inline constexpr std::string_view readiness = "readiness-changed";
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -20,8 +20,7 @@
 
 /// Engines list each step of a group; a call for each would be most of all calls.
 constexpr Duration endpointPause = std::chrono::milliseconds(250);
-/// The planner waits for each step of a group to give the next order; four steps make a repair of
-/// about 1.2 s, and each call is priced.
+/// The planner waits for each step of a group to give the next order.
 constexpr Duration plannerPause = std::chrono::milliseconds(60);
 
 /// An entry VM without a confirmation for that long sends callers elsewhere.
@@ -35,12 +34,15 @@
 constexpr Duration settleTime = std::chrono::milliseconds(2000);
 /// An endpoint that has ended writes nothing again; its entry lapses after three heartbeats.
 constexpr Duration leavingHeld = std::chrono::seconds(5);
+/// A timeline that is further ahead than that is an error of who tells it.
+constexpr std::uint64_t mostRestoresMissed = 64;
+/// Such a peer says it in each of its digests.
+constexpr std::size_t mostTimelinesLogged = 5;
 /// Between the entry VMs that write their rows again, in the order of duties.
 constexpr Duration announceTurn = std::chrono::milliseconds(10);
 
-/// A process counts as learning for that long at most: two answers of the store are there some 30
-/// ms after its start, a configuration of 338 KB after 250 ms on a link of 20 Mbit/s; what is not
-/// there after four times that is held up by something else. Each request waits for its own share.
+/// A process counts as learning for that long at most: four times what a large configuration takes
+/// on a small link. Each request waits for its own share.
 constexpr Duration longestLearning = std::chrono::milliseconds(1000);
 
 /// A planner whose view is older stands back: others see the engines change meanwhile. Below the
@@ -50,8 +52,7 @@
 constexpr Duration standby = std::chrono::seconds(5);
 
 /// Share of the own link that may be used for what is passed on to peers, so that callers and
-/// orders are not held up. Without a bound the first listing of 300 engines to 87 peers held up the
-/// planner's own orders for two seconds; with two fifths sums were lost in it.
+/// orders are not held up by a first listing of all engines, and sums are not lost in it.
 constexpr double sharedLink = 0.25;
 constexpr double bytesPerMegabit = 125'000;
 
@@ -117,8 +118,8 @@
 }
 
 /// After a restart callers reach the process before it has read the configuration and the
-/// endpoints. A configuration whose confirmation is still to be noted is not known yet: of a fleet
-/// that had been killed 506 requests were refused for keys that counted as not confirmed.
+/// endpoints. A configuration whose confirmation is still to be noted is not known yet: its keys
+/// would count as not confirmed.
 void Node::noteLearning()
 {
     const bool knowsAll
@@ -179,6 +180,13 @@
 {
     if (timeline_ && timeline <= *timeline_)
         return;
+    if (timeline_ && timeline.value() - timeline_->value() > mostRestoresMissed) {
+        if (++timelinesRefused_ <= mostTimelinesLogged)
+            log::warning(event::timelineRefused, {{"timeline", std::to_string(timeline.value())},
+                                                  {"present", std::to_string(timeline_->value())},
+                                                  {"seen-by", std::string(source)}});
+        return;
+    }
     const auto before = std::exchange(timeline_, timeline);
     if (settings_.isFirstStart_ && !before)
         parts_.lease_.setTimeline(timeline);
@@ -354,6 +362,8 @@
     } else if (table == parts_.format_.endpointTable()) {
         storeAnswered(asOf);
         parts_.gateway_.confirmEndpoints(asOf);
+        // The store has no more than this; a peer that tells of more is wrong, or tells it again.
+        heardVersion_ = {};
     }
 }
 
--- a/tests/restored_store/regressions.cpp
+++ b/tests/restored_store/regressions.cpp
@@ -254,6 +254,47 @@
     }
 }
 
+/// One peer's digests name a version that the store has never had, on this timeline or on one that
+/// is far ahead. It costs neither calls without end nor what is known.
+Test(restored_store, absurd_version_of_a_peer_is_not_chased)
+{
+    for (const auto *absurd : {"1099511627000", "9007199254740000"}) {
+        RestoredFleet bench;
+        bench.fleet_.pass(seconds(2));
+        auto before = bench.fleet_.storeCalls();
+        bench.fleet_.pass(seconds(5));
+        const auto usual = bench.fleet_.storeCalls() - before;
+        std::string liar; // The first one that tells of the store.
+        std::size_t lies = 0;
+        bench.fleet_.spoils_ = [&, absurd](std::string &text) {
+            const std::string mark = "\"endpoints\":";
+            const auto from = text.find("\"from\":");
+            if (from == std::string::npos || text.find("\"relay\"") == std::string::npos)
+                return;
+            const auto sender = text.substr(from, text.find(',', from) - from);
+            if (liar.empty())
+                liar = sender;
+            if (liar != sender)
+                return;
+            ++lies;
+            for (auto at = text.find(mark); at != std::string::npos; at = text.find(mark, at + 1)) {
+                const auto begin = at + mark.size();
+                text.replace(begin, text.find_first_not_of("0123456789", begin) - begin, absurd);
+            }
+        };
+        before = bench.fleet_.storeCalls();
+        bench.fleet_.pass(seconds(5));
+        const auto spoiled = bench.fleet_.storeCalls() - before;
+        std::printf("calls of seven entry VMs in 5 s: %zu, %zu with an absurd version of one\n",
+                    usual, spoiled);
+        // No process spins: five calls a second of each are far from a call for each digest.
+        cr_expect_lt(spoiled, 5 * 5 * bench.fleet_.size(), "%s", absurd);
+        cr_expect_gt(lies, 0);
+        cr_expect(bench.isUsed("e0"), "%s", absurd);
+        cr_expect_eq(bench.holders(), 1, "%s", absurd);
+    }
+}
+
 /// Restores that come twice within a second, beside entry VMs that are cut off and see them late.
 Test(restored_store, leavings_stand_through_restores_that_come_twice_and_are_seen_late)
 {
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -241,8 +241,7 @@
         clock_.run([done] { done(Error(StoreUnavailable{"changes", "cut off"})); });
         return;
     }
-    const bool isOfOtherTimeline
-        = query.after_.timeline() != fleet_.platform_.version().timeline();
+    const bool isOfOtherTimeline = query.after_.timeline() != fleet_.platform_.version().timeline();
     if (query.after_ < fleet_.historyFrom_ || isOfOtherTimeline) {
         clock_.run([done] { done(Error(NotFound{"history"})); });
         return;
@@ -325,6 +324,8 @@
     const auto found = byAddress_.find(to);
     if (found == byAddress_.end() || random_.unit() < faults_.lossShare_)
         return;
+    if (spoils_)
+        spoils_(text);
     const Duration way = std::chrono::microseconds(200)
                          + fromSeconds(toSeconds(faults_.longestWay_) * random_.unit());
     clock_.schedule(way, [node = found->second, text = std::move(text)] { node->receive(text); });
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -113,8 +113,9 @@
     FakePlatform platform_{clock_};
     FleetFormat format_;
     DatagramFaults faults_;
-    RowVersion historyFrom_;                  ///< The store has forgotten the changes before.
-    std::map<std::string, RowVersion> ended_; ///< Endpoints that are listed no more, since when.
+    std::function<void(std::string &)> spoils_; ///< May change each datagram; nothing if empty.
+    RowVersion historyFrom_;                    ///< The store has forgotten the changes before.
+    std::map<std::string, RowVersion> ended_;   ///< Endpoints that are listed no more, since when.
     Random random_;
 
 private:
