Wrap a comment as the formatter does

Cause: a shortened comment had another line break than the formatter's. Change: two comment lines. Conclusion: format is clean.

--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-/// Entries of the roster that one sum carries; whole rosters make bursts of which a small link drops
-/// the end.
+/// Entries of the roster that one sum carries; whole rosters make bursts of which a small link
+/// drops the end.
 constexpr std::size_t rosterPage = 8;
 
 /// A peer that is not heard of for that long no longer counts; it is back with its next digest.
