Log the limits of the rate that endpoints name, and which one was known at a send

Cause of the change: the logs could not tell whether an entry VM knew of an endpoint's limit when it sent a request there. Ruled out: nothing; no decision reads the limit yet. Change: the adapter decodes the limit, EndpointLimits keeps the newest word of each endpoint, and events endpoint-limited, endpoint-limit-ended and endpoint-limit-unreadable tell of it; the line of a finished request says the limit at its endpoint, its age and where it came from. A word that is no number leaves the earlier one in force and is logged once for an endpoint. Conclusion: a request's line now tells the hypotheses apart.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -182,6 +182,7 @@
 #include <cardamombay/serving/duty_order.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/endpoint_book.hpp>
+#include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/engine_model.hpp>
 #include <cardamombay/serving/event_scanner.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
--- a/include/cardamombay/serving/dialects.hpp
+++ b/include/cardamombay/serving/dialects.hpp
@@ -48,6 +48,10 @@
     bool isWrongPlace_ = false; ///< Another endpoint has the address.
     bool isSealed_ = false;     ///< Carries the endpoint's proof that the answer is its own.
     VmId failedMember_;         ///< The VM that the endpoint holds responsible; empty if none.
+    /// Requests a second that the endpoint takes from all entry VMs together; absent if it names no
+    /// such limit, or one that cannot be read.
+    std::optional<double> requestsPerSecond_;
+    bool isLimitUnreadable_ = false; ///< It names a limit that is no usable number.
 };
 
 /// \brief Converts header fields of callers and endpoints.
--- /dev/null
+++ b/include/cardamombay/serving/endpoint_limits.hpp
@@ -0,0 +1,66 @@
+/// \file
+/// \brief Limits of the rate of requests that endpoints name in their answers.
+/// \details Such a limit holds for all entry VMs together. Keeps the newest word of each endpoint,
+/// whichever entry VM heard it; decides nothing about requests.
+#pragma once
+
+#include <cardamombay/core/time.hpp>
+#include <cardamombay/serving/endpoint.hpp>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace cardamombay::serving {
+
+/// \brief Who told of a limit.
+enum class LimitSource {
+    Answer, ///< The endpoint itself, in an answer to a request from here.
+    Peer,   ///< Another entry VM.
+};
+
+/// \brief Short name for logs.
+[[nodiscard]] std::string_view nameOf(LimitSource source);
+
+/// \brief The limit of one endpoint, as known here.
+struct EndpointLimit
+{
+    double perSecond_ = 0; ///< Requests from all entry VMs.
+    TimePoint since_{};    ///< It has had a limit since then.
+    TimePoint statedAt_{}; ///< The endpoint named it last then.
+    LimitSource source_ = LimitSource::Answer;
+};
+
+/// \brief A rate for logs: three significant digits.
+[[nodiscard]] std::string textOf(double perSecond);
+
+/// \brief What one entry VM knows of limits; belongs to the gateway's thread.
+/// \code
+/// limits.stated(endpoint, 3.4, now);
+/// if (const auto limit = limits.find(endpoint))
+///     reserve(limit->perSecond_);
+/// \endcode
+class EndpointLimits
+{
+public:
+    /// \name Answers of endpoints
+    /// \{
+    void stated(const EndpointLife &endpoint, double perSecond, TimePoint now);
+    /// \brief An answer names no limit. One that was named while the answer was on its way stands.
+    /// \param sentAt when the request was sent that it answers.
+    void notStated(const EndpointLife &endpoint, TimePoint sentAt, TimePoint now);
+    /// \brief An answer names a limit that cannot be read; what was known stands.
+    void unreadable(const EndpointLife &endpoint);
+    /// \}
+
+    /// \brief The limit in force; nothing if there is none.
+    [[nodiscard]] std::optional<EndpointLimit> find(const EndpointLife &endpoint) const;
+
+private:
+    std::map<EndpointLife, EndpointLimit> limits_;
+    std::set<EndpointLife> unreadable_; ///< Already logged.
+};
+
+} // namespace cardamombay::serving
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -11,6 +11,7 @@
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/crash_detector.hpp>
 #include <cardamombay/serving/dialects.hpp>
+#include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
@@ -93,6 +94,8 @@
     /// \brief Ends all requests: what has not run is refused, the rest is broken off.
     void cutAll();
 
+    /// \brief Limits of the rate of requests that endpoints name.
+    [[nodiscard]] EndpointLimits &limits() { return limits_; }
     /// \brief What is known of requests that end endpoints.
     [[nodiscard]] PoisonPills &poisonPills() { return poisonPills_; }
     /// \brief Takes what a peer tells of endpoints that ended, and of requests that end them.
@@ -161,6 +164,7 @@
     FailureBlame failureBlame_;
     CrashDetector crashDetector_;
     PoisonPills poisonPills_;
+    EndpointLimits limits_;
     std::function<void()> crashSeen_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> ended_;
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -21,6 +21,8 @@
     metrics::Counter endpointCrashes_; ///< Endpoints that ended under requests from here.
     metrics::Counter quarantined_;     ///< Requests refused since they end endpoints.
     metrics::Counter storeRestores_;   ///< Times that the store came back from a backup.
+    metrics::Counter limitedSends_;    ///< To endpoints that limit the rate of requests.
+    metrics::Counter unreadableLimits_;
     /// Seconds since the store confirmed what is known of the endpoints, at each send.
     metrics::Histogram endpointsAge_;
     metrics::Histogram firstByte_; ///< Seconds from the request to the first event or the answer.
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -31,6 +31,11 @@
                            "Requests refused because they end the endpoints that run them."))
     , storeRestores_(registry.counter("cardamombay_gateway_store_restores_total",
                                       "Times that the store came back from a backup."))
+    , limitedSends_(registry.counter("cardamombay_gateway_limited_sends_total",
+                                     "Attempts at endpoints that limit the rate of requests."))
+    , unreadableLimits_(
+          registry.counter("cardamombay_gateway_unreadable_limits_total",
+                           "Answers that name a limit of the rate that cannot be read."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -13,6 +13,9 @@
 inline constexpr std::string_view requestQuarantined = "request-quarantined";
 inline constexpr std::string_view quarantineLifted = "quarantine-lifted";
 inline constexpr std::string_view endpointCrashed = "endpoint-crashed";
+inline constexpr std::string_view endpointLimited = "endpoint-limited";
+inline constexpr std::string_view endpointLimitEnded = "endpoint-limit-ended";
+inline constexpr std::string_view endpointLimitUnreadable = "endpoint-limit-unreadable";
 /// \}
 
 /// \name What this entry VM believes
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -304,6 +304,9 @@
     target_ = target;
     viewAge_ = now - gateway_.endpointsConfirmedAt();
     gateway_.parts().metrics_.endpointsAge_.observe(toSeconds(viewAge_));
+    limit_ = gateway_.limits().find(target.life());
+    if (limit_)
+        gateway_.parts().metrics_.limitedSends_.increment();
     tried_.push_back(target.endpoint_);
     ++sends_;
     isConnected_ = false;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/dialects.hpp>
+#include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 
 #include <memory>
@@ -108,6 +109,7 @@
     /// \name The answer
     /// \{
     void noteAnswer(std::uint32_t status, TimePoint now);
+    void noteLimit(const AnswerHead &answer, TimePoint now);
     void takeStreamHead(const net::HttpResponse &head);
     void forgetAnswer();
     void noteEvents(TimePoint now);
@@ -139,7 +141,8 @@
 
     std::unique_ptr<net::UpstreamCall> call_;
     Target target_;
-    Duration viewAge_{}; ///< Of what was known of the endpoints at the last send.
+    Duration viewAge_{};                 ///< Of what was known of the endpoints at the last send.
+    std::optional<EndpointLimit> limit_; ///< Of the endpoint, as known at the last send.
     bool isConnected_ = false;
     TimePoint attemptAt_;
     TimePoint progressAt_;
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -8,11 +8,25 @@
 #include <cardamombay/serving/gateway.hpp>
 
 #include <utility>
+#include <vector>
 
 namespace cardamombay::serving {
 
 using namespace impl;
 
+namespace {
+
+/// The limit of the endpoint's rate that was known when the request was sent there.
+void appendLimit(std::vector<Detail> &details, const EndpointLimit &limit, TimePoint sentAt)
+{
+    details.push_back({"limit-per-second", textOf(limit.perSecond_)});
+    details.push_back({"limit-age-ms", std::to_string(toMilliseconds(sentAt - limit.statedAt_))});
+    details.push_back({"limit-since-ms", std::to_string(toMilliseconds(sentAt - limit.since_))});
+    details.push_back({"limit-from", std::string(nameOf(limit.source_))});
+}
+
+} // namespace
+
 void Session::refuse(std::uint32_t status, std::string_view reason,
                      std::optional<Duration> comeBack)
 {
@@ -72,26 +86,29 @@
     } else {
         metrics.failed_.increment();
     }
-    log::info(event::requestFinished,
-              {{"request", head_.request_.text()},
-               {"fingerprint", fingerprint_.text()},
-               {"outcome", std::string(outcome)},
-               {"reason", std::string(reason)},
-               {"route", route_ == nullptr ? "" : route_->name_},
-               {"model", head_.model_.text()},
-               {"endpoint", target_.endpoint_.text()},
-               {"config", routes_ ? std::to_string(routes_->version().value()) : "0"},
-               {"config-age-ms", std::to_string(toMilliseconds(gateway_.unconfirmedFor()))},
-               {"endpoints-age-ms", std::to_string(toMilliseconds(viewAge_))},
-               {"events", std::to_string(events_)},
-               {"sends", std::to_string(sends_)},
-               {"may-have-run", std::to_string(mayHaveRun_)},
-               {"first-ms", std::to_string(toMilliseconds(firstAfter_))},
-               {"longest-pause-ms", std::to_string(toMilliseconds(longestPause_))},
-               {"prompt", std::to_string(head_.promptTokens_)},
-               {"most-answer", std::to_string(head_.mostAnswerTokens_)},
-               {"likely-answer", std::to_string(head_.likelyAnswerTokens_)},
-               {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}});
+    std::vector<Detail> details{
+        {"request", head_.request_.text()},
+        {"fingerprint", fingerprint_.text()},
+        {"outcome", std::string(outcome)},
+        {"reason", std::string(reason)},
+        {"route", route_ == nullptr ? "" : route_->name_},
+        {"model", head_.model_.text()},
+        {"endpoint", target_.endpoint_.text()},
+        {"config", routes_ ? std::to_string(routes_->version().value()) : "0"},
+        {"config-age-ms", std::to_string(toMilliseconds(gateway_.unconfirmedFor()))},
+        {"endpoints-age-ms", std::to_string(toMilliseconds(viewAge_))},
+        {"events", std::to_string(events_)},
+        {"sends", std::to_string(sends_)},
+        {"may-have-run", std::to_string(mayHaveRun_)},
+        {"first-ms", std::to_string(toMilliseconds(firstAfter_))},
+        {"longest-pause-ms", std::to_string(toMilliseconds(longestPause_))},
+        {"prompt", std::to_string(head_.promptTokens_)},
+        {"most-answer", std::to_string(head_.mostAnswerTokens_)},
+        {"likely-answer", std::to_string(head_.likelyAnswerTokens_)},
+        {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}};
+    if (limit_)
+        appendLimit(details, *limit_, attemptAt_);
+    log::write(log::Level::Info, event::requestFinished, details);
     gateway_.release(*this);
 }
 
--- a/tests/adapter/formats.cpp
+++ b/tests/adapter/formats.cpp
@@ -252,6 +252,31 @@
     cr_assert(dialect.answerHead({200, {{"X-Response-Seal", "s"}}, {}}).isSealed_);
 }
 
+Test(dialect, limits_of_the_rate_are_read_from_answers)
+{
+    const PlatformDialect dialect;
+    const auto read = [&dialect](std::vector<net::HttpField> fields) {
+        return dialect.answerHead({200, std::move(fields), {}});
+    };
+    cr_assert_eq(read({{"server-limit", "1.9"}}).requestsPerSecond_.value(), 1.9);
+    cr_assert_eq(read({{"Server-Limit", "0"}}).requestsPerSecond_.value(), 0);
+    cr_assert_not(read({}).requestsPerSecond_.has_value());
+    cr_assert_not(read({}).isLimitUnreadable_);
+}
+
+Test(dialect, a_limit_that_is_no_usable_number_counts_as_unreadable)
+{
+    const PlatformDialect dialect;
+    for (const auto *text : {"", "-1", "nan", "inf", "1e999", "2, 3", "2 a second", "two"}) {
+        const auto head = dialect.answerHead({200, {{"Server-Limit", text}}, {}});
+        cr_expect(head.isLimitUnreadable_, "%s", text);
+        cr_expect_not(head.requestsPerSecond_.has_value(), "%s", text);
+    }
+    const auto two = dialect.answerHead({200, {{"Server-Limit", "2"}, {"Server-Limit", "3"}}, {}});
+    cr_expect(two.isLimitUnreadable_);
+    cr_expect_not(two.requestsPerSecond_.has_value());
+}
+
 Test(dialect, own_failures_carry_no_seal_and_a_time_to_come_back)
 {
     const auto response = PlatformDialect().failure(503, "full", milliseconds(60));
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -135,6 +135,8 @@
     AnswerHead result;
     result.isRefused_ = !head.field("refused").empty();
     result.isSealed_ = !head.field("seal").empty();
+    if (const auto limit = head.field("limit"); !limit.empty())
+        result.requestsPerSecond_ = std::stod(limit);
     return result;
 }
 
