Show that entry VMs together exceed the limits that endpoints name

What callers and endpoints saw: an endpoint in need gets as many requests as before it named its limit. Cause: no decision reads the limit. Ruled out: nothing yet.

--- /dev/null
+++ b/tests/endpoint_limits/limit_play.cpp
@@ -0,0 +1,185 @@
+#include "limit_play.hpp"
+
+#include <algorithm>
+#include <cstdio>
+#include <utility>
+
+namespace cardamombay::endpoint_limits {
+
+using namespace serving;
+using namespace support;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr Duration settling = seconds(4);
+constexpr Duration step = milliseconds(10);
+constexpr Duration answerTime = milliseconds(40);
+
+/// All entry VMs know a limit that long after it was named first.
+constexpr Duration knownAfter = seconds(3);
+
+constexpr Duration aimWindow = seconds(10);
+constexpr double aimShare = 1.1;
+constexpr double aimReserve = 2;
+constexpr Duration ruleWindow = seconds(4);
+constexpr double ruleShare = 1.5;
+constexpr double ruleReserve = 5;
+
+std::size_t zonesOf(std::size_t entries)
+{
+    return entries > 100 ? 5 : 3;
+}
+
+std::size_t mostWithin(const std::vector<TimePoint> &sends, Duration window)
+{
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < sends.size(); ++last) {
+        while (sends[last] - sends[first] > window)
+            ++first;
+        most = std::max(most, last - first + 1);
+    }
+    return most;
+}
+
+double overShare(const std::vector<TimePoint> &sends, Duration window, double limit, double share,
+                 double reserve)
+{
+    const auto allowed = share * limit * toSeconds(window) + reserve;
+    return static_cast<double>(mostWithin(sends, window)) / allowed;
+}
+
+} // namespace
+
+LimitPlay::LimitPlay(Scene scene, std::uint64_t seed)
+    : fleet_(scene.entries_, zonesOf(scene.entries_), scene.entries_ > 16 ? 2 : 0, seed)
+    , scene_(std::move(scene))
+    , random_(seed)
+    , scanned_(scene_.entries_)
+{
+    fleet_.faults_.lossShare_ = scene_.lossShare_;
+    for (const auto limit : scene_.limits_) {
+        const auto head = "head-" + std::to_string(groups_.size());
+        byHead_.emplace(head, groups_.size());
+        groups_.push_back({head, limit, {}, {}});
+        fleet_.listGroup(head);
+    }
+    fleet_.configure(1, {"key"});
+    fleet_.start();
+    fleet_.pass(settling);
+    since_ = now();
+}
+
+void LimitPlay::pass(Duration time)
+{
+    for (const auto end = now() + time; now() < end;) {
+        if (fault_)
+            fault_();
+        ask(step);
+        fleet_.pass(step);
+        takeCalls();
+        for (auto &group : groups_)
+            answer(group);
+    }
+}
+
+void LimitPlay::setLimit(std::size_t group, double perSecond)
+{
+    groups_.at(group).limit_ = perSecond;
+}
+
+void LimitPlay::ask(Duration step)
+{
+    double rate = 0;
+    for (const auto &group : groups_)
+        rate += std::max(0.0, group.limit_) * scene_.asked_;
+    const auto reached = std::max<std::size_t>(
+        1, static_cast<std::size_t>(static_cast<double>(fleet_.size()) * scene_.callersAtShare_));
+    for (due_ += rate * toSeconds(step); due_ >= 1; due_ -= 1) {
+        const auto path = "/stream/" + std::to_string(asked_++);
+        auto &node = fleet_.node(random_.below(reached));
+        callers_.push_back(askAt(node.gateway_, path, "m", "key"));
+    }
+}
+
+void LimitPlay::takeCalls()
+{
+    for (std::size_t i = 0; i < fleet_.size(); ++i) {
+        auto &calls = fleet_.node(i).upstream_.calls_;
+        for (; scanned_[i] < calls.size(); ++scanned_[i]) {
+            const auto &call = calls[scanned_[i]];
+            if (call->isDropped() || !call->connect())
+                continue;
+            auto &group = groups_[byHead_.at(call->field("endpoint"))];
+            group.sends_.push_back(now());
+            group.answers_.push_back({call, now() + answerTime});
+        }
+    }
+}
+
+void LimitPlay::answer(Group &group)
+{
+    while (!group.answers_.empty() && group.answers_.front().at_ <= now()) {
+        const auto call = group.answers_.front().call_;
+        group.answers_.pop_front();
+        if (call->isDropped())
+            continue;
+        std::vector<net::HttpField> fields{{"seal", "s"}};
+        if (group.limit_ >= 0)
+            fields.push_back({"limit", std::to_string(group.limit_)});
+        call->head(200, std::move(fields));
+        call->data("id: 1\ndata: x\n\n");
+        call->end("");
+    }
+}
+
+Got LimitPlay::got(const Group &group) const
+{
+    Got result;
+    result.limit_ = group.limit_;
+    result.mostOverAim_ = overShare(group.sends_, aimWindow, group.limit_, aimShare, aimReserve);
+    result.mostOverRule_
+        = overShare(group.sends_, ruleWindow, group.limit_, ruleShare, ruleReserve);
+    const auto allowed = group.limit_ * toSeconds(now() - since_);
+    result.used_ = static_cast<double>(group.sends_.size()) / std::max(1.0, allowed);
+    return result;
+}
+
+std::vector<Got> LimitPlay::take()
+{
+    std::vector<Got> result;
+    for (auto &group : groups_) {
+        result.push_back(got(group));
+        group.sends_.clear();
+    }
+    since_ = now();
+    return result;
+}
+
+std::vector<Got> LimitPlay::run()
+{
+    pass(knownAfter);
+    (void)take();
+    pass(scene_.length_);
+    return take();
+}
+
+std::size_t LimitPlay::unanswered() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(callers_.begin(), callers_.end(), [](const auto &caller) {
+            return !caller->answer_ && !caller->isFinished_ && !caller->isAborted_;
+        }));
+}
+
+void print(const char *name, const Scene &scene, const std::vector<Got> &all)
+{
+    for (const auto &got : all)
+        std::printf("%s, %zu entry VMs, limit %g a second: most in 10 s %.2f of the aim, in 4 s "
+                    "%.2f of what is allowed, used %.2f\n",
+                    name, scene.entries_, got.limit_, got.mostOverAim_, got.mostOverRule_,
+                    got.used_);
+}
+
+} // namespace cardamombay::endpoint_limits
