Keep the limits of endpoints over all entry VMs together

What callers and endpoints saw: an endpoint that names the requests a second that it takes from all entry VMs got as many as before. Cause: no entry VM read the limit, and each decides alone; a limit that holds for all of them together needs one place that counts. Ruled out: keeping a part of the limit at each entry VM; a bucket in each of 195 that begins with one token alone is 195 requests. Change: one entry VM owns each limited endpoint (rendezvous hashing) and books its sends one interval apart, up to a second ahead. A request goes to such an endpoint only with a booked send; endpoints without a limit go first. What is not used is given back. An owner that answers nobody is passed over for a second; a new one begins with a pause as long as the old one may have booked. Limits spread in digests and sums, the youngest word wins, and an answer without a limit ends it if its request was sent after the limit was named. A request that no endpoint has a send for in time is refused at once and told when one may be free.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -207,8 +207,12 @@
 #include <cardamombay/serving/replica_planner.hpp>
 #include <cardamombay/serving/reporters.hpp>
 #include <cardamombay/serving/request_fingerprint.hpp>
+#include <cardamombay/serving/reservation_book.hpp>
+#include <cardamombay/serving/reservation_desk.hpp>
+#include <cardamombay/serving/reservation_messages.hpp>
 #include <cardamombay/serving/route_table.hpp>
 #include <cardamombay/serving/send_budget.hpp>
+#include <cardamombay/serving/send_gate.hpp>
 #include <cardamombay/serving/servable.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -10,6 +10,7 @@
 #include <cardamombay/serving/load_board.hpp>
 #include <cardamombay/serving/request_fingerprint.hpp>
 #include <cardamombay/serving/route_table.hpp>
+#include <cardamombay/serving/send_gate.hpp>
 
 #include <map>
 #include <optional>
@@ -31,6 +32,8 @@
     /// Endpoints have ended under it. All entry VMs send a suspect to the same endpoint, so that
     /// one that does end them ends one at a time, and suspects of one end go to different ones.
     std::optional<RequestFingerprint> suspect_;
+    const SendGate *gate_ = nullptr;       ///< Of endpoints with a limit; null: there are none.
+    std::optional<EndpointLife> reserved_; ///< A send there is reserved and may leave now.
 };
 
 /// \brief Where a request goes.
@@ -50,7 +53,19 @@
     Full,       ///< All that serve have as much as they can do in time.
 };
 
-using Choice = std::variant<Target, NoTarget>;
+/// \brief Only an endpoint that limits the rate of requests has room.
+struct NeedsReservation
+{
+    EndpointLife endpoint_;
+};
+
+/// \brief All endpoints that could serve the request have reached the limits that they named.
+struct LimitsReached
+{
+    Duration comeBackIn_{}; ///< Until the first of them may have a send free.
+};
+
+using Choice = std::variant<Target, NeedsReservation, LimitsReached, NoTarget>;
 
 /// \brief Balances over the endpoints of the book.
 class Balancer
@@ -77,6 +92,8 @@
         std::uint64_t bornAt_ = 0;
         ModelName model_;
         double slowness_ = 1; ///< Factor on a group's times.
+
+        [[nodiscard]] EndpointLife life() const { return {endpoint_, bornAt_}; }
     };
     struct Derived
     {
@@ -87,6 +104,10 @@
     [[nodiscard]] const std::vector<Candidate> &candidatesOf(const Service &service);
     [[nodiscard]] std::vector<Candidate> derive(const Service &service) const;
     [[nodiscard]] std::vector<const Candidate *> usable(const Demand &demand, TimePoint now);
+    [[nodiscard]] const Candidate *best(const std::vector<const Candidate *> &candidates,
+                                        const Demand &demand, TimePoint now);
+    [[nodiscard]] Choice chooseLimited(const std::vector<const Candidate *> &limited,
+                                       const Demand &demand, TimePoint now);
     [[nodiscard]] const Candidate *leastLoaded(const std::vector<const Candidate *> &candidates,
                                                std::size_t limit);
     [[nodiscard]] static const Candidate *first(const std::vector<const Candidate *> &candidates,
--- a/include/cardamombay/serving/endpoint_limits.hpp
+++ b/include/cardamombay/serving/endpoint_limits.hpp
@@ -7,11 +7,13 @@
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cardamombay::serving {
 
@@ -33,6 +35,19 @@
     LimitSource source_ = LimitSource::Answer;
 };
 
+/// \brief What an entry VM tells of an endpoint's limit.
+struct LimitNews
+{
+    EndpointLife endpoint_;
+    std::optional<double> perSecond_; ///< Nothing if the limit has ended.
+    Duration age_{};                  ///< Since the endpoint said so.
+
+    friend bool operator==(const LimitNews &, const LimitNews &) = default;
+};
+
+/// \brief Adds \p from to \p into; of two that tell of one endpoint the younger one stays.
+void mergeNews(std::vector<LimitNews> &into, const std::vector<LimitNews> &from);
+
 /// \brief A rate for logs: three significant digits.
 [[nodiscard]] std::string textOf(double perSecond);
 
@@ -55,12 +70,38 @@
     void unreadable(const EndpointLife &endpoint);
     /// \}
 
+    /// \name Peers
+    /// \{
+    /// \brief What was heard from endpoints just now, and what is known of those that this entry
+    /// VM tells of in any case.
+    /// \param isTold true for these.
+    [[nodiscard]] std::vector<LimitNews>
+    news(TimePoint now, const std::function<bool(const EndpointLife &)> &isTold);
+    /// \brief Takes what a peer tells.
+    void take(const std::vector<LimitNews> &news, TimePoint now);
+    /// \}
+
+    /// \brief Drops what was not heard for long.
+    void expire(TimePoint now);
+
     /// \brief The limit in force; nothing if there is none.
     [[nodiscard]] std::optional<EndpointLimit> find(const EndpointLife &endpoint) const;
 
 private:
+    struct Ended
+    {
+        TimePoint at_{}; ///< The endpoint said so then, or later.
+        LimitSource source_ = LimitSource::Answer;
+    };
+
+    void set(const EndpointLife &endpoint, double perSecond, TimePoint statedAt, LimitSource source,
+             TimePoint now);
+    void end(const EndpointLife &endpoint, TimePoint at, LimitSource source, TimePoint now);
+
     std::map<EndpointLife, EndpointLimit> limits_;
-    std::set<EndpointLife> unreadable_; ///< Already logged.
+    std::map<EndpointLife, Ended> ended_;  ///< Lately.
+    std::optional<EndpointLife> lastTold_; ///< For the turn of the next ones.
+    std::set<EndpointLife> unreadable_;    ///< Already logged.
 };
 
 } // namespace cardamombay::serving
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -16,6 +16,7 @@
 #include <cardamombay/serving/gateway_metrics.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
+#include <cardamombay/serving/reservation_desk.hpp>
 
 #include <map>
 #include <memory>
@@ -96,6 +97,8 @@
 
     /// \brief Limits of the rate of requests that endpoints name.
     [[nodiscard]] EndpointLimits &limits() { return limits_; }
+    /// \brief Reserves sends to the endpoints that have one.
+    [[nodiscard]] ReservationDesk &reservations() { return reservations_; }
     /// \brief What is known of requests that end endpoints.
     [[nodiscard]] PoisonPills &poisonPills() { return poisonPills_; }
     /// \brief Takes what a peer tells of endpoints that ended, and of requests that end them.
@@ -165,6 +168,7 @@
     CrashDetector crashDetector_;
     PoisonPills poisonPills_;
     EndpointLimits limits_;
+    ReservationDesk reservations_;
     std::function<void()> crashSeen_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> ended_;
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -23,6 +23,10 @@
     metrics::Counter storeRestores_;   ///< Times that the store came back from a backup.
     metrics::Counter limitedSends_;    ///< To endpoints that limit the rate of requests.
     metrics::Counter unreadableLimits_;
+    metrics::Counter reservations_; ///< Sends to such endpoints that were asked for.
+    metrics::Counter reservationsRefused_;
+    metrics::Counter reservationsReturned_; ///< Booked and not used.
+    metrics::Counter silentOwners_;         ///< Entry VMs that did not answer for an endpoint.
     /// Seconds since the store confirmed what is known of the endpoints, at each send.
     metrics::Histogram endpointsAge_;
     metrics::Histogram firstByte_; ///< Seconds from the request to the first event or the answer.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -120,7 +120,7 @@
     void tellCrashes();
     void alarmArrived(const SilenceAlarm &alarm);
     void tickDigest();
-    [[nodiscard]] LoadDigest ownDigest(TimePoint now) const;
+    [[nodiscard]] LoadDigest ownDigest(TimePoint now);
     void tellAll(const LoadDigest &digest);
     void report(TimePoint now);
     void setReporter(const std::optional<EntryId> &reporter, bool isNeeded);
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -8,6 +8,7 @@
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/serving/duty_order.hpp>
 #include <cardamombay/serving/endpoint.hpp>
+#include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
@@ -52,6 +53,7 @@
     std::map<ModelName, double> demand_; ///< Its requests a second by model, times their work.
     std::map<ServiceName, RepeatCounts> repeats_; ///< Of the last window.
     PoisonNews poison_;                           ///< Requests that end endpoints.
+    std::vector<LimitNews> limits_;               ///< That endpoints named.
     bool isDraining_ = false;
 
     friend bool operator==(const LoadDigest &, const LoadDigest &) = default;
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -278,25 +278,64 @@
     return best;
 }
 
+const Balancer::Candidate *Balancer::best(const std::vector<const Candidate *> &candidates,
+                                          const Demand &demand, TimePoint now)
+{
+    if (candidates.empty())
+        return nullptr;
+    if (demand.service_->engine_)
+        return soonest(candidates, demand, now);
+    const auto *endpoint = book_.find(candidates.front()->endpoint_);
+    return leastLoaded(candidates, withWaiting(endpoint->slots_, plainWaitingShare));
+}
+
+/// An endpoint that limits its rate is short of something, so the others go first.
+Choice Balancer::chooseLimited(const std::vector<const Candidate *> &limited, const Demand &demand,
+                               TimePoint now)
+{
+    std::vector<const Candidate *> open;
+    std::optional<Duration> soonestFree;
+    for (const auto *candidate : limited) {
+        const auto fullFor = demand.gate_->fullFor(candidate->life());
+        if (!fullFor)
+            open.push_back(candidate);
+        else if (!soonestFree || *fullFor < *soonestFree)
+            soonestFree = fullFor;
+    }
+    if (const auto *candidate = best(open, demand, now))
+        return NeedsReservation{candidate->life()};
+    // Where one has its rate left but no place, a place may become free at any moment.
+    if (open.empty() && soonestFree)
+        return LimitsReached{*soonestFree};
+    return NoTarget::Full;
+}
+
 Choice Balancer::choose(const Demand &demand, TimePoint now)
 {
-    const auto &service = *demand.service_;
-    const auto candidates = usable(demand, now);
+    auto candidates = usable(demand, now);
     if (candidates.empty())
         return NoTarget::NoEndpoint;
-    if (service.engine_) {
+    if (demand.service_->engine_)
         notePrompt(demand);
-        const auto *best = soonest(candidates, demand, now);
-        if (best == nullptr)
-            return NoTarget::Full;
-        return Target{best->endpoint_, best->address_,
-                      patienceOf(service, demand.model_, best->slowness_), best->bornAt_};
+    std::vector<const Candidate *> limited;
+    std::erase_if(candidates, [&](const Candidate *candidate) {
+        const bool isLimited = demand.gate_ != nullptr && demand.reserved_ != candidate->life()
+                               && demand.gate_->isLimited(candidate->life());
+        if (isLimited)
+            limited.push_back(candidate);
+        return isLimited;
+    });
+    if (const auto *candidate = best(candidates, demand, now)) {
+        const auto patience = demand.service_->engine_ ? patienceOf(*demand.service_, demand.model_,
+                                                                    candidate->slowness_)
+                                                       : Duration::zero();
+        return Target{candidate->endpoint_, candidate->address_, patience, candidate->bornAt_};
     }
-    const auto *endpoint = book_.find(candidates.front()->endpoint_);
-    const auto *best = leastLoaded(candidates, withWaiting(endpoint->slots_, plainWaitingShare));
-    if (best == nullptr)
+    if (limited.empty())
         return NoTarget::Full;
-    return Target{best->endpoint_, best->address_, Duration::zero(), best->bornAt_};
+    const auto choice = chooseLimited(limited, demand, now);
+    const bool mayFreeUp = !candidates.empty() && std::holds_alternative<LimitsReached>(choice);
+    return mayFreeUp ? Choice(NoTarget::Full) : choice;
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/digest_hub.cpp
+++ b/src/serving/digest_hub.cpp
@@ -43,6 +43,13 @@
     return {digest.from_, digest.address_, digest.zone_, digest.capacity_};
 }
 
+std::vector<LimitNews> aged(std::vector<LimitNews> limits, Duration by)
+{
+    for (auto &limit : limits)
+        limit.age_ += by;
+    return limits;
+}
+
 template<typename Map>
 void addCounts(Map &into, const Map &counts)
 {
@@ -181,6 +188,7 @@
         addCounts(sum.demand_, last.demand_);
         addRepeats(sum.repeats_, last.repeats_);
         mergeNews(sum.poison_, last.poison_);
+        mergeNews(sum.limits_, aged(last.limits_, now - source.heardAt_));
         sum.silent_.insert(sum.silent_.end(), last.silent_.begin(), last.silent_.end());
         add(totals, source);
         if (last.relay_) {
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -46,6 +46,7 @@
     , bounds_(bounds)
     , random_(random)
     , crashDetector_(parts.clock_, parts.upstream_)
+    , reservations_(parts.clock_, limits_, parts.metrics_, Random(random.bits()))
 {
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
     poisonPills_.onVerdict([this](const PoisonVerdict &verdict) { requestQuarantined(verdict); });
@@ -98,6 +99,8 @@
         session->check(now);
     }
     crashDetector_.sweep();
+    limits_.expire(now);
+    reservations_.sweep();
     retryHeld(sessions);
 }
 
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -36,6 +36,14 @@
     , unreadableLimits_(
           registry.counter("cardamombay_gateway_unreadable_limits_total",
                            "Answers that name a limit of the rate that cannot be read."))
+    , reservations_(registry.counter("cardamombay_gateway_reservations_total",
+                                     "Sends to endpoints with a limit that were asked for."))
+    , reservationsRefused_(registry.counter("cardamombay_gateway_reservations_refused_total",
+                                            "Of these, those that the limit left no time for."))
+    , reservationsReturned_(registry.counter("cardamombay_gateway_reservations_returned_total",
+                                             "Booked sends that were not used."))
+    , silentOwners_(registry.counter("cardamombay_gateway_silent_limit_owners_total",
+                                     "Entry VMs that did not answer for an endpoint's limit."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -15,6 +15,7 @@
 inline constexpr std::string_view endpointCrashed = "endpoint-crashed";
 inline constexpr std::string_view endpointLimited = "endpoint-limited";
 inline constexpr std::string_view endpointLimitEnded = "endpoint-limit-ended";
+inline constexpr std::string_view limitOwnerSilent = "limit-owner-silent";
 inline constexpr std::string_view endpointLimitUnreadable = "endpoint-limit-unreadable";
 /// \}
 
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -82,6 +82,7 @@
 {
     parts_.book_.onRestarted({});
     parts_.gateway_.onEndpointCrash({});
+    parts_.gateway_.reservations().onSend({});
 }
 
 void Node::start()
@@ -97,6 +98,10 @@
     peerWatch_.setActive(false);
     readQuarantines();
     parts_.gateway_.onEndpointCrash([this] { hasCrashNews_ = true; });
+    auto &reservations = parts_.gateway_.reservations();
+    reservations.setSelf(settings_.entry_, settings_.digests_);
+    reservations.onSend(
+        [this](const Address &to, std::string_view text) { parts_.datagrams_.send(to, text); });
     announce();
     peersChanged();
     if (settings_.isFirstStart_)
@@ -155,6 +160,7 @@
 {
     isLeaving_ = true;
     parts_.lease_.release();
+    parts_.gateway_.reservations().leave();
     announce();
     tellAll(ownDigest(parts_.clock_.now()));
 }
@@ -332,7 +338,9 @@
 {
     std::map<EntryId, EntryCapacity> capacities{{settings_.entry_, settings_.capacity()}};
     std::map<EntryId, AvailabilityZone> zones;
+    std::map<EntryId, Address> addresses;
     for (const auto &[entry, peer] : peers_) {
+        addresses.emplace(entry, peer.address_);
         capacities.emplace(entry, peer.capacity_);
         zones.emplace(entry, peer.zone_);
     }
@@ -351,6 +359,7 @@
     rank_ = rank;
     parts_.lease_.setCandidateRank(isStandingBy(parts_.clock_.now()) ? std::nullopt : rank_);
     parts_.gateway_.setEntryCount(peers_.size() + 1);
+    parts_.gateway_.reservations().setPeers(std::move(addresses));
 }
 
 void Node::tableConfirmed(const std::string &table, TimePoint asOf)
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -56,7 +56,7 @@
     });
 }
 
-LoadDigest Node::ownDigest(TimePoint now) const
+LoadDigest Node::ownDigest(TimePoint now)
 {
     LoadDigest digest;
     digest.from_ = settings_.entry_;
@@ -71,6 +71,9 @@
     digest.demand_ = ownDemand_;
     digest.repeats_ = parts_.gateway_.repeatCounts(now);
     digest.poison_ = parts_.gateway_.poisonPills().news(now);
+    auto &reservations = parts_.gateway_.reservations();
+    digest.limits_ = parts_.gateway_.limits().news(
+        now, [&reservations](const EndpointLife &endpoint) { return reservations.owns(endpoint); });
     digest.endpoints_ = endpointWatch_.version();
     digest.isDraining_ = isLeaving_;
     if (isWatching_ && areEndpointsListed_)
@@ -169,6 +172,7 @@
     const auto now = parts_.clock_.now();
     ageRelay(summary.sum_, now);
     parts_.gateway_.takePoisonNews(summary.sum_.poison_);
+    parts_.gateway_.limits().take(summary.sum_.limits_, now);
     const auto &from = summary.sum_.from_;
     meet({from, summary.sum_.address_, summary.sum_.zone_, summary.sum_.capacity_}, now);
     for (const auto &seat : summary.roster_)
@@ -222,6 +226,8 @@
 {
     if (auto digest = decodeLoadDigest(text))
         digestArrived(*std::move(digest));
+    else if (parts_.gateway_.reservations().take(text))
+        return;
     else if (auto summary = decodeLoadSummary(text))
         summaryArrived(*std::move(summary));
     else if (const auto wanted = decodeConfigurationWanted(text))
@@ -272,6 +278,7 @@
         return;
     ageRelay(digest, now);
     parts_.gateway_.takePoisonNews(digest.poison_);
+    parts_.gateway_.limits().take(digest.limits_, now);
     if (digest.relay_)
         followRelay(*digest.relay_, digest.address_, now);
     if (hasReporters_) {
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -26,6 +26,9 @@
 /// 1,500.
 constexpr std::size_t mostEntries = 7;
 
+/// Microseconds; an older word is worth nothing.
+constexpr std::uint64_t longestLimitAge = 3'600'000'000;
+
 void readDemand(const json::value *value, std::map<ModelName, double> &demand)
 {
     const auto *object = value == nullptr ? nullptr : value->if_object();
@@ -154,6 +157,45 @@
     return result;
 }
 
+/// Endpoint, age and rate; an ended limit has no rate.
+json::array limitsArray(const std::vector<LimitNews> &limits)
+{
+    json::array result;
+    for (const auto &limit : limits) {
+        json::array one{limit.endpoint_.text(), microsecondsOf(limit.age_)};
+        if (limit.perSecond_)
+            one.emplace_back(*limit.perSecond_);
+        result.push_back(std::move(one));
+    }
+    return result;
+}
+
+std::optional<LimitNews> limitIn(const json::value &value)
+{
+    const auto *parts = value.if_array();
+    if (parts == nullptr || parts->size() < 2 || !parts->at(0).is_string())
+        return std::nullopt;
+    const auto age = countIn(parts->at(1));
+    const auto rate = parts->size() > 2 ? figureIn(parts->at(2)) : std::nullopt;
+    if (!age || *age > longestLimitAge || (parts->size() > 2 && !rate))
+        return std::nullopt;
+    return LimitNews{EndpointLife::parse(textOf(parts->at(0).get_string())), rate,
+                     std::chrono::microseconds(*age)};
+}
+
+std::vector<LimitNews> limitsIn(const json::value *value)
+{
+    std::vector<LimitNews> result;
+    const auto *all = value == nullptr ? nullptr : value->if_array();
+    if (all == nullptr)
+        return result;
+    for (const auto &one : *all) {
+        if (auto limit = limitIn(one))
+            result.push_back(*std::move(limit));
+    }
+    return result;
+}
+
 /// Entries that cannot be read are left out; the next roster has them again.
 std::vector<PeerSeat> rosterIn(const json::value *value)
 {
@@ -197,6 +239,8 @@
                         {"endpoints", digest.endpoints_.value()}};
     if (!digest.poison_.isEmpty())
         params["poison"] = poisonObject(digest.poison_);
+    if (!digest.limits_.empty())
+        params["limits"] = limitsArray(digest.limits_);
     if (digest.relay_)
         params["relay"] = relayObject(*digest.relay_);
     return params;
@@ -219,6 +263,7 @@
     digest.repeats_ = repeatsIn(params.if_contains("repeats"));
     digest.silent_ = endpointsIn(params.if_contains("silent"));
     digest.poison_ = poisonIn(params.if_contains("poison"));
+    digest.limits_ = limitsIn(params.if_contains("limits"));
     digest.isDraining_ = flagIn(params, "draining");
     return digest;
 }
--- /dev/null
+++ b/src/serving/reservation_desk.cpp
@@ -0,0 +1,391 @@
+#include <cardamombay/serving/reservation_desk.hpp>
+
+#include "serving/log_events.hpp"
+
+#include <cardamombay/core/hash.hpp>
+#include <cardamombay/log/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamombay::serving {
+
+namespace {
+
+/// An owner answers within a few milliseconds; after this time the request or its answer is lost.
+constexpr Duration answerPatience = std::chrono::milliseconds(80);
+/// Requests to one owner without an answer from which on it counts as stopped or cut off.
+constexpr std::size_t asksOfOwner = 3;
+/// An owner that did not answer is passed over for that long.
+constexpr Duration silenceHeld = std::chrono::seconds(1);
+/// Messages for one reservation.
+constexpr std::size_t mostTries = 8;
+
+/// An endpoint without a send in time is not asked for again for this share of the time that the
+/// owner named.
+constexpr double fullShare = 0.5;
+constexpr Duration shortestFull = std::chrono::milliseconds(20);
+/// The same where no owner answered.
+constexpr Duration fullWithoutOwner = std::chrono::milliseconds(200);
+
+/// Requests for reservations that wait for an answer.
+constexpr std::size_t mostAsked = 4096;
+
+} // namespace
+
+Reservation::Reservation(ReservationDesk &desk, EndpointLife endpoint)
+    : desk_(desk)
+    , endpoint_(std::move(endpoint))
+{
+}
+
+Reservation::~Reservation()
+{
+    desk_.drop(*this);
+}
+
+bool Reservation::isOpen(TimePoint now) const
+{
+    return state_ == State::Booked && now >= opensAt_ && isAlive(now);
+}
+
+bool Reservation::isAlive(TimePoint now) const
+{
+    return state_ == State::Asked
+           || (state_ == State::Booked && now < opensAt_ + ReservationBook::validFor);
+}
+
+ReservationDesk::ReservationDesk(Clock &clock, const EndpointLimits &limits,
+                                 GatewayMetrics &metrics, Random random)
+    : clock_(clock)
+    , limits_(limits)
+    , metrics_(metrics)
+    , number_(random.below(std::uint64_t{1} << 32U))
+{
+}
+
+void ReservationDesk::setSelf(EntryId entry, Address address)
+{
+    self_ = std::move(entry);
+    address_ = std::move(address);
+}
+
+bool ReservationDesk::isLimited(const EndpointLife &endpoint) const
+{
+    return limits_.find(endpoint).has_value();
+}
+
+std::optional<Duration> ReservationDesk::fullFor(const EndpointLife &endpoint) const
+{
+    const auto now = clock_.now();
+    const auto found = full_.find(endpoint);
+    if (found == full_.end() || now >= found->second.until_)
+        return std::nullopt;
+    return std::max(found->second.comeBackAt_, found->second.until_) - now;
+}
+
+double ReservationDesk::perSecond(const EndpointLife &endpoint) const
+{
+    const auto limit = limits_.find(endpoint);
+    return limit ? limit->perSecond_ : 0;
+}
+
+bool ReservationDesk::isSilent(const EntryId &entry) const
+{
+    const auto found = silentUntil_.find(entry);
+    return found != silentUntil_.end() && clock_.now() < found->second;
+}
+
+ReservationDesk::Owner ReservationDesk::ownerOf(const EndpointLife &endpoint) const
+{
+    const auto key = endpoint.text();
+    Owner best;
+    bool isKnown = !isLeaving_ || peers_.empty();
+    auto most = isKnown ? rendezvousWeight(key, self_.text()) : 0;
+    for (const auto &[entry, address] : peers_) {
+        const auto weight = rendezvousWeight(key, entry.text());
+        if ((isKnown && weight <= most) || isSilent(entry))
+            continue;
+        best = {entry, address};
+        most = weight;
+        isKnown = true;
+    }
+    return best;
+}
+
+bool ReservationDesk::owns(const EndpointLife &endpoint) const
+{
+    return ownerOf(endpoint).entry_.isEmpty();
+}
+
+std::unique_ptr<Reservation> ReservationDesk::reserve(const EndpointLife &endpoint, Duration within,
+                                                      std::function<void()> answered)
+{
+    metrics_.reservations_.increment();
+    auto reservation = std::make_unique<Reservation>(*this, endpoint);
+    if (owns(endpoint)) {
+        bookHere(*reservation, within);
+        return reservation;
+    }
+    reservation->answered_ = std::move(answered);
+    const auto now = clock_.now();
+    ask(++number_, {reservation.get(), endpoint, {}, now, now + within, {}});
+    return reservation;
+}
+
+void ReservationDesk::bookHere(Reservation &reservation, Duration within)
+{
+    const auto &endpoint = reservation.endpoint_;
+    const auto result = book_.take(endpoint, perSecond(endpoint), within, clock_.now());
+    settle(&reservation, endpoint, result, {});
+}
+
+/// \param reservation null if it was dropped meanwhile.
+/// \param owner who booked it; empty for this entry VM.
+void ReservationDesk::settle(Reservation *reservation, const EndpointLife &endpoint,
+                             const BookingResult &result, const Address &owner)
+{
+    const auto now = clock_.now();
+    if (const auto *booked = std::get_if<Booked>(&result)) {
+        const auto opensAt = now + booked->opensIn_;
+        if (reservation == nullptr) {
+            giveBack(endpoint, opensAt, owner);
+            return;
+        }
+        full_.erase(endpoint);
+        reservation->state_ = Reservation::State::Booked;
+        reservation->opensAt_ = opensAt;
+        reservation->owner_ = owner;
+        return;
+    }
+    metrics_.reservationsRefused_.increment();
+    const auto comeBackIn = std::get<NoneInTime>(result).comeBackIn_;
+    const auto pause = std::max(shortestFull, fromSeconds(toSeconds(comeBackIn) * fullShare));
+    full_[endpoint] = {now + pause, now + comeBackIn};
+    if (reservation != nullptr)
+        reservation->state_ = Reservation::State::Refused;
+}
+
+void ReservationDesk::tell(Reservation *reservation) const
+{
+    if (reservation == nullptr)
+        return;
+    // It may drop the reservation.
+    const auto answered = std::exchange(reservation->answered_, {});
+    if (answered)
+        answered();
+}
+
+void ReservationDesk::drop(Reservation &reservation)
+{
+    if (reservation.state_ == Reservation::State::Booked) {
+        giveBack(reservation.endpoint_, reservation.opensAt_, reservation.owner_);
+        return;
+    }
+    for (auto &[number, asked] : asked_) {
+        if (asked.reservation_ == &reservation)
+            asked.reservation_ = nullptr;
+    }
+}
+
+void ReservationDesk::giveBack(const EndpointLife &endpoint, TimePoint opensAt,
+                               const Address &owner)
+{
+    const auto now = clock_.now();
+    metrics_.reservationsReturned_.increment();
+    if (owner.ip_.empty())
+        book_.giveBack(endpoint, opensAt, now);
+    else
+        send(owner, encode(ReservationReturn{endpoint, std::max(Duration::zero(), opensAt - now),
+                                             std::max(Duration::zero(), now - opensAt)}));
+}
+
+void ReservationDesk::ask(std::uint64_t number, Asked asked)
+{
+    if (asked_.size() >= mostAsked)
+        asked_.erase(asked_.begin());
+    const auto owner = ownerOf(asked.endpoint_);
+    askOwner(number, asked, owner);
+    asked_[number] = std::move(asked);
+}
+
+void ReservationDesk::askOwner(std::uint64_t number, Asked &asked, const Owner &owner)
+{
+    const auto now = clock_.now();
+    asked.asks_ = asked.owner_ == owner.entry_ ? asked.asks_ + 1 : 1;
+    asked.owner_ = owner.entry_;
+    asked.askedAt_ = now;
+    ++asked.tries_;
+    send(owner.address_, encode(ReservationRequest{
+                             self_, address_, number, asked.endpoint_, perSecond(asked.endpoint_),
+                             std::max(Duration::zero(), asked.until_ - now), asked.silentOwner_}));
+}
+
+bool ReservationDesk::take(std::string_view text)
+{
+    if (const auto request = decodeReservationRequest(text)) {
+        take(*request);
+        return true;
+    }
+    if (const auto answer = decodeReservationAnswer(text)) {
+        take(*answer);
+        return true;
+    }
+    if (const auto back = decodeReservationReturn(text)) {
+        const auto now = clock_.now();
+        book_.giveBack(back->endpoint_, now + back->opensIn_ - back->openSince_, now);
+        return true;
+    }
+    return false;
+}
+
+void ReservationDesk::take(const ReservationRequest &request)
+{
+    ReservationAnswer answer;
+    answer.from_ = self_;
+    answer.address_ = address_;
+    answer.number_ = request.number_;
+    answer.endpoint_ = request.endpoint_;
+    const auto owner = ownerOf(request.endpoint_);
+    if (!owner.entry_.isEmpty()) {
+        answer.kind_ = ReservationAnswer::Kind::NotOwner;
+        answer.owner_ = owner.entry_;
+        answer.address_ = owner.address_;
+        if (owner.entry_ == request.silentOwner_)
+            probe(owner, request.endpoint_);
+    } else if (request.within_ <= Duration::zero()) {
+        answer.kind_ = ReservationAnswer::Kind::NoneInTime;
+    } else {
+        const auto known = limits_.find(request.endpoint_);
+        const auto rate = known ? known->perSecond_ : request.perSecond_;
+        const auto result = book_.take(request.endpoint_, rate, request.within_, clock_.now());
+        const auto *booked = std::get_if<Booked>(&result);
+        answer.kind_ = booked != nullptr ? ReservationAnswer::Kind::Booked
+                                         : ReservationAnswer::Kind::NoneInTime;
+        answer.time_
+            = booked != nullptr ? booked->opensIn_ : std::get<NoneInTime>(result).comeBackIn_;
+    }
+    send(request.address_, encode(answer));
+}
+
+void ReservationDesk::take(const ReservationAnswer &answer)
+{
+    silentUntil_.erase(answer.from_);
+    auto node = asked_.extract(answer.number_);
+    const bool isBooked = answer.kind_ == ReservationAnswer::Kind::Booked;
+    if (!node) {
+        // It came too late, and another one was asked instead.
+        if (isBooked)
+            giveBack(answer.endpoint_, clock_.now() + answer.time_, answer.address_);
+        return;
+    }
+    auto &asked = node.mapped();
+    if (answer.kind_ == ReservationAnswer::Kind::NotOwner) {
+        redirect(std::move(asked), answer);
+        return;
+    }
+    const auto result
+        = isBooked ? BookingResult(Booked{answer.time_}) : BookingResult(NoneInTime{answer.time_});
+    // An answer to a probe says nothing of the endpoint.
+    if (asked.reservation_ != nullptr || isBooked)
+        settle(asked.reservation_, asked.endpoint_, result, answer.address_);
+    tell(asked.reservation_);
+}
+
+/// Entry VMs may see different peers for a while.
+void ReservationDesk::redirect(Asked asked, const ReservationAnswer &answer)
+{
+    if (asked.reservation_ == nullptr)
+        return;
+    const auto now = clock_.now();
+    const bool isHopeless
+        = asked.tries_ >= mostTries || now >= asked.until_ || isSilent(answer.owner_);
+    if (isHopeless) {
+        settle(asked.reservation_, asked.endpoint_, NoneInTime{fullWithoutOwner}, {});
+    } else if (answer.owner_ == self_) {
+        bookHere(*asked.reservation_, asked.until_ - now);
+    } else {
+        const auto number = ++number_;
+        askOwner(number, asked, {answer.owner_, answer.address_});
+        asked_[number] = std::move(asked);
+        return;
+    }
+    tell(asked.reservation_);
+}
+
+/// Finds out whether an owner that another entry VM gets no answer from answers this one.
+void ReservationDesk::probe(const Owner &owner, const EndpointLife &endpoint)
+{
+    const bool isUnderWay = std::any_of(asked_.begin(), asked_.end(), [&owner](const auto &one) {
+        return one.second.reservation_ == nullptr && one.second.owner_ == owner.entry_;
+    });
+    if (isUnderWay)
+        return;
+    const auto now = clock_.now();
+    const auto number = ++number_;
+    Asked asked{nullptr, endpoint, {}, now, now, {}};
+    askOwner(number, asked, owner);
+    asked_[number] = std::move(asked);
+}
+
+void ReservationDesk::ownerSilent(const EntryId &owner)
+{
+    const auto now = clock_.now();
+    if (!isSilent(owner)) {
+        metrics_.silentOwners_.increment();
+        log::info(
+            event::limitOwnerSilent,
+            {{"entry", owner.text()}, {"for-ms", std::to_string(toMilliseconds(silenceHeld))}});
+    }
+    silentUntil_[owner] = now + silenceHeld;
+}
+
+void ReservationDesk::sweep()
+{
+    const auto now = clock_.now();
+    std::vector<std::map<std::uint64_t, Asked>::node_type> overdue;
+    for (auto place = asked_.begin(); place != asked_.end();) {
+        const auto next = std::next(place);
+        if (now - place->second.askedAt_ > answerPatience)
+            overdue.push_back(asked_.extract(place));
+        place = next;
+    }
+    for (auto &node : overdue)
+        askAgain(node.key(), std::move(node.mapped()));
+    book_.expire(now);
+    std::erase_if(full_, [now](const auto &one) { return now >= one.second.until_; });
+    std::erase_if(silentUntil_, [now](const auto &one) { return now >= one.second; });
+}
+
+/// The number stays: if both requests are answered, the second send is given back.
+void ReservationDesk::askAgain(std::uint64_t number, Asked asked)
+{
+    const auto now = clock_.now();
+    const bool isProbe = asked.reservation_ == nullptr;
+    if (asked.asks_ >= asksOfOwner) {
+        ownerSilent(asked.owner_);
+        asked.silentOwner_ = asked.owner_;
+        if (isProbe)
+            return;
+    }
+    const bool isTooLate = !isProbe && (asked.tries_ >= mostTries || now >= asked.until_);
+    if (!isTooLate && !owns(asked.endpoint_)) {
+        ask(number, std::move(asked));
+        return;
+    }
+    if (isProbe)
+        return;
+    if (isTooLate)
+        settle(asked.reservation_, asked.endpoint_, NoneInTime{fullWithoutOwner}, {});
+    else
+        bookHere(*asked.reservation_, asked.until_ - now);
+    tell(asked.reservation_);
+}
+
+void ReservationDesk::send(const Address &to, std::string_view text) const
+{
+    if (send_)
+        send_(to, text);
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -194,12 +194,26 @@
         giveUp("time-out");
         return true;
     }
-    const auto choice = choose(now);
+    auto choice = choose(now);
+    while (const auto *needed = std::get_if<NeedsReservation>(&choice)) {
+        if (awaitsReservation(now) || !reserve(*needed, now))
+            break;
+        choice = choose(now);
+    }
     const auto *target = std::get_if<Target>(&choice);
     if (target != nullptr && takeRepeat()) {
         send(*target);
         return true;
     }
+    if (awaitsReservation(now) && mayHold(now)) {
+        isHeld_ = true;
+        return true;
+    }
+    if (const auto *reached = std::get_if<LimitsReached>(&choice)) {
+        comeBackIn_ = reached->comeBackIn_;
+        giveUp("all endpoints have reached their limits");
+        return false;
+    }
     if (service_->engine_ && mayHold(now)) {
         isHeld_ = true;
         wasHeld_ = true;
@@ -209,7 +223,8 @@
         giveUp("the fleet's repeats are used up");
         return true;
     }
-    const bool isFull = std::get<NoTarget>(choice) == NoTarget::Full;
+    const auto *none = std::get_if<NoTarget>(&choice);
+    const bool isFull = none == nullptr || *none == NoTarget::Full;
     giveUp(isFull ? "all endpoints are full" : "no endpoint serves");
     return false;
 }
@@ -226,9 +241,34 @@
     demand.hasBegun_ = events_ > 0;
     if (gateway_.poisonPills().isSuspect(fingerprint_))
         demand.suspect_ = fingerprint_;
+    demand.gate_ = &gateway_.reservations();
+    if (reservation_ && reservation_->isOpen(now))
+        demand.reserved_ = reservation_->endpoint();
     return gateway_.parts().balancer_.choose(demand, now);
 }
 
+/// \returns true if the answer is known already, and another choice may find a target.
+bool Session::reserve(const NeedsReservation &needed, TimePoint now)
+{
+    reservation_ = gateway_.reservations().reserve(needed.endpoint_, holdLeft(now),
+                                                   [weak = weak_from_this()] {
+                                                       if (const auto self = weak.lock())
+                                                           self->reservationAnswered();
+                                                   });
+    return reservation_->isOpen(now) || !awaitsReservation(now);
+}
+
+bool Session::awaitsReservation(TimePoint now) const
+{
+    return reservation_ && reservation_->isAlive(now);
+}
+
+void Session::reservationAnswered()
+{
+    if (!isDone_ && isHeld_)
+        (void)retryHeld();
+}
+
 /// An attempt after one that may have reached an endpoint draws on the fleet's budget.
 bool Session::takeRepeat()
 {
@@ -267,6 +307,8 @@
 /// Some places of a full group are free by then, and the caller may still be on time.
 Duration Session::comeBack() const
 {
+    if (comeBackIn_)
+        return *comeBackIn_;
     return route_ == nullptr ? comeBackElsewhere
                              : fromSeconds(toSeconds(route_->goal_) * comeBackShare);
 }
@@ -279,12 +321,17 @@
 
 /// Groups are mostly back within a second or two. Who is held in vain gets word before it leaves.
 bool Session::mayHold(TimePoint now) const
+{
+    return holdLeft(now) > Duration::zero();
+}
+
+Duration Session::holdLeft(TimePoint now) const
 {
     const auto allowed
         = toSeconds(std::min(callerPatience(), until_ - arrivedAt_)) * longestHoldShare;
     // What counts for the caller is the pause since the last event that it got.
     const auto since = events_ > 0 ? progressAt_ : arrivedAt_;
-    return toSeconds(now - since) < allowed;
+    return fromSeconds(allowed) - (now - since);
 }
 
 bool Session::retryHeld()
@@ -304,6 +351,10 @@
     target_ = target;
     viewAge_ = now - gateway_.endpointsConfirmedAt();
     gateway_.parts().metrics_.endpointsAge_.observe(toSeconds(viewAge_));
+    isReserved_ = reservation_ && reservation_->endpoint() == target.life();
+    if (isReserved_)
+        reservation_->use();
+    reservation_.reset();
     limit_ = gateway_.limits().find(target.life());
     if (limit_)
         gateway_.parts().metrics_.limitedSends_.increment();
@@ -345,6 +396,12 @@
         attemptFailed(Failure::NotSent, "the endpoint leaves");
         return false;
     }
+    // Its limit may have become known since the endpoint was chosen.
+    if (!isReserved_ && gateway_.reservations().isLimited(target_.life())) {
+        tried_.pop_back();
+        attemptFailed(Failure::NotSent, "the endpoint has named a limit");
+        return false;
+    }
     isConnected_ = true;
     ++mayHaveRun_;
     return true;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -11,6 +11,7 @@
 #include <cardamombay/serving/dialects.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
+#include <cardamombay/serving/reservation_desk.hpp>
 
 #include <memory>
 #include <optional>
@@ -91,6 +92,10 @@
     [[nodiscard]] Choice choose(TimePoint now);
     [[nodiscard]] bool takeRepeat();
     [[nodiscard]] bool moveElsewhere(std::string_view why, TimePoint now);
+    [[nodiscard]] bool reserve(const NeedsReservation &needed, TimePoint now);
+    void reservationAnswered();
+    [[nodiscard]] bool awaitsReservation(TimePoint now) const;
+    [[nodiscard]] Duration holdLeft(TimePoint now) const;
     void send(const Target &target);
     [[nodiscard]] Duration comeBack() const;
     [[nodiscard]] Duration callerPatience() const;
@@ -143,15 +148,18 @@
     Target target_;
     Duration viewAge_{};                 ///< Of what was known of the endpoints at the last send.
     std::optional<EndpointLimit> limit_; ///< Of the endpoint, as known at the last send.
+    std::unique_ptr<Reservation> reservation_; ///< For the next send.
+    bool isReserved_ = false;                  ///< The present attempt had one.
     bool isConnected_ = false;
     TimePoint attemptAt_;
     TimePoint progressAt_;
     std::vector<VmId> tried_;
     std::size_t sends_ = 0;
-    std::size_t mayHaveRun_ = 0; ///< Attempts that may have run.
-    bool isRepeat_ = false;      ///< The next attempt draws on the fleet's budget.
-    bool isWaiting_ = false;     ///< For what this process learns at its start.
-    bool isHeld_ = false;        ///< It waits here for room.
+    std::size_t mayHaveRun_ = 0;         ///< Attempts that may have run.
+    std::optional<Duration> comeBackIn_; ///< Of endpoints that have reached their limits.
+    bool isRepeat_ = false;              ///< The next attempt draws on the fleet's budget.
+    bool isWaiting_ = false;             ///< For what this process learns at its start.
+    bool isHeld_ = false;                ///< It waits here for room.
     bool wasHeld_ = false;
     bool hasProgress_ = false; ///< Something came from the present attempt.
 
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -17,12 +17,14 @@
 namespace {
 
 /// The limit of the endpoint's rate that was known when the request was sent there.
-void appendLimit(std::vector<Detail> &details, const EndpointLimit &limit, TimePoint sentAt)
+void appendLimit(std::vector<Detail> &details, const EndpointLimit &limit, TimePoint sentAt,
+                 bool isReserved)
 {
     details.push_back({"limit-per-second", textOf(limit.perSecond_)});
     details.push_back({"limit-age-ms", std::to_string(toMilliseconds(sentAt - limit.statedAt_))});
     details.push_back({"limit-since-ms", std::to_string(toMilliseconds(sentAt - limit.since_))});
     details.push_back({"limit-from", std::string(nameOf(limit.source_))});
+    details.push_back({"reserved", isReserved ? "yes" : "no"});
 }
 
 } // namespace
@@ -73,6 +75,7 @@
     isDone_ = true;
     isHeld_ = false;
     dropAttempt();
+    reservation_.reset();
     auto &metrics = gateway_.parts().metrics_;
     const auto elapsed = gateway_.parts().clock_.now() - arrivedAt_;
     if (outcome == "served") {
@@ -107,7 +110,7 @@
         {"likely-answer", std::to_string(head_.likelyAnswerTokens_)},
         {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}};
     if (limit_)
-        appendLimit(details, *limit_, attemptAt_);
+        appendLimit(details, *limit_, attemptAt_, isReserved_);
     log::write(log::Level::Info, event::requestFinished, details);
     gateway_.release(*this);
 }
