Look twice before a broken answer is taken for no end of its endpoint

What was seen: the test of a request that ends engines, with real processes, found six ended engines of five allowed, or one more after it had counted; once beside the other tests, then beside four busy processes 4 of 8 runs on and 5 of 8 on. Cause: an engine that ended still listened when its connections had broken already; the probe reached it, and the end was taken for a spoiled answer. The verdict on the request came one engine later. Ruled out: the limits of endpoints (the baseline fails as well); a late write of the quarantine to the store (the logs show it restored after the restart). Change: an endpoint that listens is probed once more before its case is closed. Conclusion: traced and mended.

--- a/include/cardamombay/serving/crash_detector.hpp
+++ b/include/cardamombay/serving/crash_detector.hpp
@@ -63,13 +63,15 @@
     enum class Verdict { Open, Ended, Lives };
     struct Case
     {
+        Address address_;
         TimePoint openedAt_{};
         bool isRestarted_ = false;
+        bool isLookedAtTwice_ = false;
         std::unique_ptr<Probe> probe_;
         std::vector<RequestAtCrash> requests_; ///< Not reported yet.
     };
 
-    [[nodiscard]] Verdict verdictOn(const Case &one) const;
+    [[nodiscard]] Verdict verdictOn(Case &one);
 
     Clock &clock_;
     net::Upstream &upstream_;
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -68,6 +68,7 @@
     const auto [place, isNew] = cases_.try_emplace(endpoint);
     auto &one = place->second;
     if (isNew) {
+        one.address_ = address;
         one.openedAt_ = clock_.now();
         one.probe_ = std::make_unique<Probe>(upstream_, address);
     }
@@ -101,14 +102,21 @@
     }
 }
 
-CrashDetector::Verdict CrashDetector::verdictOn(const Case &one) const
+/// A process that ends may still listen while its connections break, so one that listens is looked
+/// at once more.
+CrashDetector::Verdict CrashDetector::verdictOn(Case &one)
 {
     if (clock_.now() - one.openedAt_ < collectFor)
         return Verdict::Open;
     const auto state = one.probe_->state();
     if (one.isRestarted_ || state == Probe::State::Ended)
         return Verdict::Ended;
-    return state == Probe::State::Pending ? Verdict::Open : Verdict::Lives;
+    if (state == Probe::State::Pending)
+        return Verdict::Open;
+    if (state == Probe::State::Unreachable || std::exchange(one.isLookedAtTwice_, true))
+        return Verdict::Lives;
+    one.probe_ = std::make_unique<Probe>(upstream_, one.address_);
+    return Verdict::Open;
 }
 
 } // namespace cardamombay::serving
--- a/tests/serving/crash_detector.cpp
+++ b/tests/serving/crash_detector.cpp
@@ -70,6 +70,15 @@
     cr_assert_eq(bench.crashes_.size(), 1);
 }
 
+Test(crash_detector, endpoint_that_listens_for_a_moment_longer_than_its_connections_has_ended)
+{
+    Bench bench;
+    bench.detector_.attemptBroke(engine, address, request(1));
+    bench.upstream_.ended_.insert(address);
+    bench.pass(milliseconds(60));
+    cr_assert_eq(bench.crashes_.size(), 1);
+}
+
 Test(crash_detector, request_that_breaks_later_is_reported_once_more_for_the_same_end)
 {
     Bench bench;
