Keep one owner of a limit through lost messages, pauses and changes of the limit

Cause: three unanswered messages were taken for a silent owner though its digests came; an owner that had stood still went on from where its line was; an owner passed over by one entry VM was not known to be so to its successor; a request that had a send reserved was not looked at while others of its model found no room; the interval of a limit that rose was the old one. Ruled out: messages out of order and the size of the fleet. Change: an owner that was heard of lately is asked on; one that stood still pauses its lines; whoever takes an owner's place probes it; a request with a turn is always tried; a line keeps its last send and applies the present interval.

--- a/include/cardamombay/serving/reservation_book.hpp
+++ b/include/cardamombay/serving/reservation_book.hpp
@@ -52,13 +52,17 @@
     /// \brief Takes back a send that was to open at \p opensAt and is not used.
     void giveBack(const EndpointLife &endpoint, TimePoint opensAt, TimePoint now);
 
+    /// \brief Nothing opens for a while, since others may have booked sends while this entry VM
+    /// stood still.
+    void suspend(TimePoint now);
+
     /// \brief Drops the lines of endpoints that nobody asked for lately.
     void expire(TimePoint now);
 
 private:
     struct Line
     {
-        TimePoint next_{};           ///< The first send that is not booked.
+        TimePoint last_{};           ///< When the last booked send opens.
         TimePoint comeBack_{};       ///< The latest time that a caller was told.
         std::set<TimePoint> free_{}; ///< Booked sends that were given back.
         TimePoint askedAt_{};
--- a/include/cardamombay/serving/reservation_desk.hpp
+++ b/include/cardamombay/serving/reservation_desk.hpp
@@ -74,6 +74,8 @@
     {
         send_ = std::move(send);
     }
+    /// \brief A peer has told something.
+    void heard(const EntryId &entry);
     /// \brief This entry VM stops, and owns nothing any more.
     void leave() { isLeaving_ = true; }
     /// \returns false if \p text is no message of a desk.
@@ -112,7 +114,6 @@
         EntryId owner_;
         TimePoint askedAt_{};
         TimePoint until_{}; ///< The send must open by then.
-        EntryId silentOwner_;
         std::size_t tries_ = 0;
         std::size_t asks_ = 0; ///< Of this owner.
     };
@@ -125,7 +126,10 @@
 
     [[nodiscard]] double perSecond(const EndpointLife &endpoint) const;
     [[nodiscard]] Owner ownerOf(const EndpointLife &endpoint) const;
+    [[nodiscard]] Owner passedOver(const EndpointLife &endpoint) const;
+    [[nodiscard]] Owner firstOwner(const EndpointLife &endpoint, bool withSilent) const;
     [[nodiscard]] bool isSilent(const EntryId &entry) const;
+    [[nodiscard]] bool wasHeard(const EntryId &entry) const;
     void ask(std::uint64_t number, Asked asked);
     void askOwner(std::uint64_t number, Asked &asked, const Owner &owner);
     void askAgain(std::uint64_t number, Asked asked);
@@ -155,6 +159,8 @@
     std::map<std::uint64_t, Asked> asked_;
     std::map<EndpointLife, Full> full_;
     std::map<EntryId, TimePoint> silentUntil_;
+    std::map<EntryId, TimePoint> heardAt_; ///< Lately.
+    TimePoint sweptAt_{};
 };
 
 } // namespace cardamombay::serving
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -161,7 +161,7 @@
 }
 
 /// The most urgent requests go first, then those that wait the longest; where one finds no room,
-/// those behind it don't either.
+/// those behind it don't either, unless they have a send reserved.
 void Gateway::retryHeld(std::vector<std::shared_ptr<Session>> &sessions)
 {
     std::erase_if(sessions, [](const auto &session) { return !session->isHeld(); });
@@ -171,7 +171,8 @@
     });
     std::set<ModelName> full;
     for (const auto &session : sessions) {
-        if (!full.contains(session->model()) && !session->retryHeld())
+        const bool isWorthTrying = !full.contains(session->model()) || session->hasTurn();
+        if (isWorthTrying && !session->retryHeld())
             full.insert(session->model());
     }
 }
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -276,6 +276,7 @@
     leftAt_.erase(digest.from_);
     if (!meet({digest.from_, digest.address_, digest.zone_, digest.capacity_}, now))
         return;
+    parts_.gateway_.reservations().heard(digest.from_);
     ageRelay(digest, now);
     parts_.gateway_.takePoisonNews(digest.poison_);
     parts_.gateway_.limits().take(digest.limits_, now);
--- a/src/serving/reservation_book.cpp
+++ b/src/serving/reservation_book.cpp
@@ -31,7 +31,7 @@
     auto &line = place->second;
     // Another owner may have booked sends until then.
     if (isNew)
-        line.next_ = now + longestAhead;
+        line.last_ = now + longestAhead - interval;
     line.askedAt_ = now;
     line.free_.erase(line.free_.begin(), line.free_.lower_bound(now - validFor));
     if (!line.free_.empty() && *line.free_.begin() <= until) {
@@ -39,15 +39,13 @@
         line.free_.erase(line.free_.begin());
         return Booked{std::max(Duration::zero(), opensAt - now)};
     }
-    // Bookings at a lower limit reach further ahead than those at the present one.
-    const auto earliest = std::max(line.next_, now - keptFor);
-    const auto opensAt = std::min(earliest, now + longestAhead + interval);
+    const auto opensAt = std::max(line.last_ + interval, now - keptFor);
     if (opensAt > until) {
         line.comeBack_ = std::max(line.comeBack_, opensAt) + interval;
         line.comeBack_ = std::min(line.comeBack_, now + longestComeBack);
         return NoneInTime{line.comeBack_ - now};
     }
-    line.next_ = opensAt + interval;
+    line.last_ = opensAt;
     return Booked{std::max(Duration::zero(), opensAt - now)};
 }
 
@@ -59,6 +57,14 @@
         found->second.free_.insert(opensAt);
 }
 
+void ReservationBook::suspend(TimePoint now)
+{
+    for (auto &[endpoint, line] : lines_) {
+        line.last_ = std::max(line.last_, now + longestAhead);
+        line.free_.clear();
+    }
+}
+
 void ReservationBook::expire(TimePoint now)
 {
     std::erase_if(lines_,
--- a/src/serving/reservation_desk.cpp
+++ b/src/serving/reservation_desk.cpp
@@ -15,9 +15,11 @@
 /// An owner answers within a few milliseconds; after this time the request or its answer is lost.
 constexpr Duration answerPatience = std::chrono::milliseconds(80);
 /// Requests to one owner without an answer from which on it counts as stopped or cut off.
-constexpr std::size_t asksOfOwner = 3;
+constexpr std::size_t asksOfOwner = 4;
+/// An owner that was heard of in this time is there, though messages are lost.
+constexpr Duration heardLately = std::chrono::milliseconds(500);
 /// An owner that did not answer is passed over for that long.
-constexpr Duration silenceHeld = std::chrono::seconds(1);
+constexpr Duration silenceHeld = std::chrono::seconds(3);
 /// Messages for one reservation.
 constexpr std::size_t mostTries = 8;
 
@@ -96,7 +98,9 @@
     return found != silentUntil_.end() && clock_.now() < found->second;
 }
 
-ReservationDesk::Owner ReservationDesk::ownerOf(const EndpointLife &endpoint) const
+/// \param withSilent also those that did not answer lately.
+ReservationDesk::Owner ReservationDesk::firstOwner(const EndpointLife &endpoint,
+                                                   bool withSilent) const
 {
     const auto key = endpoint.text();
     Owner best;
@@ -104,7 +108,7 @@
     auto most = isKnown ? rendezvousWeight(key, self_.text()) : 0;
     for (const auto &[entry, address] : peers_) {
         const auto weight = rendezvousWeight(key, entry.text());
-        if ((isKnown && weight <= most) || isSilent(entry))
+        if ((isKnown && weight <= most) || (!withSilent && isSilent(entry)))
             continue;
         best = {entry, address};
         most = weight;
@@ -113,6 +117,18 @@
     return best;
 }
 
+ReservationDesk::Owner ReservationDesk::ownerOf(const EndpointLife &endpoint) const
+{
+    return firstOwner(endpoint, false);
+}
+
+/// The entry VM that would own the endpoint if it were not silent; without a name if that is none.
+ReservationDesk::Owner ReservationDesk::passedOver(const EndpointLife &endpoint) const
+{
+    const auto first = firstOwner(endpoint, true);
+    return isSilent(first.entry_) ? first : Owner{};
+}
+
 bool ReservationDesk::owns(const EndpointLife &endpoint) const
 {
     return ownerOf(endpoint).entry_.isEmpty();
@@ -129,7 +145,7 @@
     }
     reservation->answered_ = std::move(answered);
     const auto now = clock_.now();
-    ask(++number_, {reservation.get(), endpoint, {}, now, now + within, {}});
+    ask(++number_, {reservation.get(), endpoint, {}, now, now + within});
     return reservation;
 }
 
@@ -193,6 +209,7 @@
 {
     const auto now = clock_.now();
     metrics_.reservationsReturned_.increment();
+    full_.erase(endpoint);
     if (owner.ip_.empty())
         book_.giveBack(endpoint, opensAt, now);
     else
@@ -204,8 +221,7 @@
 {
     if (asked_.size() >= mostAsked)
         asked_.erase(asked_.begin());
-    const auto owner = ownerOf(asked.endpoint_);
-    askOwner(number, asked, owner);
+    askOwner(number, asked, ownerOf(asked.endpoint_));
     asked_[number] = std::move(asked);
 }
 
@@ -216,9 +232,10 @@
     asked.owner_ = owner.entry_;
     asked.askedAt_ = now;
     ++asked.tries_;
-    send(owner.address_, encode(ReservationRequest{
-                             self_, address_, number, asked.endpoint_, perSecond(asked.endpoint_),
-                             std::max(Duration::zero(), asked.until_ - now), asked.silentOwner_}));
+    send(owner.address_, encode(ReservationRequest{self_, address_, number, asked.endpoint_,
+                                                   perSecond(asked.endpoint_),
+                                                   std::max(Duration::zero(), asked.until_ - now),
+                                                   passedOver(asked.endpoint_).entry_}));
 }
 
 bool ReservationDesk::take(std::string_view text)
@@ -247,6 +264,9 @@
     answer.number_ = request.number_;
     answer.endpoint_ = request.endpoint_;
     const auto owner = ownerOf(request.endpoint_);
+    // The owner whose place this one has taken may be back.
+    if (const auto silent = passedOver(request.endpoint_); !silent.entry_.isEmpty())
+        probe(silent, request.endpoint_);
     if (!owner.entry_.isEmpty()) {
         answer.kind_ = ReservationAnswer::Kind::NotOwner;
         answer.owner_ = owner.entry_;
@@ -270,7 +290,7 @@
 
 void ReservationDesk::take(const ReservationAnswer &answer)
 {
-    silentUntil_.erase(answer.from_);
+    heard(answer.from_);
     auto node = asked_.extract(answer.number_);
     const bool isBooked = answer.kind_ == ReservationAnswer::Kind::Booked;
     if (!node) {
@@ -292,15 +312,13 @@
     tell(asked.reservation_);
 }
 
-/// Entry VMs may see different peers for a while.
+/// Entry VMs may see different peers for a while, and one that was silent may be back.
 void ReservationDesk::redirect(Asked asked, const ReservationAnswer &answer)
 {
     if (asked.reservation_ == nullptr)
         return;
     const auto now = clock_.now();
-    const bool isHopeless
-        = asked.tries_ >= mostTries || now >= asked.until_ || isSilent(answer.owner_);
-    if (isHopeless) {
+    if (asked.tries_ >= mostTries || now >= asked.until_) {
         settle(asked.reservation_, asked.endpoint_, NoneInTime{fullWithoutOwner}, {});
     } else if (answer.owner_ == self_) {
         bookHere(*asked.reservation_, asked.until_ - now);
@@ -323,11 +341,23 @@
         return;
     const auto now = clock_.now();
     const auto number = ++number_;
-    Asked asked{nullptr, endpoint, {}, now, now, {}};
+    Asked asked{nullptr, endpoint, {}, now, now};
     askOwner(number, asked, owner);
     asked_[number] = std::move(asked);
 }
 
+void ReservationDesk::heard(const EntryId &entry)
+{
+    heardAt_[entry] = clock_.now();
+    silentUntil_.erase(entry);
+}
+
+bool ReservationDesk::wasHeard(const EntryId &entry) const
+{
+    const auto found = heardAt_.find(entry);
+    return found != heardAt_.end() && clock_.now() - found->second <= heardLately;
+}
+
 void ReservationDesk::ownerSilent(const EntryId &owner)
 {
     const auto now = clock_.now();
@@ -350,11 +380,15 @@
             overdue.push_back(asked_.extract(place));
         place = next;
     }
+    // Others have passed this one over by then.
+    if (now - std::exchange(sweptAt_, now) > answerPatience * asksOfOwner)
+        book_.suspend(now);
     for (auto &node : overdue)
         askAgain(node.key(), std::move(node.mapped()));
     book_.expire(now);
     std::erase_if(full_, [now](const auto &one) { return now >= one.second.until_; });
     std::erase_if(silentUntil_, [now](const auto &one) { return now >= one.second; });
+    std::erase_if(heardAt_, [now](const auto &one) { return now - one.second > heardLately; });
 }
 
 /// The number stays: if both requests are answered, the second send is given back.
@@ -362,13 +396,12 @@
 {
     const auto now = clock_.now();
     const bool isProbe = asked.reservation_ == nullptr;
-    if (asked.asks_ >= asksOfOwner) {
+    if (asked.asks_ >= asksOfOwner && !wasHeard(asked.owner_)) {
         ownerSilent(asked.owner_);
-        asked.silentOwner_ = asked.owner_;
         if (isProbe)
             return;
     }
-    const bool isTooLate = !isProbe && (asked.tries_ >= mostTries || now >= asked.until_);
+    const bool isTooLate = asked.tries_ >= mostTries || (!isProbe && now >= asked.until_);
     if (!isTooLate && !owns(asked.endpoint_)) {
         ask(number, std::move(asked));
         return;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -263,6 +263,11 @@
     return reservation_ && reservation_->isAlive(now);
 }
 
+bool Session::hasTurn() const
+{
+    return reservation_ && reservation_->isOpen(gateway_.parts().clock_.now());
+}
+
 void Session::reservationAnswered()
 {
     if (!isDone_ && isHeld_)
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -43,6 +43,8 @@
     /// \returns false if no endpoint has room for this or any request of its model.
     bool retryHeld();
     [[nodiscard]] bool isHeld() const { return isHeld_; }
+    /// \brief True if a send is reserved for the request and may leave now.
+    [[nodiscard]] bool hasTurn() const;
     [[nodiscard]] TimePoint arrivedAt() const { return arrivedAt_; }
     /// \brief Rank among requests; 0 is the most urgent.
     [[nodiscard]] std::uint32_t priority() const { return priority_; }
--- a/tests/endpoint_limits/limit_play.cpp
+++ b/tests/endpoint_limits/limit_play.cpp
@@ -165,7 +165,17 @@
     return take();
 }
 
-std::size_t LimitPlay::unanswered() const
+std::size_t LimitPlay::owner(std::size_t group)
+{
+    const EndpointLife head{VmId(groups_.at(group).head_), 0};
+    for (std::size_t i = 0; i < fleet_.size(); ++i) {
+        if (fleet_.node(i).gateway_.reservations().owns(head))
+            return i;
+    }
+    return fleet_.size();
+}
+
+std::size_t LimitPlay::waiting() const
 {
     return static_cast<std::size_t>(
         std::count_if(callers_.begin(), callers_.end(), [](const auto &caller) {
--- a/tests/endpoint_limits/limit_play.hpp
+++ b/tests/endpoint_limits/limit_play.hpp
@@ -55,8 +55,11 @@
     /// \brief Plays the scene from the first answers on.
     [[nodiscard]] std::vector<Got> run();
 
-    /// \brief Requests that no entry VM answered at all.
-    [[nodiscard]] std::size_t unanswered() const;
+    /// \brief Callers that have no answer and no refusal yet.
+    [[nodiscard]] std::size_t waiting() const;
+
+    /// \brief An entry VM that owns a group's limit in its own eyes.
+    [[nodiscard]] std::size_t owner(std::size_t group);
 
     support::NodeFleet fleet_;
     std::function<void()> fault_; ///< Called at each step.
--- /dev/null
+++ b/tests/serving/reservations.cpp
@@ -0,0 +1,429 @@
+// Who may send to an endpoint with a limit, and when; what becomes of lost messages and owners.
+#include <cardamombay/core/manual_clock.hpp>
+#include <cardamombay/metrics/registry.hpp>
+#include <cardamombay/serving/reservation_desk.hpp>
+
+#include <memory>
+#include <set>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::serving;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint start{seconds(100)};
+const EndpointLife engine{VmId("e-1"), 7};
+constexpr Duration step = milliseconds(20);
+
+Duration opensIn(const BookingResult &result)
+{
+    return std::get<Booked>(result).opensIn_;
+}
+
+bool isRefused(const BookingResult &result)
+{
+    return std::holds_alternative<NoneInTime>(result);
+}
+
+/// Entry VMs whose messages arrive at once unless one is cut off or the message is lost.
+class Desks
+{
+public:
+    explicit Desks(std::size_t count)
+    {
+        for (std::size_t i = 0; i < count; ++i)
+            desks_.push_back(std::make_unique<Entry>(*this, i));
+        seeAll();
+    }
+
+    void seeAll()
+    {
+        for (std::size_t i = 0; i < desks_.size(); ++i)
+            see(i, {});
+    }
+
+    /// \param unseen peers that entry VM \p index does not know.
+    void see(std::size_t index, const std::set<std::size_t> &unseen)
+    {
+        std::map<EntryId, Address> peers;
+        for (std::size_t i = 0; i < desks_.size(); ++i) {
+            if (i != index && !unseen.contains(i))
+                peers.emplace(nameOf(i), addressOf(i));
+        }
+        desk(index).setPeers(std::move(peers));
+    }
+
+    [[nodiscard]] ReservationDesk &desk(std::size_t index) { return desks_[index]->desk_; }
+
+    [[nodiscard]] std::size_t owner()
+    {
+        for (std::size_t i = 0; i < desks_.size(); ++i) {
+            if (desk(i).owns(engine))
+                return i;
+        }
+        return desks_.size();
+    }
+
+    /// An entry VM that does not own the engine.
+    [[nodiscard]] std::size_t other() { return (owner() + 1) % desks_.size(); }
+
+    [[nodiscard]] std::unique_ptr<Reservation> reserve(std::size_t index,
+                                                       Duration within = seconds(1))
+    {
+        return desk(index).reserve(engine, within, [this] { ++answers_; });
+    }
+
+    void pass(Duration time)
+    {
+        for (Duration done{}; done < time; done += step) {
+            clock_.advance(step);
+            for (const auto &entry : desks_)
+                entry->desk_.sweep();
+        }
+    }
+
+    [[nodiscard]] TimePoint now() const { return clock_.now(); }
+
+    static EntryId nameOf(std::size_t index) { return EntryId("entry-" + std::to_string(index)); }
+    static Address addressOf(std::size_t index)
+    {
+        return {"10.0.0.1", static_cast<std::uint16_t>(7000 + index)};
+    }
+
+    ManualClock clock_;
+    EndpointLimits limits_; ///< All know the same.
+    std::set<std::size_t> cutOff_;
+    int losses_ = 0; ///< Messages that will be lost.
+    int messages_ = 0;
+    int answers_ = 0;
+
+private:
+    struct Entry
+    {
+        Entry(Desks &desks, std::size_t index)
+            : desk_(desks.clock_, desks.limits_, metrics_, Random(index))
+        {
+            desk_.setSelf(nameOf(index), addressOf(index));
+            desk_.onSend([&desks, index](const Address &to, std::string_view text) {
+                desks.deliver(index, to, text);
+            });
+        }
+        metrics::Registry registry_;
+        GatewayMetrics metrics_{registry_};
+        ReservationDesk desk_;
+    };
+
+    void deliver(std::size_t from, const Address &to, std::string_view text)
+    {
+        ++messages_;
+        const auto index = static_cast<std::size_t>(to.port_ - 7000);
+        if (losses_ > 0) {
+            --losses_;
+            return;
+        }
+        if (!cutOff_.contains(from) && !cutOff_.contains(index))
+            clock_.schedule(milliseconds(1), [this, index, text = std::string(text)] {
+                cr_assert(desk(index).take(text));
+            });
+    }
+
+    std::vector<std::unique_ptr<Entry>> desks_;
+};
+
+/// Two seconds after the engine has named a limit of two a second: the owner's line has begun.
+void limit(Desks &desks)
+{
+    desks.limits_.stated(engine, 2, desks.now());
+    (void)desks.reserve(desks.owner());
+    desks.pass(seconds(2));
+}
+
+} // namespace
+
+Test(reservation_book, first_send_waits_for_what_another_owner_may_have_booked)
+{
+    ReservationBook book;
+    cr_assert_eq(opensIn(book.take(engine, 2, seconds(1), start)), ReservationBook::longestAhead);
+    ReservationBook impatient;
+    cr_assert(isRefused(impatient.take(engine, 2, milliseconds(999), start)));
+}
+
+Test(reservation_book, sends_are_an_interval_apart)
+{
+    ReservationBook book;
+    (void)book.take(engine, 4, milliseconds(1), start);
+    const auto now = start + seconds(2);
+    const auto first = opensIn(book.take(engine, 4, seconds(1), now));
+    cr_assert_eq(first, Duration::zero());
+    cr_assert_leq(opensIn(book.take(engine, 4, seconds(1), now)), milliseconds(250));
+    const auto third = opensIn(book.take(engine, 4, seconds(1), now));
+    cr_assert_eq(opensIn(book.take(engine, 4, seconds(1), now)) - third, milliseconds(250));
+}
+
+Test(reservation_book, no_more_than_the_limit_is_booked_in_any_window)
+{
+    for (const double limit : {0.3, 1.9, 20.0, 50.0}) {
+        ReservationBook book;
+        std::vector<TimePoint> sends;
+        for (auto now = start; now < start + seconds(30); now += milliseconds(7)) {
+            const auto result = book.take(engine, limit, milliseconds(300), now);
+            if (!isRefused(result))
+                sends.push_back(now + opensIn(result));
+        }
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < sends.size(); ++last) {
+            while (sends[last] - sends[first] > seconds(10))
+                ++first;
+            cr_expect_leq(static_cast<double>(last - first + 1), 1.1 * limit * 10 + 2);
+        }
+        cr_expect_geq(static_cast<double>(sends.size()), 0.9 * limit * 28);
+    }
+}
+
+Test(reservation_book, send_that_is_given_back_goes_to_the_next)
+{
+    ReservationBook book;
+    (void)book.take(engine, 2, milliseconds(1), start);
+    const auto now = start + seconds(2);
+    (void)book.take(engine, 2, seconds(1), now);
+    const auto second = opensIn(book.take(engine, 2, seconds(1), now));
+    cr_assert(isRefused(book.take(engine, 2, second, now)));
+    book.giveBack(engine, now + second, now);
+    cr_assert_eq(opensIn(book.take(engine, 2, second, now)), second);
+    cr_assert(isRefused(book.take(engine, 2, second, now)));
+}
+
+Test(reservation_book, send_that_is_given_back_too_late_is_lost)
+{
+    ReservationBook book;
+    (void)book.take(engine, 0.5, milliseconds(1), start);
+    const auto now = start + seconds(2);
+    (void)book.take(engine, 0.5, seconds(1), now);
+    book.giveBack(engine, now - ReservationBook::validFor, now);
+    cr_assert(isRefused(book.take(engine, 0.5, seconds(1), now)));
+}
+
+Test(reservation_book, endpoint_that_takes_nothing_is_asked_once_in_ten_seconds)
+{
+    ReservationBook book;
+    int sends = 0;
+    for (auto now = start; now < start + seconds(60); now += milliseconds(50))
+        sends += isRefused(book.take(engine, 0, seconds(1), now)) ? 0 : 1;
+    cr_assert_geq(sends, 5);
+    cr_assert_leq(sends, 7);
+}
+
+Test(reservation_book, absurd_limit_is_no_limit_and_harms_nothing)
+{
+    ReservationBook book;
+    (void)book.take(engine, 1e300, milliseconds(1), start);
+    for (int i = 0; i < 1000; ++i)
+        cr_assert_not(isRefused(book.take(engine, 1e300, seconds(1), start + seconds(2))));
+}
+
+Test(reservation_book, limit_that_rises_is_used_at_once)
+{
+    ReservationBook book;
+    (void)book.take(engine, 0.3, seconds(1), start);
+    const auto now = start + seconds(1);
+    cr_assert(isRefused(book.take(engine, 0.3, seconds(1), now)));
+    int sends = 0;
+    for (auto at = now; at < now + seconds(3); at += milliseconds(10))
+        sends += isRefused(book.take(engine, 20, milliseconds(500), at)) ? 0 : 1;
+    cr_assert_geq(sends, 40);
+}
+
+Test(reservation_book, callers_are_told_to_come_back_one_after_the_other)
+{
+    ReservationBook book;
+    Duration before{};
+    for (int i = 0; i < 4; ++i) {
+        const auto result = book.take(engine, 2, milliseconds(100), start);
+        const auto told = std::get<NoneInTime>(result).comeBackIn_;
+        cr_assert_geq(told - before, milliseconds(500));
+        before = told;
+    }
+}
+
+Test(reservation_desk, all_entry_vms_agree_on_one_owner)
+{
+    Desks desks(7);
+    int owners = 0;
+    for (std::size_t i = 0; i < 7; ++i)
+        owners += desks.desk(i).owns(engine) ? 1 : 0;
+    cr_assert_eq(owners, 1);
+}
+
+Test(reservation_desk, owner_books_for_the_others)
+{
+    Desks desks(7);
+    limit(desks);
+    const auto first = desks.reserve(desks.other());
+    cr_assert_eq(first->state(), Reservation::State::Asked);
+    desks.pass(step);
+    cr_assert(first->isOpen(desks.now()));
+    cr_assert_eq(desks.answers_, 1);
+    const auto own = desks.reserve(desks.owner());
+    cr_assert_eq(own->state(), Reservation::State::Booked);
+    cr_assert_not(own->isOpen(desks.now()));
+}
+
+Test(reservation_desk, lost_message_is_repeated_to_the_same_owner)
+{
+    for (const int before : {0, 1}) {
+        Desks desks(7);
+        limit(desks);
+        const auto owner = desks.owner();
+        const auto other = desks.other();
+        const auto reservation = desks.reserve(other);
+        // The request itself, or the answer to it.
+        if (before == 0)
+            desks.cutOff_ = {owner};
+        desks.losses_ = before;
+        desks.pass(milliseconds(10));
+        desks.cutOff_.clear();
+        desks.pass(milliseconds(140));
+        cr_expect_eq(reservation->state(), Reservation::State::Booked, "%d", before);
+        cr_expect_eq(desks.owner(), owner);
+        cr_expect_not(desks.desk(other).owns(engine));
+    }
+}
+
+Test(reservation_desk, send_that_is_booked_twice_is_given_back_once)
+{
+    Desks desks(2);
+    limit(desks);
+    const auto owner = desks.owner();
+    const auto other = desks.other();
+    const auto reservation = desks.reserve(other);
+    desks.clock_.advance(milliseconds(1));
+    desks.losses_ = 1; // The answer.
+    desks.pass(milliseconds(200));
+    cr_assert_eq(reservation->state(), Reservation::State::Booked);
+    // One send was booked for the lost answer, and one for the repeated request.
+    const auto next = desks.reserve(owner);
+    cr_assert_eq(next->state(), Reservation::State::Booked);
+}
+
+Test(reservation_desk, dropped_reservation_is_given_back)
+{
+    Desks desks(7);
+    limit(desks);
+    auto reservation = desks.reserve(desks.other());
+    desks.pass(step);
+    cr_assert(reservation->isOpen(desks.now()));
+    reservation.reset();
+    desks.pass(step);
+    const auto next = desks.reserve(desks.owner());
+    cr_assert(next->isOpen(desks.now()));
+}
+
+Test(reservation_desk, used_reservation_is_not_given_back)
+{
+    Desks desks(7);
+    limit(desks);
+    auto reservation = desks.reserve(desks.other());
+    desks.pass(step);
+    reservation->use();
+    reservation.reset();
+    desks.pass(step);
+    cr_assert_not(desks.reserve(desks.owner())->isOpen(desks.now()));
+}
+
+Test(reservation_desk, answer_for_a_dropped_reservation_gives_its_send_back)
+{
+    Desks desks(7);
+    limit(desks);
+    desks.reserve(desks.other()).reset();
+    desks.pass(step);
+    cr_assert_eq(desks.answers_, 0);
+    cr_assert(desks.reserve(desks.owner())->isOpen(desks.now()));
+}
+
+Test(reservation_desk, silent_owner_is_passed_over_by_all_until_it_answers)
+{
+    Desks desks(7);
+    limit(desks);
+    const auto owner = desks.owner();
+    const auto other = desks.other();
+    desks.cutOff_ = {owner};
+    std::size_t booked = 0;
+    for (int i = 0; i < 40; ++i) {
+        const auto reservation = desks.reserve(other);
+        desks.pass(milliseconds(100));
+        if (reservation->state() == Reservation::State::Booked) {
+            reservation->use();
+            ++booked;
+        }
+    }
+    cr_assert_geq(booked, 2);
+    cr_assert_leq(booked, 9); // Two a second.
+    desks.cutOff_.clear();
+    desks.pass(seconds(2));
+    const auto reservation = desks.reserve(other);
+    desks.pass(step);
+    cr_assert_not(desks.desk(other).owns(engine));
+    cr_assert_eq(desks.owner(), owner);
+}
+
+Test(reservation_desk, entry_vm_that_does_not_see_the_owner_is_sent_there)
+{
+    Desks desks(7);
+    limit(desks);
+    const auto owner = desks.owner();
+    const auto other = desks.other();
+    std::set<std::size_t> unseen;
+    for (std::size_t i = 0; i < 7; ++i) {
+        if (i != other && i != (other + 1) % 7)
+            unseen.insert(i);
+    }
+    cr_assert(unseen.contains(owner));
+    desks.see(other, unseen);
+    const auto reservation = desks.reserve(other);
+    desks.pass(step);
+    const bool isOwnOwner = desks.desk(other).owns(engine);
+    cr_assert(isOwnOwner || reservation->state() == Reservation::State::Booked);
+}
+
+Test(reservation_desk, entry_vm_that_leaves_owns_nothing)
+{
+    Desks desks(7);
+    limit(desks);
+    const auto owner = desks.owner();
+    desks.desk(owner).leave();
+    cr_assert_not(desks.desk(owner).owns(engine));
+    const auto reservation = desks.reserve(owner);
+    cr_assert_eq(reservation->state(), Reservation::State::Asked);
+}
+
+Test(reservation_desk, refusal_is_remembered_for_a_while)
+{
+    Desks desks(1);
+    desks.limits_.stated(engine, 0.5, desks.now());
+    cr_assert_not(desks.desk(0).fullFor(engine));
+    const auto reservation = desks.reserve(0, milliseconds(100));
+    cr_assert_eq(reservation->state(), Reservation::State::Refused);
+    cr_assert_geq(*desks.desk(0).fullFor(engine), seconds(1));
+    desks.pass(seconds(5));
+    cr_assert_not(desks.desk(0).fullFor(engine));
+}
+
+Test(reservation_messages, are_read_as_they_were_written)
+{
+    const ReservationRequest request{EntryId("a"), {"10.0.0.1", 7340}, 3,           engine,
+                                     1.9,          milliseconds(250),  EntryId("b")};
+    cr_assert_eq(decodeReservationRequest(encode(request)), request);
+    const ReservationAnswer answer{
+        EntryId("a"),    {"10.0.0.1", 7340}, 3, engine, ReservationAnswer::Kind::NotOwner,
+        milliseconds(7), EntryId("b")};
+    cr_assert_eq(decodeReservationAnswer(encode(answer)), answer);
+    const ReservationReturn back{engine, milliseconds(7), milliseconds(0)};
+    cr_assert_eq(decodeReservationReturn(encode(back)), back);
+    cr_assert_not(decodeReservationAnswer(encode(request)));
+    cr_assert_not(decodeReservationRequest(
+        R"({"jsonrpc":"2.0","method":"reserve","params":{"address":"no address"}})"));
+}
