--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -211,6 +211,11 @@
     report.crashes_ = object.at("crashes").to_number<int>();
     for (const auto &run : object.at("runs").as_object())
         report.runs_.emplace_back(std::string(run.key()), run.value().to_number<int>());
+    for (const auto &endpoint : object.at("arrivals").as_object()) {
+        auto &arrivals = report.arrivals_[std::string(endpoint.key())];
+        for (const auto &at : endpoint.value().as_array())
+            arrivals.push_back(at.to_number<std::int64_t>());
+    }
     for (const auto &one : object.at("violations").as_array())
         report.violations_.push_back(json::value_to<std::string>(one));
     for (const auto &port : object.at("ports").as_object())
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -5,6 +5,8 @@
 #include "support/caller.hpp"
 #include "support/process_harness.hpp"
 
+#include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -16,7 +18,9 @@
     std::vector<std::pair<std::string, int>> runs_; ///< Starts by request id.
     std::vector<std::string> violations_;
     std::vector<std::pair<std::string, int>> ports_; ///< Endpoints' own ports by id.
-    int crashes_ = 0;                                ///< Endpoints that ended under a poison pill.
+    /// When requests arrived by endpoint, since it named its limit; milliseconds.
+    std::map<std::string, std::vector<std::int64_t>> arrivals_;
+    int crashes_ = 0; ///< Endpoints that ended under a poison pill.
 };
 
 /// \brief What is behind a proxy. One hides from its callers that an endpoint's port is closed.
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -83,6 +83,18 @@
     list();
 }
 
+void GroupEngineStandin::limit(std::string perSecond)
+{
+    limit_ = std::move(perSecond);
+    arrivals_.clear();
+}
+
+void GroupEngineStandin::name(StandinResponse &response) const
+{
+    if (!limit_.empty())
+        response.set("Server-Limit", limit_);
+}
+
 void GroupEngineStandin::drain()
 {
     isDraining_ = true;
@@ -126,16 +138,19 @@
     }
     if (!headerOf(exchange.request(), "Authorization").empty())
         hall_.violations_.push_back("the key reached " + id_);
+    arrivals_.push_back(std::chrono::steady_clock::now());
     if (domain_.empty()) {
         ++hall_.runs_[request];
         co_await pauseFor(plainTime);
         auto response = jsonResponse(200, headerOf(exchange.request(), "X-Tenant"));
         response.set("X-Response-Seal", id_);
+        name(response);
         co_await exchange.respond(std::move(response));
         co_return;
     }
     if (!group_ || group_->state_ != "open" || group_->rank_ != 0) {
         auto response = refusal(503, id_);
+        name(response);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -151,6 +166,7 @@
     head.set("Content-Type", "text/event-stream");
     head.set("X-Request-Id", request);
     head.set("X-Response-Seal", id_);
+    name(head);
     const auto epoch = group_->epoch_;
     bool hasBegun = false;
     for (int event = first; event <= eventsOfStream; ++event) {
--- a/tests/support/group_engine_standin.hpp
+++ b/tests/support/group_engine_standin.hpp
@@ -4,6 +4,7 @@
 
 #include "support/row_store_standin.hpp"
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <set>
@@ -42,6 +43,14 @@
     /// \brief Says that it is leaving.
     void drain();
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
+    /// \brief Names \p perSecond as its limit in each answer from now on, or none if it is empty,
+    /// and counts what arrives anew.
+    void limit(std::string perSecond);
+    /// \brief When requests arrived since the limit was set.
+    [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &arrivals() const
+    {
+        return arrivals_;
+    }
     /// \brief Lists another port of this machine, which leads here.
     void listAt(std::uint16_t port);
 
@@ -66,6 +75,8 @@
     /// \brief Ends as a process does, and starts again after a while.
     void crash();
     boost::asio::awaitable<void> startAgain();
+    /// \brief Names the limit in an answer.
+    void name(StandinResponse &response) const;
     [[nodiscard]] bool isWhole() const;
     [[nodiscard]] bool isStalled() const;
     [[nodiscard]] std::string state() const;
@@ -83,6 +94,8 @@
     bool isSilent_ = false;
     bool isDown_ = false;
     bool isDraining_ = false;
+    std::string limit_; ///< Requests a second; empty if there is none.
+    std::vector<std::chrono::steady_clock::time_point> arrivals_;
     std::uint16_t listedPort_ = 0; ///< In place of its own, unless zero.
     StandinServer server_;
 };
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -2,6 +2,7 @@
 /// \brief Program: the users' store with engines in groups and plain endpoints, on 127.0.0.1.
 /// \details The store's port also takes what a test tells it: POST /test/config with a
 /// configuration, /test/silence/ID, /test/expire/ID, /test/drain/ID, /test/outage/STATUS,
+/// /test/limit/ID with the requests a second that the endpoint names from then on,
 /// /test/restore/AGE with the age of the backup in milliseconds, /test/port/ID with the port that
 /// the endpoint lists, and GET /test/report with runs, violations and the endpoints' own ports.
 #include "support/group_engine_standin.hpp"
@@ -17,6 +18,16 @@
 
 namespace json = boost::json;
 
+/// Milliseconds; only their differences mean something.
+json::array arrivalsOf(const GroupEngineStandin &engine)
+{
+    json::array result;
+    for (const auto at : engine.arrivals())
+        result.emplace_back(
+            std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()).count());
+    return result;
+}
+
 std::string reportOf(const EngineHall &hall)
 {
     json::object runs;
@@ -26,7 +37,11 @@
     json::object ports;
     for (const auto &[id, engine] : hall.engines_)
         ports[id] = engine->port();
+    json::object arrivals;
+    for (const auto &[id, engine] : hall.engines_)
+        arrivals[id] = arrivalsOf(*engine);
     return json::serialize(json::object{{"runs", std::move(runs)},
+                                        {"arrivals", std::move(arrivals)},
                                         {"crashes", hall.crashes_},
                                         {"violations", std::move(violations)},
                                         {"ports", std::move(ports)}});
@@ -45,6 +60,8 @@
         hall.store_.remove("servers", id);
     else if (verb == "/test/drain")
         hall.engines_.at(id)->drain();
+    else if (verb == "/test/limit")
+        hall.engines_.at(id)->limit(body);
     else if (verb == "/test/port")
         hall.engines_.at(id)->listAt(static_cast<std::uint16_t>(std::stoul(body)));
     else if (verb == "/test/restore")
