--- a/tests/endpoint_limits/limit_play.cpp
+++ b/tests/endpoint_limits/limit_play.cpp
@@ -68,6 +68,7 @@
     fleet_.configure(1, {"key"});
     fleet_.start();
     fleet_.pass(settling);
+    startedAt_ = now();
     since_ = now();
 }
 
@@ -175,6 +176,14 @@
     return fleet_.size();
 }
 
+double LimitPlay::reservations()
+{
+    double result = 0;
+    for (std::size_t i = 0; i < fleet_.size(); ++i)
+        result += fleet_.node(i).metrics_.reservations_.value();
+    return result;
+}
+
 std::size_t LimitPlay::waiting() const
 {
     return static_cast<std::size_t>(
--- a/tests/endpoint_limits/limit_play.hpp
+++ b/tests/endpoint_limits/limit_play.hpp
@@ -58,6 +58,12 @@
     /// \brief Callers that have no answer and no refusal yet.
     [[nodiscard]] std::size_t waiting() const;
 
+    /// \brief How long callers have come.
+    [[nodiscard]] Duration time() const { return now() - startedAt_; }
+
+    /// \brief Sends that entry VMs have asked owners for.
+    [[nodiscard]] double reservations();
+
     /// \brief An entry VM that owns a group's limit in its own eyes.
     [[nodiscard]] std::size_t owner(std::size_t group);
 
@@ -90,6 +96,7 @@
     std::map<std::string, std::size_t> byHead_;
     std::vector<std::size_t> scanned_;
     std::vector<std::shared_ptr<support::CallerView>> callers_;
+    TimePoint startedAt_;
     TimePoint since_;
     double due_ = 0;
     std::size_t asked_ = 0;
--- a/tests/endpoint_limits/regressions.cpp
+++ b/tests/endpoint_limits/regressions.cpp
@@ -1,6 +1,8 @@
 // Limits of the rate that endpoints name: kept by all entry VMs together, and used.
 #include "limit_play.hpp"
 
+#include <cstdio>
+
 #include <criterion/criterion.h>
 
 using namespace cardamombay;
@@ -18,6 +20,8 @@
     LimitPlay play(scene, seed);
     const auto all = play.run();
     print(name, scene, all);
+    std::printf("reservations asked for: %.1f a second\n",
+                play.reservations() / toSeconds(play.time()));
     for (const auto &got : all) {
         cr_expect_leq(got.mostOverAim_, 1, "limit %g", got.limit_);
         cr_expect_leq(got.mostOverRule_, 1, "limit %g", got.limit_);
--- a/tests/explain/failed_requests.cpp
+++ b/tests/explain/failed_requests.cpp
@@ -146,3 +146,30 @@
     const auto crash = trail.line("endpoint-crashed", "endpoint=" + first + " ");
     cr_assert_neq(valueIn(crash, "without-events").find(fingerprint), std::string::npos);
 }
+
+Test(explain, request_refused_at_a_limit_leads_to_the_endpoints_that_named_it)
+{
+    const Deployment deployment;
+    const Trail trail(deployment);
+    deployment.tell("limit/p-0", "0.5");
+    deployment.tell("limit/p-1", "0.5");
+    for (int i = 0; i < 4; ++i)
+        (void)deployment.call(0, "/once/1", "before-" + std::to_string(i));
+    std::string refused;
+    for (int i = 0; i < 8 && refused.empty(); ++i) {
+        const auto id = "limit-" + std::to_string(i);
+        if (deployment.call(0, "/once/1", id).status_ == 503)
+            refused = id;
+    }
+    cr_assert_neq(refused, "");
+    const auto finished = trail.line("request-finished", "request=" + refused + " ");
+    cr_assert_eq(valueIn(finished, "outcome"), "refused");
+    cr_assert_eq(valueIn(finished, "reason"), "all endpoints have reached their limits");
+    cr_assert_eq(valueIn(finished, "may-have-run"), "0");
+    for (const auto *endpoint : {"p-0@1", "p-1@1"}) {
+        const auto limited = trail.line("endpoint-limited", "endpoint=" + std::string(endpoint));
+        cr_assert_eq(valueIn(limited, "per-second"), "0.5");
+    }
+    const auto served = trail.line("request-finished", "limit-per-second=0.5");
+    cr_assert_eq(valueIn(served, "reserved"), "yes");
+}
--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -12,6 +12,7 @@
 #include <cardamombay/admin/admin_vm.hpp>
 #include <cardamombay/chart/chart.hpp>
 #include <cardamombay/config/config_parser.hpp>
+#include <cardamombay/core/manual_clock.hpp>
 #include <cardamombay/endpoint/endpoint_codec.hpp>
 #include <cardamombay/groups/group_row.hpp>
 #include <cardamombay/groups/vm_row.hpp>
@@ -26,6 +27,7 @@
 #include <cardamombay/serving/configuration_exchange.hpp>
 #include <cardamombay/serving/digest_hub.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
+#include <cardamombay/serving/reservation_desk.hpp>
 #include <cardamombay/settings/settings.hpp>
 #include <cardamombay/traffic/request_parser.hpp>
 
@@ -290,6 +292,26 @@
     store.changes({}, [](const auto &) {});
 }
 
+void runReservations(std::string_view text)
+{
+    using namespace serving;
+    if (const auto request = decodeReservationRequest(text)) {
+        require(decodeReservationRequest(encode(*request)) == request, "requests are read again");
+        ReservationBook book;
+        (void)book.take(request->endpoint_, request->perSecond_, request->within_, TimePoint{});
+    }
+    if (const auto answer = decodeReservationAnswer(text))
+        require(decodeReservationAnswer(encode(*answer)) == answer, "answers are read again");
+    if (const auto back = decodeReservationReturn(text))
+        require(decodeReservationReturn(encode(*back)) == back, "returns are read again");
+    ManualClock clock;
+    EndpointLimits limits;
+    metrics::Registry registry;
+    GatewayMetrics metrics(registry);
+    ReservationDesk desk(clock, limits, metrics, Random(1));
+    (void)desk.take(text);
+}
+
 /// What entry VMs tell each other.
 void runDatagrams(std::string_view text)
 {
@@ -304,7 +326,12 @@
         DigestHub hub({EntryId("self"), {}, AvailabilityZone("z")}, Incarnation(1));
         hub.take(*digest, TimePoint{});
         (void)hub.fleetSummary(TimePoint{});
+        require(again->limits_ == digest->limits_, "news of limits are read as they were");
+        EndpointLimits limits;
+        limits.take(digest->limits_, TimePoint{} + std::chrono::hours(1));
+        limits.expire(TimePoint{} + std::chrono::hours(2));
     }
+    runReservations(text);
     if (const auto summary = decodeLoadSummary(text))
         require(decodeLoadSummary(encode(*summary)).has_value(), "an encoded sum can be read");
     if (const auto relay = decodeEndpointRelay(text))
