Refuse at the limits of endpoints only what has not begun and could not have waited

What callers would see: read, not seen on the platform. A request that may wait a second was refused since one that could wait 100 ms had just found no send in that time; a stream that had begun was broken off at once when the only groups left were at their limits, though another group opens within its patience. Cause: the memory of a refusal held for every request; a refusal at once was meant for requests that have not run. Ruled out: the owner's line, which answers each wait as asked. Change: a refusal is remembered with the wait it was for; what has begun or may have run is held as long as for room.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -33,6 +33,7 @@
     /// one that does end them ends one at a time, and suspects of one end go to different ones.
     std::optional<RequestFingerprint> suspect_;
     const SendGate *gate_ = nullptr;       ///< Of endpoints with a limit; null: there are none.
+    Duration longestWait_{};               ///< For a send to an endpoint with a limit.
     std::optional<EndpointLife> reserved_; ///< A send there is reserved and may leave now.
 };
 
--- a/include/cardamombay/serving/reservation_desk.hpp
+++ b/include/cardamombay/serving/reservation_desk.hpp
@@ -96,7 +96,8 @@
     /// \name SendGate
     /// \{
     [[nodiscard]] bool isLimited(const EndpointLife &endpoint) const override;
-    [[nodiscard]] std::optional<Duration> fullFor(const EndpointLife &endpoint) const override;
+    [[nodiscard]] std::optional<Duration> fullFor(const EndpointLife &endpoint,
+                                                  Duration wait) const override;
     /// \}
 
 private:
@@ -122,6 +123,7 @@
     {
         TimePoint until_{};
         TimePoint comeBackAt_{};
+        TimePoint noneBefore_{}; ///< No send opens before.
     };
 
     [[nodiscard]] double perSecond(const EndpointLife &endpoint) const;
@@ -134,8 +136,8 @@
     void askOwner(std::uint64_t number, Asked &asked, const Owner &owner);
     void askAgain(std::uint64_t number, Asked asked);
     void bookHere(Reservation &reservation, Duration within);
-    void settle(Reservation *reservation, const EndpointLife &endpoint, const BookingResult &result,
-                const Address &owner);
+    void settle(Reservation *reservation, const EndpointLife &endpoint, TimePoint until,
+                const BookingResult &result, const Address &owner);
     void tell(Reservation *reservation) const;
     void drop(Reservation &reservation);
     void giveBack(const EndpointLife &endpoint, TimePoint opensAt, const Address &owner);
--- a/include/cardamombay/serving/send_gate.hpp
+++ b/include/cardamombay/serving/send_gate.hpp
@@ -21,8 +21,9 @@
     /// \brief True if a send needs a reservation.
     [[nodiscard]] virtual bool isLimited(const EndpointLife &endpoint) const = 0;
 
-    /// \brief Time until a caller may find a send there; nothing if one may be free now.
-    [[nodiscard]] virtual std::optional<Duration> fullFor(const EndpointLife &endpoint) const = 0;
+    /// \brief Time until a caller may find a send there; nothing if one may open within \p wait.
+    [[nodiscard]] virtual std::optional<Duration> fullFor(const EndpointLife &endpoint,
+                                                          Duration wait) const = 0;
 };
 
 } // namespace cardamombay::serving
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -296,7 +296,7 @@
     std::vector<const Candidate *> open;
     std::optional<Duration> soonestFree;
     for (const auto *candidate : limited) {
-        const auto fullFor = demand.gate_->fullFor(candidate->life());
+        const auto fullFor = demand.gate_->fullFor(candidate->life(), demand.longestWait_);
         if (!fullFor)
             open.push_back(candidate);
         else if (!soonestFree || *fullFor < *soonestFree)
--- a/src/serving/reservation_desk.cpp
+++ b/src/serving/reservation_desk.cpp
@@ -77,12 +77,16 @@
     return limits_.find(endpoint).has_value();
 }
 
-std::optional<Duration> ReservationDesk::fullFor(const EndpointLife &endpoint) const
+std::optional<Duration> ReservationDesk::fullFor(const EndpointLife &endpoint, Duration wait) const
 {
     const auto now = clock_.now();
     const auto found = full_.find(endpoint);
     if (found == full_.end() || now >= found->second.until_)
         return std::nullopt;
+    // A refusal tells nothing to those who can wait much longer.
+    const auto patience = std::min(wait, ReservationBook::longestAhead);
+    if (now + patience > found->second.noneBefore_ + answerPatience)
+        return std::nullopt;
     return std::max(found->second.comeBackAt_, found->second.until_) - now;
 }
 
@@ -152,14 +156,16 @@
 void ReservationDesk::bookHere(Reservation &reservation, Duration within)
 {
     const auto &endpoint = reservation.endpoint_;
-    const auto result = book_.take(endpoint, perSecond(endpoint), within, clock_.now());
-    settle(&reservation, endpoint, result, {});
+    const auto now = clock_.now();
+    const auto result = book_.take(endpoint, perSecond(endpoint), within, now);
+    settle(&reservation, endpoint, now + within, result, {});
 }
 
 /// \param reservation null if it was dropped meanwhile.
+/// \param until the send had to open by then.
 /// \param owner who booked it; empty for this entry VM.
 void ReservationDesk::settle(Reservation *reservation, const EndpointLife &endpoint,
-                             const BookingResult &result, const Address &owner)
+                             TimePoint until, const BookingResult &result, const Address &owner)
 {
     const auto now = clock_.now();
     if (const auto *booked = std::get_if<Booked>(&result)) {
@@ -177,7 +183,7 @@
     metrics_.reservationsRefused_.increment();
     const auto comeBackIn = std::get<NoneInTime>(result).comeBackIn_;
     const auto pause = std::max(shortestFull, fromSeconds(toSeconds(comeBackIn) * fullShare));
-    full_[endpoint] = {now + pause, now + comeBackIn};
+    full_[endpoint] = {now + pause, now + comeBackIn, until};
     if (reservation != nullptr)
         reservation->state_ = Reservation::State::Refused;
 }
@@ -308,7 +314,7 @@
         = isBooked ? BookingResult(Booked{answer.time_}) : BookingResult(NoneInTime{answer.time_});
     // An answer to a probe says nothing of the endpoint.
     if (asked.reservation_ != nullptr || isBooked)
-        settle(asked.reservation_, asked.endpoint_, result, answer.address_);
+        settle(asked.reservation_, asked.endpoint_, asked.until_, result, answer.address_);
     tell(asked.reservation_);
 }
 
@@ -319,7 +325,8 @@
         return;
     const auto now = clock_.now();
     if (asked.tries_ >= mostTries || now >= asked.until_) {
-        settle(asked.reservation_, asked.endpoint_, NoneInTime{fullWithoutOwner}, {});
+        settle(asked.reservation_, asked.endpoint_, now + ReservationBook::longestAhead,
+               NoneInTime{fullWithoutOwner}, {});
     } else if (answer.owner_ == self_) {
         bookHere(*asked.reservation_, asked.until_ - now);
     } else {
@@ -409,7 +416,8 @@
     if (isProbe)
         return;
     if (isTooLate)
-        settle(asked.reservation_, asked.endpoint_, NoneInTime{fullWithoutOwner}, {});
+        settle(asked.reservation_, asked.endpoint_, now + ReservationBook::longestAhead,
+               NoneInTime{fullWithoutOwner}, {});
     else
         bookHere(*asked.reservation_, asked.until_ - now);
     tell(asked.reservation_);
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -74,7 +74,10 @@
         isHeld_ = true;
         return true;
     }
-    if (const auto *reached = std::get_if<LimitsReached>(&choice)) {
+    // What has begun has more to lose, and another endpoint may become free.
+    const bool hasBegun = events_ > 0 || mayHaveRun_ > 0;
+    if (const auto *reached = std::get_if<LimitsReached>(&choice);
+        reached != nullptr && !hasBegun) {
         comeBackIn_ = reached->comeBackIn_;
         giveUp("all endpoints have reached their limits");
         return false;
@@ -107,6 +110,7 @@
     if (gateway_.poisonPills().isSuspect(fingerprint_))
         demand.suspect_ = fingerprint_;
     demand.gate_ = &gateway_.reservations();
+    demand.longestWait_ = holdLeft(now);
     if (reservation_ && reservation_->isOpen(now))
         demand.reserved_ = reservation_->endpoint();
     return gateway_.parts().balancer_.choose(demand, now);
--- a/tests/serving/limited_sessions.cpp
+++ b/tests/serving/limited_sessions.cpp
@@ -92,6 +92,26 @@
     cr_assert_geq(std::stoi(second->answer_->field("come-back")), 900);
 }
 
+Test(limited_sessions, stream_that_has_begun_waits_for_another_group_at_the_limits)
+{
+    GatewayFixture bench;
+    bench.addGroup("head-1");
+    limit(bench, "0.2");
+    bench.addGroup("head-2");
+    const auto caller = bench.ask(path);
+    const auto begun = bench.lastCall();
+    cr_assert_eq(begun->field("endpoint"), "head-2");
+    begun->connect();
+    begun->sealedHead();
+    begun->data("id: 1\ndata: x\n\n");
+    begun->fail(true);
+    bench.pass(milliseconds(300));
+    cr_assert_not(caller->isAborted_);
+    bench.addGroup("head-3");
+    bench.pass(milliseconds(40));
+    cr_assert_eq(bench.lastCall()->field("endpoint"), "head-3");
+}
+
 Test(limited_sessions, plain_endpoints_keep_to_their_limits_too)
 {
     GatewayFixture bench;
--- a/tests/serving/reservations.cpp
+++ b/tests/serving/reservations.cpp
@@ -404,12 +404,21 @@
 {
     Desks desks(1);
     desks.limits_.stated(engine, 0.5, desks.now());
-    cr_assert_not(desks.desk(0).fullFor(engine));
+    cr_assert_not(desks.desk(0).fullFor(engine, milliseconds(100)));
     const auto reservation = desks.reserve(0, milliseconds(100));
     cr_assert_eq(reservation->state(), Reservation::State::Refused);
-    cr_assert_geq(*desks.desk(0).fullFor(engine), seconds(1));
+    cr_assert_geq(*desks.desk(0).fullFor(engine, milliseconds(100)), seconds(1));
     desks.pass(seconds(5));
-    cr_assert_not(desks.desk(0).fullFor(engine));
+    cr_assert_not(desks.desk(0).fullFor(engine, milliseconds(100)));
+}
+
+Test(reservation_desk, refusal_of_an_impatient_request_is_none_of_a_patient_one)
+{
+    Desks desks(1);
+    desks.limits_.stated(engine, 0.5, desks.now());
+    const auto reservation = desks.reserve(0, milliseconds(100));
+    cr_assert(desks.desk(0).fullFor(engine, milliseconds(100)));
+    cr_assert_not(desks.desk(0).fullFor(engine, seconds(1)));
 }
 
 Test(reservation_messages, are_read_as_they_were_written)
