Let the test of a request refused at a limit ask for more than the limits ever allow

Ruled out: the product; it served all that it could in time. Change: the endpoints name 0.1 a second, so that the third reservation is ten seconds away; all checks are as they were.

--- a/tests/explain/failed_requests.cpp
+++ b/tests/explain/failed_requests.cpp
@@ -151,8 +151,8 @@
 {
     const Deployment deployment;
     const Trail trail(deployment);
-    deployment.tell("limit/p-0", "0.5");
-    deployment.tell("limit/p-1", "0.5");
+    deployment.tell("limit/p-0", "0.1");
+    deployment.tell("limit/p-1", "0.1");
     for (int i = 0; i < 4; ++i)
         (void)deployment.call(0, "/once/1", "before-" + std::to_string(i));
     std::string refused;
@@ -168,8 +168,8 @@
     cr_assert_eq(valueIn(finished, "may-have-run"), "0");
     for (const auto *endpoint : {"p-0@1", "p-1@1"}) {
         const auto limited = trail.line("endpoint-limited", "endpoint=" + std::string(endpoint));
-        cr_assert_eq(valueIn(limited, "per-second"), "0.5");
+        cr_assert_eq(valueIn(limited, "per-second"), "0.1");
     }
-    const auto served = trail.line("request-finished", "limit-per-second=0.5");
+    const auto served = trail.line("request-finished", "limit-per-second=0.1");
     cr_assert_eq(valueIn(served, "reserved"), "yes");
 }
