Log and count what endpoints ask of an entry VM, without acting on it

Cause: the logs could not tell the three hypotheses of the incident apart: no line said whether a refusal named a time, how long, or what was left of it at the next attempt. Ruled out: nothing yet; no logic changes. Limits move into EndpointNotices with the same rules. Change: the adapter decodes Retry-After of refusals and Server-Leaving of all answers into AnswerNotices; EndpointNotices keeps them by the life of the endpoint. Logged: endpoint-cooldown, endpoint-cooldown-ended with the refusals meanwhile, endpoint-says-leaving, the cooldown in the line of a failed attempt; counted: cooldowns, refusals inside one, in force, unreadable.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -172,6 +172,7 @@
 #include <cardamombay/rpc/json_rpc_peer_transport.hpp>
 #include <cardamombay/rpc/rpc_http_handler.hpp>
 
+#include <cardamombay/serving/answer_notices.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/change_history.hpp>
 #include <cardamombay/serving/configuration.hpp>
@@ -183,6 +184,7 @@
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/endpoint_book.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
+#include <cardamombay/serving/endpoint_notices.hpp>
 #include <cardamombay/serving/engine_model.hpp>
 #include <cardamombay/serving/event_scanner.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
--- a/include/cardamombay/serving/dialects.hpp
+++ b/include/cardamombay/serving/dialects.hpp
@@ -7,6 +7,7 @@
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/net/http_client.hpp>
+#include <cardamombay/serving/answer_notices.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -48,10 +49,7 @@
     bool isWrongPlace_ = false; ///< Another endpoint has the address.
     bool isSealed_ = false;     ///< Carries the endpoint's proof that the answer is its own.
     VmId failedMember_;         ///< The VM that the endpoint holds responsible; empty if none.
-    /// Requests a second that the endpoint takes from all entry VMs together; absent if it names no
-    /// such limit, or one that cannot be read.
-    std::optional<double> requestsPerSecond_;
-    bool isLimitUnreadable_ = false; ///< It names a limit that is no usable number.
+    AnswerNotices notices_;
 };
 
 /// \brief Converts header fields of callers and endpoints.
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -11,7 +11,7 @@
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/crash_detector.hpp>
 #include <cardamombay/serving/dialects.hpp>
-#include <cardamombay/serving/endpoint_limits.hpp>
+#include <cardamombay/serving/endpoint_notices.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
@@ -95,8 +95,10 @@
     /// \brief Ends all requests: what has not run is refused, the rest is broken off.
     void cutAll();
 
+    /// \brief What endpoints have said of themselves.
+    [[nodiscard]] EndpointNotices &notices() { return notices_; }
     /// \brief Limits of the rate of requests that endpoints name.
-    [[nodiscard]] EndpointLimits &limits() { return limits_; }
+    [[nodiscard]] EndpointLimits &limits() { return notices_.limits(); }
     /// \brief Reserves sends to the endpoints that have one.
     [[nodiscard]] ReservationDesk &reservations() { return reservations_; }
     /// \brief What is known of requests that end endpoints.
@@ -167,7 +169,7 @@
     FailureBlame failureBlame_;
     CrashDetector crashDetector_;
     PoisonPills poisonPills_;
-    EndpointLimits limits_;
+    EndpointNotices notices_;
     ReservationDesk reservations_;
     std::function<void()> crashSeen_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -27,6 +27,11 @@
     metrics::Counter reservationsRefused_;
     metrics::Counter reservationsReturned_; ///< Booked and not used.
     metrics::Counter silentOwners_;         ///< Entry VMs that did not answer for an endpoint.
+    metrics::Counter cooldowns_;            ///< Times that an endpoint wanted nothing for a while.
+    metrics::Gauge cooldownsInForce_;
+    metrics::Counter refusalsInCooldown_; ///< Of requests that reached an endpoint all the same.
+    metrics::Counter withheldSends_;      ///< Held back by the last look before a send.
+    metrics::Counter unreadableCooldowns_;
     /// Seconds since the store confirmed what is known of the endpoints, at each send.
     metrics::Histogram endpointsAge_;
     metrics::Histogram firstByte_; ///< Seconds from the request to the first event or the answer.
--- /dev/null
+++ b/src/serving/endpoint_notices.cpp
@@ -0,0 +1,155 @@
+#include <cardamombay/serving/endpoint_notices.hpp>
+
+#include "serving/log_events.hpp"
+
+#include <cardamombay/log/log.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace cardamombay::serving {
+
+namespace {
+
+/// A longer cooldown counts as this long: an endpoint that names a year would never be used again.
+constexpr Duration longestCooldown = std::chrono::hours(1);
+
+/// An endpoint that leaves is gone long before; one that still answers says it again.
+constexpr Duration leavingKeptFor = std::chrono::hours(1);
+
+/// Endpoints of which each kind of notice is kept; bounds memory.
+constexpr std::size_t mostKept = 8192;
+
+/// Endpoints whose unreadable notices are remembered as logged.
+constexpr std::size_t mostUnreadable = 256;
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(toMilliseconds(duration));
+}
+
+} // namespace
+
+EndpointNotices::EndpointNotices(GatewayMetrics &metrics)
+    : metrics_(metrics)
+{
+}
+
+void EndpointNotices::take(const AnswerOrigin &origin, const AnswerNotices &notices, TimePoint now)
+{
+    takeLimit(origin, notices, now);
+    takeCooldown(origin, notices, now);
+    if (notices.isLeaving_)
+        takeLeaving(origin.endpoint_, now);
+}
+
+void EndpointNotices::takeLimit(const AnswerOrigin &origin, const AnswerNotices &notices,
+                                TimePoint now)
+{
+    if (notices.requestsPerSecond_) {
+        limits_.stated(origin.endpoint_, *notices.requestsPerSecond_, now);
+    } else if (notices.isLimitUnreadable_) {
+        metrics_.unreadableLimits_.increment();
+        limits_.unreadable(origin.endpoint_);
+    } else if (!origin.mayOmitNotices_) {
+        limits_.notStated(origin.endpoint_, origin.sentAt_, now);
+    }
+}
+
+/// A shorter cooldown that is named within a longer one does not end that.
+void EndpointNotices::takeCooldown(const AnswerOrigin &origin, const AnswerNotices &notices,
+                                   TimePoint now)
+{
+    const auto &endpoint = origin.endpoint_;
+    if (notices.isCooldownUnreadable_) {
+        metrics_.unreadableCooldowns_.increment();
+        if (unreadable_.size() < mostUnreadable && unreadable_.insert(endpoint).second)
+            log::warning(event::cooldownUnreadable,
+                         {{"endpoint", endpoint.text()},
+                          {"remedy", "the endpoint must name one number of seconds"}});
+        return;
+    }
+    if (!notices.cooldown_ || *notices.cooldown_ <= Duration::zero())
+        return;
+    const auto known = cooldowns_.find(endpoint);
+    const bool isInForce
+        = known != cooldowns_.end() && known->second.cooldown_.left(now) > Duration::zero();
+    if (known == cooldowns_.end() && cooldowns_.size() >= mostKept)
+        return;
+    if (known != cooldowns_.end() && !isInForce)
+        end(endpoint, std::exchange(known->second, {}), now);
+    auto &record = cooldowns_[endpoint];
+    ++record.refusals_;
+    if (isInForce) {
+        metrics_.refusalsInCooldown_.increment();
+    } else {
+        metrics_.cooldowns_.increment();
+        record.cooldown_.since_ = now;
+    }
+    const auto until = now + std::min(*notices.cooldown_, longestCooldown);
+    const bool isLonger = until > record.cooldown_.until_;
+    if (isLonger)
+        record.cooldown_.until_ = until;
+    if (!isInForce)
+        log::info(event::endpointCooldown,
+                  {{"endpoint", endpoint.text()}, {"for-ms", milliseconds(until - now)}});
+}
+
+void EndpointNotices::takeLeaving(const EndpointLife &endpoint, TimePoint now)
+{
+    if (!leaving_.contains(endpoint) && leaving_.size() >= mostKept)
+        return;
+    if (!leaving_.insert_or_assign(endpoint, now).second)
+        return;
+    log::info(event::endpointSaysLeaving, {{"endpoint", endpoint.text()}});
+    if (leavingSeen_)
+        leavingSeen_(endpoint);
+}
+
+void EndpointNotices::countWithheld(const EndpointLife &endpoint)
+{
+    metrics_.withheldSends_.increment();
+    const auto found = cooldowns_.find(endpoint);
+    if (found != cooldowns_.end())
+        ++found->second.withheld_;
+}
+
+void EndpointNotices::end(const EndpointLife &endpoint, const Record &record, TimePoint now) const
+{
+    log::info(event::endpointCooldownEnded,
+              {{"endpoint", endpoint.text()},
+               {"lasted-ms",
+                milliseconds(std::min(record.cooldown_.until_, now) - record.cooldown_.since_)},
+               {"refusals", std::to_string(record.refusals_)},
+               {"withheld", std::to_string(record.withheld_)}});
+}
+
+void EndpointNotices::expire(TimePoint now)
+{
+    limits_.expire(now);
+    for (auto place = cooldowns_.begin(); place != cooldowns_.end();) {
+        const bool isOver = place->second.cooldown_.left(now) <= Duration::zero();
+        if (isOver)
+            end(place->first, place->second, now);
+        place = isOver ? cooldowns_.erase(place) : std::next(place);
+    }
+    metrics_.cooldownsInForce_.set(static_cast<double>(cooldowns_.size()));
+    std::erase_if(leaving_, [now](const auto &one) { return now - one.second > leavingKeptFor; });
+}
+
+std::optional<Cooldown> EndpointNotices::cooldown(const EndpointLife &endpoint, TimePoint now) const
+{
+    const auto found = cooldowns_.find(endpoint);
+    if (found == cooldowns_.end() || found->second.cooldown_.left(now) <= Duration::zero())
+        return std::nullopt;
+    return found->second.cooldown_;
+}
+
+bool EndpointNotices::isLeaving(const EndpointLife &endpoint) const
+{
+    return leaving_.contains(endpoint);
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -46,7 +46,8 @@
     , bounds_(bounds)
     , random_(random)
     , crashDetector_(parts.clock_, parts.upstream_)
-    , reservations_(parts.clock_, limits_, parts.metrics_, Random(random.bits()))
+    , notices_(parts.metrics_)
+    , reservations_(parts.clock_, notices_.limits(), parts.metrics_, Random(random.bits()))
 {
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
     poisonPills_.onVerdict([this](const PoisonVerdict &verdict) { requestQuarantined(verdict); });
@@ -99,7 +100,7 @@
         session->check(now);
     }
     crashDetector_.sweep();
-    limits_.expire(now);
+    notices_.expire(now);
     reservations_.sweep();
     retryHeld(sessions);
 }
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -44,6 +44,16 @@
                                              "Booked sends that were not used."))
     , silentOwners_(registry.counter("cardamombay_gateway_silent_limit_owners_total",
                                      "Entry VMs that did not answer for an endpoint's limit."))
+    , cooldowns_(registry.counter("cardamombay_gateway_cooldowns_total",
+                                  "Times that an endpoint refused and asked to be left alone."))
+    , cooldownsInForce_(registry.gauge("cardamombay_gateway_cooldowns_in_force",
+                                       "Endpoints that are left alone since they asked for it."))
+    , refusalsInCooldown_(registry.counter("cardamombay_gateway_refusals_in_cooldown_total",
+                                           "Requests that reached an endpoint in its cooldown."))
+    , withheldSends_(registry.counter("cardamombay_gateway_withheld_sends_total",
+                                      "Sends that an endpoint's notice forbade at the last look."))
+    , unreadableCooldowns_(registry.counter("cardamombay_gateway_unreadable_cooldowns_total",
+                                            "Refusals whose cooldown cannot be read."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -15,6 +15,10 @@
 inline constexpr std::string_view endpointCrashed = "endpoint-crashed";
 inline constexpr std::string_view endpointLimited = "endpoint-limited";
 inline constexpr std::string_view endpointLimitEnded = "endpoint-limit-ended";
+inline constexpr std::string_view endpointCooldown = "endpoint-cooldown";
+inline constexpr std::string_view endpointCooldownEnded = "endpoint-cooldown-ended";
+inline constexpr std::string_view cooldownUnreadable = "endpoint-cooldown-unreadable";
+inline constexpr std::string_view endpointSaysLeaving = "endpoint-says-leaving";
 inline constexpr std::string_view limitOwnerSilent = "limit-owner-silent";
 inline constexpr std::string_view endpointLimitUnreadable = "endpoint-limit-unreadable";
 /// \}
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -122,7 +122,7 @@
     /// \name The answer
     /// \{
     void noteAnswer(std::uint32_t status, TimePoint now);
-    void noteLimit(const AnswerHead &answer, TimePoint now);
+    void takeNotices(const AnswerHead &answer, TimePoint now);
     void takeStreamHead(const net::HttpResponse &head);
     void forgetAnswer();
     void noteEvents(TimePoint now);
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -21,7 +21,7 @@
 {
     const auto now = gateway_.parts().clock_.now();
     const auto answer = gateway_.parts().dialect_.answerHead(head);
-    noteLimit(answer, now);
+    takeNotices(answer, now);
     if (answer.isRefused_) {
         --mayHaveRun_;
         gateway_.parts().board_.failed(target_.endpoint_, now);
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -27,6 +27,13 @@
     details.push_back({"reserved", isReserved ? "yes" : "no"});
 }
 
+/// Since when the endpoint wants nothing from here, and for how long still.
+void appendCooldown(std::vector<Detail> &details, const Cooldown &cooldown, TimePoint now)
+{
+    details.push_back({"cooldown-since-ms", std::to_string(toMilliseconds(now - cooldown.since_))});
+    details.push_back({"cooldown-left-ms", std::to_string(toMilliseconds(cooldown.left(now)))});
+}
+
 } // namespace
 
 void Session::refuse(std::uint32_t status, std::string_view reason,
@@ -39,15 +46,20 @@
 
 void Session::logFailure(std::string_view detail) const
 {
-    log::info(event::attemptFailed,
-              {{"request", head_.request_.text()},
-               {"fingerprint", fingerprint_.text()},
-               {"endpoint", target_.endpoint_.text()},
-               {"detail", std::string(detail)},
-               {"events", std::to_string(events_)},
-               {"sends", std::to_string(sends_)},
-               {"elapsed-ms",
-                std::to_string(toMilliseconds(gateway_.parts().clock_.now() - arrivedAt_))}});
+    const auto now = gateway_.parts().clock_.now();
+    std::vector<Detail> details{{"request", head_.request_.text()},
+                                {"fingerprint", fingerprint_.text()},
+                                {"endpoint", target_.endpoint_.text()},
+                                {"detail", std::string(detail)},
+                                {"events", std::to_string(events_)},
+                                {"sends", std::to_string(sends_)},
+                                {"elapsed-ms", std::to_string(toMilliseconds(now - arrivedAt_))}};
+    const auto life = target_.life();
+    if (const auto cooldown = gateway_.notices().cooldown(life, now))
+        appendCooldown(details, *cooldown, now);
+    if (gateway_.notices().isLeaving(life))
+        details.push_back({"says-leaving", "yes"});
+    log::write(log::Level::Info, event::attemptFailed, details);
 }
 
 /// Nothing more will be tried. "Not run" is said only if no attempt can have run.
--- a/src/serving/session_limits.cpp
+++ b/src/serving/session_limits.cpp
@@ -34,19 +34,11 @@
 
 /// Another endpoint that has the address says nothing of this one, and a refusal need not name a
 /// limit that holds on.
-void Session::noteLimit(const AnswerHead &answer, TimePoint now)
+void Session::takeNotices(const AnswerHead &answer, TimePoint now)
 {
-    auto &limits = gateway_.limits();
-    if (answer.isWrongPlace_)
-        return;
-    if (answer.requestsPerSecond_) {
-        limits.stated(target_.life(), *answer.requestsPerSecond_, now);
-    } else if (answer.isLimitUnreadable_) {
-        gateway_.parts().metrics_.unreadableLimits_.increment();
-        limits.unreadable(target_.life());
-    } else if (!answer.isRefused_) {
-        limits.notStated(target_.life(), attemptAt_, now);
-    }
+    if (!answer.isWrongPlace_)
+        gateway_.notices().take({target_.life(), attemptAt_, answer.isRefused_}, answer.notices_,
+                                now);
 }
 
 } // namespace cardamombay::serving
--- a/tests/adapter/formats.cpp
+++ b/tests/adapter/formats.cpp
@@ -258,10 +258,10 @@
     const auto read = [&dialect](std::vector<net::HttpField> fields) {
         return dialect.answerHead({200, std::move(fields), {}});
     };
-    cr_assert_eq(read({{"server-limit", "1.9"}}).requestsPerSecond_.value(), 1.9);
-    cr_assert_eq(read({{"Server-Limit", "0"}}).requestsPerSecond_.value(), 0);
-    cr_assert_not(read({}).requestsPerSecond_.has_value());
-    cr_assert_not(read({}).isLimitUnreadable_);
+    cr_assert_eq(read({{"server-limit", "1.9"}}).notices_.requestsPerSecond_.value(), 1.9);
+    cr_assert_eq(read({{"Server-Limit", "0"}}).notices_.requestsPerSecond_.value(), 0);
+    cr_assert_not(read({}).notices_.requestsPerSecond_.has_value());
+    cr_assert_not(read({}).notices_.isLimitUnreadable_);
 }
 
 Test(dialect, a_limit_that_is_no_usable_number_counts_as_unreadable)
@@ -269,12 +269,51 @@
     const PlatformDialect dialect;
     for (const auto *text : {"", "-1", "nan", "inf", "1e999", "2, 3", "2 a second", "two"}) {
         const auto head = dialect.answerHead({200, {{"Server-Limit", text}}, {}});
-        cr_expect(head.isLimitUnreadable_, "%s", text);
-        cr_expect_not(head.requestsPerSecond_.has_value(), "%s", text);
+        cr_expect(head.notices_.isLimitUnreadable_, "%s", text);
+        cr_expect_not(head.notices_.requestsPerSecond_.has_value(), "%s", text);
     }
     const auto two = dialect.answerHead({200, {{"Server-Limit", "2"}, {"Server-Limit", "3"}}, {}});
-    cr_expect(two.isLimitUnreadable_);
-    cr_expect_not(two.requestsPerSecond_.has_value());
+    cr_expect(two.notices_.isLimitUnreadable_);
+    cr_expect_not(two.notices_.requestsPerSecond_.has_value());
+}
+
+Test(dialect, cooldowns_are_read_from_refusals_only)
+{
+    const PlatformDialect dialect;
+    const auto read = [&dialect](std::uint32_t status, std::vector<net::HttpField> fields) {
+        return dialect.answerHead({status, std::move(fields), {}}).notices_;
+    };
+    cr_assert_eq(read(503, {{"retry-after", "3"}}).cooldown_, Duration(seconds(3)));
+    cr_assert_eq(read(503, {{"Retry-After", "0.6"}}).cooldown_, Duration(milliseconds(600)));
+    cr_assert_eq(read(429, {{"Retry-After", "2"}}).cooldown_, Duration(seconds(2)));
+    cr_assert_eq(read(503, {{"Retry-After", "0"}}).cooldown_, Duration());
+    cr_assert_not(read(200, {{"Retry-After", "3"}}).cooldown_.has_value());
+    cr_assert_not(read(500, {{"Retry-After", "3"}}).cooldown_.has_value());
+    cr_assert_not(read(503, {}).cooldown_.has_value());
+    cr_assert_not(read(503, {}).isCooldownUnreadable_);
+}
+
+Test(dialect, a_cooldown_that_is_no_usable_number_counts_as_unreadable)
+{
+    const PlatformDialect dialect;
+    for (const auto *text : {"", "-1", "nan", "inf", "2, 3", "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        const auto notices = dialect.answerHead({503, {{"Retry-After", text}}, {}}).notices_;
+        cr_expect(notices.isCooldownUnreadable_, "%s", text);
+        cr_expect_not(notices.cooldown_.has_value(), "%s", text);
+    }
+    const auto absurd = dialect.answerHead({503, {{"Retry-After", "1e300"}}, {}}).notices_;
+    cr_expect_gt(absurd.cooldown_.value(), Duration(std::chrono::hours(24)));
+}
+
+Test(dialect, endpoint_that_leaves_is_told_from_others_by_any_answer)
+{
+    const PlatformDialect dialect;
+    for (const std::uint32_t status : {200U, 500U, 503U}) {
+        const auto leaves = dialect.answerHead({status, {{"server-leaving", "1"}}, {}});
+        cr_expect(leaves.notices_.isLeaving_, "%u", status);
+        cr_expect_not(dialect.answerHead({status, {}, {}}).notices_.isLeaving_, "%u", status);
+    }
+    cr_expect_not(dialect.answerHead({200, {{"Server-Leaving", "0"}}, {}}).notices_.isLeaving_);
 }
 
 Test(dialect, own_failures_carry_no_seal_and_a_time_to_come_back)
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -136,7 +136,10 @@
     result.isRefused_ = !head.field("refused").empty();
     result.isSealed_ = !head.field("seal").empty();
     if (const auto limit = head.field("limit"); !limit.empty())
-        result.requestsPerSecond_ = std::stod(limit);
+        result.notices_.requestsPerSecond_ = std::stod(limit);
+    if (const auto cooldown = head.field("cooldown"); !cooldown.empty())
+        result.notices_.cooldown_ = fromSeconds(std::stod(cooldown));
+    result.notices_.isLeaving_ = !head.field("leaving").empty();
     return result;
 }
 
