Ask once more before each send what an endpoint has said of itself

What callers saw: little; most refused requests were served by another group a few ms later. What engines saw: 3 to 16 requests of one entry VM in a pause of 3 s that they had asked for. Cause: nothing read Retry-After of a refusal (first hypothesis). An endpoint that refused was avoided for half a second, and any event of a stream that went on there ended that. Nothing read Server-Leaving either, so only the store's list ended sends to a leaving endpoint. Ruled out: that a known cooldown is passed by (nothing knew it), and repeats as the source. Change: EndpointGate says for every kind of request whether it may leave, by what EndpointNotices keeps: leaving, cooldown, limit, and the list of endpoints. Sessions ask it when they choose and once more when the connection stands. An endpoint in a cooldown is never taken for want of others; a reservation there is given back; a request that it refused may go there again after it. If all cool down the request waits for one that ends in time, or is refused at once with the time that is left, spread over up to two seconds. The pause after a failure stays as well, and the longer one counts.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -183,6 +183,7 @@
 #include <cardamombay/serving/duty_order.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/endpoint_book.hpp>
+#include <cardamombay/serving/endpoint_gate.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/endpoint_notices.hpp>
 #include <cardamombay/serving/engine_model.hpp>
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <variant>
 
 namespace cardamombay::serving {
@@ -32,8 +33,8 @@
     /// Endpoints have ended under it. All entry VMs send a suspect to the same endpoint, so that
     /// one that does end them ends one at a time, and suspects of one end go to different ones.
     std::optional<RequestFingerprint> suspect_;
-    const SendGate *gate_ = nullptr;       ///< Of endpoints with a limit; null: there are none.
-    Duration longestWait_{};               ///< For a send to an endpoint with a limit.
+    const SendGate *gate_ = nullptr;       ///< Of endpoints with notices; null: there are none.
+    Duration longestWait_{};               ///< For an endpoint that may be sent to later.
     std::optional<EndpointLife> reserved_; ///< A send there is reserved and may leave now.
 };
 
@@ -44,6 +45,7 @@
     Address address_;
     Duration patience_{};      ///< Silence after which the endpoint counts as stalled; zero: never.
     std::uint64_t bornAt_ = 0; ///< Of the endpoint, as it lists itself.
+    std::size_t passedOver_ = 0; ///< Endpoints in a cooldown that it was chosen in place of.
 
     [[nodiscard]] EndpointLife life() const { return {endpoint_, bornAt_}; }
 };
@@ -52,6 +54,7 @@
 enum class NoTarget {
     NoEndpoint, ///< Nothing serves the model or service now.
     Full,       ///< All that serve have as much as they can do in time.
+    Cooldown,   ///< The cooldown of one that could serve ends in time.
 };
 
 /// \brief Only an endpoint that limits the rate of requests has room.
@@ -60,13 +63,14 @@
     EndpointLife endpoint_;
 };
 
-/// \brief All endpoints that could serve the request have reached the limits that they named.
-struct LimitsReached
+/// \brief None of the endpoints that could serve the request takes one in time, by their notices.
+struct NoEndpointInTime
 {
-    Duration comeBackIn_{}; ///< Until the first of them may have a send free.
+    Duration comeBackIn_{}; ///< Until the first of them may take one.
+    std::string_view reason_;
 };
 
-using Choice = std::variant<Target, NeedsReservation, LimitsReached, NoTarget>;
+using Choice = std::variant<Target, NeedsReservation, NoEndpointInTime, NoTarget>;
 
 /// \brief Balances over the endpoints of the book.
 class Balancer
@@ -104,7 +108,17 @@
 
     [[nodiscard]] const std::vector<Candidate> &candidatesOf(const Service &service);
     [[nodiscard]] std::vector<Candidate> derive(const Service &service) const;
-    [[nodiscard]] std::vector<const Candidate *> usable(const Demand &demand, TimePoint now);
+    struct Usable
+    {
+        std::vector<const Candidate *> candidates_;
+        std::size_t cooling_ = 0;               ///< Candidates that were left out.
+        std::optional<Duration> soonestCooled_; ///< Until the first of these takes requests.
+    };
+
+    [[nodiscard]] Usable usable(const Demand &demand, TimePoint now);
+    [[nodiscard]] Choice whenCooled(Duration soonest, const Demand &demand);
+    [[nodiscard]] Choice chooseUsable(std::vector<const Candidate *> candidates,
+                                      const Demand &demand, TimePoint now);
     [[nodiscard]] const Candidate *best(const std::vector<const Candidate *> &candidates,
                                         const Demand &demand, TimePoint now);
     [[nodiscard]] Choice chooseLimited(const std::vector<const Candidate *> &limited,
--- /dev/null
+++ b/include/cardamombay/serving/endpoint_gate.hpp
@@ -0,0 +1,52 @@
+/// \file
+/// \brief Says whether an endpoint may be sent something now, by all that it has said of itself.
+/// \details Asked when an endpoint is chosen, and once more right before the first byte leaves:
+/// connections take time, and notices come meanwhile. Every kind of send passes here, orders to
+/// engines included.
+#pragma once
+
+#include <cardamombay/serving/balancer.hpp>
+#include <cardamombay/serving/endpoint_notices.hpp>
+#include <cardamombay/serving/reservation_desk.hpp>
+#include <cardamombay/serving/send_gate.hpp>
+
+namespace cardamombay::serving {
+
+/// \brief Result of the last look before a send.
+enum class LastLook {
+    Send,
+    Leaving,  ///< The endpoint leaves, or is not listed any more.
+    Cooldown, ///< It wants nothing from this entry VM for now.
+    Limited,  ///< It limits its rate, and the send is not reserved.
+};
+
+/// \brief Gate of one entry VM; belongs to the gateway's thread.
+class EndpointGate final : public SendGate
+{
+public:
+    /// \param balancer, notices, reservations outlive the gate.
+    EndpointGate(const Balancer &balancer, EndpointNotices &notices,
+                 const ReservationDesk &reservations);
+
+    /// \brief Asked when the connection stands; a send that is withheld is counted.
+    /// \param isReserved the send was reserved.
+    [[nodiscard]] LastLook lastLook(const EndpointLife &endpoint, bool isReserved, TimePoint now);
+
+    /// \name SendGate
+    /// \{
+    [[nodiscard]] std::optional<SendBar> bar(const EndpointLife &endpoint,
+                                             TimePoint now) const override;
+    [[nodiscard]] bool isLimited(const EndpointLife &endpoint) const override;
+    [[nodiscard]] std::optional<Duration> fullFor(const EndpointLife &endpoint,
+                                                  Duration wait) const override;
+    /// \}
+
+private:
+    [[nodiscard]] LastLook look(const EndpointLife &endpoint, bool isReserved, TimePoint now) const;
+
+    const Balancer &balancer_;
+    EndpointNotices &notices_;
+    const ReservationDesk &reservations_;
+};
+
+} // namespace cardamombay::serving
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -11,6 +11,7 @@
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/crash_detector.hpp>
 #include <cardamombay/serving/dialects.hpp>
+#include <cardamombay/serving/endpoint_gate.hpp>
 #include <cardamombay/serving/endpoint_notices.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
@@ -97,6 +98,8 @@
 
     /// \brief What endpoints have said of themselves.
     [[nodiscard]] EndpointNotices &notices() { return notices_; }
+    /// \brief Where every send asks whether it may leave.
+    [[nodiscard]] EndpointGate &gate() { return gate_; }
     /// \brief Limits of the rate of requests that endpoints name.
     [[nodiscard]] EndpointLimits &limits() { return notices_.limits(); }
     /// \brief Reserves sends to the endpoints that have one.
@@ -171,6 +174,7 @@
     PoisonPills poisonPills_;
     EndpointNotices notices_;
     ReservationDesk reservations_;
+    EndpointGate gate_;
     std::function<void()> crashSeen_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> ended_;
--- a/include/cardamombay/serving/reservation_desk.hpp
+++ b/include/cardamombay/serving/reservation_desk.hpp
@@ -11,7 +11,6 @@
 #include <cardamombay/serving/gateway_metrics.hpp>
 #include <cardamombay/serving/reservation_book.hpp>
 #include <cardamombay/serving/reservation_messages.hpp>
-#include <cardamombay/serving/send_gate.hpp>
 
 #include <functional>
 #include <map>
@@ -59,7 +58,7 @@
 };
 
 /// \brief One entry VM's side, and its lines as an owner; belongs to the gateway's thread.
-class ReservationDesk final : public SendGate
+class ReservationDesk
 {
 public:
     /// \param clock, limits, metrics outlive the desk.
@@ -93,12 +92,12 @@
     /// \brief Ends what was not answered in time. Call with each sweep.
     void sweep();
 
-    /// \name SendGate
-    /// \{
-    [[nodiscard]] bool isLimited(const EndpointLife &endpoint) const override;
+    /// \brief True if a send needs a reservation.
+    [[nodiscard]] bool isLimited(const EndpointLife &endpoint) const;
+
+    /// \brief Time until a caller may find a send there; nothing if one may open within \p wait.
     [[nodiscard]] std::optional<Duration> fullFor(const EndpointLife &endpoint,
-                                                  Duration wait) const override;
-    /// \}
+                                                  Duration wait) const;
 
 private:
     friend class Reservation;
--- a/include/cardamombay/serving/send_gate.hpp
+++ b/include/cardamombay/serving/send_gate.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Seam to whoever knows which endpoints may only be sent to with a reservation.
+/// \brief Seam to whoever knows what endpoints have said of the requests that they want.
 #pragma once
 
 #include <cardamombay/core/time.hpp>
@@ -9,7 +9,18 @@
 
 namespace cardamombay::serving {
 
-/// \brief What a balancer asks about an endpoint's limit.
+/// \brief Why an endpoint gets nothing at all.
+struct SendBar
+{
+    enum class Reason {
+        Leaving,
+        Cooldown,
+    };
+    Reason reason_ = Reason::Leaving;
+    Duration left_{}; ///< Of a cooldown.
+};
+
+/// \brief What a balancer asks about an endpoint's notices.
 class SendGate
 {
 public:
@@ -18,6 +29,10 @@
     SendGate &operator=(const SendGate &) = delete;
     virtual ~SendGate() = default;
 
+    /// \brief Why nothing may be sent there now; nothing if something may.
+    [[nodiscard]] virtual std::optional<SendBar> bar(const EndpointLife &endpoint,
+                                                     TimePoint now) const = 0;
+
     /// \brief True if a send needs a reservation.
     [[nodiscard]] virtual bool isLimited(const EndpointLife &endpoint) const = 0;
 
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -46,6 +46,9 @@
 /// Share of the newest prompt in the mean of those seen here: some fifty requests.
 constexpr double promptWeight = 0.02;
 
+/// Callers that are told of the end of a cooldown come back within this time after it, at the most.
+constexpr Duration longestReturnSpread = std::chrono::seconds(2);
+
 const Model *modelNamed(const EngineProfile &profile, const ModelName &name)
 {
     const auto found = std::find_if(profile.models_.begin(), profile.models_.end(),
@@ -125,9 +128,9 @@
                       [&model](const Candidate &one) { return one.model_ == model; }));
 }
 
-std::vector<const Balancer::Candidate *> Balancer::usable(const Demand &demand, TimePoint now)
+Balancer::Usable Balancer::usable(const Demand &demand, TimePoint now)
 {
-    std::vector<const Candidate *> result;
+    Usable result;
     std::vector<const Candidate *> avoided;
     for (const auto &candidate : candidatesOf(*demand.service_)) {
         if (demand.service_->engine_ && candidate.model_ != demand.model_)
@@ -137,12 +140,24 @@
               != demand.tried_.end();
         if (wasTried || board_.hasCrashed(candidate.endpoint_, candidate.bornAt_))
             continue;
-        auto &list = board_.isUsable(candidate.endpoint_, now) ? result : avoided;
+        const auto barred
+            = demand.gate_ == nullptr ? std::nullopt : demand.gate_->bar(candidate.life(), now);
+        if (barred) {
+            if (barred->reason_ == SendBar::Reason::Cooldown) {
+                ++result.cooling_;
+                result.soonestCooled_
+                    = std::min(result.soonestCooled_.value_or(barred->left_), barred->left_);
+            }
+            continue;
+        }
+        auto &list = board_.isUsable(candidate.endpoint_, now) ? result.candidates_ : avoided;
         list.push_back(&candidate);
     }
     // A plain endpoint that fails often still serves more than none. A request for a group waits
     // instead until one of the groups is tried again.
-    return result.empty() && !demand.service_->engine_ ? avoided : result;
+    if (result.candidates_.empty() && !demand.service_->engine_)
+        result.candidates_ = std::move(avoided);
+    return result;
 }
 
 /// Tokens: the operators' figure, or else the mean of the prompts that came here.
@@ -306,17 +321,41 @@
         return NeedsReservation{candidate->life()};
     // Where one has its rate left but no place, a place may become free at any moment.
     if (open.empty() && soonestFree)
-        return LimitsReached{*soonestFree};
+        return NoEndpointInTime{*soonestFree, "all endpoints have reached their limits"};
     return NoTarget::Full;
 }
 
+/// Callers are spread over some time after the cooldown, or they would all return at its end.
+Choice Balancer::whenCooled(Duration soonest, const Demand &demand)
+{
+    if (soonest <= demand.longestWait_)
+        return NoTarget::Cooldown;
+    const auto spread = std::min(longestReturnSpread, soonest / 2);
+    return NoEndpointInTime{soonest + fromSeconds(toSeconds(spread) * random_.unit()),
+                            "all endpoints ask to be left alone"};
+}
+
 Choice Balancer::choose(const Demand &demand, TimePoint now)
 {
-    auto candidates = usable(demand, now);
-    if (candidates.empty())
-        return NoTarget::NoEndpoint;
     if (demand.service_->engine_)
         notePrompt(demand);
+    auto found = usable(demand, now);
+    if (found.candidates_.empty())
+        return found.soonestCooled_ ? whenCooled(*found.soonestCooled_, demand)
+                                    : Choice(NoTarget::NoEndpoint);
+    auto choice = chooseUsable(std::move(found.candidates_), demand, now);
+    if (auto *target = std::get_if<Target>(&choice))
+        target->passedOver_ = found.cooling_;
+    // A cooldown may end before a limit leaves room.
+    const auto *none = std::get_if<NoEndpointInTime>(&choice);
+    if (none != nullptr && found.soonestCooled_ && *found.soonestCooled_ < none->comeBackIn_)
+        return whenCooled(*found.soonestCooled_, demand);
+    return choice;
+}
+
+Choice Balancer::chooseUsable(std::vector<const Candidate *> candidates, const Demand &demand,
+                              TimePoint now)
+{
     std::vector<const Candidate *> limited;
     std::erase_if(candidates, [&](const Candidate *candidate) {
         const bool isLimited = demand.gate_ != nullptr && demand.reserved_ != candidate->life()
@@ -334,7 +373,7 @@
     if (limited.empty())
         return NoTarget::Full;
     const auto choice = chooseLimited(limited, demand, now);
-    const bool mayFreeUp = !candidates.empty() && std::holds_alternative<LimitsReached>(choice);
+    const bool mayFreeUp = !candidates.empty() && std::holds_alternative<NoEndpointInTime>(choice);
     return mayFreeUp ? Choice(NoTarget::Full) : choice;
 }
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -48,6 +48,7 @@
     , crashDetector_(parts.clock_, parts.upstream_)
     , notices_(parts.metrics_)
     , reservations_(parts.clock_, notices_.limits(), parts.metrics_, Random(random.bits()))
+    , gate_(parts.balancer_, notices_, reservations_)
 {
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
     poisonPills_.onVerdict([this](const PoisonVerdict &verdict) { requestQuarantined(verdict); });
@@ -170,11 +171,12 @@
         return std::pair(left->priority(), left->arrivedAt())
                < std::pair(right->priority(), right->arrivedAt());
     });
-    std::set<ModelName> full;
+    std::set<std::pair<ServiceName, ModelName>> full;
     for (const auto &session : sessions) {
-        const bool isWorthTrying = !full.contains(session->model()) || session->hasTurn();
+        const std::pair needed(session->service(), session->model());
+        const bool isWorthTrying = !full.contains(needed) || session->hasTurn();
         if (isWorthTrying && !session->retryHeld())
-            full.insert(session->model());
+            full.insert(needed);
     }
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -59,6 +59,7 @@
         giveUp("time-out");
         return true;
     }
+    dropBarredReservation(now);
     auto choice = choose(now);
     while (const auto *needed = std::get_if<NeedsReservation>(&choice)) {
         if (awaitsReservation(now) || !reserve(*needed, now))
@@ -76,13 +77,14 @@
     }
     // What has begun has more to lose, and another endpoint may become free.
     const bool hasBegun = events_ > 0 || mayHaveRun_ > 0;
-    if (const auto *reached = std::get_if<LimitsReached>(&choice);
-        reached != nullptr && !hasBegun) {
-        comeBackIn_ = reached->comeBackIn_;
-        giveUp("all endpoints have reached their limits");
+    if (const auto *later = std::get_if<NoEndpointInTime>(&choice); later != nullptr && !hasBegun) {
+        comeBackIn_ = later->comeBackIn_;
+        giveUp(later->reason_);
         return false;
     }
-    if (service_->engine_ && mayHold(now)) {
+    const auto *none = std::get_if<NoTarget>(&choice);
+    const bool endsCooldown = none != nullptr && *none == NoTarget::Cooldown;
+    if ((service_->engine_ || endsCooldown) && mayHold(now)) {
         isHeld_ = true;
         wasHeld_ = true;
         return target != nullptr;
@@ -91,7 +93,6 @@
         giveUp("the fleet's repeats are used up");
         return true;
     }
-    const auto *none = std::get_if<NoTarget>(&choice);
     const bool isFull = none == nullptr || *none == NoTarget::Full;
     giveUp(isFull ? "all endpoints are full" : "no endpoint serves");
     return false;
@@ -109,7 +110,7 @@
     demand.hasBegun_ = events_ > 0;
     if (gateway_.poisonPills().isSuspect(fingerprint_))
         demand.suspect_ = fingerprint_;
-    demand.gate_ = &gateway_.reservations();
+    demand.gate_ = &gateway_.gate();
     demand.longestWait_ = holdLeft(now);
     if (reservation_ && reservation_->isOpen(now))
         demand.reserved_ = reservation_->endpoint();
@@ -239,15 +240,21 @@
 /// The choice is as old as the connection took, or as long as the process was suspended meanwhile.
 bool Session::onConnected()
 {
-    if (gateway_.parts().balancer_.hasLeft(target_.endpoint_)) {
+    const auto now = gateway_.parts().clock_.now();
+    switch (gateway_.gate().lastLook(target_.life(), isReserved_, now)) {
+    case LastLook::Leaving:
         attemptFailed(Failure::NotSent, "the endpoint leaves");
         return false;
-    }
-    // Its limit may have become known since the endpoint was chosen.
-    if (!isReserved_ && gateway_.reservations().isLimited(target_.life())) {
+    case LastLook::Cooldown:
+        tried_.pop_back();
+        attemptFailed(Failure::NotSent, "the endpoint asks to be left alone");
+        return false;
+    case LastLook::Limited:
         tried_.pop_back();
         attemptFailed(Failure::NotSent, "the endpoint has named a limit");
         return false;
+    case LastLook::Send:
+        break;
     }
     isConnected_ = true;
     ++mayHaveRun_;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/dialects.hpp>
+#include <cardamombay/serving/endpoint_gate.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/reservation_desk.hpp>
@@ -49,6 +50,8 @@
     /// \brief Rank among requests; 0 is the most urgent.
     [[nodiscard]] std::uint32_t priority() const { return priority_; }
     [[nodiscard]] const ModelName &model() const { return head_.model_; }
+    /// \brief The service that it goes to; only of a request that is held.
+    [[nodiscard]] const ServiceName &service() const { return service_->name_; }
 
     /// \brief Ends the request at once, since the process stops.
     void cut();
@@ -100,6 +103,7 @@
     [[nodiscard]] Choice choose(TimePoint now);
     [[nodiscard]] bool takeRepeat();
     [[nodiscard]] bool moveElsewhere(std::string_view why, TimePoint now);
+    void dropBarredReservation(TimePoint now);
     [[nodiscard]] bool reserve(const NeedsReservation &needed, TimePoint now);
     void reservationAnswered();
     [[nodiscard]] bool awaitsReservation(TimePoint now) const;
@@ -122,6 +126,7 @@
     /// \name The answer
     /// \{
     void noteAnswer(std::uint32_t status, TimePoint now);
+    void noteRefusal(bool isWrongPlace, TimePoint now);
     void takeNotices(const AnswerHead &answer, TimePoint now);
     void takeStreamHead(const net::HttpResponse &head);
     void forgetAnswer();
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -24,7 +24,7 @@
     takeNotices(answer, now);
     if (answer.isRefused_) {
         --mayHaveRun_;
-        gateway_.parts().board_.failed(target_.endpoint_, now);
+        noteRefusal(answer.isWrongPlace_, now);
         attemptFailed(Failure::Refused, "status " + std::to_string(head.status_));
         return;
     }
@@ -50,6 +50,14 @@
     answer_.body_.clear();
 }
 
+/// An endpoint that names a cooldown has not run the request and is as good as any after it.
+void Session::noteRefusal(bool isWrongPlace, TimePoint now)
+{
+    gateway_.parts().board_.failed(target_.endpoint_, now);
+    if (!isWrongPlace && gateway_.notices().cooldown(target_.life(), now))
+        tried_.pop_back();
+}
+
 /// A failure of the endpoint's own counts as run, and against the endpoint unless the request has
 /// failed elsewhere too.
 void Session::noteAnswer(std::uint32_t status, TimePoint now)
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -121,6 +121,10 @@
         {"most-answer", std::to_string(head_.mostAnswerTokens_)},
         {"likely-answer", std::to_string(head_.likelyAnswerTokens_)},
         {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}};
+    if (target_.passedOver_ > 0)
+        details.push_back({"passed-over", std::to_string(target_.passedOver_)});
+    if (comeBackIn_ && outcome == "refused")
+        details.push_back({"come-back-ms", std::to_string(toMilliseconds(*comeBackIn_))});
     if (limit_)
         appendLimit(details, *limit_, attemptAt_, isReserved_);
     log::write(log::Level::Info, event::requestFinished, details);
--- a/src/serving/session_limits.cpp
+++ b/src/serving/session_limits.cpp
@@ -32,6 +32,13 @@
         (void)retryHeld();
 }
 
+/// A send to an endpoint that wants nothing now is of use to another entry VM.
+void Session::dropBarredReservation(TimePoint now)
+{
+    if (reservation_ && gateway_.gate().bar(reservation_->endpoint(), now))
+        reservation_.reset();
+}
+
 /// Another endpoint that has the address says nothing of this one, and a refusal need not name a
 /// limit that holds on.
 void Session::takeNotices(const AnswerHead &answer, TimePoint now)
--- a/tests/endpoint_cooldowns/sessions.cpp
+++ b/tests/endpoint_cooldowns/sessions.cpp
@@ -33,6 +33,20 @@
                       [&](const auto &call) { return call->field("endpoint") == endpoint; }));
 }
 
+/// Endpoints answer what they got and get.
+void serveAll(GatewayFixture &bench)
+{
+    for (std::size_t i = 0; i < bench.upstream_.calls_.size(); ++i) {
+        const auto call = bench.upstream_.calls_[i];
+        if (call->isDropped())
+            continue;
+        call->connect();
+        call->sealedHead();
+        call->end("id: 1\ndata: x\n\n");
+        bench.pass(milliseconds(20));
+    }
+}
+
 /// A stream that has begun at the only group and goes on.
 std::shared_ptr<FakeCall> begin(GatewayFixture &bench)
 {
@@ -128,11 +142,11 @@
         (void)bench.ask(one);
         refuse(bench, "0.6");
         const auto caller = bench.ask(one);
+        bench.pass(milliseconds(580));
         cr_assert_eq(caller->status(), 0);
-        bench.pass(milliseconds(640));
-        bench.lastCall()->connect();
-        bench.lastCall()->sealedHead();
-        bench.lastCall()->end("id: 1\ndata: x\n\n");
+        cr_assert_eq(bench.upstream_.calls_.size(), 1);
+        bench.pass(milliseconds(60));
+        serveAll(bench);
         cr_assert(caller->isFinished_ || caller->status() == 200);
     }
 }
@@ -160,9 +174,11 @@
     bench.addGroup("head-1");
     (void)bench.ask(path);
     refuse(bench, "30");
-    auto restarted = *bench.book_.find(VmId("head-1"));
+    const auto before = *bench.book_.find(VmId("head-1"));
+    auto restarted = before;
     restarted.bornAt_ += 1;
     bench.book_.put(restarted);
+    bench.gateway_.endpointRestarted(before.life(), before.address_);
     (void)bench.ask(path);
     cr_assert_eq(sendsTo(bench, "head-1"), 2);
 }
