Leave engines alone with orders and questions as well while they ask for it

Cause: an engine wants nothing from an entry VM in a cooldown, and orders and questions of the planner passed the gate of callers' requests by; their answers were not read for notices. A question that was turned away counted as silence, for which a group may be given up. Ruled out: that the planner's holder could hand such an order to another entry VM: the lease allows one sender of orders. Change: GatedOrders withholds orders (answer "withheld") and questions (error endpoint-cooling-down); the planner decides anew, and counts nothing against the engine. The adapter reads notices from the answers of both. An engine that leaves still takes orders. Conclusion: every kind of send passes the gate; a connection that only probes whether somebody listens sends nothing and is left as it is.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -102,11 +102,12 @@
     , store_(storeHttp_, {settings_.store_, storeTimeout})
     , orders_(orderHttp_, orderTimeout, stateTimeout)
     , meteredStore_(clock_, store_, store_, registry_)
-    , meteredOrders_(clock_, orders_, registry_)
     , balancer_(book_, board_, upstream_, Random(seedOf(settings_.entry_)))
     , metrics_(registry_)
     , gateway_({clock_, upstream_, dialect_, board_, balancer_, metrics_}, settings_.bounds_,
                Random(seedOf(settings_.entry_) + 1))
+    , gatedOrders_(clock_, orders_, gateway_.notices())
+    , meteredOrders_(clock_, gatedOrders_, registry_)
     , readiness_([this]() -> std::optional<std::string> {
         const bool isServing = lifecycle_ && lifecycle_->state() == "serving";
         return isServing && node_->isReady() ? std::optional<std::string>("ready\n") : std::nullopt;
--- a/apps/cardamombay-gateway/gateway_daemon.hpp
+++ b/apps/cardamombay-gateway/gateway_daemon.hpp
@@ -12,6 +12,7 @@
 #include <cardamombay/net/http_server.hpp>
 #include <cardamombay/net/kept_upstream.hpp>
 #include <cardamombay/net/udp_channel.hpp>
+#include <cardamombay/serving/gated_orders.hpp>
 #include <cardamombay/serving/gateway_settings.hpp>
 #include <cardamombay/serving/metered_platform.hpp>
 #include <cardamombay/serving/node.hpp>
@@ -83,7 +84,6 @@
     adapter::StoreClient store_;
     adapter::EngineOrders orders_;
     serving::MeteredStore meteredStore_;
-    serving::MeteredOrders meteredOrders_;
     adapter::PlatformFormat format_;
     adapter::PlatformDialect dialect_;
     serving::EndpointBook book_;
@@ -91,6 +91,8 @@
     serving::Balancer balancer_;
     serving::GatewayMetrics metrics_;
     serving::Gateway gateway_;
+    serving::GatedOrders gatedOrders_;
+    serving::MeteredOrders meteredOrders_;
     std::unique_ptr<leases::LeaseKeeper> lease_;
     serving::DemandMix mix_;
     std::unique_ptr<serving::ReplicaManager> manager_;
--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -190,6 +190,7 @@
 #include <cardamombay/serving/event_scanner.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/formats.hpp>
+#include <cardamombay/serving/gated_orders.hpp>
 #include <cardamombay/serving/gateway.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
 #include <cardamombay/serving/gateway_settings.hpp>
--- a/include/cardamombay/core/error.hpp
+++ b/include/cardamombay/core/error.hpp
@@ -106,6 +106,13 @@
     std::string reason_;
 };
 
+/// \brief The endpoint wants nothing from this entry VM for now; nothing was carried out.
+struct EndpointCoolingDown
+{
+    VmId vm_;
+    Duration left_{};
+};
+
 /// \brief An entry VM could not be reached.
 struct PeerUnreachable
 {
@@ -135,9 +142,10 @@
 /// \}
 
 /// \brief Any error of the library.
-using Error = std::variant<StoreUnavailable, StoreAnswerLost, StoreThrottled, StoreConflict,
-                           LeaseLost, ConfigConflict, InvalidInput, EndpointUnreachable,
-                           EndpointRefused, PeerUnreachable, TimedOut, MalformedMessage, NotFound>;
+using Error
+    = std::variant<StoreUnavailable, StoreAnswerLost, StoreThrottled, StoreConflict, LeaseLost,
+                   ConfigConflict, InvalidInput, EndpointUnreachable, EndpointRefused,
+                   EndpointCoolingDown, PeerUnreachable, TimedOut, MalformedMessage, NotFound>;
 
 /// \brief Short name of the kind, for logs and metrics, such as "store-unavailable".
 [[nodiscard]] std::string_view kindOf(const Error &error);
--- a/include/cardamombay/serving/replica_orders.hpp
+++ b/include/cardamombay/serving/replica_orders.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <cardamombay/core/result.hpp>
+#include <cardamombay/serving/answer_notices.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 
+#include <functional>
+#include <utility>
 #include <variant>
 
 namespace cardamombay::serving {
@@ -58,6 +61,7 @@
     Misfit,   ///< It does not fit the engine's state.
     Outdated, ///< A higher fencing number or epoch has been seen.
     Refused,  ///< Anything else; it will not be carried out.
+    Withheld, ///< Nothing was sent: the engine wants nothing for now.
 };
 
 /// \brief Short name for logs and metrics.
@@ -84,6 +88,22 @@
     /// \param done gets EndpointUnreachable if there was no connection, TimedOut if there was one
     /// and no answer came, EndpointRefused if another engine is at the address.
     virtual void state(const Endpoint &engine, Callback<Endpoint> done) = 0;
+
+    /// \brief Called with what answers say of the engines that gave them.
+    void onNotices(std::function<void(const EndpointLife &, const AnswerNotices &)> action)
+    {
+        noticed_ = std::move(action);
+    }
+
+protected:
+    void tellNotices(const EndpointLife &engine, const AnswerNotices &notices) const
+    {
+        if (noticed_)
+            noticed_(engine, notices);
+    }
+
+private:
+    std::function<void(const EndpointLife &, const AnswerNotices &)> noticed_;
 };
 
 } // namespace cardamombay::serving
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -20,6 +20,10 @@
         return "endpoint-unreachable";
     }
     std::string_view operator()(const EndpointRefused &) const { return "endpoint-refused"; }
+    std::string_view operator()(const EndpointCoolingDown &) const
+    {
+        return "endpoint-cooling-down";
+    }
     std::string_view operator()(const PeerUnreachable &) const { return "peer-unreachable"; }
     std::string_view operator()(const TimedOut &) const { return "timed-out"; }
     std::string_view operator()(const MalformedMessage &) const { return "malformed-message"; }
@@ -73,6 +77,10 @@
     {
         out_ << "endpoint " << e.vm_ << " refused with status " << e.status_ << ": " << e.reason_;
     }
+    void operator()(const EndpointCoolingDown &e) const
+    {
+        out_ << "endpoint " << e.vm_ << " wants nothing for " << toMilliseconds(e.left_) << " ms";
+    }
     void operator()(const PeerUnreachable &e) const
     {
         out_ << "entry VM " << e.peer_ << " could not be reached: " << e.detail_;
@@ -124,6 +132,10 @@
     {
         return "compare the endpoint's state with 'cardamombayctl vms'";
     }
+    std::string operator()(const EndpointCoolingDown &) const
+    {
+        return "try again after that time, or find out what the endpoint is short of";
+    }
     std::string operator()(const PeerUnreachable &) const
     {
         return "check that the entry VM runs and that its peer port is open";
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -280,6 +280,9 @@
 {
     auto &inquiry = inquiries_[group];
     inquiry.open_ -= inquiry.open_ > 0 ? 1 : 0;
+    // It has answered this entry VM just before.
+    if (isError<EndpointCoolingDown>(answer))
+        return;
     const bool isRestarted = isOk(answer) && valueOf(answer).bornAt_ > bornAt;
     if (isOk(answer) && !isRestarted) {
         unanswered_.erase(member);
--- a/src/serving/replica_orders.cpp
+++ b/src/serving/replica_orders.cpp
@@ -19,6 +19,8 @@
         return "misfit";
     case OrderAnswer::Outdated:
         return "outdated";
+    case OrderAnswer::Withheld:
+        return "withheld";
     case OrderAnswer::Refused:
         break;
     }
--- a/tests/adapter/store_client.cpp
+++ b/tests/adapter/store_client.cpp
@@ -255,3 +255,33 @@
     orders.send({}, serving::StageOrder{ModelName("m")}, 1, take);
     cr_assert(isError<EndpointUnreachable>(*answer));
 }
+
+Test(engine_orders, answers_tell_what_the_engine_says_of_itself)
+{
+    FakeClient client;
+    EngineOrders orders(client, seconds(1), seconds(1));
+    std::vector<serving::AnswerNotices> told;
+    orders.onNotices([&told](const auto & /*engine*/, const auto &one) { told.push_back(one); });
+    client.result_ = net::HttpResponse{503, {{"Retry-After", "3"}, {"Server-Leaving", "1"}}, {}};
+    std::optional<Result<serving::OrderAnswer>> answer;
+    orders.send({}, serving::StageOrder{ModelName("m")}, 1,
+                [&answer](const auto &one) { answer = one; });
+    cr_assert_eq(valueOf(*answer), serving::OrderAnswer::Refused);
+    std::optional<Result<serving::Endpoint>> state;
+    orders.state({}, [&state](const auto &one) { state = one; });
+    cr_assert(isError<EndpointCoolingDown>(*state));
+    cr_assert_eq(told.size(), 2);
+    cr_assert_eq(told[1].cooldown_, Duration(seconds(3)));
+    cr_assert(told[0].isLeaving_);
+}
+
+Test(engine_orders, another_engine_at_the_address_says_nothing_of_the_one_that_was_meant)
+{
+    FakeClient client;
+    EngineOrders orders(client, seconds(1), seconds(1));
+    int told = 0;
+    orders.onNotices([&told](const auto & /*engine*/, const auto & /*one*/) { ++told; });
+    client.result_ = net::HttpResponse{421, {{"Server-Leaving", "1"}}, {}};
+    orders.send({}, serving::StageOrder{ModelName("m")}, 1, [](const auto & /*one*/) {});
+    cr_assert_eq(told, 0);
+}
