Count an engine as leaving for the planner once it says so in an answer

Cause: only the store's list told the planner that an engine leaves; the entry may come late, or list the engine as ready again while the store is behind. Change: the list of endpoints takes the word of an answer, and keeps it for that life of the engine whatever is listed later. Ruled out: that a later life is concerned: the notice holds for the start at which it was given. Conclusion: read, not seen on the platform.

--- a/include/cardamombay/serving/endpoint_book.hpp
+++ b/include/cardamombay/serving/endpoint_book.hpp
@@ -32,6 +32,8 @@
     /// \brief The store was restored from a backup and may list endpoints as they were before they
     /// left. Until \p until one that was known to leave, or to be gone, stays so in the same life.
     void holdLeaving(TimePoint until) { heldUntil_ = until; }
+    /// \brief A listed endpoint has said itself that it leaves; its entry may still be on its way.
+    void markLeaving(const EndpointLife &endpoint);
     /// \brief Drops those whose grace is over, and takes entries that were held back. Call a few
     /// times a second.
     void expire(TimePoint now);
@@ -44,6 +46,13 @@
         restarted_ = std::move(action);
     }
 
+    /// \brief Entries of endpoints for which \p action is true count as leaving, whatever they
+    /// list.
+    void setKnownLeaving(std::function<bool(const EndpointLife &)> action)
+    {
+        isKnownLeaving_ = std::move(action);
+    }
+
     /// \brief The endpoint; null if it is unknown or gone.
     [[nodiscard]] const Endpoint *find(const VmId &id) const;
 
@@ -72,6 +81,7 @@
     std::map<VmId, Endpoint> endpoints_;
     std::map<VmId, Ended> ended_;
     std::function<void(const Endpoint &)> restarted_;
+    std::function<bool(const EndpointLife &)> isKnownLeaving_;
     std::map<VmId, TimePoint> missing_; ///< Not listed; dropped at that time.
     TimePoint excusedUntil_{};
     std::map<VmId, Endpoint> heldBack_; ///< Entries that may be older than a leaving.
--- a/src/serving/endpoint_book.cpp
+++ b/src/serving/endpoint_book.cpp
@@ -60,6 +60,8 @@
     if (known != nullptr && endpoint.bornAt_ < known->bornAt_)
         return; // News of an earlier life.
     missing_.erase(id);
+    if (isKnownLeaving_ && isKnownLeaving_(endpoint.life()))
+        endpoint.isDraining_ = true;
     std::optional<Endpoint> earlier;
     if (known != nullptr && endpoint.bornAt_ > known->bornAt_)
         earlier = *known;
@@ -74,6 +76,15 @@
         restarted_(*earlier);
 }
 
+void EndpointBook::markLeaving(const EndpointLife &endpoint)
+{
+    const auto found = endpoints_.find(endpoint.id_);
+    if (found == endpoints_.end() || found->second.life() != endpoint || found->second.isDraining_)
+        return;
+    found->second.isDraining_ = true;
+    ++revision_;
+}
+
 void EndpointBook::remove(const VmId &id, TimePoint now)
 {
     heldBack_.erase(id);
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -66,6 +66,8 @@
 Node::~Node()
 {
     parts_.book_.onRestarted({});
+    parts_.book_.setKnownLeaving({});
+    parts_.gateway_.notices().onLeaving({});
     parts_.gateway_.onEndpointCrash({});
     parts_.gateway_.reservations().onSend({});
 }
@@ -74,6 +76,10 @@
 {
     parts_.datagrams_.onReceived([this](std::string_view text) { datagramArrived(text); });
     parts_.book_.onRestarted([this](const Endpoint &before) { endpointRestarted(before); });
+    auto &notices = parts_.gateway_.notices();
+    notices.onLeaving([this](const EndpointLife &endpoint) { parts_.book_.markLeaving(endpoint); });
+    parts_.book_.setKnownLeaving(
+        [&notices](const EndpointLife &endpoint) { return notices.isLeaving(endpoint); });
     startedAt_ = parts_.clock_.now();
     storeAnsweredAt_ = startedAt_;
     noteLearning();
