Tell peers of cooldowns, so that each entry VM need not be turned away itself

Cause: an endpoint that turns all away is found out by a refused send of each entry VM for each cooldown. At 74 entry VMs that is more than all sends of callers: their four sends and the fleet's repeats are used up. Ruled out: that peers' news bind: an endpoint means the entry VM that it answers. If news bound, one word to one entry VM would close the endpoint for all. Change: digests and sums carry cooldowns for 1.2 s after they were named. Endpoints that turned peers away are tried last, after those with a reserved send. Without cooldowns no byte and no decision changes.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -117,6 +117,8 @@
 
     [[nodiscard]] Usable usable(const Demand &demand, TimePoint now);
     [[nodiscard]] Choice whenCooled(Duration soonest, const Demand &demand);
+    [[nodiscard]] Choice chooseAdvised(std::vector<const Candidate *> candidates,
+                                       const Demand &demand, TimePoint now);
     [[nodiscard]] Choice chooseUsable(std::vector<const Candidate *> candidates,
                                       const Demand &demand, TimePoint now);
     [[nodiscard]] const Candidate *best(const std::vector<const Candidate *> &candidates,
--- a/include/cardamombay/serving/endpoint_gate.hpp
+++ b/include/cardamombay/serving/endpoint_gate.hpp
@@ -36,6 +36,7 @@
     /// \{
     [[nodiscard]] std::optional<SendBar> bar(const EndpointLife &endpoint,
                                              TimePoint now) const override;
+    [[nodiscard]] bool isAdvisedAgainst(const EndpointLife &endpoint, TimePoint now) const override;
     [[nodiscard]] bool isLimited(const EndpointLife &endpoint) const override;
     [[nodiscard]] std::optional<Duration> fullFor(const EndpointLife &endpoint,
                                                   Duration wait) const override;
--- a/include/cardamombay/serving/endpoint_notices.hpp
+++ b/include/cardamombay/serving/endpoint_notices.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace cardamombay::serving {
 
@@ -24,6 +25,20 @@
     [[nodiscard]] Duration left(TimePoint now) const { return until_ - now; }
 };
 
+/// \brief What an entry VM tells its peers of an endpoint that turned it away.
+struct CooldownNews
+{
+    EndpointLife endpoint_;
+    Duration left_{};
+
+    friend bool operator==(const CooldownNews &, const CooldownNews &) = default;
+};
+
+/// \brief Adds \p from to \p into; of two that tell of one endpoint the longer one stays.
+/// \param age since \p from was told.
+void mergeNews(std::vector<CooldownNews> &into, const std::vector<CooldownNews> &from,
+               Duration age);
+
 /// \brief The answer that notices came with.
 struct AnswerOrigin
 {
@@ -53,6 +68,15 @@
         leavingSeen_ = std::move(action);
     }
 
+    /// \name Peers
+    /// \{
+    /// \brief Cooldowns that began or were named again here just now.
+    [[nodiscard]] std::vector<CooldownNews> news(TimePoint now) const;
+    /// \brief Takes what a peer tells. An endpoint means only the entry VM that it turns away, so
+    /// this is advice: it bars nothing.
+    void take(const std::vector<CooldownNews> &news, TimePoint now);
+    /// \}
+
     /// \brief A send was withheld because of a notice; for the log.
     void countWithheld(const EndpointLife &endpoint);
 
@@ -67,6 +91,8 @@
     [[nodiscard]] std::optional<Cooldown> cooldown(const EndpointLife &endpoint,
                                                    TimePoint now) const;
     [[nodiscard]] bool isLeaving(const EndpointLife &endpoint) const;
+    /// \brief True if the endpoint has turned peers away and others should be tried first.
+    [[nodiscard]] bool isAdvisedAgainst(const EndpointLife &endpoint, TimePoint now) const;
     /// \}
 
 private:
@@ -74,6 +100,7 @@
     struct Record
     {
         Cooldown cooldown_;
+        TimePoint namedAt_{};      ///< Last.
         std::size_t refusals_ = 0; ///< Answers that asked for it.
         std::size_t withheld_ = 0; ///< Sends that were not made.
     };
@@ -86,6 +113,7 @@
     GatewayMetrics &metrics_;
     EndpointLimits limits_;
     std::map<EndpointLife, Record> cooldowns_;
+    std::map<EndpointLife, TimePoint> advised_; ///< Until when peers are turned away.
     std::map<EndpointLife, TimePoint> leaving_; ///< When they said so last.
     std::set<EndpointLife> unreadable_;         ///< Already logged.
     std::function<void(const EndpointLife &)> leavingSeen_;
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/serving/duty_order.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
+#include <cardamombay/serving/endpoint_notices.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/repeat_window.hpp>
@@ -54,6 +55,7 @@
     std::map<ServiceName, RepeatCounts> repeats_; ///< Of the last window.
     PoisonNews poison_;                           ///< Requests that end endpoints.
     std::vector<LimitNews> limits_;               ///< That endpoints named.
+    std::vector<CooldownNews> cooldowns_;         ///< That endpoints named to it.
     bool isDraining_ = false;
 
     friend bool operator==(const LoadDigest &, const LoadDigest &) = default;
--- a/include/cardamombay/serving/send_gate.hpp
+++ b/include/cardamombay/serving/send_gate.hpp
@@ -33,6 +33,10 @@
     [[nodiscard]] virtual std::optional<SendBar> bar(const EndpointLife &endpoint,
                                                      TimePoint now) const = 0;
 
+    /// \brief True if others should be tried before the endpoint.
+    [[nodiscard]] virtual bool isAdvisedAgainst(const EndpointLife &endpoint,
+                                                TimePoint now) const = 0;
+
     /// \brief True if a send needs a reservation.
     [[nodiscard]] virtual bool isLimited(const EndpointLife &endpoint) const = 0;
 
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -343,7 +343,7 @@
     if (found.candidates_.empty())
         return found.soonestCooled_ ? whenCooled(*found.soonestCooled_, demand)
                                     : Choice(NoTarget::NoEndpoint);
-    auto choice = chooseUsable(std::move(found.candidates_), demand, now);
+    auto choice = chooseAdvised(std::move(found.candidates_), demand, now);
     if (auto *target = std::get_if<Target>(&choice))
         target->passedOver_ = found.cooling_;
     // A cooldown may end before a limit leaves room.
@@ -353,6 +353,28 @@
     return choice;
 }
 
+/// Endpoints that turned peers away come last: they may take requests from here, and are the only
+/// ones at times.
+Choice Balancer::chooseAdvised(std::vector<const Candidate *> candidates, const Demand &demand,
+                               TimePoint now)
+{
+    const auto first
+        = std::partition(candidates.begin(), candidates.end(), [&](const Candidate *candidate) {
+              return demand.gate_ == nullptr
+                     || !demand.gate_->isAdvisedAgainst(candidate->life(), now);
+          });
+    std::vector<const Candidate *> last(first, candidates.end());
+    candidates.erase(first, candidates.end());
+    if (last.empty())
+        return chooseUsable(std::move(candidates), demand, now);
+    if (candidates.empty())
+        return chooseUsable(std::move(last), demand, now);
+    const auto choice = chooseUsable(std::move(candidates), demand, now);
+    if (std::holds_alternative<Target>(choice) || std::holds_alternative<NeedsReservation>(choice))
+        return choice;
+    return chooseUsable(std::move(last), demand, now);
+}
+
 Choice Balancer::chooseUsable(std::vector<const Candidate *> candidates, const Demand &demand,
                               TimePoint now)
 {
--- a/src/serving/digest_hub.cpp
+++ b/src/serving/digest_hub.cpp
@@ -189,6 +189,7 @@
         addRepeats(sum.repeats_, last.repeats_);
         mergeNews(sum.poison_, last.poison_);
         mergeNews(sum.limits_, aged(last.limits_, now - source.heardAt_));
+        mergeNews(sum.cooldowns_, last.cooldowns_, now - source.heardAt_);
         sum.silent_.insert(sum.silent_.end(), last.silent_.begin(), last.silent_.end());
         add(totals, source);
         if (last.relay_) {
--- a/src/serving/endpoint_gate.cpp
+++ b/src/serving/endpoint_gate.cpp
@@ -19,6 +19,11 @@
     return std::nullopt;
 }
 
+bool EndpointGate::isAdvisedAgainst(const EndpointLife &endpoint, TimePoint now) const
+{
+    return notices_.isAdvisedAgainst(endpoint, now);
+}
+
 bool EndpointGate::isLimited(const EndpointLife &endpoint) const
 {
     return reservations_.isLimited(endpoint);
--- a/src/serving/endpoint_notices.cpp
+++ b/src/serving/endpoint_notices.cpp
@@ -19,6 +19,11 @@
 /// An endpoint that leaves is gone long before; one that still answers says it again.
 constexpr Duration leavingKeptFor = std::chrono::hours(1);
 
+/// What an endpoint said stays in several digests, so that one that is lost does no harm.
+constexpr Duration toldFor = std::chrono::milliseconds(1200);
+/// Endpoints that one digest tells of.
+constexpr std::size_t mostTold = 24;
+
 /// Endpoints of which each kind of notice is kept; bounds memory.
 constexpr std::size_t mostKept = 8192;
 
@@ -32,6 +37,20 @@
 
 } // namespace
 
+void mergeNews(std::vector<CooldownNews> &into, const std::vector<CooldownNews> &from, Duration age)
+{
+    for (const auto &one : from) {
+        const auto left = one.left_ - age;
+        const auto known = std::find_if(into.begin(), into.end(), [&one](const auto &other) {
+            return other.endpoint_ == one.endpoint_;
+        });
+        if (known != into.end())
+            known->left_ = std::max(known->left_, left);
+        else if (left > Duration::zero() && into.size() < mostTold)
+            into.push_back({one.endpoint_, left});
+    }
+}
+
 EndpointNotices::EndpointNotices(GatewayMetrics &metrics)
     : metrics_(metrics)
 {
@@ -82,6 +101,7 @@
         end(endpoint, std::exchange(known->second, {}), now);
     auto &record = cooldowns_[endpoint];
     ++record.refusals_;
+    record.namedAt_ = now;
     if (isInForce) {
         metrics_.refusalsInCooldown_.increment();
     } else {
@@ -93,8 +113,9 @@
     if (isLonger)
         record.cooldown_.until_ = until;
     if (!isInForce)
-        log::info(event::endpointCooldown,
-                  {{"endpoint", endpoint.text()}, {"for-ms", milliseconds(until - now)}});
+        log::info(event::endpointCooldown, {{"endpoint", endpoint.text()},
+                                            {"for-ms", milliseconds(until - now)},
+                                            {"from", "answer"}});
 }
 
 void EndpointNotices::takeLeaving(const EndpointLife &endpoint, TimePoint now)
@@ -108,6 +129,33 @@
         leavingSeen_(endpoint);
 }
 
+std::vector<CooldownNews> EndpointNotices::news(TimePoint now) const
+{
+    std::vector<CooldownNews> result;
+    for (const auto &[endpoint, record] : cooldowns_) {
+        const auto left = record.cooldown_.left(now);
+        const bool isFresh = now - record.namedAt_ < toldFor;
+        if (isFresh && left > Duration::zero() && result.size() < mostTold)
+            result.push_back({endpoint, left});
+    }
+    return result;
+}
+
+void EndpointNotices::take(const std::vector<CooldownNews> &news, TimePoint now)
+{
+    for (const auto &one : news) {
+        const bool isKnown = advised_.contains(one.endpoint_);
+        if (!isKnown && advised_.size() >= mostKept)
+            continue;
+        auto &until = advised_[one.endpoint_];
+        until = std::max(until, now + std::min(one.left_, longestCooldown));
+        if (!isKnown && !cooldowns_.contains(one.endpoint_))
+            log::info(event::endpointCooldown, {{"endpoint", one.endpoint_.text()},
+                                                {"for-ms", milliseconds(one.left_)},
+                                                {"from", "peer"}});
+    }
+}
+
 void EndpointNotices::countWithheld(const EndpointLife &endpoint)
 {
     metrics_.withheldSends_.increment();
@@ -136,6 +184,7 @@
         place = isOver ? cooldowns_.erase(place) : std::next(place);
     }
     metrics_.cooldownsInForce_.set(static_cast<double>(cooldowns_.size()));
+    std::erase_if(advised_, [now](const auto &one) { return one.second <= now; });
     std::erase_if(leaving_, [now](const auto &one) { return now - one.second > leavingKeptFor; });
 }
 
@@ -152,4 +201,10 @@
     return leaving_.contains(endpoint);
 }
 
+bool EndpointNotices::isAdvisedAgainst(const EndpointLife &endpoint, TimePoint now) const
+{
+    const auto found = advised_.find(endpoint);
+    return found != advised_.end() && found->second > now;
+}
+
 } // namespace cardamombay::serving
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -74,6 +74,7 @@
     auto &reservations = parts_.gateway_.reservations();
     digest.limits_ = parts_.gateway_.limits().news(
         now, [&reservations](const EndpointLife &endpoint) { return reservations.owns(endpoint); });
+    digest.cooldowns_ = parts_.gateway_.notices().news(now);
     digest.endpoints_ = endpointWatch_.version();
     digest.isDraining_ = isLeaving_;
     if (isWatching_ && areEndpointsListed_)
@@ -173,6 +174,7 @@
     ageRelay(summary.sum_, now);
     parts_.gateway_.takePoisonNews(summary.sum_.poison_);
     parts_.gateway_.limits().take(summary.sum_.limits_, now);
+    parts_.gateway_.notices().take(summary.sum_.cooldowns_, now);
     const auto &from = summary.sum_.from_;
     meet({from, summary.sum_.address_, summary.sum_.zone_, summary.sum_.capacity_}, now);
     for (const auto &seat : summary.roster_)
@@ -280,6 +282,7 @@
     ageRelay(digest, now);
     parts_.gateway_.takePoisonNews(digest.poison_);
     parts_.gateway_.limits().take(digest.limits_, now);
+    parts_.gateway_.notices().take(digest.cooldowns_, now);
     if (digest.relay_)
         followRelay(*digest.relay_, digest.address_, now);
     if (hasReporters_) {
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -28,6 +28,8 @@
 
 /// Microseconds; an older word is worth nothing.
 constexpr std::uint64_t longestLimitAge = 3'600'000'000;
+/// Microseconds.
+constexpr std::uint64_t longestCooldownTold = 3'600'000'000;
 
 void readDemand(const json::value *value, std::map<ModelName, double> &demand)
 {
@@ -196,6 +198,40 @@
     return result;
 }
 
+/// Endpoint and time that is left.
+json::array cooldownsArray(const std::vector<CooldownNews> &cooldowns)
+{
+    json::array result;
+    for (const auto &one : cooldowns)
+        result.push_back(json::array{one.endpoint_.text(), microsecondsOf(one.left_)});
+    return result;
+}
+
+std::optional<CooldownNews> cooldownIn(const json::value &value)
+{
+    const auto *parts = value.if_array();
+    if (parts == nullptr || parts->size() < 2 || !parts->at(0).is_string())
+        return std::nullopt;
+    const auto left = countIn(parts->at(1));
+    if (!left || *left > longestCooldownTold)
+        return std::nullopt;
+    return CooldownNews{EndpointLife::parse(textOf(parts->at(0).get_string())),
+                        std::chrono::microseconds(*left)};
+}
+
+std::vector<CooldownNews> cooldownsIn(const json::value *value)
+{
+    std::vector<CooldownNews> result;
+    const auto *all = value == nullptr ? nullptr : value->if_array();
+    if (all == nullptr)
+        return result;
+    for (const auto &one : *all) {
+        if (auto cooldown = cooldownIn(one))
+            result.push_back(*std::move(cooldown));
+    }
+    return result;
+}
+
 /// Entries that cannot be read are left out; the next roster has them again.
 std::vector<PeerSeat> rosterIn(const json::value *value)
 {
@@ -241,6 +277,8 @@
         params["poison"] = poisonObject(digest.poison_);
     if (!digest.limits_.empty())
         params["limits"] = limitsArray(digest.limits_);
+    if (!digest.cooldowns_.empty())
+        params["cooldowns"] = cooldownsArray(digest.cooldowns_);
     if (digest.relay_)
         params["relay"] = relayObject(*digest.relay_);
     return params;
@@ -264,6 +302,7 @@
     digest.silent_ = endpointsIn(params.if_contains("silent"));
     digest.poison_ = poisonIn(params.if_contains("poison"));
     digest.limits_ = limitsIn(params.if_contains("limits"));
+    digest.cooldowns_ = cooldownsIn(params.if_contains("cooldowns"));
     digest.isDraining_ = flagIn(params, "draining");
     return digest;
 }
--- a/tests/endpoint_cooldowns/cooldown_play.cpp
+++ b/tests/endpoint_cooldowns/cooldown_play.cpp
@@ -107,7 +107,8 @@
 {
     ++seen_.sends_;
     note(group, entry);
-    const bool isInNeed = now() >= group.needFrom_ && now() < group.needUntil_;
+    const bool isMeant = scene_.refusesOnly_ == 0 || entry < scene_.refusesOnly_;
+    const bool isInNeed = isMeant && now() >= group.needFrom_ && now() < group.needUntil_;
     if (!isInNeed) {
         group.answers_.push_back({call, now() + firstEventAfter, 0});
         return;
--- a/tests/endpoint_cooldowns/cooldown_play.hpp
+++ b/tests/endpoint_cooldowns/cooldown_play.hpp
@@ -29,6 +29,7 @@
     double lossShare_ = 0.01;    ///< Of the datagrams between entry VMs.
     Duration length_ = std::chrono::seconds(20);
     std::vector<double> limits_{}; ///< Of the last groups, requests a second.
+    std::size_t refusesOnly_ = 0;  ///< So many entry VMs are refused; 0: all.
     std::size_t leaving_ = 0;      ///< Groups that say at a moment that they leave.
 };
 
--- a/tests/endpoint_cooldowns/regressions.cpp
+++ b/tests/endpoint_cooldowns/regressions.cpp
@@ -51,3 +51,46 @@
            .leaving_ = 3},
           3);
 }
+
+/// Callers are hardly refused while a third of the groups turns entry VMs away, one or all.
+Test(endpoint_cooldowns, callers_are_served_by_other_groups_meanwhile)
+{
+    for (const std::size_t refused : {0, 1}) {
+        const Scene scene{.entries_ = 74,
+                          .groups_ = 40,
+                          .cooling_ = 13,
+                          .cooldown_ = seconds(3),
+                          .need_ = seconds(15),
+                          .asked_ = 200,
+                          .refusesOnly_ = refused};
+        CooldownPlay play(scene, 4);
+        const auto seen = play.run();
+        print(refused == 0 ? "all are turned away" : "one is turned away", scene, seen);
+        cr_expect_geq(static_cast<double>(seen.served_), 0.99 * static_cast<double>(seen.asked_));
+        cr_expect_eq(seen.inSpite_, 0U);
+    }
+}
+
+Test(endpoint_cooldowns, cooldowns_hold_while_datagrams_are_lost_and_entry_vms_are_paused)
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        const Scene scene{.entries_ = 7,
+                          .cooldown_ = seconds(3),
+                          .need_ = seconds(5),
+                          .asked_ = 100,
+                          .lossShare_ = 0.3,
+                          .length_ = seconds(12),
+                          .limits_ = {3},
+                          .leaving_ = 2};
+        CooldownPlay play(scene, seed);
+        Random random(seed);
+        play.fault_ = [&] {
+            if (random.below(100) == 0)
+                play.fleet_.node(random.below(7)).clock_.setPaused(random.below(2) == 0);
+        };
+        const auto seen = play.run();
+        print("faults", scene, seen);
+        cr_expect_eq(seen.inSpite_, 0U, "seed %lu", seed);
+        cr_expect_leq(seen.latestLeaving_, milliseconds(100), "seed %lu", seed);
+    }
+}
--- a/tests/endpoint_cooldowns/sessions.cpp
+++ b/tests/endpoint_cooldowns/sessions.cpp
@@ -249,3 +249,52 @@
     cr_assert_eq(bench.ask(plainPath)->status(), 503);
     cr_assert_eq(sendsTo(bench, "p-0"), 1);
 }
+
+Test(leaving_sessions, endpoint_that_says_it_leaves_stays_so_when_its_entry_is_listed_again)
+{
+    GatewayFixture bench;
+    bench.addGroup("head-1");
+    auto &notices = bench.gateway_.notices();
+    bench.book_.setKnownLeaving(
+        [&notices](const EndpointLife &endpoint) { return notices.isLeaving(endpoint); });
+    notices.onLeaving([&bench](const EndpointLife &one) { bench.book_.markLeaving(one); });
+    (void)bench.ask(path);
+    bench.lastCall()->connect();
+    bench.lastCall()->head(200, {{"seal", "s"}, {"leaving", "1"}});
+    cr_assert(bench.book_.find(VmId("head-1"))->isDraining_);
+    bench.addGroup("head-1");
+    cr_assert(bench.book_.find(VmId("head-1"))->isDraining_);
+    auto restarted = *bench.book_.find(VmId("head-1"));
+    restarted.bornAt_ += 1;
+    restarted.isDraining_ = false;
+    bench.book_.put(restarted);
+    cr_assert_not(bench.book_.find(VmId("head-1"))->isDraining_);
+}
+
+Test(advised_sessions, group_that_turned_peers_away_is_tried_last)
+{
+    GatewayFixture bench;
+    bench.addGroup("head-1");
+    bench.addGroup("head-2");
+    const EndpointLife advised{VmId("head-1"), 0};
+    bench.gateway_.notices().take({{advised, seconds(3)}}, bench.clock_.now());
+    for (int i = 0; i < 3; ++i)
+        (void)bench.ask(path);
+    cr_assert_eq(sendsTo(bench, "head-1"), 0);
+    bench.book_.remove(VmId("head-2"), bench.clock_.now());
+    (void)bench.ask(path);
+    cr_assert_eq(sendsTo(bench, "head-1"), 1);
+}
+
+Test(advised_sessions, group_that_turned_peers_away_takes_what_the_others_have_no_room_for)
+{
+    GatewayFixture bench;
+    bench.addGroup("head-1");
+    bench.addGroup("head-2");
+    const EndpointLife advised{VmId("head-1"), 0};
+    bench.gateway_.notices().take({{advised, seconds(3)}}, bench.clock_.now());
+    for (int i = 0; i < 6; ++i)
+        (void)bench.ask(path);
+    bench.pass(milliseconds(300));
+    cr_assert_geq(sendsTo(bench, "head-1"), 1);
+}
--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -327,6 +327,12 @@
         hub.take(*digest, TimePoint{});
         (void)hub.fleetSummary(TimePoint{});
         require(again->limits_ == digest->limits_, "news of limits are read as they were");
+        require(again->cooldowns_ == digest->cooldowns_, "news of cooldowns are read as they were");
+        metrics::Registry registry;
+        GatewayMetrics metrics(registry);
+        EndpointNotices notices(metrics);
+        notices.take(digest->cooldowns_, TimePoint{} + std::chrono::hours(1));
+        notices.expire(TimePoint{} + std::chrono::hours(2));
         EndpointLimits limits;
         limits.take(digest->limits_, TimePoint{} + std::chrono::hours(1));
         limits.expire(TimePoint{} + std::chrono::hours(2));
