Let stand-ins of real processes ask for pauses and say that they leave

Ruled out: nothing; no change of logic. More than three requests for each gateway that may run in one cooldown count as a broken promise.

--- a/tests/fleet_platform/soak.cpp
+++ b/tests/fleet_platform/soak.cpp
@@ -125,6 +125,18 @@
             deployment_.tell("restore/" + std::to_string(500 + random_.below(4000)));
     }
 
+    /// An endpoint refuses all for a while, or says that it leaves.
+    void sendNotice()
+    {
+        const auto engine
+            = "e-" + std::to_string(random_.below(2)) + "-" + std::to_string(random_.below(6));
+        if (random_.below(8) == 0)
+            deployment_.tell("leaving/" + engine);
+        else
+            deployment_.tell("cooldown/" + (random_.below(3) == 0 ? "p-0" : engine),
+                             std::to_string(1 + random_.below(3)));
+    }
+
     void undo()
     {
         if (isStoreOut_)
@@ -234,7 +246,7 @@
 }
 
 /// What is played beside the usual faults.
-enum class Beside { Nothing, Pill, Restores };
+enum class Beside { Nothing, Pill, Restores, Notices };
 
 /// \param beside with a pill a request ends the engines that run it, beside all other faults.
 /// Endpoints are reached without a proxy then, which would answer for an engine that has ended.
@@ -257,6 +269,8 @@
     for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
         if (beside == Beside::Restores && i % 3 == 1)
             faults.restoreStore();
+        else if (beside == Beside::Notices && i % 2 == 1)
+            faults.sendNotice();
         else
             faults.step();
         std::this_thread::sleep_for(milliseconds(700));
@@ -315,3 +329,8 @@
 {
     soakAll(Beside::Restores);
 }
+
+Test(soak, notices_of_endpoints_among_faults_break_no_promise)
+{
+    soakAll(Beside::Notices);
+}
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -20,6 +20,9 @@
 constexpr auto downTime = std::chrono::milliseconds(1500);
 constexpr int eventsOfStream = 20;
 
+/// Three for each gateway that may run within one need, those that start again included.
+constexpr std::size_t mostRefusals = 24;
+
 StandinResponse refusal(unsigned status, const std::string &id)
 {
     auto response = jsonResponse(status, "");
@@ -93,6 +96,37 @@
 {
     if (!limit_.empty())
         response.set("Server-Limit", limit_);
+    if (isDraining_ || saysLeaving_)
+        response.set("Server-Leaving", "1");
+}
+
+void GroupEngineStandin::refuseFor(std::chrono::milliseconds need, std::string cooldown)
+{
+    refusesUntil_ = std::chrono::steady_clock::now() + need;
+    cooldown_ = std::move(cooldown);
+    arrivals_.clear();
+}
+
+void GroupEngineStandin::sayLeaving()
+{
+    saysLeaving_ = true;
+    arrivals_.clear();
+}
+
+bool GroupEngineStandin::isRefusing() const
+{
+    return std::chrono::steady_clock::now() < refusesUntil_;
+}
+
+asio::awaitable<void> GroupEngineStandin::refuse(StandinExchange &exchange)
+{
+    arrivals_.push_back(std::chrono::steady_clock::now());
+    if (arrivals_.size() == mostRefusals)
+        hall_.violations_.push_back(id_ + " got too much while it asked for a pause");
+    auto response = refusal(503, id_);
+    response.set("Retry-After", cooldown_);
+    name(response);
+    co_await exchange.respond(std::move(response));
 }
 
 void GroupEngineStandin::drain()
@@ -112,6 +146,10 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
+    if (isRefusing()) {
+        co_await refuse(exchange);
+        co_return;
+    }
     if (exchange.request().target() == "/-/order") {
         co_await order(exchange);
         co_return;
--- a/tests/support/group_engine_standin.hpp
+++ b/tests/support/group_engine_standin.hpp
@@ -46,7 +46,12 @@
     /// \brief Names \p perSecond as its limit in each answer from now on, or none if it is empty,
     /// and counts what arrives anew.
     void limit(std::string perSecond);
-    /// \brief When requests arrived since the limit was set.
+    /// \brief Refuses all for \p need, names \p cooldown in each refusal, and counts what arrives
+    /// anew.
+    void refuseFor(std::chrono::milliseconds need, std::string cooldown);
+    /// \brief Says in its answers that it leaves, and not in its entry; counts anew.
+    void sayLeaving();
+    /// \brief When requests arrived since the limit, the need or the leaving was set.
     [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &arrivals() const
     {
         return arrivals_;
@@ -75,7 +80,9 @@
     /// \brief Ends as a process does, and starts again after a while.
     void crash();
     boost::asio::awaitable<void> startAgain();
-    /// \brief Names the limit in an answer.
+    [[nodiscard]] bool isRefusing() const;
+    boost::asio::awaitable<void> refuse(StandinExchange &exchange);
+    /// \brief Says in an answer what there is to say of the endpoint itself.
     void name(StandinResponse &response) const;
     [[nodiscard]] bool isWhole() const;
     [[nodiscard]] bool isStalled() const;
@@ -94,7 +101,10 @@
     bool isSilent_ = false;
     bool isDown_ = false;
     bool isDraining_ = false;
-    std::string limit_; ///< Requests a second; empty if there is none.
+    bool saysLeaving_ = false;
+    std::chrono::steady_clock::time_point refusesUntil_{};
+    std::string cooldown_; ///< Seconds, named in refusals until then.
+    std::string limit_;    ///< Requests a second; empty if there is none.
     std::vector<std::chrono::steady_clock::time_point> arrivals_;
     std::uint16_t listedPort_ = 0; ///< In place of its own, unless zero.
     StandinServer server_;
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -3,6 +3,8 @@
 /// \details The store's port also takes what a test tells it: POST /test/config with a
 /// configuration, /test/silence/ID, /test/expire/ID, /test/drain/ID, /test/outage/STATUS,
 /// /test/limit/ID with the requests a second that the endpoint names from then on,
+/// /test/cooldown/ID with the seconds that it names in refusals for a while, /test/leaving/ID after
+/// which it says in its answers that it leaves,
 /// /test/restore/AGE with the age of the backup in milliseconds, /test/port/ID with the port that
 /// the endpoint lists, and GET /test/report with runs, violations and the endpoints' own ports.
 #include "support/group_engine_standin.hpp"
@@ -47,6 +49,9 @@
                                         {"ports", std::move(ports)}});
 }
 
+/// For which an endpoint that is told to refuse does so.
+constexpr auto need = std::chrono::milliseconds(2500);
+
 void command(EngineHall &hall, const std::string &path, const std::string &body)
 {
     const auto slash = path.rfind('/');
@@ -62,6 +67,10 @@
         hall.engines_.at(id)->drain();
     else if (verb == "/test/limit")
         hall.engines_.at(id)->limit(body);
+    else if (verb == "/test/cooldown")
+        hall.engines_.at(id)->refuseFor(need, body);
+    else if (verb == "/test/leaving")
+        hall.engines_.at(id)->sayLeaving();
     else if (verb == "/test/port")
         hall.engines_.at(id)->listAt(static_cast<std::uint16_t>(std::stoul(body)));
     else if (verb == "/test/restore")
