Lead from a request refused in a cooldown to the endpoints that asked for it

Cause: operators had no page and no test for such a refusal; the member that a head holds responsible was decoded and shown nowhere. Ruled out: nothing.

--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -15,6 +15,13 @@
 /// Events held for a caller that reads slowly, bytes; then the endpoint waits.
 constexpr std::size_t mostPending = std::size_t{256} * 1024;
 
+/// The endpoint may hold another member of its group responsible.
+std::string refusalText(std::uint32_t status, const VmId &failedMember)
+{
+    const auto text = "status " + std::to_string(status);
+    return failedMember.isEmpty() ? text : text + ", fault of " + failedMember.text();
+}
+
 } // namespace
 
 void Session::onHead(net::HttpResponse head)
@@ -25,7 +32,7 @@
     if (answer.isRefused_) {
         --mayHaveRun_;
         noteRefusal(answer.isWrongPlace_, now);
-        attemptFailed(Failure::Refused, "status " + std::to_string(head.status_));
+        attemptFailed(Failure::Refused, refusalText(head.status_, answer.failedMember_));
         return;
     }
     const bool isSuccess = head.status_ >= 200 && head.status_ < 300;
--- a/tests/explain/failed_requests.cpp
+++ b/tests/explain/failed_requests.cpp
@@ -173,3 +173,22 @@
     const auto served = trail.line("request-finished", "limit-per-second=0.1");
     cr_assert_eq(valueIn(served, "reserved"), "yes");
 }
+
+Test(explain, request_refused_in_a_cooldown_leads_to_the_endpoints_that_asked_for_it)
+{
+    const Deployment deployment;
+    const Trail trail(deployment);
+    deployment.tell("cooldown/p-0", "30");
+    deployment.tell("cooldown/p-1", "30");
+    (void)deployment.call(0, "/once/1", "cool-1");
+    const auto failed = trail.line("attempt-failed", "request=cool-1 ");
+    cr_assert_neq(valueIn(failed, "cooldown-left-ms"), "");
+    const auto finished = trail.line("request-finished", "request=cool-1 ");
+    cr_assert_eq(valueIn(finished, "reason"), "all endpoints ask to be left alone");
+    cr_assert_eq(valueIn(finished, "may-have-run"), "0");
+    cr_assert_geq(std::stoi(valueIn(finished, "come-back-ms")), 29000);
+    for (const auto *endpoint : {"p-0@1", "p-1@1"}) {
+        const auto cooldown = trail.line("endpoint-cooldown", "endpoint=" + std::string(endpoint));
+        cr_assert_geq(std::stoi(valueIn(cooldown, "for-ms")), 29000);
+    }
+}
