--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -369,7 +369,7 @@
         return chooseUsable(std::move(candidates), demand, now);
     if (candidates.empty())
         return chooseUsable(std::move(last), demand, now);
-    const auto choice = chooseUsable(std::move(candidates), demand, now);
+    auto choice = chooseUsable(std::move(candidates), demand, now);
     if (std::holds_alternative<Target>(choice) || std::holds_alternative<NeedsReservation>(choice))
         return choice;
     return chooseUsable(std::move(last), demand, now);
