Guard held plain requests against groups that have no room

Cause: held requests are skipped within a turn once one that needs the same found no room; "the same" was the model alone, which a plain request may name as well. Ruled out: nothing; no change of logic here. Change: a test. Figures: fails with the model alone, passes with service and model. Conclusion: as meant.

--- a/tests/endpoint_cooldowns/sessions.cpp
+++ b/tests/endpoint_cooldowns/sessions.cpp
@@ -298,3 +298,14 @@
     bench.pass(milliseconds(300));
     cr_assert_geq(sendsTo(bench, "head-1"), 1);
 }
+
+Test(cooling_sessions, held_plain_request_is_tried_though_no_group_has_room)
+{
+    GatewayFixture bench;
+    bench.book_.remove(VmId("p-1"), bench.clock_.now());
+    (void)bench.ask(plainPath);
+    refuse(bench, "0.6");
+    (void)bench.ask(path);
+    bench.pass(milliseconds(640));
+    cr_assert_eq(sendsTo(bench, "p-0"), 2);
+}
