--- a/include/cardamombay/serving/configuration.hpp
+++ b/include/cardamombay/serving/configuration.hpp
@@ -81,6 +81,8 @@
     std::uint32_t loadsAtOnce_ = 1;    ///< Loads beyond this share the weight store's speed.
     std::vector<Model> models_;
 
+    /// \brief The model of that name; null if the service has none.
+    [[nodiscard]] const Model *model(const ModelName &name) const;
     friend bool operator==(const EngineProfile &, const EngineProfile &) = default;
 };
 
--- a/include/cardamombay/serving/endpoint_gate.hpp
+++ b/include/cardamombay/serving/endpoint_gate.hpp
@@ -1,8 +1,8 @@
 /// \file
 /// \brief Says whether an endpoint may be sent something now, by all that it has said of itself.
 /// \details Asked when an endpoint is chosen, and once more right before the first byte leaves:
-/// connections take time, and notices come meanwhile. Every kind of send passes here, orders to
-/// engines included.
+/// connections take time, and notices come meanwhile. All requests of callers pass here; orders and
+/// questions to engines pass GatedOrders.
 #pragma once
 
 #include <cardamombay/serving/balancer.hpp>
--- a/include/cardamombay/serving/endpoint_notices.hpp
+++ b/include/cardamombay/serving/endpoint_notices.hpp
@@ -43,8 +43,8 @@
 struct AnswerOrigin
 {
     EndpointLife endpoint_;
-    TimePoint sentAt_{};          ///< Of the request that is answered.
-    bool mayOmitNotices_ = false; ///< That a limit is not named does not end it.
+    TimePoint sentAt_{};        ///< Of the request that is answered.
+    bool mayOmitLimit_ = false; ///< That a limit is not named does not end it.
 };
 
 /// \brief Notices of all endpoints; belongs to the gateway's thread.
--- a/src/serving/endpoint_notices.cpp
+++ b/src/serving/endpoint_notices.cpp
@@ -72,7 +72,7 @@
     } else if (notices.isLimitUnreadable_) {
         metrics_.unreadableLimits_.increment();
         limits_.unreadable(origin.endpoint_);
-    } else if (!origin.mayOmitNotices_) {
+    } else if (!origin.mayOmitLimit_) {
         limits_.notStated(origin.endpoint_, origin.sentAt_, now);
     }
 }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -227,12 +227,9 @@
     repeats_[service.name_].countRequest(repeatBound(), parts_.clock_.now());
     if (!service.engine_)
         return;
-    for (const auto &model : service.engine_->models_) {
-        if (model.name_ == head.model_)
-            demand_[model.name_]
-                += toSeconds(EngineModel(*service.engine_, model)
-                                 .groupTime(head.promptTokens_, likelyAnswer(head)));
-    }
+    if (const auto *model = service.engine_->model(head.model_))
+        demand_[model->name_] += toSeconds(EngineModel(*service.engine_, *model)
+                                               .groupTime(head.promptTokens_, likelyAnswer(head)));
 }
 
 void Gateway::setOthersRepeats(std::map<ServiceName, RepeatCounts> counts)
--- a/src/serving/planner_run.cpp
+++ b/src/serving/planner_run.cpp
@@ -38,10 +38,7 @@
 
 const Model *Run::modelNamed(const ModelName &name) const
 {
-    const auto &models = input_.profile_->models_;
-    const auto found = std::find_if(models.begin(), models.end(),
-                                    [&name](const Model &one) { return one.name_ == name; });
-    return found == models.end() ? nullptr : &*found;
+    return input_.profile_->model(name);
 }
 
 Plan Run::plan()
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -54,11 +54,8 @@
 
 Duration loadTimeOf(const EngineProfile &profile, const ModelName &name)
 {
-    for (const auto &model : profile.models_) {
-        if (model.name_ == name)
-            return model.load_;
-    }
-    return Duration::zero();
+    const auto *model = profile.model(name);
+    return model == nullptr ? Duration::zero() : model->load_;
 }
 
 } // namespace
--- a/src/serving/servable.cpp
+++ b/src/serving/servable.cpp
@@ -2,8 +2,6 @@
 
 #include <cardamombay/serving/engine_model.hpp>
 
-#include <algorithm>
-
 namespace cardamombay::serving {
 
 std::optional<std::string_view> whyNotServable(const Service &service, const ServableDemand &demand)
@@ -11,10 +9,8 @@
     if (!service.engine_)
         return std::nullopt;
     const auto &profile = *service.engine_;
-    const auto model
-        = std::find_if(profile.models_.begin(), profile.models_.end(),
-                       [&demand](const Model &one) { return one.name_ == demand.model_; });
-    if (model == profile.models_.end())
+    const auto *model = profile.model(demand.model_);
+    if (model == nullptr)
         return "the service has no such model";
     if (profile.memoryTokens_ > 0 && demand.promptTokens_ > profile.memoryTokens_)
         return "the prompt is larger than the memory of a group";
