--- a/tests/fleet_platform/notices.cpp
+++ b/tests/fleet_platform/notices.cpp
@@ -1,5 +1,5 @@
 // Real gateways before endpoints that ask for a pause, or say that they leave.
-#include "crowd.hpp"
+#include "fleet_platform/crowd.hpp"
 
 #include <algorithm>
 #include <cstdio>
