Send requests of bound routes and teams to their regions only

Cause: operators may bind a route or a team to regions; nothing read that, so a request could reach an endpoint anywhere. Ruled out: leaving it to the choice of the zone (entry VMs of one region would still use endpoints of another one when their own are full). Change: both lists are read by the adapter; the balancer leaves out endpoints in other regions, and in zones whose region is not known. Where no endpoint of an allowed region is listed the request is refused at once with 503, not held. The region of each zone comes with the settings.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -170,6 +170,7 @@
     auto daemonProgram = traffic::makeLifecycleProgram(valueOf(daemonChart));
     if (!isOk(daemonProgram))
         return errorOf(daemonProgram);
+    balancer_.setRegions(settings_.regions_);
     const auto incarnation = startStamp();
     lease_ = std::make_unique<leases::LeaseKeeper>(
         clock_, meteredStore_, Random(seedOf(settings_.entry_) + 2), serving::plannerLeaseTimes(),
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/serving/endpoint_book.hpp>
 #include <cardamombay/serving/load_board.hpp>
 #include <cardamombay/serving/request_fingerprint.hpp>
+#include <cardamombay/serving/request_regions.hpp>
 #include <cardamombay/serving/route_table.hpp>
 #include <cardamombay/serving/send_gate.hpp>
 
@@ -26,6 +27,7 @@
     const Service *service_ = nullptr;
     ModelName model_;             ///< For services with engines.
     std::span<const VmId> tried_; ///< Not again there.
+    RequestRegions regions_;
     std::size_t promptTokens_ = 0;
     Duration goal_{};       ///< Time to the first event that counts as on time.
     bool isHeld_ = false;   ///< It has waited here, and is late already.
@@ -55,6 +57,7 @@
     NoEndpoint, ///< Nothing serves the model or service now.
     Full,       ///< All that serve have as much as they can do in time.
     Cooldown,   ///< The cooldown of one that could serve ends in time.
+    NoRegion,   ///< The service has no endpoint in the regions of the request.
 };
 
 /// \brief Only an endpoint that limits the rate of requests has room.
@@ -80,6 +83,9 @@
     Balancer(const EndpointBook &book, const LoadBoard &board,
              const net::UnusedConnections &connections, Random random);
 
+    /// \brief The region of each availability zone.
+    void setRegions(std::map<AvailabilityZone, RegionName> regions);
+
     [[nodiscard]] Choice choose(const Demand &demand, TimePoint now);
 
     /// \brief True if the endpoint gets nothing new: it says that it leaves, or is no longer
@@ -100,6 +106,7 @@
         std::uint64_t bornAt_ = 0;
         ModelName model_;
         double slowness_ = 1; ///< Factor on a group's times.
+        RegionName region_;
 
         [[nodiscard]] EndpointLife life() const { return {endpoint_, bornAt_}; }
     };
@@ -118,6 +125,8 @@
         std::optional<Duration> soonestCooled_; ///< Until the first of these takes requests.
     };
 
+    [[nodiscard]] RegionName regionOf(const Endpoint &endpoint) const;
+    [[nodiscard]] bool isOutOfRegion(const Demand &demand) const;
     [[nodiscard]] Usable usable(const Demand &demand, TimePoint now);
     [[nodiscard]] Choice whenCooled(Duration soonest, const Demand &demand);
     [[nodiscard]] Choice chooseAdvised(std::vector<const Candidate *> candidates,
@@ -149,6 +158,7 @@
     const LoadBoard &board_;
     const net::UnusedConnections &connections_;
     Random random_;
+    std::map<AvailabilityZone, RegionName> regions_;
     std::map<ServiceName, Derived> derived_;
     std::map<ServiceName, double> seenPrompts_; ///< Mean tokens of the last ones.
 };
--- a/include/cardamombay/serving/configuration.hpp
+++ b/include/cardamombay/serving/configuration.hpp
@@ -45,6 +45,7 @@
     bool isResumable_ = false;
     bool needsKey_ = true;
     std::vector<Backend> backends_;
+    std::vector<RegionName> regions_; ///< Its requests run only there; empty: anywhere.
 
     friend bool operator==(const Route &, const Route &) = default;
 };
@@ -104,6 +105,7 @@
     TeamName name_;
     std::vector<std::string> keys_;
     std::optional<std::uint32_t> priority_; ///< Goes before the route's.
+    std::vector<RegionName> regions_{};     ///< Its requests run only there; empty: anywhere.
 
     friend bool operator==(const Team &, const Team &) = default;
 };
--- a/include/cardamombay/serving/gateway_settings.hpp
+++ b/include/cardamombay/serving/gateway_settings.hpp
@@ -10,6 +10,7 @@
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/serving/gateway.hpp>
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,12 +22,13 @@
 {
     EntryId entry_;
     AvailabilityZone zone_;
-    Address callers_;            ///< Listener for callers.
-    Address readiness_;          ///< Listener of the balancer's readiness check.
-    Address metrics_;            ///< Listener of the metrics.
-    Address digests_;            ///< Where peers' datagrams arrive.
-    Address store_;              ///< The platform's store.
-    bool isFirstStart_ = false;  ///< The whole system starts for the first time.
+    Address callers_;           ///< Listener for callers.
+    Address readiness_;         ///< Listener of the balancer's readiness check.
+    Address metrics_;           ///< Listener of the metrics.
+    Address digests_;           ///< Where peers' datagrams arrive.
+    Address store_;             ///< The platform's store.
+    bool isFirstStart_ = false; ///< The whole system starts for the first time.
+    std::map<AvailabilityZone, RegionName> regions_; ///< Of each availability zone.
     double cores_ = 1;           ///< Share of a core that this VM has, or its cores.
     double linkMegabits_ = 1000; ///< Of its network link, Mbit/s.
     std::string chartsFolder_ = "charts";
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -58,6 +58,29 @@
 {
 }
 
+void Balancer::setRegions(std::map<AvailabilityZone, RegionName> regions)
+{
+    regions_ = std::move(regions);
+    derived_.clear();
+}
+
+RegionName Balancer::regionOf(const Endpoint &endpoint) const
+{
+    const auto found = regions_.find(endpoint.zone_);
+    return found == regions_.end() ? RegionName() : found->second;
+}
+
+/// Unlike an endpoint that is only full or lost, one in an allowed region will not come by itself.
+bool Balancer::isOutOfRegion(const Demand &demand) const
+{
+    if (!demand.regions_.isBound())
+        return false;
+    const auto endpoints = book_.ofService(demand.service_->name_);
+    return std::none_of(endpoints.begin(), endpoints.end(), [&](const Endpoint *endpoint) {
+        return demand.regions_.allow(regionOf(*endpoint));
+    });
+}
+
 std::vector<Balancer::Candidate> Balancer::derive(const Service &service) const
 {
     std::vector<Candidate> result;
@@ -65,7 +88,12 @@
     if (!service.engine_) {
         for (const auto *endpoint : endpoints) {
             if (book_.takesRequests(*endpoint))
-                result.push_back({endpoint->id_, endpoint->address_, endpoint->bornAt_, {}});
+                result.push_back({endpoint->id_,
+                                  endpoint->address_,
+                                  endpoint->bornAt_,
+                                  {},
+                                  1,
+                                  regionOf(*endpoint)});
         }
         return result;
     }
@@ -76,7 +104,8 @@
             || !group.isComplete(model->members_) || !book_.takesRequests(*group.head_))
             continue;
         result.push_back({group.head_->id_, group.head_->address_, group.head_->bornAt_,
-                          group.model_, group.isFar() ? service.engine_->farFactor_ : 1});
+                          group.model_, group.isFar() ? service.engine_->farFactor_ : 1,
+                          regionOf(*group.head_)});
     }
     return result;
 }
@@ -118,6 +147,8 @@
     for (const auto &candidate : candidatesOf(*demand.service_)) {
         if (demand.service_->engine_ && candidate.model_ != demand.model_)
             continue;
+        if (!demand.regions_.allow(candidate.region_))
+            continue;
         const bool wasTried
             = std::find(demand.tried_.begin(), demand.tried_.end(), candidate.endpoint_)
               != demand.tried_.end();
--- a/src/serving/balancer_choice.cpp
+++ b/src/serving/balancer_choice.cpp
@@ -64,6 +64,8 @@
     if (demand.service_->engine_)
         notePrompt(demand);
     auto found = usable(demand, now);
+    if (found.candidates_.empty() && isOutOfRegion(demand))
+        return NoTarget::NoRegion;
     if (found.candidates_.empty())
         return found.soonestCooled_ ? whenCooled(*found.soonestCooled_, demand)
                                     : Choice(NoTarget::NoEndpoint);
--- a/src/serving/gateway_settings.cpp
+++ b/src/serving/gateway_settings.cpp
@@ -89,6 +89,22 @@
     reader.finish();
 }
 
+/// Each key is an availability zone.
+void readRegions(TableReader &root, GatewaySettings &result)
+{
+    const auto *table = root.table("regions");
+    if (!table)
+        return;
+    auto reader = root.child(*table, "regions");
+    for (const auto &[zone, region] : *table) {
+        std::string name;
+        reader.read(zone.str(), name);
+        if (!name.empty())
+            result.regions_.emplace(std::string(zone.str()), name);
+    }
+    reader.finish();
+}
+
 void readLog(TableReader &root, GatewaySettings &result)
 {
     const auto *table = root.table("log");
@@ -117,6 +133,7 @@
     readStore(root, result);
     readBounds(root, result);
     readMachine(root, result);
+    readRegions(root, result);
     readLog(root, result);
     root.finish();
     return result;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -83,6 +83,10 @@
         return false;
     }
     const auto *none = std::get_if<NoTarget>(&choice);
+    if (none != nullptr && *none == NoTarget::NoRegion && !hasBegun) {
+        giveUp("no endpoint in the regions of the request");
+        return false;
+    }
     const bool endsCooldown = none != nullptr && *none == NoTarget::Cooldown;
     if ((service_->engine_ || endsCooldown) && mayHold(now)) {
         isHeld_ = true;
@@ -104,6 +108,7 @@
     demand.service_ = service_;
     demand.model_ = head_.model_;
     demand.tried_ = tried_;
+    demand.regions_ = regions_;
     demand.promptTokens_ = head_.promptTokens_;
     demand.goal_ = route_->goal_;
     demand.isHeld_ = wasHeld_;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -154,6 +154,7 @@
     const Route *route_ = nullptr;
     const Service *service_ = nullptr;
     TeamName team_;
+    RequestRegions regions_;
     RequestFingerprint fingerprint_;
     std::uint32_t priority_ = 0;
 
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -70,6 +70,7 @@
     }
     const auto allowed = std::min(route_->timeout_, head_.patience_.value_or(route_->timeout_));
     until_ = arrivedAt_ + allowed;
+    regions_.ofRoute_ = route_->regions_;
     priority_ = route_->priority_;
     if (route_->needsKey_ && !routes_->configuration().teams_.empty()) {
         if (gateway_.unconfirmedFor() > gateway_.bounds().longestUnconfirmed_) {
@@ -82,6 +83,7 @@
             return false;
         }
         team_ = team->name_;
+        regions_.ofTeam_ = team->regions_;
         priority_ = team->priority_.value_or(priority_);
     }
     const auto *backend = chooseBackend(*route_, gateway_.draw());
--- a/tests/adapter/formats.cpp
+++ b/tests/adapter/formats.cpp
@@ -183,6 +183,19 @@
     cr_assert_not(coldFor("\"soon\""));
 }
 
+Test(store_format, regions_of_routes_and_teams_are_read)
+{
+    std::string text(configurationText);
+    text.insert(text.find("\"Name\":\"s\""), "\"AllowedRegions\":[\"north\",\"south\"],");
+    text.insert(text.find("\"Name\":\"u\""), "\"AllowedRegions\":[\"south\"],");
+    const auto decoded = PlatformFormat().configuration(text);
+    const auto &configuration = valueOf(decoded);
+    cr_assert(configuration.routes_[0].regions_.empty());
+    cr_assert_eq(configuration.routes_[1].regions_.size(), 2);
+    cr_assert(configuration.teams_[0].regions_.empty());
+    cr_assert_eq(configuration.teams_[1].regions_.front(), RegionName("south"));
+}
+
 Test(store_format, rows_beside_the_configuration_name_evacuated_zones)
 {
     const PlatformFormat format;
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -288,6 +288,28 @@
     cr_assert_eq(valueOf(parsed).grace_, seconds(8));
 }
 
+Test(gateway_settings, regions_of_zones_are_read_and_their_names_checked)
+{
+    const std::string text = R"(
+entry = "e"
+zone = "z-1"
+[listen]
+callers = "10.0.0.1:80"
+readiness = "10.0.0.1:81"
+digests = "10.0.0.1:83"
+[store]
+address = "10.0.0.9:1"
+[regions]
+"z-1" = "north"
+"z.2" = )";
+    const auto parsed = parseGatewaySettings(text + "\"south\"\n", "s.toml");
+    cr_assert(isOk(parsed));
+    const auto &regions = valueOf(parsed).regions_;
+    cr_assert_eq(regions.at(AvailabilityZone("z-1")), RegionName("north"));
+    cr_assert_eq(regions.at(AvailabilityZone("z.2")), RegionName("south"));
+    cr_assert_not(isOk(parseGatewaySettings(text + "7\n", "s.toml")));
+}
+
 Test(gateway_settings, bounds_may_be_fractions)
 {
     const auto parsed = parseGatewaySettings(R"(
