Deal duties anew once a digest, not at each entry VM that is met

Cause: each entry VM that another one met made it rank all of them again: three maps of the fleet, a hash and a sort. In a fleet that starts this is the square of its size at every entry VM within the first second. Ruled out: keeping the order incrementally (the greatest capacity decides which VMs count as large, so one more may change all places). Change: changes of the peers are noted, and followed up with the next digest. Conclusion: bounded by time, whatever the size.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -82,6 +82,8 @@
     [[nodiscard]] TimePoint endpointsConfirmedAt() const { return endpointsConfirmedAt_; }
     /// \brief The store has come back from a backup.
     void countStoreRestore() { parts_.metrics_.storeRestores_.increment(); }
+    /// \brief Duties were dealt anew among the entry VMs.
+    void countPeerUpdate() { parts_.metrics_.peerUpdates_.increment(); }
     /// \brief Availability zones that operators empty now.
     void countEvacuated(std::size_t zones)
     {
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -20,6 +20,7 @@
     metrics::Counter stalls_;          ///< Attempts ended since the endpoint was silent.
     metrics::Counter endpointCrashes_; ///< Endpoints that ended under requests from here.
     metrics::Counter quarantined_;     ///< Requests refused since they end endpoints.
+    metrics::Counter peerUpdates_;     ///< Times that duties were dealt anew among entry VMs.
     metrics::Counter storeRestores_;   ///< Times that the store came back from a backup.
     metrics::Counter limitedSends_;    ///< To endpoints that limit the rate of requests.
     metrics::Counter unreadableLimits_;
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -201,6 +201,7 @@
     FleetReader fleet_;
     Reporters reporters_;
     std::optional<EntryId> reporter_; ///< Where digests go; none: to all, or this is the reporter.
+    bool arePeersOther_ = false;      ///< Than when duties were dealt last.
     bool hasReporters_ = false;       ///< The fleet is too large for digests from each to each.
     LoadDigest told_;                 ///< The last digest.
     std::map<EntryId, Sum> sums_;
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -29,6 +29,8 @@
     , quarantined_(
           registry.counter("cardamombay_gateway_quarantined_total",
                            "Requests refused because they end the endpoints that run them."))
+    , peerUpdates_(registry.counter("cardamombay_gateway_peer_updates_total",
+                                    "Times that duties were dealt anew among the entry VMs."))
     , storeRestores_(registry.counter("cardamombay_gateway_store_restores_total",
                                       "Times that the store came back from a backup."))
     , limitedSends_(registry.counter("cardamombay_gateway_limited_sends_total",
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -192,7 +192,7 @@
     }
     if (key.table_ == peerTable) {
         takePeer(change);
-        peersChanged();
+        arePeersOther_ = true;
         return;
     }
     takeEndpoint(change);
@@ -254,8 +254,12 @@
            + std::to_string(settings_.capacity());
 }
 
+/// What follows from who the peers are is dealt anew once for all changes since the last digest:
+/// in a fleet that starts each entry VM meets all others within a second.
 void Node::peersChanged()
 {
+    arePeersOther_ = false;
+    parts_.gateway_.countPeerUpdate();
     std::map<EntryId, EntryCapacity> capacities{{settings_.entry_, settings_.capacity()}};
     std::map<EntryId, AvailabilityZone> zones;
     std::map<EntryId, Address> addresses;
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -45,6 +45,8 @@
         demand += (rate - demand) * weight;
     }
     parts_.gateway_.poisonPills().expire(now);
+    if (arePeersOther_)
+        peersChanged();
     report(now);
     forgetSilent(now);
     chooseWatches(now);
@@ -261,8 +263,7 @@
     peer.zone_ = seat.zone_;
     peer.capacity_ = seat.capacity_;
     peer.heardAt_ = now;
-    if (isChanged)
-        peersChanged();
+    arePeersOther_ = arePeersOther_ || isChanged;
     return true;
 }
 
@@ -272,7 +273,7 @@
     if (digest.isDraining_) {
         leftAt_[digest.from_] = now;
         if (peers_.erase(digest.from_) > 0)
-            peersChanged();
+            arePeersOther_ = true;
         return;
     }
     leftAt_.erase(digest.from_);
@@ -357,12 +358,9 @@
 void Node::forgetSilent(TimePoint now)
 {
     std::erase_if(sums_, [now](const auto &one) { return now - one.second.at_ > peerLifetime; });
-    const bool isForgotten
-        = std::erase_if(peers_,
-                        [now](const auto &one) { return now - one.second.heardAt_ > peerLifetime; })
-          > 0;
-    if (isForgotten)
-        peersChanged();
+    const auto forgotten = std::erase_if(
+        peers_, [now](const auto &one) { return now - one.second.heardAt_ > peerLifetime; });
+    arePeersOther_ = arePeersOther_ || forgotten > 0;
 }
 
 } // namespace cardamombay::serving
--- a/tests/serving/node_fleet.cpp
+++ b/tests/serving/node_fleet.cpp
@@ -266,3 +266,19 @@
                 calls[0], calls[1]);
     cr_assert_lt(calls[1], 1.5 * calls[0]);
 }
+
+Test(node_fleet, duties_are_dealt_once_a_digest_at_most_however_many_entry_vms_start)
+{
+    for (const std::size_t entries : {24, 96, 195}) {
+        NodeFleet fleet(entries, 3, 2, 9);
+        fleet.start();
+        const auto started = fleet.clock_.now();
+        fleet.pass(seconds(3));
+        double most = 0;
+        for (std::size_t i = 0; i < fleet.size(); ++i)
+            most = std::max(most, fleet.node(i).metrics_.peerUpdates_.value());
+        std::printf("%zu entry VMs start: duties dealt %g times at most\n", entries, most);
+        const auto digests = (fleet.clock_.now() - started + seconds(1)) / digestPeriod;
+        cr_expect_leq(most, static_cast<double>(digests));
+    }
+}
