Know who the peers are by sums of what each knows, at any size of the fleet

Cause: a sum names 8 entry VMs of a roster in turn, ten times a second, and who was not named for 6 s is forgotten: 8 x 10 x 6 = 480. Beyond that each entry VM knew another part of the fleet, dealt duties among others than its peers did, listed all peers from the store again and again, and took itself for one that watches it. Change: sums carry a hash of the entry VMs that the reporter answers for. Who has the same hash keeps all its peers; who has not asks with the sums of 256 buckets and gets those that differ, whole, in packets of usual size. A process that has just started, or has just become reporter, states nothing. Older releases leave both out. Beside it: peers are not searched for silent ones while the reporter confirms them all, and only those that may plan add up the demand of the fleet. Conclusion: membership no longer ends at 480.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -14,6 +14,7 @@
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
 #include <cardamombay/serving/reporters.hpp>
+#include <cardamombay/serving/roster.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
 #include <set>
@@ -150,9 +151,22 @@
     void setBudget(bool hasReporters);
     [[nodiscard]] RelayState relayState(TimePoint now) const;
     void peersChanged();
+    void notePeersChanged();
+    [[nodiscard]] std::vector<PeerSeat> rosterOf(const AvailabilityZone &zone) const;
+    [[nodiscard]] const RosterSums &rosterSums(const AvailabilityZone &zone);
+    [[nodiscard]] std::vector<PeerSeat> statedRoster(const AvailabilityZone &zone,
+                                                     TimePoint now) const;
+    [[nodiscard]] bool answersForZone(TimePoint now) const;
+    [[nodiscard]] std::uint64_t statedTotal(const AvailabilityZone &zone, TimePoint now) const;
+    [[nodiscard]] bool isRosterSource(const EntryId &from, const AvailabilityZone &zone) const;
+    void followRoster(const LoadSummary &summary, TimePoint now);
+    void rosterAsked(const RosterQuestion &question);
+    void rosterArrived(const RosterAnswer &answer);
+    void takeBucket(const RosterBucket &bucket, const AvailabilityZone &zone, TimePoint now);
     void lookForPeers(TimePoint now);
     void forgetSilent(TimePoint now);
     [[nodiscard]] std::map<ModelName, double> fleetDemand() const;
+    void takeDemand();
     void repeat(Duration period, void (Node::*step)());
 
     struct Peer
@@ -164,6 +178,15 @@
         std::map<ServiceName, RepeatCounts> repeats_; ///< As told directly.
         TimePoint heardAt_{};
     };
+    [[nodiscard]] TimePoint lastWordOf(const Peer &peer) const;
+
+    /// What is known of the entry VMs that others tell of.
+    struct RosterFollow
+    {
+        TimePoint confirmedAt_{}; ///< The same ones were known there.
+        std::optional<TimePoint> differsSince_;
+        TimePoint askedAt_{};
+    };
     /// What a reporter told of several peers.
     struct Sum
     {
@@ -201,9 +224,12 @@
     FleetReader fleet_;
     Reporters reporters_;
     std::optional<EntryId> reporter_; ///< Where digests go; none: to all, or this is the reporter.
-    bool arePeersOther_ = false;      ///< Than when duties were dealt last.
-    bool hasReporters_ = false;       ///< The fleet is too large for digests from each to each.
-    LoadDigest told_;                 ///< The last digest.
+    std::map<AvailabilityZone, RosterFollow> rosterFollows_; ///< Without a name: of the fleet.
+    std::map<AvailabilityZone, RosterSums> rosterSums_;      ///< Of the present peers.
+    bool arePeersOther_ = false;                             ///< Than when duties were dealt last.
+    TimePoint reportsSince_{};  ///< It is the reporter of its zone, or reporters are not needed.
+    bool hasReporters_ = false; ///< The fleet is too large for digests from each to each.
+    LoadDigest told_;           ///< The last digest.
     std::map<EntryId, Sum> sums_;
     std::vector<EntryId> planners_; ///< Peers that may hold the planner's lease.
     std::vector<VmId> alarmed_;     ///< Silent endpoints that they were told of.
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -81,7 +81,9 @@
     /// Counts are since this start of the sender; another one makes them incomparable.
     Incarnation since_;
     bool isOfZone_ = false;        ///< Of the sender's zone only, for the other zones.
-    std::vector<PeerSeat> roster_; ///< Entry VMs that it holds news of; not in every summary.
+    std::vector<PeerSeat> roster_; ///< Some of the entry VMs that it holds news of.
+    /// RosterSums::total() of all that the sender knows; 0 if it does not say.
+    std::uint64_t rosterTotal_ = 0;
 
     friend bool operator==(const LoadSummary &, const LoadSummary &) = default;
 };
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -192,7 +192,7 @@
     }
     if (key.table_ == peerTable) {
         takePeer(change);
-        arePeersOther_ = true;
+        notePeersChanged();
         return;
     }
     takeEndpoint(change);
@@ -254,11 +254,18 @@
            + std::to_string(settings_.capacity());
 }
 
+void Node::notePeersChanged()
+{
+    arePeersOther_ = true;
+    rosterSums_.clear();
+}
+
 /// What follows from who the peers are is dealt anew once for all changes since the last digest:
 /// in a fleet that starts each entry VM meets all others within a second.
 void Node::peersChanged()
 {
     arePeersOther_ = false;
+    rosterSums_.clear();
     parts_.gateway_.countPeerUpdate();
     std::map<EntryId, EntryCapacity> capacities{{settings_.entry_, settings_.capacity()}};
     std::map<EntryId, AvailabilityZone> zones;
@@ -276,7 +283,7 @@
     const auto rank = place == planners_.end()
                           ? std::nullopt
                           : std::optional(static_cast<std::uint32_t>(place - planners_.begin()));
-    reporters_.setPeers(std::move(zones), std::move(capacities));
+    reporters_.setPeers(zones, capacities);
     if (rank != rank_)
         log::info(event::peersChanged, {{"peers", std::to_string(peers_.size())},
                                         {"rank", rank ? std::to_string(*rank) : "none"}});
@@ -385,23 +392,30 @@
     logEndpoints(now);
     if (!parts_.gateway_.routes() || !areEndpointsListed_)
         return;
-    const auto demand = fleetDemand();
-    // Before traffic the operators' shares are all there is to go by.
-    if (!demand.empty())
-        parts_.manager_.setTrafficSeen();
     const bool isPlanner = parts_.lease_.isHeld();
+    // Only those that plan or may need the demand of all.
+    if (isPlanner || rank_)
+        takeDemand();
     // The others get nearly all changes passed on.
     const auto watcherPause = rank_ == 0 ? endpointPause : news_.sparePause_;
     endpointWatch_.setPause(isPlanner ? plannerPause : watcherPause);
     if (isPlanner)
         keepQuarantines(now);
-    parts_.manager_.setDemand(demand);
     // Engines may be listed as they were before their last orders.
     if (isSettling(now))
         return;
     parts_.manager_.tick(*parts_.gateway_.routes(), parts_.gateway_.endpointsConfirmedAt());
 }
 
+void Node::takeDemand()
+{
+    auto demand = fleetDemand();
+    // Before traffic the operators' shares are all there is to go by.
+    if (!demand.empty())
+        parts_.manager_.setTrafficSeen();
+    parts_.manager_.setDemand(std::move(demand));
+}
+
 std::map<ModelName, double> Node::fleetDemand() const
 {
     auto result = ownDemand_;
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -122,6 +122,7 @@
         return;
     reporter_ = reporter;
     hasReporters_ = isNeeded;
+    reportsSince_ = parts_.clock_.now();
     setBudget(isNeeded);
     parts_.board_.forgetPeers();
     sums_.clear();
@@ -144,6 +145,7 @@
     ++sumsSent_;
     auto zone = hub_.zoneSummary(now);
     zone.roster_ = pageOf(hub_.roster(false, now));
+    zone.rosterTotal_ = statedTotal(settings_.zone_, now);
     const auto zoneText = encode(zone);
     for (const auto &entry : reporters_.others(now)) {
         if (const auto found = peers_.find(entry); found != peers_.end())
@@ -153,6 +155,7 @@
         return;
     auto fleet = hub_.fleetSummary(now);
     fleet.roster_ = pageOf(hub_.roster(true, now));
+    fleet.rosterTotal_ = statedTotal({}, now);
     const auto fleetText = encode(fleet);
     // What does not fit into the link's queue is lost; not always to the same ones.
     for (std::size_t i = 0; i < members.size(); ++i)
@@ -181,6 +184,7 @@
     meet({from, summary.sum_.address_, summary.sum_.zone_, summary.sum_.capacity_}, now);
     for (const auto &seat : summary.roster_)
         meet(seat, now);
+    followRoster(summary, now);
     if (summary.sum_.relay_)
         followRelay(*summary.sum_.relay_, summary.sum_.address_, now);
     if (summary.isOfZone_) {
@@ -219,10 +223,12 @@
             result[service].repeats_ += one.repeats_;
         }
     };
-    for (const auto &[entry, peer] : peers_)
-        add(peer.repeats_);
     for (const auto &[entry, sum] : sums_)
         add(sum.repeats_);
+    if (reporter_)
+        return result; // The reporter's sums hold all peers.
+    for (const auto &[entry, peer] : peers_)
+        add(peer.repeats_);
     return result;
 }
 
@@ -240,10 +246,14 @@
         partArrived(*part);
     else if (const auto alarm = decodeSilenceAlarm(text))
         alarmArrived(*alarm);
+    else if (const auto question = decodeRosterQuestion(text))
+        rosterAsked(*question);
+    else if (const auto roster = decodeRosterAnswer(text))
+        rosterArrived(*roster);
     else if (const auto relay = decodeEndpointRelay(text))
         relayArrived(*relay);
-    else if (const auto question = decodeClockQuestion(text))
-        clockAsked(*question);
+    else if (const auto clock = decodeClockQuestion(text))
+        clockAsked(*clock);
     else if (const auto answer = decodeClockAnswer(text))
         clocks_.take(*answer, parts_.clock_.now());
 }
@@ -263,7 +273,8 @@
     peer.zone_ = seat.zone_;
     peer.capacity_ = seat.capacity_;
     peer.heardAt_ = now;
-    arePeersOther_ = arePeersOther_ || isChanged;
+    if (isChanged)
+        notePeersChanged();
     return true;
 }
 
@@ -273,7 +284,7 @@
     if (digest.isDraining_) {
         leftAt_[digest.from_] = now;
         if (peers_.erase(digest.from_) > 0)
-            arePeersOther_ = true;
+            notePeersChanged();
         return;
     }
     leftAt_.erase(digest.from_);
@@ -358,9 +369,17 @@
 void Node::forgetSilent(TimePoint now)
 {
     std::erase_if(sums_, [now](const auto &one) { return now - one.second.at_ > peerLifetime; });
-    const auto forgotten = std::erase_if(
-        peers_, [now](const auto &one) { return now - one.second.heardAt_ > peerLifetime; });
-    arePeersOther_ = arePeersOther_ || forgotten > 0;
+    // While the reporter knows the same peers none of them can be silent.
+    const auto fleet = rosterFollows_.find({});
+    if (reporter_ && fleet != rosterFollows_.end()
+        && now - fleet->second.confirmedAt_ <= peerLifetime)
+        return;
+    const auto forgotten = std::erase_if(peers_, [this, now](const auto &one) {
+        return now - one.second.heardAt_ > peerLifetime
+               && now - lastWordOf(one.second) > peerLifetime;
+    });
+    if (forgotten > 0)
+        notePeersChanged();
 }
 
 } // namespace cardamombay::serving
--- /dev/null
+++ b/src/serving/node_roster.cpp
@@ -0,0 +1,163 @@
+// Who the peers are in a fleet that is too large to be told whole: by sums of what each knows.
+#include <cardamombay/serving/node.hpp>
+
+#include "serving/log_events.hpp"
+
+#include <cardamombay/log/log.hpp>
+#include <cardamombay/serving/roster.hpp>
+
+#include <algorithm>
+
+namespace cardamombay::serving {
+
+namespace {
+
+/// A process that has just started may know few others, and says nothing of who is there.
+constexpr Duration learnsFleetFor = std::chrono::seconds(2);
+/// All entry VMs of its zone have told a new reporter of themselves by then, with several digests.
+constexpr Duration learnsZoneFor = std::chrono::seconds(1);
+/// What is new on both sides arrives by then without a question.
+constexpr Duration askRosterAfter = std::chrono::milliseconds(300);
+/// An answer takes some milliseconds, or is lost.
+constexpr Duration askRosterAgain = std::chrono::milliseconds(500);
+
+} // namespace
+
+/// \param zone empty for all.
+std::vector<PeerSeat> Node::rosterOf(const AvailabilityZone &zone) const
+{
+    std::vector<PeerSeat> result;
+    if (zone.isEmpty() || zone == settings_.zone_)
+        result.push_back(
+            {settings_.entry_, settings_.digests_, settings_.zone_, settings_.capacity()});
+    for (const auto &[entry, peer] : peers_) {
+        if (zone.isEmpty() || peer.zone_ == zone)
+            result.push_back({entry, peer.address_, peer.zone_, peer.capacity_});
+    }
+    return result;
+}
+
+/// The sums of what is known here, once for each change of the peers.
+const RosterSums &Node::rosterSums(const AvailabilityZone &zone)
+{
+    const auto [place, isNew] = rosterSums_.try_emplace(zone);
+    if (isNew)
+        place->second = RosterSums(rosterOf(zone));
+    return place->second;
+}
+
+/// What this reporter answers for: entry VMs of its zone that tell it of themselves, and what it
+/// knows of other zones. Others may still count on those that are silent, but a word on them that
+/// went from one reporter to the next and back would never end.
+std::vector<PeerSeat> Node::statedRoster(const AvailabilityZone &zone, TimePoint now) const
+{
+    auto result = rosterOf(zone);
+    std::erase_if(result, [this](const PeerSeat &seat) { return seat.zone_ == settings_.zone_; });
+    if (!zone.isEmpty() && zone != settings_.zone_)
+        return result;
+    const auto heard = hub_.roster(false, now);
+    result.insert(result.end(), heard.begin(), heard.end());
+    return result;
+}
+
+bool Node::answersForZone(TimePoint now) const
+{
+    return hasReporters_ && !reporter_ && now - reportsSince_ >= learnsZoneFor
+           && peerWatch_.isListed() && now - startedAt_ >= learnsFleetFor;
+}
+
+std::uint64_t Node::statedTotal(const AvailabilityZone &zone, TimePoint now) const
+{
+    return answersForZone(now) ? RosterSums(statedRoster(zone, now)).total() : 0;
+}
+
+/// The own reporter tells of the fleet, reporters of other zones tell of these. A reporter hears
+/// its own zone's entry VMs itself.
+bool Node::isRosterSource(const EntryId &from, const AvailabilityZone &zone) const
+{
+    if (zone.isEmpty())
+        return reporter_ == from;
+    return hasReporters_ && !reporter_ && zone != settings_.zone_;
+}
+
+/// Peers that the same sum holds are there, whenever they were named last.
+void Node::followRoster(const LoadSummary &summary, TimePoint now)
+{
+    const auto zone = summary.isOfZone_ ? summary.sum_.zone_ : AvailabilityZone();
+    if (summary.rosterTotal_ == 0 || !isRosterSource(summary.sum_.from_, zone))
+        return;
+    auto &follow = rosterFollows_[zone];
+    if (summary.rosterTotal_ == rosterSums(zone).total()) {
+        follow.confirmedAt_ = now;
+        follow.differsSince_.reset();
+        return;
+    }
+    if (!follow.differsSince_)
+        follow.differsSince_ = now;
+    const bool isDue
+        = now - *follow.differsSince_ >= askRosterAfter && now - follow.askedAt_ >= askRosterAgain;
+    if (!isDue)
+        return;
+    follow.askedAt_ = now;
+    parts_.datagrams_.send(summary.sum_.address_,
+                           encode(RosterQuestion{settings_.digests_, zone, rosterSums(zone)}));
+}
+
+void Node::rosterAsked(const RosterQuestion &question)
+{
+    const auto now = parts_.clock_.now();
+    if (!answersForZone(now))
+        return;
+    for (const auto &part :
+         answerTo(question, settings_.entry_, statedRoster(question.zone_, now))) {
+        const auto text = encode(part);
+        if (!budget_.take(text.size(), now))
+            return; // The rest still differs when it is asked for again.
+        parts_.datagrams_.send(question.address_, text);
+    }
+}
+
+/// Buckets that do not differ hold the same entry VMs there; those that are told hold no others.
+void Node::rosterArrived(const RosterAnswer &answer)
+{
+    if (!isRosterSource(answer.from_, answer.zone_))
+        return;
+    const auto now = parts_.clock_.now();
+    for (auto &[entry, peer] : peers_) {
+        const bool isInScope = answer.zone_.isEmpty() || peer.zone_ == answer.zone_;
+        if (isInScope && !answer.differing_[RosterSums::bucketOf(entry)])
+            peer.heardAt_ = now;
+    }
+    for (const auto &bucket : answer.buckets_)
+        takeBucket(bucket, answer.zone_, now);
+}
+
+/// \param zone the bucket is of its entry VMs only; empty: of all.
+void Node::takeBucket(const RosterBucket &bucket, const AvailabilityZone &zone, TimePoint now)
+{
+    const auto isGone = [&](const auto &one) {
+        const auto &[entry, peer] = one;
+        const bool isInScope = zone.isEmpty() || peer.zone_ == zone;
+        return isInScope && RosterSums::bucketOf(entry) == bucket.index_
+               && std::none_of(bucket.seats_.begin(), bucket.seats_.end(),
+                               [&entry](const PeerSeat &seat) { return seat.entry_ == entry; });
+    };
+    if (std::erase_if(peers_, isGone) > 0)
+        notePeersChanged();
+    for (const auto &seat : bucket.seats_)
+        meet(seat, now);
+}
+
+/// When \p peer was heard of last, itself or by a sum that holds it.
+TimePoint Node::lastWordOf(const Peer &peer) const
+{
+    auto result = peer.heardAt_;
+    for (const auto &zone : {AvailabilityZone(), peer.zone_}) {
+        const auto follow = rosterFollows_.find(zone);
+        if (follow != rosterFollows_.end())
+            result = std::max(result, follow->second.confirmedAt_);
+    }
+    return result;
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -2,6 +2,7 @@
 
 #include "serving/notification.hpp"
 #include "serving/poison_news.hpp"
+#include "serving/seat_json.hpp"
 
 #include <cardamombay/config/address_text.hpp>
 
@@ -19,9 +20,6 @@
 constexpr std::string_view relayMethod = "endpoints";
 constexpr std::string_view alarmMethod = "silence";
 
-/// Parts of an entry VM in a roster: name, address, zone and capacity.
-constexpr std::size_t seatParts = 4;
-
 /// Entries of endpoints in one datagram; with 170 bytes each it stays below a usual packet of
 /// 1,500.
 constexpr std::size_t mostEntries = 7;
@@ -267,30 +265,6 @@
     return result;
 }
 
-/// Entries that cannot be read are left out; the next roster has them again.
-std::vector<PeerSeat> rosterIn(const json::value *value)
-{
-    std::vector<PeerSeat> result;
-    const auto *seats = value == nullptr ? nullptr : value->if_array();
-    if (seats == nullptr)
-        return result;
-    for (const auto &one : *seats) {
-        const auto *seat = one.if_array();
-        const bool isWhole
-            = seat != nullptr && seat->size() == seatParts && figureIn(seat->at(3))
-              && std::all_of(seat->begin(), seat->begin() + 3,
-                             [](const json::value &part) { return part.is_string(); });
-        if (!isWhole)
-            continue;
-        const auto address = config::addressOf(textOf(seat->at(1).get_string()));
-        if (address)
-            result.push_back({EntryId(textOf(seat->at(0).get_string())), *address,
-                              AvailabilityZone(textOf(seat->at(2).get_string())),
-                              seat->at(3).to_number<double>()});
-    }
-    return result;
-}
-
 json::object digestObject(const LoadDigest &digest)
 {
     json::object demand;
@@ -467,14 +441,11 @@
 
 std::string encode(const LoadSummary &summary)
 {
-    json::array roster;
-    for (const auto &seat : summary.roster_)
-        roster.push_back(json::array{seat.entry_.text(), seat.address_.text(), seat.zone_.text(),
-                                     seat.capacity_});
     return notification(summaryMethod, {{"sum", digestObject(summary.sum_)},
                                         {"since", summary.since_.value()},
                                         {"of_zone", summary.isOfZone_},
-                                        {"roster", std::move(roster)}});
+                                        {"roster", seatsArray(summary.roster_)},
+                                        {"roster_total", summary.rosterTotal_}});
 }
 
 std::optional<LoadSummary> decodeLoadSummary(std::string_view text)
@@ -490,7 +461,8 @@
     summary.sum_ = *std::move(digest);
     summary.since_ = Incarnation(numberIn(*params, "since"));
     summary.isOfZone_ = flagIn(*params, "of_zone");
-    summary.roster_ = rosterIn(params->if_contains("roster"));
+    summary.roster_ = seatsIn(params->if_contains("roster"));
+    summary.rosterTotal_ = numberIn(*params, "roster_total");
     return summary;
 }
 
--- /dev/null
+++ b/src/serving/seat_json.hpp
@@ -0,0 +1,19 @@
+/// \file
+/// \brief Entry VMs with their addresses, as messages between entry VMs hold them.
+#pragma once
+
+#include <cardamombay/serving/peer_digests.hpp>
+
+#include <boost/json.hpp>
+
+#include <span>
+#include <vector>
+
+namespace cardamombay::serving::impl {
+
+[[nodiscard]] boost::json::array seatsArray(std::span<const PeerSeat> seats);
+
+/// \brief Entries that cannot be read are left out.
+[[nodiscard]] std::vector<PeerSeat> seatsIn(const boost::json::value *value);
+
+} // namespace cardamombay::serving::impl
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -356,6 +356,8 @@
 
 void NodeFleet::deliver(const Address &to, std::string text)
 {
+    ++datagramsSent_;
+    bytesSent_ += text.size();
     const auto found = byAddress_.find(to);
     if (found == byAddress_.end() || random_.unit() < faults_.lossShare_)
         return;
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -131,6 +131,8 @@
     std::map<std::string, RowVersion>
         takenBack_; ///< Rows of evacuations that are gone, since when.
     Random random_;
+    std::size_t datagramsSent_ = 0; ///< By all nodes, lost ones included.
+    std::size_t bytesSent_ = 0;     ///< In these.
 
 private:
     std::vector<std::unique_ptr<FleetNode>> nodes_;
