Let the question who is gone from a bucket be read by the linter too

Cause: a lambda captured names of a structured binding, which the linter's compiler refuses. Ruled out: nothing. Change: plain references in its place; the same decision. Conclusion: no change of behaviour.

--- a/src/serving/node_roster.cpp
+++ b/src/serving/node_roster.cpp
@@ -136,8 +136,8 @@
 void Node::takeBucket(const RosterBucket &bucket, const AvailabilityZone &zone, TimePoint now)
 {
     const auto isGone = [&](const auto &one) {
-        const auto &[entry, peer] = one;
-        const bool isInScope = zone.isEmpty() || peer.zone_ == zone;
+        const auto &entry = one.first;
+        const bool isInScope = zone.isEmpty() || one.second.zone_ == zone;
         return isInScope && RosterSums::bucketOf(entry) == bucket.index_
                && std::none_of(bucket.seats_.begin(), bucket.seats_.end(),
                                [&entry](const PeerSeat &seat) { return seat.entry_ == entry; });
