--- a/tests/endpoint_limits/regressions.cpp
+++ b/tests/endpoint_limits/regressions.cpp
@@ -52,3 +52,9 @@
 {
     check("uneven callers", {.entries_ = 74, .limits_ = {0.3, 3.4, 20}, .callersAtShare_ = 0.1}, 4);
 }
+
+Test(endpoint_limits, limits_are_used_however_many_callers_are_refused)
+{
+    for (const double asked : {4.0, 10.0, 30.0})
+        check("many callers", {.entries_ = 3, .limits_ = {3, 3}, .asked_ = asked}, 5);
+}
