--- a/bench/whole_fleet.cpp
+++ b/bench/whole_fleet.cpp
@@ -5,7 +5,6 @@
 
 #include "support/node_fleet.hpp"
 
-#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
@@ -46,14 +45,11 @@
 void print(support::NodeFleet &fleet, int number, const Totals &before)
 {
     const auto after = totalsOf(fleet);
-    std::size_t least = fleet.size();
-    std::size_t most = 0;
+    const auto [least, most] = fleet.peersKnown();
     std::size_t planners = 0;
     double updates = 0;
     for (std::size_t i = 0; i < fleet.size(); ++i) {
         const auto &node = fleet.node(i);
-        least = std::min(least, node.node_->peerCount());
-        most = std::max(most, node.node_->peerCount());
         planners += node.lease_->isHeld() ? 1 : 0;
         updates += node.metrics_.peerUpdates_.value();
     }
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -1,5 +1,6 @@
 #include <cardamombay/serving/peer_digests.hpp>
 
+#include "serving/notice_json.hpp"
 #include "serving/notification.hpp"
 #include "serving/poison_news.hpp"
 #include "serving/seat_json.hpp"
@@ -24,13 +25,6 @@
 /// 1,500.
 constexpr std::size_t mostEntries = 7;
 
-/// Availability zones that one message names; more is an error of who tells them.
-constexpr std::size_t mostEvacuated = 256;
-
-/// Microseconds; an older word is worth nothing.
-constexpr std::uint64_t longestLimitAge = 3'600'000'000;
-/// Microseconds.
-constexpr std::uint64_t longestCooldownTold = 3'600'000'000;
 /// Microseconds.
 constexpr std::uint64_t longestColdTold = 3'600'000'000;
 
@@ -113,32 +107,6 @@
     return result;
 }
 
-/// The version and the zones.
-json::array evacuationsArray(const EvacuationState &evacuations)
-{
-    json::array result{evacuations.version_.value()};
-    for (const auto &zone : evacuations.zones_)
-        result.emplace_back(zone.text());
-    return result;
-}
-
-/// One that cannot be read tells nothing.
-EvacuationState evacuationsIn(const json::value *value)
-{
-    const auto *parts = value == nullptr ? nullptr : value->if_array();
-    const auto version
-        = parts == nullptr || parts->empty() ? std::nullopt : countIn(parts->front());
-    if (!version || parts->size() > mostEvacuated + 1)
-        return {};
-    EvacuationState result{RowVersion(*version), {}};
-    for (auto zone = parts->begin() + 1; zone != parts->end(); ++zone) {
-        if (!zone->is_string())
-            return {};
-        result.zones_.emplace(textOf(zone->get_string()));
-    }
-    return result;
-}
-
 json::object relayObject(const RelayState &relay)
 {
     json::object result{{"config", relay.config_.value()},
@@ -192,79 +160,6 @@
     return result;
 }
 
-/// Endpoint, age and rate; an ended limit has no rate.
-json::array limitsArray(const std::vector<LimitNews> &limits)
-{
-    json::array result;
-    for (const auto &limit : limits) {
-        json::array one{limit.endpoint_.text(), microsecondsOf(limit.age_)};
-        if (limit.perSecond_)
-            one.emplace_back(*limit.perSecond_);
-        result.push_back(std::move(one));
-    }
-    return result;
-}
-
-std::optional<LimitNews> limitIn(const json::value &value)
-{
-    const auto *parts = value.if_array();
-    if (parts == nullptr || parts->size() < 2 || !parts->at(0).is_string())
-        return std::nullopt;
-    const auto age = countIn(parts->at(1));
-    const auto rate = parts->size() > 2 ? figureIn(parts->at(2)) : std::nullopt;
-    if (!age || *age > longestLimitAge || (parts->size() > 2 && !rate))
-        return std::nullopt;
-    return LimitNews{EndpointLife::parse(textOf(parts->at(0).get_string())), rate,
-                     std::chrono::microseconds(*age)};
-}
-
-std::vector<LimitNews> limitsIn(const json::value *value)
-{
-    std::vector<LimitNews> result;
-    const auto *all = value == nullptr ? nullptr : value->if_array();
-    if (all == nullptr)
-        return result;
-    for (const auto &one : *all) {
-        if (auto limit = limitIn(one))
-            result.push_back(*std::move(limit));
-    }
-    return result;
-}
-
-/// Endpoint and time that is left.
-json::array cooldownsArray(const std::vector<CooldownNews> &cooldowns)
-{
-    json::array result;
-    for (const auto &one : cooldowns)
-        result.push_back(json::array{one.endpoint_.text(), microsecondsOf(one.left_)});
-    return result;
-}
-
-std::optional<CooldownNews> cooldownIn(const json::value &value)
-{
-    const auto *parts = value.if_array();
-    if (parts == nullptr || parts->size() < 2 || !parts->at(0).is_string())
-        return std::nullopt;
-    const auto left = countIn(parts->at(1));
-    if (!left || *left > longestCooldownTold)
-        return std::nullopt;
-    return CooldownNews{EndpointLife::parse(textOf(parts->at(0).get_string())),
-                        std::chrono::microseconds(*left)};
-}
-
-std::vector<CooldownNews> cooldownsIn(const json::value *value)
-{
-    std::vector<CooldownNews> result;
-    const auto *all = value == nullptr ? nullptr : value->if_array();
-    if (all == nullptr)
-        return result;
-    for (const auto &one : *all) {
-        if (auto cooldown = cooldownIn(one))
-            result.push_back(*std::move(cooldown));
-    }
-    return result;
-}
-
 json::object digestObject(const LoadDigest &digest)
 {
     json::object demand;
--- a/tests/fleet_membership/lost_reporters.cpp
+++ b/tests/fleet_membership/lost_reporters.cpp
@@ -1,7 +1,6 @@
 // Who the peers are after all that tell of them have ended.
 #include "support/node_fleet.hpp"
 
-#include <algorithm>
 #include <cstdio>
 
 #include <criterion/criterion.h>
@@ -11,18 +10,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace {
-
-std::size_t mostKnown(NodeFleet &fleet, std::size_t from)
-{
-    std::size_t result = 0;
-    for (std::size_t i = from; i < fleet.size(); ++i)
-        result = std::max(result, fleet.node(i).node_->peerCount());
-    return result;
-}
-
-} // namespace
-
 Test(lost_reporters, entry_vms_that_ended_with_the_reporters_of_all_zones_are_forgotten)
 {
     constexpr std::size_t ended = 36;
@@ -34,11 +21,11 @@
         fleet.node(i).clock_.setPaused(true);
     const auto since = fleet.clock_.now();
     const auto left = fleet.size() - ended - 1;
-    while (mostKnown(fleet, ended) > left && fleet.clock_.now() - since < seconds(12))
+    while (fleet.peersKnown(ended).second > left && fleet.clock_.now() - since < seconds(12))
         fleet.pass(milliseconds(100));
     std::printf("36 of 66 entry VMs end, reporters among them: most that are known after %ld ms: "
                 "%zu of %zu\n",
                 static_cast<long>(toMilliseconds(fleet.clock_.now() - since)),
-                mostKnown(fleet, ended), left);
-    cr_assert_eq(mostKnown(fleet, ended), left);
+                fleet.peersKnown(ended).second, left);
+    cr_assert_eq(fleet.peersKnown(ended).second, left);
 }
--- a/tests/serving/roster.cpp
+++ b/tests/serving/roster.cpp
@@ -27,22 +27,6 @@
     return result;
 }
 
-std::size_t fewestKnown(NodeFleet &fleet, std::size_t from)
-{
-    std::size_t result = fleet.size();
-    for (std::size_t i = from; i < fleet.size(); ++i)
-        result = std::min(result, fleet.node(i).node_->peerCount());
-    return result;
-}
-
-std::size_t mostKnown(NodeFleet &fleet, std::size_t from)
-{
-    std::size_t result = 0;
-    for (std::size_t i = from; i < fleet.size(); ++i)
-        result = std::max(result, fleet.node(i).node_->peerCount());
-    return result;
-}
-
 } // namespace
 
 Test(roster, all_know_all_in_a_fleet_of_500)
@@ -51,12 +35,12 @@
     fleet.start();
     fleet.pass(seconds(8));
     std::printf("500 entry VMs, 8 s after the start: %zu to %zu peers known\n",
-                fewestKnown(fleet, 0), mostKnown(fleet, 0));
-    cr_assert_eq(fewestKnown(fleet, 0), 499);
+                fleet.peersKnown().first, fleet.peersKnown().second);
+    cr_assert_eq(fleet.peersKnown().first, 499);
     // Those that know fewer than half of the peers list them anew.
     const auto calls = fleet.storeCalls();
     fleet.pass(seconds(3));
-    cr_assert_eq(fewestKnown(fleet, 0), 499);
+    cr_assert_eq(fleet.peersKnown().first, 499);
     cr_assert_leq(static_cast<double>(fleet.storeCalls() - calls), 0.02 * 500 * 3);
 }
 
@@ -72,12 +56,12 @@
         fleet.node(i).clock_.setPaused(true);
     const auto since = fleet.clock_.now();
     const auto left = fleet.size() - (ended - reporters) - 1;
-    while (mostKnown(fleet, ended) > left && fleet.clock_.now() - since < seconds(12))
+    while (fleet.peersKnown(ended).second > left && fleet.clock_.now() - since < seconds(12))
         fleet.pass(milliseconds(100));
     std::printf("36 of 66 entry VMs end: forgotten by all after %ld ms\n",
                 static_cast<long>(toMilliseconds(fleet.clock_.now() - since)));
-    cr_assert_eq(mostKnown(fleet, ended), left);
-    cr_assert_eq(fewestKnown(fleet, ended), left);
+    cr_assert_eq(fleet.peersKnown(ended).second, left);
+    cr_assert_eq(fleet.peersKnown(ended).first, left);
 }
 
 Test(roster, same_entry_vms_in_any_order_have_the_same_sums)
--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -381,6 +381,16 @@
     return result;
 }
 
+std::pair<std::size_t, std::size_t> NodeFleet::peersKnown(std::size_t first)
+{
+    std::pair<std::size_t, std::size_t> result{nodes_.size(), 0};
+    for (std::size_t i = first; i < nodes_.size(); ++i) {
+        const auto known = nodes_[i]->node_->peerCount();
+        result = {std::min(result.first, known), std::max(result.second, known)};
+    }
+    return result;
+}
+
 FleetNode *NodeFleet::planner()
 {
     for (const auto &node : nodes_) {
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -118,6 +118,8 @@
     [[nodiscard]] std::size_t size() const { return nodes_.size(); }
     /// \brief Calls to the store of all nodes.
     [[nodiscard]] std::size_t storeCalls() const;
+    /// \brief Peers that a node knows, the fewest and the most of all nodes from \p first on.
+    [[nodiscard]] std::pair<std::size_t, std::size_t> peersKnown(std::size_t first = 0);
     /// \brief The node that holds the planner's lease; null if none does.
     [[nodiscard]] FleetNode *planner();
 
