--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -175,6 +175,7 @@
 #include <cardamombay/serving/answer_notices.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/change_history.hpp>
+#include <cardamombay/serving/cold_endpoints.hpp>
 #include <cardamombay/serving/configuration.hpp>
 #include <cardamombay/serving/configuration_exchange.hpp>
 #include <cardamombay/serving/crash_detector.hpp>
@@ -187,6 +188,7 @@
 #include <cardamombay/serving/endpoint_limits.hpp>
 #include <cardamombay/serving/endpoint_notices.hpp>
 #include <cardamombay/serving/engine_model.hpp>
+#include <cardamombay/serving/evacuations.hpp>
 #include <cardamombay/serving/event_scanner.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/formats.hpp>
@@ -211,12 +213,15 @@
 #include <cardamombay/serving/replica_planner.hpp>
 #include <cardamombay/serving/reporters.hpp>
 #include <cardamombay/serving/request_fingerprint.hpp>
+#include <cardamombay/serving/request_regions.hpp>
 #include <cardamombay/serving/reservation_book.hpp>
 #include <cardamombay/serving/reservation_desk.hpp>
 #include <cardamombay/serving/reservation_messages.hpp>
+#include <cardamombay/serving/roster.hpp>
 #include <cardamombay/serving/route_table.hpp>
 #include <cardamombay/serving/send_budget.hpp>
 #include <cardamombay/serving/send_gate.hpp>
+#include <cardamombay/serving/send_rates.hpp>
 #include <cardamombay/serving/servable.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
