Let the bench of whole fleets change endpoints, as engines that form groups do

Cause: the play of the whole fleet still makes 0.7 calls to the store for each entry VM and second, and the bench without changes 0.010. Ruled out: membership, which is whole at all sizes now. Change: a last phase with 190 changed endpoints a second.

--- a/bench/whole_fleet.cpp
+++ b/bench/whole_fleet.cpp
@@ -2,6 +2,7 @@
 /// \brief What whole control sides cost and know by the size of the fleet, on the paused clock.
 /// \details bench_whole_fleet [entry VMs ...]. Prints one line for each size and phase: calls to
 /// the store, bytes and datagrams sent, peers known, duties, and the processor time that all took.
+/// In the last phase endpoints change all the time, as they do while engines form groups.
 
 #include "support/node_fleet.hpp"
 
@@ -21,7 +22,10 @@
 constexpr std::size_t largeOfZone = 10;
 constexpr std::size_t groupsListed = 60;
 constexpr Duration phase = seconds(4);
-constexpr int phases = 4;
+constexpr int phases = 3;
+/// Endpoints that change in the last phase, and how often some do.
+constexpr std::size_t changesPerSecond = 190;
+constexpr Duration changeStep = milliseconds(100);
 
 double processorSeconds()
 {
@@ -68,6 +72,19 @@
     std::fflush(stdout);
 }
 
+/// Each change is a write of one endpoint.
+void passWithChanges(support::NodeFleet &fleet)
+{
+    const auto steps = phase / changeStep;
+    const auto changes = changesPerSecond * changeStep / seconds(1);
+    std::size_t number = 0;
+    for (std::int64_t step = 0; step < steps; ++step) {
+        for (std::size_t i = 0; i < static_cast<std::size_t>(changes); ++i, ++number)
+            fleet.list("spare-" + std::to_string(number), "d" + std::to_string(number % zones));
+        fleet.pass(changeStep);
+    }
+}
+
 void play(std::size_t entries)
 {
     support::NodeFleet fleet(entries, zones, largeOfZone, 1);
@@ -81,6 +98,8 @@
         print(fleet, number, before);
         before = totalsOf(fleet);
     }
+    passWithChanges(fleet);
+    print(fleet, phases, before);
 }
 
 } // namespace
