Let a shorter cold time in an entry be no change of the endpoint

Cause: an endpoint that is cold writes its entry with each heartbeat, each time with a shorter cold time. The book took that for a change: the planner waits for an order's effect until the engine's entry differs, so it gave the order again, and all entry VMs derived their groups anew. Change: the book keeps no cold time; ColdEndpoints has it from the same entry. Test: fails before (four orders in place of two), passes after.

--- a/src/serving/endpoint_book.cpp
+++ b/src/serving/endpoint_book.cpp
@@ -38,6 +38,8 @@
 void EndpointBook::put(Endpoint endpoint)
 {
     heldBack_.erase(endpoint.id_);
+    // It falls with each entry, and who waits for an order's effect would take that for it.
+    endpoint.coldFor_ = Duration::zero();
     if (heldUntil_ && isOlderThanLeaving(endpoint)) {
         missing_.erase(endpoint.id_);
         heldBack_.insert_or_assign(endpoint.id_, std::move(endpoint));
--- a/tests/serving/replica_manager.cpp
+++ b/tests/serving/replica_manager.cpp
@@ -93,6 +93,23 @@
     cr_assert_eq(bench.orders_.sent_.size(), 4);
 }
 
+Test(replica_manager, entry_that_only_tells_a_shorter_cold_time_is_no_effect_of_an_order)
+{
+    Bench bench;
+    auto engine = *bench.book_.find(VmId("a"));
+    engine.coldFor_ = seconds(3);
+    bench.book_.put(engine);
+    const auto revision = bench.book_.revision();
+    bench.manager_.tick(bench.routes_, bench.clock_.now());
+    cr_assert_eq(bench.orders_.sent_.size(), 2);
+    engine.coldFor_ = seconds(2);
+    bench.book_.put(engine);
+    bench.clock_.advance(milliseconds(100));
+    bench.manager_.tick(bench.routes_, bench.clock_.now());
+    cr_assert_eq(bench.orders_.sent_.size(), 2);
+    cr_assert_eq(bench.book_.revision(), revision);
+}
+
 Test(replica_manager, nothing_is_planned_by_an_old_view)
 {
     Bench bench;
