--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -8,6 +8,7 @@
 #include <cardamombay/core/address.hpp>
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/core/time.hpp>
+#include <cardamombay/overload/admission_figures.hpp>
 #include <cardamombay/serving/duty_order.hpp>
 #include <cardamombay/serving/endpoint.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
@@ -62,6 +63,9 @@
     std::map<ServiceName, RetryCounts> retries_; ///< Counts of the last window.
     PoisonUpdate poison_;                        ///< Requests that crash endpoints.
     std::vector<LimitUpdate> limits_;            ///< Limits that endpoints announced.
+    overload::FleetDemand overload_;             ///< Work of services under admission control.
+    /// Endpoints that break new requests, with the number of entry VMs that avoid them for it.
+    std::unordered_map<VmId, std::size_t> failing_;
     std::vector<CooldownUpdate> cooldowns_; ///< Cooldowns that endpoints announced to the sender.
     bool isDraining_ = false;
 
--- a/src/serving/digest_hub.cpp
+++ b/src/serving/digest_hub.cpp
@@ -189,6 +189,8 @@
         addCounts(sum.underWay_, last.underWay_);
         addCounts(sum.heard_, last.heard_);
         addCounts(sum.demand_, last.demand_);
+        addCounts(sum.overload_, last.overload_);
+        addCounts(sum.failing_, last.failing_);
         addRetries(sum.retries_, last.retries_);
         mergeUpdates(sum.poison_, last.poison_);
         mergeUpdates(sum.limits_, aged(last.limits_, now - source.heardAt_));
@@ -230,6 +232,15 @@
         if (found != result.demand_.end())
             found->second = std::max(0.0, found->second - demand);
     }
+    for (const auto &[model, own] : told.overload_) {
+        if (const auto found = result.overload_.find(model); found != result.overload_.end())
+            found->second -= own;
+    }
+    for (const auto &[endpoint, count] : told.failing_) {
+        const auto found = result.failing_.find(endpoint);
+        if (found != result.failing_.end())
+            found->second -= std::min(found->second, count);
+    }
     for (const auto &[service, own] : told.retries_) {
         const auto found = result.retries_.find(service);
         if (found == result.retries_.end())
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -1,5 +1,6 @@
 #include <cardamombay/serving/peer_digests.hpp>
 
+#include "serving/demand_json.hpp"
 #include "serving/notice_json.hpp"
 #include "serving/notification.hpp"
 #include "serving/peer_info_json.hpp"
@@ -86,6 +87,25 @@
     }
 }
 
+json::object countsObject(const std::unordered_map<VmId, std::size_t> &counts)
+{
+    json::object result;
+    for (const auto &[endpoint, count] : counts)
+        result[endpoint.text()] = count;
+    return result;
+}
+
+void readCounts(const json::value *value, std::unordered_map<VmId, std::size_t> &counts)
+{
+    const auto *object = value == nullptr ? nullptr : value->if_object();
+    if (object == nullptr)
+        return;
+    for (const auto &member : *object) {
+        if (const auto count = countIn(member.value()))
+            counts.emplace(std::string_view(member.key().data(), member.key().size()), *count);
+    }
+}
+
 json::array namesOf(const std::vector<VmId> &endpoints)
 {
     json::array result;
@@ -178,6 +198,9 @@
                         {"endpoints", digest.endpoints_.value()}};
     if (!digest.poison_.isEmpty())
         params["poison"] = poisonObject(digest.poison_);
+    writeDemand(params, digest.overload_);
+    if (!digest.failing_.empty())
+        params["failing"] = countsObject(digest.failing_);
     if (!digest.limits_.empty())
         params["limits"] = limitsArray(digest.limits_);
     if (!digest.cooldowns_.empty())
@@ -204,6 +227,8 @@
     digest.retries_ = retriesIn(params.if_contains("repeats"));
     digest.silent_ = endpointsIn(params.if_contains("silent"));
     digest.poison_ = poisonIn(params.if_contains("poison"));
+    digest.overload_ = readDemandFields(params);
+    readCounts(params.if_contains("failing"), digest.failing_);
     digest.limits_ = limitsIn(params.if_contains("limits"));
     digest.cooldowns_ = cooldownsIn(params.if_contains("cooldowns"));
     digest.isDraining_ = flagIn(params, "draining");
