Tell services whose routes have different ranks

Cause: admission, placement and planning treat such services differently and need one condition for it. Change: RouteTable::hasRanks(), computed once for each configuration from the routes of streams.

--- a/include/cardamombay/serving/route_table.hpp
+++ b/include/cardamombay/serving/route_table.hpp
@@ -6,6 +6,7 @@
 #include <cardamombay/serving/configuration.hpp>
 
 #include <map>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 
@@ -35,6 +36,10 @@
     /// \brief The service of that name; null if it is unknown.
     [[nodiscard]] const Service *service(const ServiceName &name) const;
 
+    /// \brief True if routes of the service declare at least two different ranks, so that some of
+    /// its work may be deferred in favour of other work. False for services without engines.
+    [[nodiscard]] bool hasRanks(const ServiceName &name) const;
+
     [[nodiscard]] const Configuration &configuration() const { return configuration_; }
     [[nodiscard]] ConfigVersion version() const { return configuration_.version_; }
 
@@ -43,6 +48,7 @@
     std::map<std::string, std::vector<const Route *>, std::less<>> routesByHost_;
     std::unordered_map<std::string, const Team *> teamsByKey_;
     std::unordered_map<ServiceName, const Service *> services_;
+    std::set<ServiceName> rankedServices_;
 };
 
 /// \brief Chooses a backend of \p route by weight.
--- a/src/serving/route_table.cpp
+++ b/src/serving/route_table.cpp
@@ -17,6 +17,24 @@
     return result;
 }
 
+/// Services with engines whose streams have different ranks.
+std::set<ServiceName> rankedServices(const Configuration &configuration)
+{
+    std::map<ServiceName, std::set<std::uint32_t>> ranks;
+    for (const auto &route : configuration.routes_) {
+        if (route.kind_ != RequestKind::Stream)
+            continue;
+        for (const auto &backend : route.backends_)
+            ranks[backend.service_].insert(route.priority_);
+    }
+    std::set<ServiceName> result;
+    for (const auto &service : configuration.services_) {
+        if (service.engine_ && ranks[service.name_].size() > 1)
+            result.insert(service.name_);
+    }
+    return result;
+}
+
 bool hasLongerPrefix(const Route *left, const Route *right)
 {
     return left->prefix_.size() > right->prefix_.size();
@@ -37,6 +55,7 @@
     }
     for (const auto &service : configuration_.services_)
         services_.emplace(service.name_, &service);
+    rankedServices_ = rankedServices(configuration_);
 }
 
 const Route *RouteTable::route(std::string_view host, std::string_view path) const
@@ -64,6 +83,11 @@
     return found == services_.end() ? nullptr : found->second;
 }
 
+bool RouteTable::hasRanks(const ServiceName &name) const
+{
+    return rankedServices_.contains(name);
+}
+
 const Backend *chooseBackend(const Route &route, double draw)
 {
     const auto total
