Join overload control to the gateway

Cause: the parts of overload control decide from figures that no gateway collects, and nothing asks them. Change: OverloadControl collects offered, held and promised work, computes levels every digest period and refuses, holds or admits requests of services whose routes declare different ranks; digests carry the figures; refusals are logged with their inputs.

--- a/include/cardamombay/overload/admission_figures.hpp
+++ b/include/cardamombay/overload/admission_figures.hpp
@@ -47,6 +47,13 @@
     friend bool operator==(const ModelCapacity &, const ModelCapacity &) = default;
 };
 
+/// \brief Takes over the teams of \p before for models whose \p demand names none, since teams are
+/// not named in every digest.
+void keepTeams(FleetDemand &demand, const FleetDemand &before);
+
+/// \brief Removes the teams of all models.
+void dropTeams(FleetDemand &demand);
+
 /// \brief Properties of a request that admission depends on.
 struct AdmissionRequest
 {
--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -6,6 +6,7 @@
 
 #include <cardamombay/core/random.hpp>
 #include <cardamombay/net/upstream.hpp>
+#include <cardamombay/overload/admission_figures.hpp>
 #include <cardamombay/serving/endpoint_registry.hpp>
 #include <cardamombay/serving/load_tracker.hpp>
 #include <cardamombay/serving/request_fingerprint.hpp>
@@ -101,6 +102,17 @@
     /// \brief Number of groups that currently serve \p model.
     [[nodiscard]] std::size_t servingGroups(const Service &service, const ModelName &model);
 
+    /// \brief Usable groups of \p model and their requests in flight over all entry VMs.
+    [[nodiscard]] overload::ModelCapacity capacity(const Service &service, const ModelName &model,
+                                                   TimePoint now);
+
+    /// \brief Requests of this entry VM in flight at groups of \p model.
+    [[nodiscard]] std::size_t ownRequests(const Service &service, const ModelName &model);
+
+    /// \brief Expected time from the send to the first event at a group that has just become free
+    /// for another request.
+    [[nodiscard]] Duration firstEventTime(const RoutingRequest &request) const;
+
 private:
     struct Candidate
     {
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -16,6 +16,7 @@
 #include <cardamombay/serving/endpoint_notices.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
+#include <cardamombay/serving/overload_control.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/reservation_coordinator.hpp>
 #include <cardamombay/serving/retry_window.hpp>
@@ -65,7 +66,7 @@
 
     /// \name State from the control plane
     /// \{
-    void setRoutes(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
+    void setRoutes(std::shared_ptr<const RouteTable> routes);
     [[nodiscard]] const std::shared_ptr<const RouteTable> &routes() const { return routes_; }
     /// \brief While true, new requests are queued instead of refused: the process has just started
     /// and has not received routes and endpoints yet. Setting it to false resumes queued requests.
@@ -114,6 +115,11 @@
     [[nodiscard]] ColdEndpoints &coldEndpoints() { return coldEndpoints_; }
     /// \brief Reserves sends to endpoints with a request rate limit.
     [[nodiscard]] ReservationCoordinator &reservations() { return reservations_; }
+    /// \brief Admission, waits and returns under overload.
+    [[nodiscard]] OverloadControl &overload() { return overload_; }
+    /// \brief Work offered, held and promised here, for digests.
+    /// \param withTeams includes the teams of divided ranks.
+    [[nodiscard]] overload::FleetDemand overloadDemand(bool withTeams) const;
     /// \brief Evidence and quarantines of requests that crash endpoints.
     [[nodiscard]] PoisonPills &poisonPills() { return poisonPills_; }
     /// \brief Applies crashes and quarantines reported by a peer.
@@ -153,6 +159,12 @@
     /// \returns false if the request has failed at other endpoints too.
     [[nodiscard]] bool blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint);
     void countRequest(const Service &service, const RequestHead &head);
+    /// \brief Time of a full group that the request is expected to take.
+    [[nodiscard]] Duration workOf(const Service &service, const RequestHead &head) const;
+    /// \brief Held requests for \p model of services under overload control.
+    [[nodiscard]] std::vector<overload::HeldRequest> heldRequests(const ModelName &model) const;
+    /// \brief Makes the least urgent held request give way if the queue of \p arrival is full.
+    void displaceHeld(Session &arrival);
     [[nodiscard]] Duration unconfirmedFor() const;
     [[nodiscard]] const GatewayBounds &bounds() const { return bounds_; }
     void release(Session &session);
@@ -188,9 +200,12 @@
     ColdEndpoints coldEndpoints_;
     LowestRate sendRates_;
     ReservationCoordinator reservations_;
+    OverloadControl overload_;
     EndpointGate gate_;
     std::function<void()> crashCallback_;
-    std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
+    std::uint64_t lastSession_ = 0; ///< Number of the last session.
+    /// By number, so that sessions are visited in the order of their arrival.
+    std::map<std::uint64_t, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> released_;
 };
 
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -13,8 +13,10 @@
 
     metrics::Counter requests_;
     metrics::Counter served_;
-    metrics::Counter refused_; ///< Not run; the caller was told so.
-    metrics::Counter failed_;  ///< Outcome unknown, or the answer was aborted.
+    metrics::Counter refused_;        ///< Not run; the caller was told so.
+    metrics::Counter refusedForLoad_; ///< Refused since more work was asked for than groups can do.
+    metrics::Counter displaced_;      ///< Held requests refused in favour of more urgent ones.
+    metrics::Counter failed_;         ///< Outcome unknown, or the answer was aborted.
     metrics::Counter callerLeft_;
     metrics::Counter retries_;
     metrics::Counter stalls_;          ///< Attempts abandoned because the endpoint sent nothing.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -178,8 +178,18 @@
         EntryCapacity capacity_ = 0;
         std::map<ModelName, double> demand_;         ///< Received directly from the peer.
         std::map<ServiceName, RetryCounts> retries_; ///< Received directly from the peer.
+        overload::FleetDemand overload_;             ///< Received directly from the peer.
+        TimePoint overloadAt_{};
         TimePoint heardAt_{};
     };
+    struct OverloadFigures
+    {
+        overload::FleetDemand demand_;
+        TimePoint at_{}; ///< When the newest part was received.
+    };
+    [[nodiscard]] OverloadFigures peerOverload(TimePoint now) const;
+    void updateOverload(TimePoint now, Duration passed);
+    [[nodiscard]] bool namesTeams() const;
     [[nodiscard]] TimePoint lastConfirmedAt(const Peer &peer) const;
 
     /// Progress of comparing the known peers with those of another entry VM.
@@ -194,6 +204,7 @@
     {
         std::map<ModelName, double> demand_;
         std::map<ServiceName, RetryCounts> retries_;
+        overload::FleetDemand overload_;
         TimePoint at_{};
     };
 
@@ -266,6 +277,7 @@
     TimePoint standbyUntil_{}; ///< Until then this entry VM does not compete for the lease.
     std::map<ModelName, double> ownDemand_; ///< Smoothed demand here, in groups' worth of work.
     TimePoint demandAt_{};
+    std::uint64_t digestsSent_ = 0;
     bool hasUnreportedCrash_ = false; ///< An endpoint ended here since the last report.
     TimePoint reportedAt_{};
     /// Quarantines in the store, as far as this entry VM knows; the planner maintains them.
--- a/src/overload/admission_figures.cpp
+++ b/src/overload/admission_figures.cpp
@@ -48,4 +48,19 @@
     return *this;
 }
 
+void keepTeams(FleetDemand &demand, const FleetDemand &before)
+{
+    for (auto &[model, one] : demand) {
+        const auto known = before.find(model);
+        if (one.teams_.empty() && known != before.end())
+            one.teams_ = known->second.teams_;
+    }
+}
+
+void dropTeams(FleetDemand &demand)
+{
+    for (auto &[model, one] : demand)
+        one.teams_.clear();
+}
+
 } // namespace cardamombay::overload
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -145,6 +145,47 @@
                       [&model](const Candidate &one) { return one.model_ == model; }));
 }
 
+overload::ModelCapacity Balancer::capacity(const Service &service, const ModelName &model,
+                                           TimePoint now)
+{
+    overload::ModelCapacity result;
+    double requests = 0;
+    for (const auto &one : candidatesOf(service)) {
+        if (one.model_ != model || !loadTracker_.isUsable(one.endpoint_, now)
+            || loadTracker_.hasCrashed(one.endpoint_, one.startedAt_))
+            continue;
+        const double share = 1 / std::max(1.0, one.slowdown_);
+        result.groups_ += share;
+        requests += share * static_cast<double>(loadTracker_.totalRequests(one.endpoint_));
+    }
+    if (result.groups_ > 0)
+        result.occupancy_ = requests / (result.groups_ * service.engine_->slots_);
+    return result;
+}
+
+std::size_t Balancer::ownRequests(const Service &service, const ModelName &model)
+{
+    std::size_t result = 0;
+    for (const auto &one : candidatesOf(service)) {
+        if (one.model_ == model)
+            result += loadTracker_.ownRequests(one.endpoint_);
+    }
+    return result;
+}
+
+Duration Balancer::firstEventTime(const RoutingRequest &request) const
+{
+    const auto &profile = *request.service_->engine_;
+    const auto *known = profile.model(request.model_);
+    if (known == nullptr)
+        return Duration::zero();
+    const EngineModel model(profile, *known);
+    const auto pass = model.eventInterval(profile.slots_, model.meanContext());
+    const auto own
+        = model.prefillTime(std::min(request.promptTokens_, typicalPromptTokens(request)));
+    return fromSeconds(toSeconds(pass) * passesBeforeFirstEvent + toSeconds(own));
+}
+
 Balancer::Usable Balancer::usableCandidates(const RoutingRequest &request, TimePoint now)
 {
     Usable result;
--- a/src/serving/digest_hub.cpp
+++ b/src/serving/digest_hub.cpp
@@ -103,7 +103,8 @@
         }
         tokens.lastCount_ = told;
     }
-    source.last_ = digest;
+    const auto before = std::exchange(source.last_, digest);
+    overload::keepTeams(source.last_.overload_, before.overload_);
     source.isZone_ = isZone;
     source.heardAt_ = now;
 }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -51,6 +51,7 @@
     , coldEndpoints_(parts.clock_, parts.metrics_)
     , sendRates_({&notices_.limits(), &coldEndpoints_})
     , reservations_(parts.clock_, sendRates_, parts.metrics_, Random(random.bits()))
+    , overload_(parts.clock_, parts.balancer_, parts.metrics_, Random(random.bits()))
     , gate_(parts.balancer_, notices_, reservations_)
 {
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
@@ -62,8 +63,9 @@
 void Gateway::handle(net::ServerRequest request, std::shared_ptr<net::ServerExchange> exchange)
 {
     parts_.metrics_.requests_.increment();
-    auto session = std::make_shared<Session>(*this, std::move(request), std::move(exchange));
-    sessions_.emplace(session.get(), session);
+    auto session
+        = std::make_shared<Session>(*this, ++lastSession_, std::move(request), std::move(exchange));
+    sessions_.emplace(session->number(), session);
     session->start();
 }
 
@@ -84,7 +86,7 @@
 void Gateway::release(Session &session)
 {
     // Called from member functions of the session, so it is kept alive until the next sweep.
-    if (auto node = sessions_.extract(&session))
+    if (auto node = sessions_.extract(session.number()))
         released_.push_back(std::move(node.mapped()));
 }
 
@@ -107,6 +109,7 @@
     notices_.expire(now);
     coldEndpoints_.expire();
     reservations_.sweep();
+    overload_.returns().sweep();
     retryHeld(sessions);
 }
 
@@ -172,9 +175,10 @@
 void Gateway::retryHeld(std::vector<std::shared_ptr<Session>> &sessions)
 {
     std::erase_if(sessions, [](const auto &session) { return !session->isHeld(); });
-    std::sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
-        return std::pair(left->priority(), left->arrivedAt())
-               < std::pair(right->priority(), right->arrivedAt());
+    // Sessions are in the order of their arrival.
+    std::stable_sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
+        return std::pair(left->priority(), left->number())
+               < std::pair(right->priority(), right->number());
     });
     std::set<std::pair<ServiceName, ModelName>> full;
     for (const auto &session : sessions) {
@@ -234,9 +238,62 @@
     if (!service.engine_)
         return;
     if (const auto *model = service.engine_->model(head.model_))
-        demand_[model->name_]
-            += toSeconds(EngineModel(*service.engine_, *model)
-                             .amortizedGroupTime(head.promptTokens_, expectedAnswerTokens(head)));
+        demand_[model->name_] += toSeconds(workOf(service, head));
+}
+
+Duration Gateway::workOf(const Service &service, const RequestHead &head) const
+{
+    const auto *model = service.engine_->model(head.model_);
+    if (model == nullptr)
+        return Duration::zero();
+    return EngineModel(*service.engine_, *model)
+        .amortizedGroupTime(head.promptTokens_, expectedAnswerTokens(head));
+}
+
+void Gateway::setRoutes(std::shared_ptr<const RouteTable> routes)
+{
+    routes_ = std::move(routes);
+    overload_.setRoutes(routes_);
+}
+
+std::vector<overload::HeldRequest> Gateway::heldRequests(const ModelName &model) const
+{
+    std::vector<overload::HeldRequest> result;
+    for (const auto &[number, session] : sessions_) {
+        if (session->isHeld() && session->isControlled() && session->model() == model)
+            result.push_back(session->heldRequest());
+    }
+    return result;
+}
+
+void Gateway::displaceHeld(Session &arrival)
+{
+    std::vector<std::shared_ptr<Session>> others;
+    std::vector<overload::HeldRequest> queue;
+    for (const auto &[number, session] : sessions_) {
+        if (session.get() == &arrival || !session->isHeld() || !session->isControlled()
+            || session->model() != arrival.model())
+            continue;
+        others.push_back(session);
+        queue.push_back(session->heldRequest());
+    }
+    if (queue.size() < overload::maxHeldPerModel)
+        return;
+    const auto index = overload::displacedBy(queue, arrival.heldRequest());
+    (index ? *others[*index] : arrival).displace();
+}
+
+overload::FleetDemand Gateway::overloadDemand(bool withTeams) const
+{
+    std::vector<overload::AdmissionRequest> held;
+    std::vector<double> work;
+    for (const auto &[number, session] : sessions_) {
+        if (!session->isHeld() || !session->isControlled())
+            continue;
+        held.push_back(session->controlled().admission_);
+        work.push_back(session->controlled().work_);
+    }
+    return overload_.ownDemand(held, work, withTeams);
 }
 
 void Gateway::setPeerRetries(std::map<ServiceName, RetryCounts> counts)
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -17,6 +17,11 @@
     : requests_(registry.counter("cardamombay_gateway_requests_total", "Requests taken."))
     , served_(registry.counter("cardamombay_gateway_served_total", "Requests answered whole."))
     , refused_(registry.counter("cardamombay_gateway_refused_total", "Requests not run."))
+    , refusedForLoad_(
+          registry.counter("cardamombay_gateway_refused_for_load_total",
+                           "Requests refused since more work was asked for than groups can do."))
+    , displaced_(registry.counter("cardamombay_gateway_displaced_total",
+                                  "Held requests refused in favour of more urgent ones."))
     , failed_(registry.counter("cardamombay_gateway_failed_total",
                                "Requests whose outcome is unknown or that were broken off."))
     , callerLeft_(registry.counter("cardamombay_gateway_caller_left_total",
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -77,6 +77,7 @@
     parts_.gateway_.notices().onLeaving({});
     parts_.gateway_.onEndpointCrash({});
     parts_.gateway_.reservations().onSend({});
+    parts_.gateway_.overload().returns().onSend({});
 }
 
 void Node::start()
@@ -104,6 +105,10 @@
     reservations.setSelf(settings_.entry_, settings_.digests_);
     reservations.onSend(
         [this](const Address &to, std::string_view text) { parts_.datagrams_.send(to, text); });
+    auto &returns = parts_.gateway_.overload().returns();
+    returns.setSelf(settings_.entry_);
+    returns.onSend(
+        [this](const Address &to, std::string_view text) { parts_.datagrams_.send(to, text); });
     announce();
     peersChanged();
     if (settings_.isFirstStart_)
@@ -255,7 +260,12 @@
         peers_.erase(entry);
         return;
     }
-    peers_[entry] = {*digests, AvailabilityZone(zone), capacity, {}, {}, parts_.clock_.now()};
+    auto &peer = peers_[entry];
+    peer = {};
+    peer.address_ = *digests;
+    peer.zone_ = AvailabilityZone(zone);
+    peer.capacity_ = capacity;
+    peer.heardAt_ = parts_.clock_.now();
 }
 
 /// The value of this entry VM's row: address, zone and capacity.
@@ -301,6 +311,7 @@
     rank_ = rank;
     parts_.lease_.setCandidateRank(isStandingBy(parts_.clock_.now()) ? std::nullopt : rank_);
     parts_.gateway_.setEntryCount(peers_.size() + 1);
+    parts_.gateway_.overload().returns().setPeers(addresses);
     parts_.gateway_.reservations().setPeers(std::move(addresses));
 }
 
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -27,6 +27,12 @@
 /// saturate its link.
 constexpr Duration minReportInterval = std::chrono::milliseconds(40);
 
+/// Work offered at a peer that sent nothing for this time is left out: its callers have moved to
+/// other entry VMs by then.
+constexpr Duration overloadFiguresLifetime = std::chrono::seconds(1);
+
+constexpr std::uint64_t digestsPerTeams = 5;
+
 /// Time constant for smoothing the demand; forming a group takes some seconds.
 constexpr double demandSmoothingSeconds = 4;
 
@@ -46,6 +52,7 @@
         demand += (rate - demand) * weight;
     }
     parts_.gateway_.poisonPills().expire(now);
+    updateOverload(now, fromSeconds(seconds));
     if (havePeersChanged_)
         peersChanged();
     report(now);
@@ -59,6 +66,39 @@
     });
 }
 
+/// Teams change slowly and are most of the bytes, so they are named in every fifth digest only.
+bool Node::namesTeams() const
+{
+    return digestsSent_ % digestsPerTeams == 0;
+}
+
+/// Work offered at the other entry VMs, as told lately by digests or sums.
+Node::OverloadFigures Node::peerOverload(TimePoint now) const
+{
+    OverloadFigures result;
+    const auto add = [&](const overload::FleetDemand &demand, TimePoint at) {
+        if (now - at > overloadFiguresLifetime)
+            return;
+        for (const auto &[model, one] : demand)
+            result.demand_[model] += one;
+        result.at_ = std::max(result.at_, at);
+    };
+    for (const auto &[entry, peer] : peers_)
+        add(peer.overload_, peer.overloadAt_);
+    for (const auto &[entry, sum] : sums_)
+        add(sum.overload_, sum.at_);
+    return result;
+}
+
+void Node::updateOverload(TimePoint now, Duration passed)
+{
+    auto &overload = parts_.gateway_.overload();
+    overload.advance(passed);
+    auto others = peerOverload(now);
+    overload.update(parts_.gateway_.overloadDemand(true), others.demand_,
+                    peers_.empty() ? now : others.at_, peers_.size() + 1);
+}
+
 LoadDigest Node::ownDigest(TimePoint now)
 {
     LoadDigest digest;
@@ -73,6 +113,7 @@
     digest.heard_ = parts_.loadTracker_.locallyActive(now);
     digest.demand_ = ownDemand_;
     digest.retries_ = parts_.gateway_.retryCounts(now);
+    digest.overload_ = parts_.gateway_.overloadDemand(namesTeams());
     digest.poison_ = parts_.gateway_.poisonPills().pendingUpdate(now);
     auto &reservations = parts_.gateway_.reservations();
     digest.limits_ = parts_.gateway_.limits().updates(
@@ -98,6 +139,7 @@
 void Node::report(TimePoint now)
 {
     reportedAt_ = now;
+    ++digestsSent_;
     hasUnreportedCrash_ = false;
     hub_.expire(now);
     auto digest = ownDigest(now);
@@ -133,6 +175,7 @@
     for (auto &[entry, peer] : peers_) {
         peer.demand_.clear();
         peer.retries_.clear();
+        peer.overload_.clear();
     }
     log::info(event::reporterChanged, {{"reporter", reporter_  ? reporter_->text()
                                                     : isNeeded ? "self"
@@ -148,6 +191,8 @@
         return;
     ++sumsSent_;
     auto zone = hub_.zoneSummary(now);
+    if (!namesTeams())
+        overload::dropTeams(zone.sum_.overload_);
     zone.roster_ = rosterPageOf(hub_.roster(false, now));
     zone.rosterTotal_ = authoritativeTotal(settings_.zone_, now);
     const auto zoneText = encode(zone);
@@ -158,6 +203,8 @@
     if (members.empty())
         return;
     auto fleet = hub_.fleetSummary(now);
+    if (!namesTeams())
+        overload::dropTeams(fleet.sum_.overload_);
     fleet.roster_ = rosterPageOf(hub_.roster(true, now));
     fleet.rosterTotal_ = authoritativeTotal({}, now);
     const auto fleetText = encode(fleet);
@@ -207,7 +254,9 @@
 /// Records the load of several entry VMs, received in one sum.
 void Node::recordLoad(const EntryId &from, LoadDigest sum, std::size_t entries, TimePoint now)
 {
-    sums_[from] = {std::move(sum.demand_), std::move(sum.retries_), now};
+    auto &known = sums_[from];
+    overload::keepTeams(sum.overload_, known.overload_);
+    known = {std::move(sum.demand_), std::move(sum.retries_), std::move(sum.overload_), now};
     parts_.loadTracker_.setPeerLoad(from.text(),
                                     {std::move(sum.underWay_), std::move(sum.sent_),
                                      std::move(sum.silent_), now, entries, std::move(sum.heard_)});
@@ -242,7 +291,8 @@
 {
     if (auto digest = decodeLoadDigest(text))
         onDigest(*std::move(digest));
-    else if (parts_.gateway_.reservations().take(text))
+    else if (parts_.gateway_.reservations().take(text)
+             || parts_.gateway_.overload().returns().take(text))
         return;
     else if (auto summary = decodeLoadSummary(text))
         onSummary(*std::move(summary));
@@ -314,6 +364,9 @@
     auto &peer = peers_[digest.from_];
     peer.demand_ = std::move(digest.demand_);
     peer.retries_ = std::move(digest.retries_);
+    overload::keepTeams(digest.overload_, peer.overload_);
+    peer.overload_ = std::move(digest.overload_);
+    peer.overloadAt_ = now;
     parts_.loadTracker_.setPeerLoad(digest.from_.text(),
                                     {std::move(digest.underWay_), std::move(digest.sent_),
                                      std::move(digest.silent_), now, 1, std::move(digest.heard_)});
--- /dev/null
+++ b/src/serving/overload_control.cpp
@@ -0,0 +1,147 @@
+#include <cardamombay/serving/overload_control.hpp>
+
+#include <cardamombay/core/hash.hpp>
+
+namespace cardamombay::serving {
+
+namespace {
+
+/// Teams named in one digest; more would not fit into a datagram beside the other fields.
+constexpr std::size_t maxTeams = 32;
+
+/// A promise holds from shortly before its time, since clocks of callers and networks differ a
+/// little, until a caller that came late has certainly arrived.
+constexpr Duration promiseLead = std::chrono::milliseconds(50);
+constexpr Duration promiseLag = std::chrono::milliseconds(1500);
+
+} // namespace
+
+OverloadControl::OverloadControl(Clock &clock, Balancer &balancer, GatewayMetrics &metrics,
+                                 Random random)
+    : clock_(clock)
+    , balancer_(balancer)
+    , seed_(random.bits())
+    , controller_(policy_, clock.now())
+    , returns_(clock, metrics, Random(random.bits()))
+{
+}
+
+bool OverloadControl::controls(const Service &service) const
+{
+    return routes_ && routes_->hasRanks(service.name_);
+}
+
+void OverloadControl::advance(Duration passed)
+{
+    meter_.advance(passed);
+}
+
+overload::FleetDemand
+OverloadControl::ownDemand(const std::vector<overload::AdmissionRequest> &held,
+                           const std::vector<double> &work, bool withTeams) const
+{
+    const auto now = clock_.now();
+    std::map<ModelName, overload::Rank> divided;
+    for (const auto &[model, demand] : demand_) {
+        if (const auto rank = controller_.level(model, now).dividedRank_; rank && withTeams)
+            divided.emplace(model, *rank);
+    }
+    auto result = meter_.demand(divided, maxTeams);
+    for (std::size_t i = 0; i < held.size(); ++i)
+        result[held[i].model_].waiting_[held[i].rank_] += work[i];
+    for (const auto &[model, promised] : returns_.promisedWork())
+        result[model].promised_ = promised;
+    std::erase_if(result, [](const auto &one) { return one.second.isEmpty(); });
+    return result;
+}
+
+void OverloadControl::update(const overload::FleetDemand &own, const overload::FleetDemand &others,
+                             TimePoint figuresAt, std::size_t entries)
+{
+    demand_ = others;
+    for (const auto &[model, demand] : own)
+        demand_[model] += demand;
+    if (!routes_)
+        return;
+    const auto now = clock_.now();
+    for (const auto &service : routes_->configuration().services_) {
+        if (!controls(service))
+            continue;
+        for (const auto &model : service.engine_->models_)
+            controller_.update(model.name_, demandOf(model.name_),
+                               balancer_.capacity(service, model.name_, now), figuresAt, entries);
+    }
+    controller_.expire(now);
+}
+
+const overload::ModelDemand &OverloadControl::demandOf(const ModelName &model) const
+{
+    static const overload::ModelDemand none;
+    const auto found = demand_.find(model);
+    return found == demand_.end() ? none : found->second;
+}
+
+ControlledRequest OverloadControl::count(const Service &service, const RequestHead &head,
+                                         overload::Rank rank, const TeamName &team,
+                                         const RequestFingerprint &fingerprint, double work)
+{
+    ControlledRequest result;
+    const auto *model = service.engine_->model(head.model_);
+    result.admission_
+        = {model == nullptr ? head.model_ : model->name_, std::min(rank, overload::maxRank), team,
+           stableHash(head.request_.text(), seed_)};
+    result.fingerprint_ = fingerprint;
+    result.work_ = work;
+    meter_.count(result.admission_, work);
+    return result;
+}
+
+bool OverloadControl::admits(const Service &service, const ControlledRequest &request) const
+{
+    const auto &model = request.admission_.model_;
+    return request.hasReturned_
+           || controller_.admits(request.admission_, balancer_.ownRequests(service, model),
+                                 clock_.now());
+}
+
+bool OverloadControl::expectsReturns(const ModelName &model) const
+{
+    return demandOf(model).promised_ > 0;
+}
+
+Duration OverloadControl::forecast(const overload::HeldRequest &request,
+                                   std::span<const overload::HeldRequest> held,
+                                   const ModelName &model) const
+{
+    const double ahead = overload::workAhead(held, request);
+    return overload::forecastWait(demandOf(model), request.rank_, ahead,
+                                  controller_.level(model, clock_.now()).room_);
+}
+
+Duration OverloadControl::returnTime(const ControlledRequest &request, Duration timeLeft)
+{
+    const auto now = clock_.now();
+    const auto &admission = request.admission_;
+    const auto chosen = overload::returnTime(
+        {admission.rank_, request.work_, timeLeft, admission.draw_, request.hasReturned_},
+        demandOf(admission.model_), controller_.level(admission.model_, now).room_);
+    if (chosen.isPromised_) {
+        const auto due = now + chosen.retryAfter_;
+        returns_.promise({request.fingerprint_.value(), admission.model_, admission.rank_,
+                          request.work_, due - promiseLead, due + promiseLag});
+    }
+    return chosen.retryAfter_;
+}
+
+void OverloadControl::recordSend(const ModelName &model, bool isRefused)
+{
+    controller_.recordSend(model, isRefused, clock_.now());
+}
+
+AdmissionInputs OverloadControl::inputs(const ModelName &model) const
+{
+    const auto now = clock_.now();
+    return {controller_.level(model, now), controller_.figuresAge(model, now)};
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -39,9 +39,10 @@
 
 } // namespace
 
-Session::Session(Gateway &gateway, net::ServerRequest request,
+Session::Session(Gateway &gateway, std::uint64_t number, net::ServerRequest request,
                  std::shared_ptr<net::ServerExchange> exchange)
     : gateway_(gateway)
+    , number_(number)
     , request_(std::move(request))
     , exchange_(std::move(exchange))
     , head_(gateway.parts().dialect_.parseRequestHead(request_.fields_))
@@ -92,8 +93,7 @@
     }
     const bool endsCooldown = none != nullptr && *none == NoTarget::Cooldown;
     if ((service_->engine_ || endsCooldown) && mayHold(now)) {
-        isHeld_ = true;
-        wasHeld_ = true;
+        (void)holdForRoom(now);
         return target != nullptr;
     }
     if (target != nullptr) {
@@ -365,6 +365,10 @@
         giveUp("no room in time");
         return;
     }
+    if (isHeld_ && waitsInVain(now)) {
+        refuseForLoad("no room before the goal has passed");
+        return;
+    }
     if (const auto reason = isHeld_ ? rejectionReason(now) : std::nullopt) {
         isHeld_ = false;
         giveUp(*reason);
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -11,9 +11,11 @@
 #include <cardamombay/serving/dialect.hpp>
 #include <cardamombay/serving/endpoint_gate.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
+#include <cardamombay/serving/overload_control.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/reservation_coordinator.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -25,7 +27,8 @@
 class Session final : public net::UpstreamListener, public std::enable_shared_from_this<Session>
 {
 public:
-    Session(Gateway &gateway, net::ServerRequest request,
+    /// \param number position among the sessions of the gateway, in order of arrival.
+    Session(Gateway &gateway, std::uint64_t number, net::ServerRequest request,
             std::shared_ptr<net::ServerExchange> exchange);
     ~Session() override;
 
@@ -46,13 +49,23 @@
     [[nodiscard]] bool isHeld() const { return isHeld_; }
     /// \brief True if the request holds a reservation that may be used now.
     [[nodiscard]] bool hasOpenReservation() const;
-    [[nodiscard]] TimePoint arrivedAt() const { return arrivedAt_; }
+    [[nodiscard]] std::uint64_t number() const { return number_; }
+
     /// \brief Priority; 0 is the highest.
     [[nodiscard]] std::uint32_t priority() const { return priority_; }
     [[nodiscard]] const ModelName &model() const { return head_.model_; }
     /// \brief The target service. Valid only while the request is held.
     [[nodiscard]] const ServiceName &service() const { return service_->name_; }
 
+    /// \brief The request as the queue sees it.
+    [[nodiscard]] overload::HeldRequest heldRequest() const;
+    /// \brief True if a service under overload control serves it.
+    [[nodiscard]] bool isControlled() const { return controlled_.has_value(); }
+    /// \brief Admission properties of a controlled request.
+    [[nodiscard]] const ControlledRequest &controlled() const { return *controlled_; }
+    /// \brief Refuses a held request in favour of a more urgent one.
+    void displace();
+
     /// \brief Ends the request immediately because the process is shutting down.
     void terminate();
 
@@ -95,6 +108,13 @@
     [[nodiscard]] bool isStartupWaitOver(TimePoint now) const;
     [[nodiscard]] std::optional<std::string_view> rejectionReason(TimePoint now) const;
     [[nodiscard]] bool refuseQuarantined();
+    [[nodiscard]] bool admitUnderLoad();
+    void claimAnswered(bool isGranted);
+    void refuseForLoad(std::string_view reason);
+    [[nodiscard]] bool mayRefuseForLoad() const;
+    [[nodiscard]] Duration usefulWait(TimePoint now) const;
+    [[nodiscard]] bool waitsInVain(TimePoint now) const;
+    [[nodiscard]] bool holdForRoom(TimePoint now);
     void refuse(std::uint32_t status, std::string_view reason, std::optional<Duration> retryAfter);
     /// \}
 
@@ -146,6 +166,7 @@
     [[nodiscard]] Duration timeLeft(TimePoint now) const { return deadline_ - now; }
 
     Gateway &gateway_;
+    std::uint64_t number_;
     net::ServerRequest request_;
     std::shared_ptr<net::ServerExchange> exchange_;
     RequestHead head_;
@@ -158,6 +179,7 @@
     RequestRegions regions_;
     RequestFingerprint fingerprint_;
     std::uint32_t priority_ = 0;
+    std::optional<ControlledRequest> controlled_; ///< Set for services under overload control.
 
     std::unique_ptr<net::UpstreamCall> call_;
     Target target_;
@@ -174,6 +196,7 @@
     std::optional<Duration> retryAfter_; ///< Until endpoints at their limits accept again.
     bool needsRetryBudget_ = false;      ///< The next attempt consumes the fleet's budget.
     bool awaitsStartup_ = false;         ///< Waits until this process has started up.
+    bool awaitsClaim_ = false;           ///< Waits for the answer about its return.
     bool isHeld_ = false;                ///< Waits for capacity.
     bool wasHeld_ = false;
     bool hasProgress_ = false; ///< The current attempt has received data.
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -52,7 +52,8 @@
     if (!admit())
         return;
     gateway_.countRequest(*service_, head_);
-    dispatch();
+    if (admitUnderLoad())
+        dispatch();
 }
 
 bool Session::admit()
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -29,6 +29,8 @@
     const auto now = gateway_.parts().clock_.now();
     const auto answer = gateway_.parts().dialect_.parseResponseHead(head);
     recordNotices(answer, now);
+    if (controlled_)
+        gateway_.overload().recordSend(controlled_->admission_.model_, answer.isRefused_);
     if (answer.isRefused_) {
         --possibleRuns_;
         recordRefusal(answer.isMisdirected_, now);
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -27,6 +27,22 @@
     details.push_back({"reserved", isReserved ? "yes" : "no"});
 }
 
+/// Appends the rank and team of a request, and the figures that its admission was decided from.
+void appendAdmission(std::vector<Detail> &details, const ControlledRequest &request,
+                     const OverloadControl &overload)
+{
+    const auto inputs = overload.inputs(request.admission_.model_);
+    details.push_back({"rank", std::to_string(request.admission_.rank_)});
+    details.push_back({"team", request.admission_.team_.text()});
+    details.push_back({"returned", request.hasReturned_ ? "yes" : "no"});
+    details.push_back({"offered-groups", textOf(inputs.level_.offered_)});
+    details.push_back({"room-groups", textOf(inputs.level_.room_)});
+    details.push_back({"occupancy", textOf(inputs.level_.occupancy_)});
+    details.push_back({"figures-from", std::string(nameOf(inputs.level_.source_))});
+    if (inputs.figuresAge_)
+        details.push_back({"figures-age-ms", std::to_string(toMilliseconds(*inputs.figuresAge_))});
+}
+
 /// Appends the start and the remaining time of the endpoint's cooldown.
 void appendCooldown(std::vector<Detail> &details, const Cooldown &cooldown, TimePoint now)
 {
@@ -121,6 +137,8 @@
         {"most-answer", std::to_string(head_.maxAnswerTokens_)},
         {"likely-answer", std::to_string(head_.expectedAnswerTokens_)},
         {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}};
+    if (controlled_)
+        appendAdmission(details, *controlled_, gateway_.overload());
     if (target_.skippedInCooldown_ > 0)
         details.push_back({"passed-over", std::to_string(target_.skippedInCooldown_)});
     if (retryAfter_ && outcome == "refused")
--- /dev/null
+++ b/src/serving/session_overload.cpp
@@ -0,0 +1,131 @@
+// Overload part of Session: admission by rank and team, waits with a forecast, and returns.
+#include "serving/session.hpp"
+
+#include "serving/caller_status.hpp"
+
+#include <cardamombay/serving/gateway.hpp>
+
+#include <algorithm>
+
+namespace cardamombay::serving {
+
+using namespace impl;
+
+namespace {
+
+/// The answer about a return is awaited for a tenth of the goal, the time within which a request
+/// that cannot be served is refused, and no longer than a few round trips between zones.
+constexpr double claimWaitShare = 0.1;
+constexpr Duration maxClaimWait = std::chrono::milliseconds(20);
+
+constexpr std::string_view overloadReason = "more work is asked for than the groups can do";
+constexpr std::string_view waitReason = "no room before the goal has passed";
+constexpr std::string_view displacedReason = "more urgent requests fill the queue";
+
+} // namespace
+
+/// \returns true if the request may be sent now; otherwise it has been refused or awaits the answer
+/// about its return.
+bool Session::admitUnderLoad()
+{
+    auto &overload = gateway_.overload();
+    if (!overload.controls(*service_))
+        return true;
+    controlled_ = overload.count(*service_, head_, priority_, team_, fingerprint_,
+                                 toSeconds(gateway_.workOf(*service_, head_)));
+    if (overload.admits(*service_, *controlled_))
+        return true;
+    if (!overload.expectsReturns(controlled_->admission_.model_)) {
+        refuseForLoad(overloadReason);
+        return false;
+    }
+    awaitsClaim_ = true;
+    const auto wait
+        = std::min(maxClaimWait, fromSeconds(toSeconds(route_->latencyGoal_) * claimWaitShare));
+    overload.returns().claim(fingerprint_, wait, [weak = weak_from_this()](bool isGranted) {
+        if (const auto self = weak.lock())
+            self->claimAnswered(isGranted);
+    });
+    return false;
+}
+
+void Session::claimAnswered(bool isGranted)
+{
+    if (isDone_ || !std::exchange(awaitsClaim_, false))
+        return;
+    controlled_->hasReturned_ = isGranted;
+    if (isGranted)
+        dispatch();
+    else
+        refuseForLoad(overloadReason);
+}
+
+/// Refuses a request of which no attempt can have run, and tells its caller when to come back.
+void Session::refuseForLoad(std::string_view reason)
+{
+    isHeld_ = false;
+    const auto now = gateway_.parts().clock_.now();
+    retryAfter_ = gateway_.overload().returnTime(*controlled_, timeLeft(now));
+    gateway_.parts().metrics_.refusedForLoad_.increment();
+    refuse(statusUnavailable, reason, retryAfter_);
+}
+
+bool Session::mayRefuseForLoad() const
+{
+    return controlled_ && possibleRuns_ == 0 && events_ == 0;
+}
+
+overload::HeldRequest Session::heldRequest() const
+{
+    return {controlled_ ? controlled_->admission_.rank_ : priority_,
+            controlled_ && controlled_->hasReturned_,
+            !mayRefuseForLoad(),
+            arrivedAt_,
+            head_.request_,
+            controlled_ ? controlled_->work_ : 0};
+}
+
+/// Time for which waiting for room is of use to the caller.
+Duration Session::usefulWait(TimePoint now) const
+{
+    RoutingRequest request;
+    request.service_ = service_;
+    request.model_ = head_.model_;
+    request.promptTokens_ = head_.promptTokens_;
+    const auto first = gateway_.parts().balancer_.firstEventTime(request);
+    return overload::usefulWait({route_->latencyGoal_,
+                                 std::min(callerPatience(), deadline_ - arrivedAt_),
+                                 now - arrivedAt_, first, controlled_->hasReturned_});
+}
+
+/// True if the request is forecast to find room too late to be of use.
+bool Session::waitsInVain(TimePoint now) const
+{
+    if (!mayRefuseForLoad())
+        return false;
+    const auto held = gateway_.heldRequests(head_.model_);
+    return gateway_.overload().forecast(heldRequest(), held, head_.model_) > usefulWait(now);
+}
+
+/// Holds the request if that is of use, or refuses it.
+/// \returns false if it was refused.
+bool Session::holdForRoom(TimePoint now)
+{
+    if (waitsInVain(now)) {
+        refuseForLoad(waitReason);
+        return false;
+    }
+    isHeld_ = true;
+    wasHeld_ = true;
+    if (mayRefuseForLoad())
+        gateway_.displaceHeld(*this);
+    return !isDone_;
+}
+
+void Session::displace()
+{
+    gateway_.parts().metrics_.displaced_.increment();
+    refuseForLoad(displacedReason);
+}
+
+} // namespace cardamombay::serving
