Visit sessions in the order of their arrival

Cause: the gateway kept its sessions in a hash table by address, so memory layout decided which of two waiting requests of the same priority and arrival time was sent first (docs/FINDINGS.md). Change: sessions carry a number in order of arrival; the gateway keeps and visits them by it. Conclusion: the same inputs give the same decisions.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -190,7 +190,9 @@
     ReservationCoordinator reservations_;
     EndpointGate gate_;
     std::function<void()> crashCallback_;
-    std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
+    std::uint64_t lastSession_ = 0; ///< Number of the last session.
+    /// By number, so that sessions are visited in the order of their arrival.
+    std::map<std::uint64_t, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> released_;
 };
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -62,8 +62,9 @@
 void Gateway::handle(net::ServerRequest request, std::shared_ptr<net::ServerExchange> exchange)
 {
     parts_.metrics_.requests_.increment();
-    auto session = std::make_shared<Session>(*this, std::move(request), std::move(exchange));
-    sessions_.emplace(session.get(), session);
+    auto session
+        = std::make_shared<Session>(*this, ++lastSession_, std::move(request), std::move(exchange));
+    sessions_.emplace(session->number(), session);
     session->start();
 }
 
@@ -84,7 +85,7 @@
 void Gateway::release(Session &session)
 {
     // Called from member functions of the session, so it is kept alive until the next sweep.
-    if (auto node = sessions_.extract(&session))
+    if (auto node = sessions_.extract(session.number()))
         released_.push_back(std::move(node.mapped()));
 }
 
@@ -173,8 +174,8 @@
 {
     std::erase_if(sessions, [](const auto &session) { return !session->isHeld(); });
     std::sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
-        return std::pair(left->priority(), left->arrivedAt())
-               < std::pair(right->priority(), right->arrivedAt());
+        return std::pair(left->priority(), left->number())
+               < std::pair(right->priority(), right->number());
     });
     std::set<std::pair<ServiceName, ModelName>> full;
     for (const auto &session : sessions) {
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -39,9 +39,10 @@
 
 } // namespace
 
-Session::Session(Gateway &gateway, net::ServerRequest request,
+Session::Session(Gateway &gateway, std::uint64_t number, net::ServerRequest request,
                  std::shared_ptr<net::ServerExchange> exchange)
     : gateway_(gateway)
+    , number_(number)
     , request_(std::move(request))
     , exchange_(std::move(exchange))
     , head_(gateway.parts().dialect_.parseRequestHead(request_.fields_))
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -14,6 +14,7 @@
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/reservation_coordinator.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -25,7 +26,8 @@
 class Session final : public net::UpstreamListener, public std::enable_shared_from_this<Session>
 {
 public:
-    Session(Gateway &gateway, net::ServerRequest request,
+    /// \param number position among the sessions of the gateway, in order of arrival.
+    Session(Gateway &gateway, std::uint64_t number, net::ServerRequest request,
             std::shared_ptr<net::ServerExchange> exchange);
     ~Session() override;
 
@@ -46,7 +48,7 @@
     [[nodiscard]] bool isHeld() const { return isHeld_; }
     /// \brief True if the request holds a reservation that may be used now.
     [[nodiscard]] bool hasOpenReservation() const;
-    [[nodiscard]] TimePoint arrivedAt() const { return arrivedAt_; }
+    [[nodiscard]] std::uint64_t number() const { return number_; }
     /// \brief Priority; 0 is the highest.
     [[nodiscard]] std::uint32_t priority() const { return priority_; }
     [[nodiscard]] const ModelName &model() const { return head_.model_; }
@@ -146,6 +148,7 @@
     [[nodiscard]] Duration timeLeft(TimePoint now) const { return deadline_ - now; }
 
     Gateway &gateway_;
+    std::uint64_t number_;
     net::ServerRequest request_;
     std::shared_ptr<net::ServerExchange> exchange_;
     RequestHead head_;
