Probe lost peers instead of counting listed rows as live

Cause: 6 s after 36 of 66 entry VMs had ended, each of the others had lost more than half of its peers, listed them from the store and took all rows for live peers again, of which 36 had ended: 65 known, 6 s later the same. It also lost the live entry VMs of other zones for a moment (9 peers known at 6.0 s, 65 at 6.1 s), because sums went only to the first two members of each other zone, which had ended.

Change: an entry VM that lists its peers again while it has some probes the unknown ones with a digest without load, and knows them once it hears of them. An entry VM without peers takes the rows as before. A reporter also sends its sums to those who report for other zones now, and to two further members in turn of a zone that it does not hear.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -166,6 +166,10 @@
     void onRosterAnswer(const RosterAnswer &answer);
     void applyBucket(const RosterBucket &bucket, const AvailabilityZone &zone, TimePoint now);
     void relistPeersIfDue(TimePoint now);
+    void peersListed(const std::vector<platform::Row> &rows);
+    [[nodiscard]] static std::optional<PeerInfo> peerInfoIn(const platform::Row &row);
+    void probeLostPeer(TimePoint now);
+    [[nodiscard]] LoadDigest emptyDigest(TimePoint now) const;
     void dropSilentPeers(TimePoint now);
     [[nodiscard]] std::map<ModelName, double> fleetDemand() const;
     void takeDemand();
@@ -245,6 +249,11 @@
     std::size_t sumsSent_ = 0;
     std::size_t maxPeers_ = 0;  ///< Maximum since the peers were last listed.
     TimePoint peersListedAt_{}; ///< Last listing, not counting the one at the start.
+    bool isRelisting_ = false;  ///< The listing in progress is a repeated one.
+    /// Listed entry VMs that were not heard since this one lost them.
+    std::vector<PeerInfo> lostPeers_;
+    TimePoint probedAt_{};
+    std::size_t probesSent_ = 0;
     ConfirmationTracker configurationTracker_;
     ConfirmationTracker endpointTracker_;
     std::size_t dutyPosition_ = 0; ///< Position of this entry VM among all, in the order of duties.
--- a/include/cardamombay/serving/reporters.hpp
+++ b/include/cardamombay/serving/reporters.hpp
@@ -39,17 +39,25 @@
     [[nodiscard]] std::optional<EntryId> own(TimePoint now) const;
 
     /// \brief The reporters of the other zones and their successors in case they fail.
+    /// \details Includes entry VMs that report for their zone now, whatever their rank. While
+    /// nobody is heard from a zone, a few more of its members are added, others at each call period.
     [[nodiscard]] std::vector<EntryId> others(TimePoint now) const;
 
     /// \brief Records a sum from \p reporter.
     void heard(const EntryId &reporter, TimePoint now);
 
+    /// \brief Records a sum of another zone from \p reporter.
+    void heardZone(const AvailabilityZone &zone, const EntryId &reporter, TimePoint now);
+
     /// \brief Skips the reporter of this zone if it has been silent. Call once per digest period.
     void check(TimePoint now);
 
 private:
     [[nodiscard]] std::vector<EntryId> first(const std::vector<EntryId> &ranked, std::size_t count,
                                              TimePoint now) const;
+    [[nodiscard]] static std::vector<EntryId> searched(const std::vector<EntryId> &ranked,
+                                                       TimePoint now);
+    void awaitZones(bool isReporter, TimePoint now);
 
     EntryId self_;
     AvailabilityZone zone_;
@@ -57,6 +65,10 @@
     /// All members of each zone, by rank.
     std::map<AvailabilityZone, std::vector<EntryId>> ranked_;
     std::map<EntryId, TimePoint> skippedUntil_;
+    /// Last sum of each other zone, by reporter.
+    std::map<AvailabilityZone, std::map<EntryId, TimePoint>> zoneReporters_;
+    /// When each other zone was last heard, or when this entry VM became the reporter.
+    std::map<AvailabilityZone, TimePoint> zoneHeardAt_;
     EntryId awaitedReporter_; ///< The reporter whose sums are expected.
     TimePoint heardAt_{};     ///< Its last sum, or when it became the reporter.
 };
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -181,8 +181,7 @@
         return;
     }
     if (table == peerTable) {
-        for (const auto &row : rows)
-            applyPeerRow({row, false});
+        peersListed(rows);
         peersChanged();
         startLease(parts_.clock_.now());
         return;
@@ -245,17 +244,26 @@
     const EntryId entry(change.row_.key_.key_);
     if (entry == settings_.entry_)
         return;
-    std::istringstream words(change.row_.value_);
+    const auto info = peerInfoIn(change.row_);
+    if (change.isRemoved_ || !info) {
+        peers_.erase(entry);
+        return;
+    }
+    peers_[entry] = {info->address_, info->zone_, info->capacity_, {}, {}, parts_.clock_.now()};
+}
+
+/// Parses a row that peerRow() wrote; nothing if it has another form.
+std::optional<PeerInfo> Node::peerInfoIn(const platform::Row &row)
+{
+    std::istringstream words(row.value_);
     std::string address;
     std::string zone;
     EntryCapacity capacity = 0;
     words >> address >> zone >> capacity;
     const auto digests = config::addressOf(address);
-    if (change.isRemoved_ || !digests || zone.empty()) {
-        peers_.erase(entry);
-        return;
-    }
-    peers_[entry] = {*digests, AvailabilityZone(zone), capacity, {}, {}, parts_.clock_.now()};
+    if (!digests || zone.empty())
+        return std::nullopt;
+    return PeerInfo{EntryId(row.key_.key_), *digests, AvailabilityZone(zone), capacity};
 }
 
 /// The value of this entry VM's row: address, zone and capacity.
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -22,6 +22,13 @@
 /// a call to the store.
 constexpr Duration peerRelistInterval = std::chrono::seconds(4);
 
+/// Interval between probes of lost peers. A fleet that shrank for good probes as long as the rows of
+/// the others stay in the table, at about 1 KB/s.
+constexpr Duration probeInterval = std::chrono::milliseconds(200);
+
+/// Lost peers that get every other probe; with two large entry VMs in each of four zones, these.
+constexpr std::size_t firstProbed = 8;
+
 /// Minimum interval between reports when endpoints end in quick succession. A failing domain ends
 /// dozens within a few milliseconds; a reporter that sent sums to all members for each would
 /// saturate its link.
@@ -52,6 +59,7 @@
     dropSilentPeers(now);
     chooseWatches(now);
     relistPeersIfDue(now);
+    probeLostPeer(now);
     parts_.gateway_.setPeerRetries(peerRetries());
     parts_.clock_.schedule(digestPeriod, [this, alive = std::weak_ptr(isAlive_)] {
         if (!alive.expired())
@@ -59,7 +67,8 @@
     });
 }
 
-LoadDigest Node::ownDigest(TimePoint now)
+/// A digest without load.
+LoadDigest Node::emptyDigest(TimePoint now) const
 {
     LoadDigest digest;
     digest.from_ = settings_.entry_;
@@ -67,6 +76,13 @@
     digest.zone_ = settings_.zone_;
     digest.capacity_ = settings_.capacity();
     digest.stamp_ = {settings_.incarnation_, readingOf(now)};
+    digest.endpoints_ = endpointWatch_.version();
+    return digest;
+}
+
+LoadDigest Node::ownDigest(TimePoint now)
+{
+    auto digest = emptyDigest(now);
     digest.underWay_ = parts_.loadTracker_.ownRequestCounts();
     digest.sent_ = parts_.loadTracker_.ownSentTokens(now);
     digest.silent_ = parts_.loadTracker_.locallyStalled();
@@ -80,7 +96,6 @@
             return reservations.owns(endpoint);
         });
     digest.cooldowns_ = parts_.gateway_.notices().updates(now);
-    digest.endpoints_ = endpointWatch_.version();
     digest.isDraining_ = isLeaving_;
     if (isWatching_ && areEndpointsListed_)
         digest.relay_ = relayState(now);
@@ -194,6 +209,7 @@
     if (summary.sum_.relay_)
         applyRelayState(*summary.sum_.relay_, summary.sum_.address_, now);
     if (summary.isOfZone_) {
+        reporters_.heardZone(summary.sum_.zone_, from, now);
         hub_.take(summary, now);
         if (hasReporters_ && !reporter_)
             recordLoad(from, summary.sum_, entriesIn(summary.sum_.zone_), now);
@@ -371,9 +387,47 @@
         return;
     peersListedAt_ = now;
     maxPeers_ = peers_.size();
+    isRelisting_ = !isFirst;
     peerWatch_.start();
 }
 
+/// Rows of entry VMs that ended without leaving stay in the table. When an entry VM that still has
+/// peers lists them again, those that it does not know are therefore probed before they count as
+/// peers: otherwise they would be known for another peerLifetime, and be chosen as reporters. An
+/// entry VM without any peer, such as one that was suspended, takes them as they are.
+void Node::peersListed(const std::vector<platform::Row> &rows)
+{
+    const bool mustProbe = std::exchange(isRelisting_, false) && !peers_.empty();
+    lostPeers_.clear();
+    for (const auto &row : rows) {
+        const auto info = peerInfoIn(row);
+        if (!mustProbe)
+            applyPeerRow({row, false});
+        else if (info && info->entry_ != settings_.entry_ && !peers_.contains(info->entry_))
+            lostPeers_.push_back(*info);
+    }
+    std::stable_sort(lostPeers_.begin(), lostPeers_.end(),
+                     [](const PeerInfo &left, const PeerInfo &right) {
+                         return left.capacity_ > right.capacity_;
+                     });
+}
+
+/// Sends one lost peer a digest without load, which makes a live one send its sums for a while.
+/// Every other probe goes to the largest, among which the reporters are.
+void Node::probeLostPeer(TimePoint now)
+{
+    std::erase_if(lostPeers_,
+                  [this](const PeerInfo &lost) { return peers_.contains(lost.entry_); });
+    if (lostPeers_.empty() || now - probedAt_ < probeInterval)
+        return;
+    probedAt_ = now;
+    ++probesSent_;
+    const auto choices
+        = probesSent_ % 2 == 0 ? lostPeers_.size() : std::min(lostPeers_.size(), firstProbed);
+    parts_.datagrams_.send(lostPeers_[probesSent_ / 2 % choices].address_,
+                           encode(emptyDigest(now)));
+}
+
 /// Drops peers and sums that were not updated lately.
 void Node::dropSilentPeers(TimePoint now)
 {
--- a/src/serving/reporters.cpp
+++ b/src/serving/reporters.cpp
@@ -19,6 +19,11 @@
 /// when it takes over.
 constexpr std::size_t reportersPerZone = 2;
 
+/// Further members of a silent zone that receive sums in each period. They take turns, so that in a
+/// zone of 22 each is reached within 1.1 s at the cost of two datagrams per period.
+constexpr std::size_t searchedPerPeriod = 2;
+constexpr Duration searchPeriod = std::chrono::milliseconds(100);
+
 } // namespace
 
 Reporters::Reporters(EntryId self, AvailabilityZone zone)
@@ -45,6 +50,16 @@
         ranked_.emplace(zone, dutyOrder(zone.text(), entries));
 }
 
+/// The members of a silent zone whose turn it is.
+std::vector<EntryId> Reporters::searched(const std::vector<EntryId> &ranked, TimePoint now)
+{
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / searchPeriod);
+    std::vector<EntryId> result;
+    for (std::size_t i = 0; i < searchedPerPeriod; ++i)
+        result.push_back(ranked[(turn * searchedPerPeriod + i) % ranked.size()]);
+    return result;
+}
+
 /// The first \p count entry VMs that are not skipped.
 std::vector<EntryId> Reporters::first(const std::vector<EntryId> &ranked, std::size_t count,
                                       TimePoint now) const
@@ -75,12 +90,48 @@
     for (const auto &[zone, ranked] : ranked_) {
         if (zone == zone_)
             continue;
-        const auto entries = first(ranked, reportersPerZone, now);
+        auto entries = first(ranked, reportersPerZone, now);
+        const auto add = [&entries](const EntryId &entry) {
+            if (std::find(entries.begin(), entries.end(), entry) == entries.end())
+                entries.push_back(entry);
+        };
+        if (const auto found = zoneReporters_.find(zone); found != zoneReporters_.end()) {
+            for (const auto &[entry, heardAt] : found->second) {
+                if (now - heardAt <= reporterTimeout)
+                    add(entry);
+            }
+        }
+        const auto heard = zoneHeardAt_.find(zone);
+        if (heard != zoneHeardAt_.end() && now - heard->second > reporterTimeout) {
+            for (const auto &entry : searched(ranked, now))
+                add(entry);
+        }
         result.insert(result.end(), entries.begin(), entries.end());
     }
     return result;
 }
 
+void Reporters::heardZone(const AvailabilityZone &zone, const EntryId &reporter, TimePoint now)
+{
+    zoneReporters_[zone][reporter] = now;
+    zoneHeardAt_[zone] = now;
+}
+
+/// Only a reporter receives sums of other zones regularly, so others expect none.
+void Reporters::awaitZones(bool isReporter, TimePoint now)
+{
+    std::erase_if(zoneHeardAt_, [this](const auto &one) { return !ranked_.contains(one.first); });
+    for (const auto &[zone, ranked] : ranked_) {
+        const auto [place, isNew] = zoneHeardAt_.try_emplace(zone, now);
+        if (!isReporter)
+            place->second = now;
+    }
+    for (auto &[zone, reporters] : zoneReporters_) {
+        std::erase_if(reporters,
+                      [now](const auto &one) { return now - one.second > reporterTimeout; });
+    }
+}
+
 void Reporters::heard(const EntryId &reporter, TimePoint now)
 {
     if (reporter == awaitedReporter_)
@@ -90,6 +141,7 @@
 void Reporters::check(TimePoint now)
 {
     const auto reporter = own(now);
+    awaitZones(!reporter, now);
     if (!reporter) {
         awaitedReporter_ = {};
         return;
