--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -175,7 +175,7 @@
 
 void FleetNode::send(const Address &to, std::string_view text)
 {
-    fleet_.deliver(to, std::string(text));
+    fleet_.deliver(*this, to, std::string(text));
 }
 
 void FleetNode::onReceived(std::function<void(std::string_view)> handler)
@@ -354,13 +354,15 @@
     (void)platform_.apply(transaction);
 }
 
-void NodeFleet::deliver(const Address &to, std::string text)
+void NodeFleet::deliver(const FleetNode &from, const Address &to, std::string text)
 {
     ++datagramsSent_;
     bytesSent_ += text.size();
     const auto found = byAddress_.find(to);
     if (found == byAddress_.end() || random_.unit() < faults_.lossShare_)
         return;
+    if (isCut_ && isCut_(from, *found->second))
+        return;
     if (corrupt_)
         corrupt_(text);
     const Duration way = std::chrono::microseconds(200)
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -113,7 +113,7 @@
     /// \brief Time within which all entry VMs must know of a change.
     [[nodiscard]] Duration propagationBound() const;
 
-    void deliver(const Address &to, std::string text);
+    void deliver(const FleetNode &from, const Address &to, std::string text);
     [[nodiscard]] FleetNode &node(std::size_t index) { return *nodes_[index]; }
     [[nodiscard]] std::size_t size() const { return nodes_.size(); }
     /// \brief Total number of calls of all nodes to the store.
@@ -127,6 +127,8 @@
     FakePlatform platform_{clock_};
     FleetFormat format_;
     DatagramFaults faults_;
+    /// If set, tells whether the network drops all datagrams from one entry VM to another.
+    std::function<bool(const FleetNode &from, const FleetNode &to)> isCut_;
     /// If set, called with each datagram; may modify it.
     std::function<void(std::string &)> corrupt_;
     RowVersion historyStart_; ///< The store has no history of earlier changes.
@@ -160,6 +162,8 @@
     /// \brief Version of the configuration in effect here; none before the first one.
     [[nodiscard]] ConfigVersion configuration() const;
 
+    [[nodiscard]] const AvailabilityZone &zone() const { return zone_; }
+
     /// \brief True if a request with \p key would be accepted now.
     [[nodiscard]] bool acceptsKey(const std::string &key) const;
 
