Print the crashes of each endpoint when the quarantine test of the platform fails

Cause: the test failed once and did not print the counts that it compares.

Change: the stand-in reports its engines' crashes by endpoint, and the test prints them, before and after, with each comparison. What it compares and its bounds are as before.

--- a/tests/fleet_platform/calm_day.cpp
+++ b/tests/fleet_platform/calm_day.cpp
@@ -55,6 +55,15 @@
     std::thread thread_;
 };
 
+/// Crashes in total and of each endpoint, for messages of failed tests.
+std::string crashCounts(const EngineReport &report)
+{
+    std::string result = std::to_string(report.crashes_);
+    for (const auto &[endpoint, count] : report.endpointCrashes_)
+        result += ' ' + endpoint + '=' + std::to_string(count);
+    return result;
+}
+
 } // namespace
 
 Test(fleet_platform, streams_come_whole_and_calls_run_once)
@@ -183,9 +192,10 @@
     for (int i = 0; i < 12; ++i)
         (void)deployment.stream(static_cast<std::size_t>(i) % Deployment::gatewayCount,
                                 "pill-" + std::to_string(i), "m", "key-a", "/stream/pill");
-    const auto crashes = deployment.report().crashes_;
-    cr_assert_geq(crashes, 3);
-    cr_assert_leq(crashes, 5);
+    const auto before = deployment.report();
+    const auto crashes = before.crashes_;
+    cr_assert_geq(crashes, 3, "before: %s", crashCounts(before).c_str());
+    cr_assert_leq(crashes, 5, "before: %s", crashCounts(before).c_str());
     cr_assert_eq(deployment.stream(0, "pill-x", "m", "key-a", "/stream/pill").status_, 503);
     cr_assert_not(deployment.logLinesContaining(0, "event=request-quarantined").empty());
     // Its engines are back for others.
@@ -207,5 +217,7 @@
     for (std::size_t number = 0; number < Deployment::gatewayCount; ++number)
         cr_assert_eq(deployment.stream(number, "pill-again", "m", "key-a", "/stream/pill").status_,
                      503);
-    cr_assert_eq(deployment.report().crashes_, crashes);
+    const auto after = deployment.report();
+    cr_assert_eq(after.crashes_, crashes, "before: %s; after: %s", crashCounts(before).c_str(),
+                 crashCounts(after).c_str());
 }
--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -211,6 +211,8 @@
     const auto object = json::parse(result.body_).as_object();
     EngineReport report;
     report.crashes_ = object.at("crashes").to_number<int>();
+    for (const auto &endpoint : object.at("endpoint_crashes").as_object())
+        report.endpointCrashes_[std::string(endpoint.key())] = endpoint.value().to_number<int>();
     for (const auto &run : object.at("runs").as_object())
         report.runs_.emplace_back(std::string(run.key()), run.value().to_number<int>());
     for (const auto &endpoint : object.at("arrivals").as_object()) {
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -22,6 +22,7 @@
     /// leaving command.
     std::map<std::string, std::vector<std::int64_t>> arrivals_;
     int crashes_ = 0; ///< Endpoint crashes caused by poison-pill requests.
+    std::map<std::string, int> endpointCrashes_; ///< The same by endpoint id.
 };
 
 /// \brief Which connections pass through a fault proxy. The proxy accepts connections even if the
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -235,6 +235,7 @@
     if (std::exchange(isDown_, true))
         return;
     ++registry_.crashes_;
+    ++crashCount_;
     server_.stop();
     group_.reset();
     fence_ = 0;
--- a/tests/support/group_engine_standin.hpp
+++ b/tests/support/group_engine_standin.hpp
@@ -42,6 +42,8 @@
     [[nodiscard]] bool isSilent() const { return isSilent_; }
     /// \brief Marks the entry as draining.
     void drain();
+    /// \brief Number of crashes caused by poison-pill requests.
+    [[nodiscard]] int crashCount() const { return crashCount_; }
     [[nodiscard]] std::uint16_t port() const { return server_.port(); }
     /// \brief Announces the rate limit \p perSecond in each response, or none if it is empty, and
     /// clears the recorded arrivals.
@@ -101,6 +103,7 @@
     std::uint64_t highestEpoch_ = 0;
     bool isSilent_ = false;
     bool isDown_ = false;
+    int crashCount_ = 0;
     bool isDraining_ = false;
     bool announcesLeaving_ = false;
     std::chrono::steady_clock::time_point refusesUntil_{};
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -45,12 +45,16 @@
     json::object ports;
     for (const auto &[id, engine] : registry.engines_)
         ports[id] = engine->port();
+    json::object endpointCrashes;
+    for (const auto &[id, engine] : registry.engines_)
+        endpointCrashes[id] = engine->crashCount();
     json::object arrivals;
     for (const auto &[id, engine] : registry.engines_)
         arrivals[id] = encodeArrivals(*engine);
     return json::serialize(json::object{{"runs", std::move(runs)},
                                         {"arrivals", std::move(arrivals)},
                                         {"crashes", registry.crashes_},
+                                        {"endpoint_crashes", std::move(endpointCrashes)},
                                         {"violations", std::move(violations)},
                                         {"ports", std::move(ports)}});
 }
