--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -175,8 +175,7 @@
 void Gateway::retryHeld(std::vector<std::shared_ptr<Session>> &sessions)
 {
     std::erase_if(sessions, [](const auto &session) { return !session->isHeld(); });
-    // Sessions are in the order of their arrival.
-    std::stable_sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
+    std::sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
         return std::pair(left->priority(), left->number())
                < std::pair(right->priority(), right->number());
     });
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -50,7 +50,6 @@
     /// \brief True if the request holds a reservation that may be used now.
     [[nodiscard]] bool hasOpenReservation() const;
     [[nodiscard]] std::uint64_t number() const { return number_; }
-
     /// \brief Priority; 0 is the highest.
     [[nodiscard]] std::uint32_t priority() const { return priority_; }
     [[nodiscard]] const ModelName &model() const { return head_.model_; }
