Compute admission levels and measure offered work

Cause: overload control needs a level by rank and team that all entry VMs compute alike (docs/design/overload.md, parts 1 and 4). Figures of a model come as one struct with the entry VM's own demand, slots and an optional time, which the levels of late digests and of a start need.

--- a/include/cardamombay/overload/admission_controller.hpp
+++ b/include/cardamombay/overload/admission_controller.hpp
@@ -7,9 +7,11 @@
 #pragma once
 
 #include <cardamombay/overload/admission_figures.hpp>
+#include <cardamombay/overload/level_log.hpp>
 
 #include <map>
 #include <optional>
+#include <span>
 #include <string_view>
 
 namespace cardamombay::overload {
@@ -31,9 +33,10 @@
     /// all pass.
     std::optional<Rank> dividedRank_;
     double dividedShare_ = 1; ///< Admitted share of the divided rank's work, 0 to 1.
-    /// Admitted share of each team in the divided rank; other teams have dividedShare_.
+    /// Admitted share of each team that the figures name in the divided rank.
     std::map<TeamName, double> teamShares_;
-    double offered_ = 0; ///< Inputs for the log: total offered work and room, in groups.
+    double otherTeamsShare_ = 1; ///< Admitted share of teams in the divided rank without a name.
+    double offered_ = 0;         ///< Inputs for the log: total offered work and room, in groups.
     double room_ = 0;
     double occupancy_ = 0;
     FigureSource source_ = FigureSource::Fleet;
@@ -55,6 +58,11 @@
     /// \param capacity of the groups that may be used.
     [[nodiscard]] virtual AdmissionLevel level(const ModelDemand &demand,
                                                const ModelCapacity &capacity) const = 0;
+
+    /// \brief Level for a given room.
+    /// \param demand of the entry VMs that share the room.
+    /// \param room rate of work that may be admitted, in groups.
+    [[nodiscard]] virtual AdmissionLevel divide(const ModelDemand &demand, double room) const = 0;
 };
 
 /// \brief Admits ranks in order of urgency up to the room of the model, and divides the rank at
@@ -64,11 +72,24 @@
 public:
     [[nodiscard]] AdmissionLevel level(const ModelDemand &demand,
                                        const ModelCapacity &capacity) const override;
+    [[nodiscard]] AdmissionLevel divide(const ModelDemand &demand, double room) const override;
 
     /// \brief Rate of work that groups can take now, in groups.
     [[nodiscard]] static double room(const ModelCapacity &capacity);
 };
 
+/// \brief What an entry VM knows of one model at the end of a digest period.
+struct ModelFigures
+{
+    ModelDemand fleet_; ///< Demand of all entry VMs that are heard of, this one included.
+    ModelDemand own_;   ///< Demand at this entry VM.
+    ModelCapacity capacity_;
+    std::size_t slots_ = 0;   ///< Slots of the usable groups.
+    std::size_t entries_ = 1; ///< Entry VMs that the store lists, this one included.
+    /// When the oldest part of \ref fleet_ was received; no value before the first one.
+    std::optional<TimePoint> receivedAt_;
+};
+
 /// \brief The levels of all models at one entry VM. Not thread-safe.
 class AdmissionController
 {
@@ -77,12 +98,9 @@
     /// \param startedAt start of the process.
     AdmissionController(const AdmissionPolicy &policy, TimePoint startedAt);
 
-    /// \brief Replaces the figures of a model; call once per digest period.
-    /// \param demand of all entry VMs, this one included.
-    /// \param figuresAt when the oldest part of the fleet's demand was received.
-    /// \param entries number of entry VMs, this one included.
-    void update(const ModelName &model, const ModelDemand &demand, const ModelCapacity &capacity,
-                TimePoint figuresAt, std::size_t entries);
+    /// \brief Replaces the figures of a model; call once per digest period, also without news of
+    /// peers. Logs a change of the level.
+    void update(const ModelName &model, const ModelFigures &figures, TimePoint now);
 
     /// \brief An engine accepted or refused a request of this entry VM; used while digests are
     /// late.
@@ -99,20 +117,27 @@
     /// \brief Age of a model's figures; no value if there are none.
     [[nodiscard]] std::optional<Duration> figuresAge(const ModelName &model, TimePoint now) const;
 
-    /// \brief Drops models that have no figures any more.
-    void expire(TimePoint now);
+    /// \brief Drops the models that are not in \p models. A model is never dropped for the age of
+    /// its figures, because a VM that resumes would then admit everything.
+    void retain(std::span<const ModelName> models);
 
 private:
     struct Entry
     {
-        AdmissionLevel level_;
-        ModelCapacity capacity_;
-        TimePoint figuresAt_{};
-        std::size_t entries_ = 1;
-        double ownShare_ = 1; ///< Admitted share while digests are late.
-        TimePoint ownShareAt_{};
+        AdmissionLevel fleetLevel_;
+        AdmissionLevel ownLevel_;
+        ModelFigures figures_;
+        double ownShare_ = 1;    ///< Admitted share while digests are late.
+        TimePoint ownShareAt_{}; ///< When \ref ownShare_ was last raised or lowered.
+        std::optional<TimePoint> loweredAt_;
+        LevelLog log_;
     };
 
+    [[nodiscard]] FigureSource sourceOf(const Entry &entry, TimePoint now) const;
+    [[nodiscard]] const AdmissionLevel &levelOf(const Entry &entry, TimePoint now) const;
+    static void raiseOwnShare(Entry &entry, TimePoint now);
+    void divideOwn(Entry &entry) const;
+
     const AdmissionPolicy &policy_;
     TimePoint startedAt_;
     std::map<ModelName, Entry> models_;
--- a/include/cardamombay/overload/demand_meter.hpp
+++ b/include/cardamombay/overload/demand_meter.hpp
@@ -7,12 +7,17 @@
 
 namespace cardamombay::overload {
 
+/// Teams of one model that a digest names at most. Below this number of names, no entry VM has left
+/// a team out.
+inline constexpr std::size_t maxNamedTeams = 32;
+
 /// \brief Offered work by model, rank and team, smoothed over a short time. Not thread-safe.
 class DemandMeter
 {
 public:
-    /// \brief Counts a request, whether or not it is admitted.
-    /// \param work seconds of a full group's time.
+    /// \brief Counts a request, whether or not it is admitted. Ranks above maxRank count as it.
+    /// Requests without a team count as one team with an empty name.
+    /// \param work seconds of a full group's time; ignored unless positive and finite.
     void count(const AdmissionRequest &request, double work);
 
     /// \brief Ends a measuring period.
@@ -41,6 +46,9 @@
         double meanWork_ = 0;
     };
 
+    [[nodiscard]] static std::map<TeamName, double> teamsOf(const Model &model, Rank rank,
+                                                            std::size_t maxTeams);
+
     std::map<ModelName, Model> models_;
 };
 
