--- a/include/cardamombay/overload/admission_controller.hpp
+++ b/include/cardamombay/overload/admission_controller.hpp
@@ -122,19 +122,26 @@
     void retain(std::span<const ModelName> models);
 
 private:
+    /// What is admitted while digests are late: more urgent ranks than \ref rank_ in full.
+    struct OwnShare
+    {
+        std::optional<Rank> rank_; ///< The divided rank; everything passes without one.
+        double share_ = 1;
+        TimePoint loweredAt_{};
+        TimePoint risesFrom_{}; ///< Start of the present time without a refusal.
+    };
     struct Entry
     {
         AdmissionLevel fleetLevel_;
         AdmissionLevel ownLevel_;
         ModelFigures figures_;
-        double ownShare_ = 1;    ///< Admitted share while digests are late.
-        TimePoint ownShareAt_{}; ///< When \ref ownShare_ was last raised or lowered.
-        std::optional<TimePoint> loweredAt_;
+        OwnShare own_;
         LevelLog log_;
     };
 
     [[nodiscard]] FigureSource sourceOf(const Entry &entry, TimePoint now) const;
     [[nodiscard]] const AdmissionLevel &levelOf(const Entry &entry, TimePoint now) const;
+    static void lowerOwnShare(Entry &entry, TimePoint now);
     static void raiseOwnShare(Entry &entry, TimePoint now);
     void divideOwn(Entry &entry) const;
 
--- a/src/overload/admission_controller.cpp
+++ b/src/overload/admission_controller.cpp
@@ -5,7 +5,7 @@
 #include <cardamombay/log/log.hpp>
 
 #include <algorithm>
-#include <utility>
+#include <iterator>
 
 namespace cardamombay::overload {
 
@@ -18,7 +18,7 @@
 /// digests.
 constexpr Duration maxStartTime = std::chrono::milliseconds(500);
 
-/// \name Admitted share while digests are late
+/// \name Admitted share of the divided rank while digests are late
 /// Halving would leave capacity unused for up to 1 s after a single refusal; with these steps the
 /// share is restored after 0.7 s at most.
 /// \{
@@ -27,6 +27,11 @@
 constexpr Duration ownSharePeriod = std::chrono::milliseconds(100);
 /// \}
 
+/// A less urgent rank is refused for so long before a more urgent one is divided. Engines refuse
+/// meanwhile because of requests in flight and of other entry VMs. Half of the 2 s after which
+/// callers without an event disconnect.
+constexpr Duration rankPeriod = std::chrono::seconds(1);
+
 constexpr double unitPerBit = 0x1p-53;
 
 /// Number in [0, 1) from the upper 53 bits of a hash.
@@ -35,18 +40,19 @@
     return static_cast<double>(draw >> 11U) * unitPerBit;
 }
 
-/// Share of all offered work that a level admits.
-double admittedShare(const AdmissionLevel &level)
+/// The least urgent rank with work that is more urgent than \p rank.
+std::optional<Rank> rankBefore(const ModelDemand &demand, std::optional<Rank> rank)
 {
-    return level.offered_ > 0 ? std::min(1.0, level.room_ / level.offered_) : 1;
+    const auto &ranks = demand.offered_;
+    const auto next = rank ? ranks.lower_bound(*rank) : ranks.end();
+    return next == ranks.begin() ? std::nullopt : std::optional(std::prev(next)->first);
 }
 
-double totalOffered(const ModelDemand &demand)
+/// The most urgent rank with work that is less urgent than \p rank.
+std::optional<Rank> rankAfter(const ModelDemand &demand, Rank rank)
 {
-    double total = 0;
-    for (const auto &[rank, offered] : demand.offered_)
-        total += offered;
-    return total;
+    const auto next = demand.offered_.upper_bound(rank);
+    return next == demand.offered_.end() ? std::nullopt : std::optional(next->first);
 }
 
 } // namespace
@@ -59,20 +65,18 @@
 
 void AdmissionController::update(const ModelName &model, const ModelFigures &figures, TimePoint now)
 {
-    const auto [place, isNew] = models_.try_emplace(model);
-    auto &entry = place->second;
-    if (isNew)
-        entry.ownShareAt_ = now;
+    auto &entry = models_[model];
     entry.figures_ = figures;
     if (figures.entries_ <= 1)
         entry.figures_.receivedAt_ = now;
     entry.fleetLevel_ = policy_.level(figures.fleet_, figures.capacity_);
-    if (sourceOf(entry, now) == FigureSource::Own) {
+    const auto source = sourceOf(entry, now);
+    if (source == FigureSource::Own)
         raiseOwnShare(entry, now);
-    } else {
-        entry.ownShare_ = entry.figures_.receivedAt_ ? admittedShare(entry.fleetLevel_) : 1;
-        entry.ownShareAt_ = now;
-    }
+    else if (source == FigureSource::Fleet)
+        entry.own_ = {entry.fleetLevel_.dividedRank_, entry.fleetLevel_.dividedShare_, now, now};
+    else
+        entry.own_ = {std::nullopt, 1, now, now};
     divideOwn(entry);
     if (const auto details = entry.log_.note(model, level(model, now), figuresAge(model, now), now))
         log::write(log::Level::Info, event::admissionLevelChanged, *details);
@@ -86,11 +90,9 @@
     auto &entry = found->second;
     if (sourceOf(entry, now) != FigureSource::Own)
         return;
-    entry.ownShareAt_ = now;
-    if (entry.loweredAt_ && now - *entry.loweredAt_ < ownSharePeriod)
-        return;
-    entry.loweredAt_ = now;
-    entry.ownShare_ *= ownShareFactor;
+    entry.own_.risesFrom_ = now;
+    if (now - entry.own_.loweredAt_ >= ownSharePeriod)
+        lowerOwnShare(entry, now);
     divideOwn(entry);
 }
 
@@ -147,20 +149,50 @@
     return sourceOf(entry, now) == FigureSource::Fleet ? entry.fleetLevel_ : entry.ownLevel_;
 }
 
+void AdmissionController::lowerOwnShare(Entry &entry, TimePoint now)
+{
+    auto &own = entry.own_;
+    if (!own.rank_) {
+        own = {rankBefore(entry.figures_.own_, std::nullopt), 1, now, now};
+    } else if (own.share_ <= 0) {
+        if (now - own.loweredAt_ < rankPeriod)
+            return;
+        own = {rankBefore(entry.figures_.own_, own.rank_), 1, now, now};
+    }
+    own.share_ *= ownShareFactor;
+    own.loweredAt_ = now;
+    const bool isLast = !rankBefore(entry.figures_.own_, own.rank_);
+    if (own.share_ < ownShareStep && !isLast)
+        own.share_ = 0;
+}
+
 /// One step for each update: the time for which a VM was suspended shows nothing about engines.
 void AdmissionController::raiseOwnShare(Entry &entry, TimePoint now)
 {
-    const auto passed = now - entry.ownShareAt_;
-    if (passed < ownSharePeriod)
+    auto &own = entry.own_;
+    const auto passed = now - own.risesFrom_;
+    if (!own.rank_ || passed < ownSharePeriod)
         return;
-    entry.ownShare_ = std::min(1.0, entry.ownShare_ + ownShareStep);
-    entry.ownShareAt_ = passed < 2 * ownSharePeriod ? entry.ownShareAt_ + ownSharePeriod : now;
+    own.risesFrom_ = passed < 2 * ownSharePeriod ? own.risesFrom_ + ownSharePeriod : now;
+    own.share_ += ownShareStep;
+    if (own.share_ < 1)
+        return;
+    own.rank_ = rankAfter(entry.figures_.own_, *own.rank_);
+    own.share_ = own.rank_ ? ownShareStep : 1;
 }
 
 void AdmissionController::divideOwn(Entry &entry) const
 {
+    const auto &[rank, share, loweredAt, risesFrom] = entry.own_;
     const auto &own = entry.figures_.own_;
-    entry.ownLevel_ = policy_.divide(own, entry.ownShare_ * totalOffered(own));
+    ModelDemand divided;
+    if (rank) {
+        // Without work of its own, the rank still marks which ranks are refused.
+        const auto found = own.offered_.find(*rank);
+        divided.offered_.emplace(*rank, found == own.offered_.end() ? 1 : found->second);
+        divided.teams_ = own.teams_;
+    }
+    entry.ownLevel_ = policy_.divide(divided, rank ? share * divided.offered_.at(*rank) : 0);
     entry.ownLevel_.occupancy_ = entry.figures_.capacity_.occupancy_;
 }
 
