Forecast waits, order held requests, schedule and keep returns

Cause: a request that cannot be served within its goal waited until its caller gave up, and a refused caller was not told when room becomes available, nor preferred when it came back. Change: forecastWait(), usefulWait(), the order and displacement of held requests, returnTime(), ReturnRegister, the three messages and ReturnCoordinator; five counters; log events return-owner-lost, return-promise-void and return-message-ignored. Headers refined: forecastWait() takes the demand of the others, so that own held work counts once; isRefusedByFullQueue(), promiseOf(), isPlausible(), claimWait(), isReturnMessage(). An owner that was suspended ignores promises and claims that waited for it, since their times are relative to an unknown instant. Conclusion: the parts hold without a network; the gateway does not use them yet.

--- a/include/cardamombay/overload/held_queue.hpp
+++ b/include/cardamombay/overload/held_queue.hpp
@@ -32,6 +32,8 @@
 [[nodiscard]] bool isServedBefore(const HeldRequest &left, const HeldRequest &right);
 
 /// \brief Work in \p queue that is served before \p request, in seconds.
+/// \details Summed in whole nanoseconds, so that the result does not depend on the order of \p
+/// queue.
 [[nodiscard]] double workAhead(std::span<const HeldRequest> queue, const HeldRequest &request);
 
 /// \brief The request that gives way to \p arrival in a full queue.
@@ -40,4 +42,10 @@
 [[nodiscard]] std::optional<std::size_t> displacedBy(std::span<const HeldRequest> queue,
                                                      const HeldRequest &arrival);
 
+/// \brief True if \p arrival is to be refused because the queue is full and holds no request that
+/// gives way to it. A request that may have run is held beyond the limit instead.
+/// \param queue requests of one model, in any order.
+[[nodiscard]] bool isRefusedByFullQueue(std::span<const HeldRequest> queue,
+                                        const HeldRequest &arrival);
+
 } // namespace cardamombay::overload
--- a/include/cardamombay/overload/return_schedule.hpp
+++ b/include/cardamombay/overload/return_schedule.hpp
@@ -26,8 +26,11 @@
 };
 
 /// \brief When the caller of \p request should come back.
-/// \param demand of all entry VMs.
+/// \param demand of all entry VMs. The least urgent rank of the model is the largest with offered
+/// work.
 /// \param room rate of work that the groups can take, in groups.
+/// \returns a third of the time left without a promise if the forecast is longer, since the caller
+/// would come back by then anyway.
 [[nodiscard]] ReturnTime returnTime(const RefusedRequest &request, const ModelDemand &demand,
                                     double room);
 
--- a/include/cardamombay/overload/wait_forecast.hpp
+++ b/include/cardamombay/overload/wait_forecast.hpp
@@ -8,12 +8,13 @@
 namespace cardamombay::overload {
 
 /// \brief Predicted wait of a held request.
-/// \param demand of all entry VMs.
+/// \param others demand of the other entry VMs. This entry VM's own held work is in \p ownAhead
+/// only; counted in both, it would lengthen the forecast twice.
 /// \param rank of the request.
-/// \param ownAhead work that this entry VM holds ahead of it, in seconds.
+/// \param ownAhead work that this entry VM serves before it, in seconds; see workAhead().
 /// \param room rate of work that the groups can take, in groups.
 /// \returns the longest representable duration if there is no room.
-[[nodiscard]] Duration forecastWait(const ModelDemand &demand, Rank rank, double ownAhead,
+[[nodiscard]] Duration forecastWait(const ModelDemand &others, Rank rank, double ownAhead,
                                     double room);
 
 /// \brief Times of a request that determine how long it may wait.
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -36,6 +36,12 @@
     metrics::Counter coldStarts_; ///< Endpoints detected as cold.
     metrics::Gauge coldEndpoints_;
     metrics::Gauge evacuatedZones_;
+    metrics::Counter returnPromises_;         ///< Refused callers that were promised room.
+    metrics::Counter returnClaims_;           ///< Requests that may be returns; owners were asked.
+    metrics::Counter returnClaimsGranted_;    ///< Of these, those that are returns.
+    metrics::Counter returnClaimsDenied_;     ///< Of these, those that are new.
+    metrics::Counter returnClaimsUnanswered_; ///< Of these, those that count as new for lack of an
+                                              ///< answer.
     /// Age of the confirmed endpoint data at each send, in seconds.
     metrics::Histogram endpointsAge_;
     metrics::Histogram
--- a/include/cardamombay/serving/return_coordinator.hpp
+++ b/include/cardamombay/serving/return_coordinator.hpp
@@ -13,11 +13,24 @@
 #include <cardamombay/serving/request_fingerprint.hpp>
 #include <cardamombay/serving/return_messages.hpp>
 
+#include <algorithm>
 #include <functional>
 #include <map>
+#include <optional>
+#include <unordered_set>
 
 namespace cardamombay::serving {
 
+/// An entry VM waits at most this long for an owner's answer, which takes a few milliseconds; the
+/// request would otherwise miss its goal for a right that it may not have.
+inline constexpr Duration maxClaimWait = std::chrono::milliseconds(20);
+
+/// \brief Longest wait for an owner's answer about a request: a tenth of its latency goal.
+[[nodiscard]] inline Duration claimWait(Duration latencyGoal)
+{
+    return std::min(latencyGoal / 10, maxClaimWait);
+}
+
 /// \brief Answers whether a caller has come back when told to. Mocked in tests of sessions.
 class ReturnRights
 {
@@ -31,7 +44,7 @@
     virtual void promise(const overload::ReturnPromise &promise) = 0;
 
     /// \brief Asks for the right of \p request and uses it up if there is one.
-    /// \param within longest wait for the owner's answer.
+    /// \param within longest wait for the owner's answer; at most maxClaimWait.
     /// \param answered called exactly once, possibly before this function returns.
     virtual void claim(const RequestFingerprint &request, Duration within,
                        std::function<void(bool isGranted)> answered)
@@ -45,15 +58,21 @@
 public:
     /// \param clock, metrics must outlive the coordinator.
     ReturnCoordinator(Clock &clock, GatewayMetrics &metrics, Random random);
+    ReturnCoordinator(const ReturnCoordinator &) = delete;
+    ReturnCoordinator &operator=(const ReturnCoordinator &) = delete;
+    /// \brief Drops claims in progress without an answer.
+    ~ReturnCoordinator() override;
 
     /// \name Peers
     /// \{
     void setSelf(EntryId entry) { self_ = std::move(entry); }
+    /// \brief Replaces the known peers. Logs the promises made here whose owner is lost.
     void setPeers(std::map<EntryId, Address> peers);
     void onSend(std::function<void(const Address &, std::string_view)> send)
     {
         send_ = std::move(send);
     }
+    /// \brief Handles a message about returns. Forged and implausible ones are logged and ignored.
     /// \returns false if \p text is not a message about returns.
     bool take(std::string_view text);
     /// \}
@@ -62,8 +81,9 @@
     void claim(const RequestFingerprint &request, Duration within,
                std::function<void(bool isGranted)> answered) override;
 
-    /// \brief Ends claims that were not answered in time and drops lapsed promises. Call
-    /// periodically.
+    /// \brief Drops lapsed promises; claims end by their own timers. Call at least
+    /// every 100 ms: after a longer pause the process counts as suspended, and promises and claims
+    /// that arrived meanwhile are ignored.
     void sweep();
 
     /// \brief Work of the promises that this entry VM owns, in seconds by model; for digests.
@@ -77,18 +97,42 @@
     {
         TimePoint until_{};
         std::function<void(bool)> answered_;
+        TimerId timer_ = TimerId::None;
+    };
+    /// A promise made here that another entry VM keeps.
+    struct Issued
+    {
+        std::uint64_t request_ = 0;
+        EntryId owner_;
     };
+    using Peers = std::map<EntryId, Address>;
 
-    [[nodiscard]] const Address *ownerOf(std::uint64_t request) const;
+    [[nodiscard]] Peers::const_iterator ownerOf(std::uint64_t request) const;
+    void logLostOwners(const Peers &before) const;
+    void dropVoidPromises();
+    void take(const ReturnPromised &message, std::string_view text);
+    void take(const ReturnClaimed &message, std::string_view text);
+    void take(const ReturnAnswer &message, std::string_view text);
+    void endClaim(std::uint64_t id, std::optional<bool> answer);
+    void conclude(const std::function<void(bool)> &answered, std::optional<bool> answer) const;
+    [[nodiscard]] bool isStale(TimePoint now) const;
+    void ignore(std::string_view text, std::string_view reason);
+    void send(const Address &to, std::string_view text) const;
 
     Clock &clock_;
     GatewayMetrics &metrics_;
     EntryId self_;
-    std::map<EntryId, Address> peers_;
+    Peers peers_;
     std::function<void(const Address &, std::string_view)> send_;
     overload::ReturnRegister register_;
+    std::uint64_t firstId_; ///< Ids of claims are in (firstId_, lastId_].
     std::uint64_t lastId_;
     std::map<std::uint64_t, Claim> claims_;
+    std::multimap<TimePoint, Issued> issued_; ///< By the end of the right.
+    TimePoint lastSweepAt_;
+    TimePoint staleUntil_{}; ///< Messages received before may be older than the process can tell.
+    std::unordered_set<std::uint64_t> ignored_; ///< Hashes of ignored messages that were logged.
+    TimePoint ignoredSince_;
 };
 
 } // namespace cardamombay::serving
--- a/include/cardamombay/serving/return_messages.hpp
+++ b/include/cardamombay/serving/return_messages.hpp
@@ -45,6 +45,13 @@
     friend bool operator==(const ReturnAnswer &, const ReturnAnswer &) = default;
 };
 
+/// Promises further ahead than this are implausible: callers wait for at most a third of their
+/// remaining time, and requests last minutes at most.
+inline constexpr Duration maxReturnAhead = std::chrono::minutes(10);
+
+/// \brief True if \p text is named as one of these messages, whether or not it can be decoded.
+[[nodiscard]] bool isReturnMessage(std::string_view text);
+
 /// \name JSON-RPC notifications; decoding returns nothing if \p text is another message or has a
 /// figure that is negative, not finite or out of range
 /// \{
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -63,6 +63,17 @@
                                     "Endpoints that take only few requests a second for now."))
     , evacuatedZones_(registry.gauge("cardamombay_gateway_evacuated_zones",
                                      "Availability zones whose endpoints get no requests."))
+    , returnPromises_(registry.counter("cardamombay_gateway_return_promises_total",
+                                       "Refused callers for whose return room was promised."))
+    , returnClaims_(registry.counter("cardamombay_gateway_return_claims_total",
+                                     "Requests for which an owner of promises was asked."))
+    , returnClaimsGranted_(registry.counter("cardamombay_gateway_return_claims_granted_total",
+                                            "Of these, those with a promise."))
+    , returnClaimsDenied_(registry.counter("cardamombay_gateway_return_claims_denied_total",
+                                           "Of these, those without a promise."))
+    , returnClaimsUnanswered_(
+          registry.counter("cardamombay_gateway_return_claims_unanswered_total",
+                           "Of these, those whose owner did not answer in time."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -21,6 +21,9 @@
 inline constexpr std::string_view endpointSaysLeaving = "endpoint-says-leaving";
 inline constexpr std::string_view endpointCold = "endpoint-cold";
 inline constexpr std::string_view limitOwnerSilent = "limit-owner-silent";
+inline constexpr std::string_view returnOwnerLost = "return-owner-lost";
+inline constexpr std::string_view returnPromiseVoid = "return-promise-void";
+inline constexpr std::string_view returnMessageIgnored = "return-message-ignored";
 inline constexpr std::string_view endpointLimitUnreadable = "endpoint-limit-unreadable";
 /// \}
 
--- a/src/serving/notification.cpp
+++ b/src/serving/notification.cpp
@@ -30,10 +30,15 @@
         json::object{{"jsonrpc", "2.0"}, {"method", method}, {"params", std::move(params)}});
 }
 
-std::optional<json::object> paramsOf(std::string_view text, std::string_view method)
+bool isNotification(std::string_view text, std::string_view method)
 {
     const auto named = "\"method\":\"" + std::string(method) + "\"";
-    if (text.substr(0, methodSearchBytes).find(named) == std::string_view::npos)
+    return text.substr(0, methodSearchBytes).find(named) != std::string_view::npos;
+}
+
+std::optional<json::object> paramsOf(std::string_view text, std::string_view method)
+{
+    if (!isNotification(text, method))
         return std::nullopt;
     boost::system::error_code error;
     auto value = json::parse(text, error);
--- a/src/serving/notification.hpp
+++ b/src/serving/notification.hpp
@@ -17,6 +17,9 @@
 
 [[nodiscard]] std::string notification(std::string_view method, boost::json::object params);
 
+/// \brief True if \p text names \p method near the start, where notification() writes it.
+[[nodiscard]] bool isNotification(std::string_view text, std::string_view method);
+
 /// \brief The parameters if \p text is a notification of \p method.
 /// \details The method must be near the start, where notification() writes it, so that only the
 /// reader that a message is meant for parses it.
--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -28,6 +28,7 @@
 #include <cardamombay/serving/digest_hub.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/reservation_coordinator.hpp>
+#include <cardamombay/serving/return_coordinator.hpp>
 #include <cardamombay/settings/settings.hpp>
 #include <cardamombay/traffic/request_parser.hpp>
 
@@ -312,6 +313,29 @@
     (void)desk.take(text);
 }
 
+void runReturns(std::string_view text)
+{
+    using namespace serving;
+    if (const auto promised = decodeReturnPromised(text))
+        require(decodeReturnPromised(encode(*promised)) == promised, "promises are read again");
+    if (const auto claimed = decodeReturnClaimed(text))
+        require(decodeReturnClaimed(encode(*claimed)) == claimed, "claims are read again");
+    if (const auto answer = decodeReturnAnswer(text))
+        require(decodeReturnAnswer(encode(*answer)) == answer, "answers are read again");
+    ManualClock clock;
+    metrics::Registry registry;
+    GatewayMetrics metrics(registry);
+    ReturnCoordinator coordinator(clock, metrics, Random(1));
+    coordinator.setSelf(EntryId("e-1"));
+    coordinator.setPeers({{EntryId("e-2"), {"10.0.0.2", 7340}}});
+    require(coordinator.take(text) == isReturnMessage(text), "messages about returns are taken");
+    for (const auto &[model, work] : coordinator.promisedWork())
+        require(work > 0 && work <= 60 && !model.isEmpty(), "promised work is plausible");
+    clock.advance(maxReturnAhead);
+    coordinator.sweep();
+    require(coordinator.promisedWork().empty(), "promised work expires");
+}
+
 /// What entry VMs tell each other.
 void runDatagrams(std::string_view text)
 {
@@ -354,7 +378,7 @@
     (void)decodeConfigurationPart(text);
 }
 
-constexpr std::array<FuzzTarget, 12> allTargets{{
+constexpr std::array<FuzzTarget, 13> allTargets{{
     {"configuration", runConfiguration},
     {"settings", runSettings},
     {"chart", runChart},
@@ -367,6 +391,7 @@
     {"admin", runAdmin},
     {"store_entries", runStoreEntries},
     {"datagrams", runDatagrams},
+    {"returns", runReturns},
 }};
 
 } // namespace
