Fit the gateway to the interfaces of the admission level and of returns

Cause: the parts refined their interfaces: figures as one value with their time, room for a queue that is full, promises made from what was refused. Change: OverloadControl and Gateway use them.

--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -189,7 +189,7 @@
     struct OverloadFigures
     {
         overload::FleetDemand demand_;
-        TimePoint at_{}; ///< When the newest part was received.
+        std::optional<TimePoint> at_; ///< When the newest part was received.
     };
     [[nodiscard]] OverloadFigures peerOverload(TimePoint now) const;
     void updateOverload(TimePoint now, Duration passed);
--- a/include/cardamombay/serving/overload_control.hpp
+++ b/include/cardamombay/serving/overload_control.hpp
@@ -60,10 +60,10 @@
               bool withTeams) const;
     /// \brief Computes the levels of all models.
     /// \param others demand of the other entry VMs.
-    /// \param figuresAt when it was received.
+    /// \param receivedAt when it was received; no value if nothing was.
     /// \param entries number of entry VMs, this one included.
     void update(const overload::FleetDemand &own, const overload::FleetDemand &others,
-                TimePoint figuresAt, std::size_t entries);
+                std::optional<TimePoint> receivedAt, std::size_t entries);
     /// \}
 
     /// \name Requests
@@ -91,7 +91,11 @@
     [[nodiscard]] ReturnCoordinator &returns() { return returns_; }
 
 private:
-    [[nodiscard]] const overload::ModelDemand &demandOf(const ModelName &model) const;
+    [[nodiscard]] static const overload::ModelDemand &demandOf(const overload::FleetDemand &demand,
+                                                               const ModelName &model);
+    void updateModel(const Service &service, const ModelName &model,
+                     const overload::FleetDemand &own, std::optional<TimePoint> receivedAt,
+                     std::size_t entries);
 
     Clock &clock_;
     Balancer &balancer_;
@@ -100,7 +104,8 @@
     overload::RankedAdmission policy_;
     overload::AdmissionController controller_;
     overload::DemandMeter meter_;
-    overload::FleetDemand demand_; ///< Of all entry VMs.
+    overload::FleetDemand others_; ///< Demand at the other entry VMs.
+    overload::FleetDemand demand_; ///< Demand at all of them.
     ReturnCoordinator returns_;
 };
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -276,10 +276,11 @@
         others.push_back(session);
         queue.push_back(session->heldRequest());
     }
-    if (queue.size() < overload::maxHeldPerModel)
-        return;
-    const auto index = overload::displacedBy(queue, arrival.heldRequest());
-    (index ? *others[*index] : arrival).displace();
+    const auto request = arrival.heldRequest();
+    if (const auto index = overload::displacedBy(queue, request))
+        others[*index]->displace();
+    else if (overload::isRefusedByFullQueue(queue, request))
+        arrival.displace();
 }
 
 overload::FleetDemand Gateway::overloadDemand(bool withTeams) const
--- a/src/serving/node_overload.cpp
+++ b/src/serving/node_overload.cpp
@@ -30,7 +30,7 @@
             return;
         for (const auto &[model, one] : demand)
             result.demand_[model] += one;
-        result.at_ = std::max(result.at_, at);
+        result.at_ = std::max(result.at_.value_or(at), at);
     };
     for (const auto &[entry, peer] : peers_)
         add(peer.overload_, peer.overloadAt_);
@@ -44,8 +44,8 @@
     auto &overload = parts_.gateway_.overload();
     overload.advance(passed);
     auto others = peerOverload(now);
-    overload.update(parts_.gateway_.overloadDemand(true), others.demand_,
-                    peers_.empty() ? now : others.at_, peers_.size() + 1);
+    overload.update(parts_.gateway_.overloadDemand(true), others.demand_, others.at_,
+                    peers_.size() + 1);
 }
 
 } // namespace cardamombay::serving
--- a/src/serving/overload_control.cpp
+++ b/src/serving/overload_control.cpp
@@ -9,11 +9,6 @@
 /// Teams named in one digest; more would not fit into a datagram beside the other fields.
 constexpr std::size_t maxTeams = 32;
 
-/// A promise holds from shortly before its time, since clocks of callers and networks differ a
-/// little, until a caller that came late has certainly arrived.
-constexpr Duration promiseLead = std::chrono::milliseconds(50);
-constexpr Duration promiseLag = std::chrono::milliseconds(1500);
-
 } // namespace
 
 OverloadControl::OverloadControl(Clock &clock, Balancer &balancer, GatewayMetrics &metrics,
@@ -56,29 +51,47 @@
 }
 
 void OverloadControl::update(const overload::FleetDemand &own, const overload::FleetDemand &others,
-                             TimePoint figuresAt, std::size_t entries)
+                             std::optional<TimePoint> receivedAt, std::size_t entries)
 {
+    others_ = others;
     demand_ = others;
     for (const auto &[model, demand] : own)
         demand_[model] += demand;
-    if (!routes_)
-        return;
-    const auto now = clock_.now();
-    for (const auto &service : routes_->configuration().services_) {
+    std::vector<ModelName> models;
+    for (const auto &service :
+         routes_ ? routes_->configuration().services_ : std::vector<Service>()) {
         if (!controls(service))
             continue;
-        for (const auto &model : service.engine_->models_)
-            controller_.update(model.name_, demandOf(model.name_),
-                               balancer_.capacity(service, model.name_, now), figuresAt, entries);
+        for (const auto &model : service.engine_->models_) {
+            models.push_back(model.name_);
+            updateModel(service, model.name_, own, receivedAt, entries);
+        }
     }
-    controller_.expire(now);
+    controller_.retain(models);
 }
 
-const overload::ModelDemand &OverloadControl::demandOf(const ModelName &model) const
+void OverloadControl::updateModel(const Service &service, const ModelName &model,
+                                  const overload::FleetDemand &own,
+                                  std::optional<TimePoint> receivedAt, std::size_t entries)
+{
+    const auto now = clock_.now();
+    overload::ModelFigures figures;
+    figures.fleet_ = demandOf(demand_, model);
+    figures.own_ = demandOf(own, model);
+    figures.capacity_ = balancer_.capacity(service, model, now);
+    figures.slots_ = static_cast<std::size_t>(figures.capacity_.groups_
+                                              * static_cast<double>(service.engine_->slots_));
+    figures.entries_ = entries;
+    figures.receivedAt_ = receivedAt;
+    controller_.update(model, figures, now);
+}
+
+const overload::ModelDemand &OverloadControl::demandOf(const overload::FleetDemand &demand,
+                                                       const ModelName &model)
 {
     static const overload::ModelDemand none;
-    const auto found = demand_.find(model);
-    return found == demand_.end() ? none : found->second;
+    const auto found = demand.find(model);
+    return found == demand.end() ? none : found->second;
 }
 
 ControlledRequest OverloadControl::count(const Service &service, const RequestHead &head,
@@ -106,7 +119,7 @@
 
 bool OverloadControl::expectsReturns(const ModelName &model) const
 {
-    return demandOf(model).promised_ > 0;
+    return demandOf(demand_, model).promised_ > 0;
 }
 
 Duration OverloadControl::forecast(const overload::HeldRequest &request,
@@ -114,7 +127,7 @@
                                    const ModelName &model) const
 {
     const double ahead = overload::workAhead(held, request);
-    return overload::forecastWait(demandOf(model), request.rank_, ahead,
+    return overload::forecastWait(demandOf(others_, model), request.rank_, ahead,
                                   controller_.level(model, clock_.now()).room_);
 }
 
@@ -122,15 +135,14 @@
 {
     const auto now = clock_.now();
     const auto &admission = request.admission_;
-    const auto chosen = overload::returnTime(
-        {admission.rank_, request.work_, timeLeft, admission.draw_, request.hasReturned_},
-        demandOf(admission.model_), controller_.level(admission.model_, now).room_);
-    if (chosen.isPromised_) {
-        const auto due = now + chosen.retryAfter_;
-        returns_.promise({request.fingerprint_.value(), admission.model_, admission.rank_,
-                          request.work_, due - promiseLead, due + promiseLag});
-    }
-    return chosen.retryAfter_;
+    const overload::RefusedRequest refused{admission.rank_, request.work_, timeLeft,
+                                           admission.draw_, request.hasReturned_};
+    const auto told = overload::returnTime(refused, demandOf(demand_, admission.model_),
+                                           controller_.level(admission.model_, now).room_);
+    if (told.isPromised_)
+        returns_.promise(overload::promiseOf(request.fingerprint_.value(), admission.model_,
+                                             refused, told, now));
+    return told.retryAfter_;
 }
 
 void OverloadControl::recordSend(const ModelName &model, bool isRefused)
--- a/src/serving/session_overload.cpp
+++ b/src/serving/session_overload.cpp
@@ -13,10 +13,9 @@
 
 namespace {
 
-/// The answer about a return is awaited for a tenth of the goal, the time within which a request
-/// that cannot be served is refused, and no longer than a few round trips between zones.
+/// The answer about a return is awaited for the time within which a request that cannot be served
+/// is refused.
 constexpr double claimWaitShare = 0.1;
-constexpr Duration maxClaimWait = std::chrono::milliseconds(20);
 
 constexpr std::string_view overloadReason = "more work is asked for than the groups can do";
 constexpr std::string_view waitReason = "no room before the goal has passed";
