--- a/src/serving/session_overload.cpp
+++ b/src/serving/session_overload.cpp
@@ -13,10 +13,6 @@
 
 namespace {
 
-/// The answer about a return is awaited for the time within which a request that cannot be served
-/// is refused.
-constexpr double claimWaitShare = 0.1;
-
 constexpr std::string_view overloadReason = "more work is asked for than the groups can do";
 constexpr std::string_view waitReason = "no room before the goal has passed";
 constexpr std::string_view displacedReason = "more urgent requests fill the queue";
@@ -39,12 +35,11 @@
         return false;
     }
     awaitsClaim_ = true;
-    const auto wait
-        = std::min(maxClaimWait, fromSeconds(toSeconds(route_->latencyGoal_) * claimWaitShare));
-    overload.returns().claim(fingerprint_, wait, [weak = weak_from_this()](bool isGranted) {
-        if (const auto self = weak.lock())
-            self->claimAnswered(isGranted);
-    });
+    overload.returns().claim(fingerprint_, claimWait(route_->latencyGoal_),
+                             [weak = weak_from_this()](bool isGranted) {
+                                 if (const auto self = weak.lock())
+                                     self->claimAnswered(isGranted);
+                             });
     return false;
 }
 
