--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -95,8 +95,7 @@
 void Session::onData(std::string_view data)
 {
     const auto now = gateway_.parts().clock_.now();
-    if (answer_.status_ < minServerError)
-        gateway_.parts().loadTracker_.progressed(target_.endpoint_, now);
+    recordAnswerData(now);
     if (phase_ == Phase::Buffered) {
         recordProgress(now);
         answer_.body_.append(data);
@@ -106,12 +105,25 @@
     forwardEvents(data);
 }
 
+/// A head alone does not clear broken attempts: the connection may still break before the first
+/// data.
+void Session::recordAnswerData(TimePoint now)
+{
+    if (answer_.status_ >= minServerError)
+        return;
+    gateway_.parts().loadTracker_.progressed(target_.endpoint_, now);
+    gateway_.parts().loadTracker_.answered(target_.endpoint_, send_);
+}
+
 void Session::recordEvents(TimePoint now)
 {
     const auto &metrics = gateway_.parts().metrics_;
     if (events_ == 0) {
         firstEventDelay_ = now - arrivedAt_;
         metrics.firstByte_.observe(toSeconds(firstEventDelay_));
+        if (target_.predictedFirst_)
+            gateway_.parts().balancer_.recordFirstEvent(service_->name_, *target_.predictedFirst_,
+                                                        now - attemptAt_);
     } else {
         maxEventGap_ = std::max(maxEventGap_, now - lastEventAt_);
         metrics.eventGap_.observe(toSeconds(now - lastEventAt_));
@@ -174,11 +186,9 @@
 
 void Session::onEnd(std::string_view rest)
 {
-    auto &board = gateway_.parts().loadTracker_;
-    if (answer_.status_ < minServerError) {
-        board.progressed(target_.endpoint_, gateway_.parts().clock_.now());
-        board.succeeded(target_.endpoint_);
-    }
+    recordAnswerData(gateway_.parts().clock_.now());
+    if (answer_.status_ < minServerError)
+        gateway_.parts().loadTracker_.succeeded(target_.endpoint_);
     if (phase_ == Phase::Streaming)
         endStream(rest);
     else
@@ -193,7 +203,7 @@
         if (whole.lastId_)
             lastEventId_ = whole.lastId_;
         events_ += whole.count_;
-        reportBrokenAttempt();
+        recordBrokenAttempt(gateway_.parts().clock_.now());
         attemptFailed(Failure::Unknown, "the stream ends inside an event");
         return;
     }
