Prepare conversions and count room for services with ranks

Cause: the planner's preparation waits for a flag; room counted groups that break requests; an entry VM with few requests needs a minute to learn the time to the first event. Change: ReplicaManager sets the flag from RouteTable::hasRanks(); Balancer::capacity() leaves out breaking endpoints; the first steps of QuantileTracker are larger.

--- a/include/cardamombay/serving/quantile_tracker.hpp
+++ b/include/cardamombay/serving/quantile_tracker.hpp
@@ -5,6 +5,7 @@
 #include <cardamombay/core/time.hpp>
 
 #include <algorithm>
+#include <cstdint>
 
 namespace cardamombay::serving {
 
@@ -29,12 +30,20 @@
 
     void add(Duration value)
     {
-        value_ = value > value_ ? value_ + up_ : std::max(Duration::zero(), value_ - down_);
+        const auto scale = std::max<std::int64_t>(1, firstSteps / ++count_);
+        value_ = value > value_ ? value_ + up_ * scale
+                                : std::max(Duration::zero(), value_ - down_ * scale);
+        count_ = std::min<std::int64_t>(count_, firstSteps);
     }
 
     [[nodiscard]] Duration value() const { return value_; }
 
 private:
+    /// The first steps are larger, the very first one this many times, so that an entry VM with few
+    /// requests has an estimate soon.
+    static constexpr std::int64_t firstSteps = 16;
+
+    std::int64_t count_ = 0;
     Duration up_;
     Duration down_;
     Duration value_{};
--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -90,7 +90,8 @@
     void queryMember(const GroupName &group, const Endpoint &member);
     void onStateAnswer(const GroupName &group, const VmId &member, std::uint64_t bornAt,
                        const Result<Endpoint> &answer);
-    void planService(const Service &service);
+    /// \param hasRanks RouteTable::hasRanks() of the service.
+    void planService(const Service &service, bool hasRanks);
     [[nodiscard]] bool isListingSettled(ServiceState &serviceState, std::size_t engines) const;
     [[nodiscard]] bool isDue(TimePoint now);
     void logMix(const Service &service, ServiceState &serviceState, std::string_view outcome,
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -158,6 +158,7 @@
     double requests = 0;
     for (const auto &one : candidatesOf(service)) {
         if (one.model_ != model || !loadTracker_.isUsable(one.endpoint_, now)
+            || loadTracker_.isBreaking(one.endpoint_, now)
             || loadTracker_.hasCrashed(one.endpoint_, one.startedAt_))
             continue;
         const double share = 1 / std::max(1.0, one.slowdown_);
@@ -189,7 +190,8 @@
     const auto pass = model.eventInterval(profile.slots_, model.meanContext());
     const auto own
         = model.prefillTime(std::min(request.promptTokens_, typicalPromptTokens(request)));
-    return fromSeconds(toSeconds(pass) * passesBeforeFirstEvent + toSeconds(own));
+    return fromSeconds(toSeconds(pass) * passesBeforeFirstEvent + toSeconds(own))
+           + firstEventCorrection(request.service_->name_);
 }
 
 Balancer::Usable Balancer::usableCandidates(const RoutingRequest &request, TimePoint now)
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -82,7 +82,7 @@
         return;
     for (const auto &service : routes.configuration().services_) {
         if (service.engine_)
-            planService(service);
+            planService(service, routes.hasRanks(service.name_));
     }
 }
 
@@ -155,7 +155,7 @@
     return input;
 }
 
-void ReplicaManager::planService(const Service &service)
+void ReplicaManager::planService(const Service &service, bool hasRanks)
 {
     const auto engines = plannableEngines(parts_.endpointRegistry_.ofService(service.name_));
     auto &serviceState = serviceStates_[service.name_];
@@ -169,6 +169,7 @@
     serviceState.keptEngines_.update(engines, now);
     logCapacity(service, serviceState, engines);
     auto input = planInput(service, serviceState, engines);
+    input.mayPrepareConversions_ = hasRanks;
     input.reportMix_ = [&](std::string_view outcome, std::span<const ModelLoad> models) {
         logMix(service, serviceState, outcome, models);
     };
