Read promised work in whole microseconds and within its bounds

Change: work is rounded to whole microseconds when it is read, and figures outside of 1e-6 to 60 s are not read. The test of promises uses times with odd nanoseconds. Conclusion: what is read is written again as it was.

--- a/include/cardamombay/overload/return_register.hpp
+++ b/include/cardamombay/overload/return_register.hpp
@@ -26,6 +26,12 @@
 /// a few megabytes.
 inline constexpr std::size_t maxPromises = 16384;
 
+/// Work of a promise in seconds: more than any request has, and less. The upper bound limits the
+/// effect of a single implausible promise on the return times of all callers; the lower one keeps
+/// sums in whole nanoseconds above 0.
+inline constexpr double maxPromisedWork = 60;
+inline constexpr double minPromisedWork = 1e-6;
+
 /// \brief Right of a refused caller to be admitted when it comes back.
 struct ReturnPromise
 {
--- a/src/overload/return_register.cpp
+++ b/src/overload/return_register.cpp
@@ -1,24 +1,13 @@
 #include <cardamombay/overload/return_register.hpp>
 
-#include "overload/work_time.hpp"
+#include <algorithm>
 
 namespace cardamombay::overload {
 
-namespace {
-
-/// More work than one request can have; bounds the effect of a single implausible promise on the
-/// return times of all callers.
-constexpr double maxWork = 60;
-
-/// Less work than any request has; sums count whole nanoseconds.
-constexpr double minWork = 1e-6;
-
-} // namespace
-
 bool isPlausible(const ReturnPromise &promise)
 {
-    return promise.work_ >= minWork && promise.work_ <= maxWork && promise.rank_ <= maxRank
-           && promise.from_ < promise.until_
+    return promise.work_ >= minPromisedWork && promise.work_ <= maxPromisedWork
+           && promise.rank_ <= maxRank && promise.from_ < promise.until_
            && promise.until_ - promise.from_ <= returnLead + returnValidity;
 }
 
--- a/src/serving/return_messages.cpp
+++ b/src/serving/return_messages.cpp
@@ -2,11 +2,12 @@
 
 #include "serving/notification.hpp"
 
-#include <cardamombay/overload/admission_figures.hpp>
+#include <cardamombay/overload/return_register.hpp>
 #include <cardamombay/serving/request_fingerprint.hpp>
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace cardamombay::serving {
 
@@ -36,6 +37,16 @@
     return std::chrono::microseconds(*count);
 }
 
+/// Whole microseconds: the JSON parser may round the last digit, and the figure that is written
+/// again would differ from the one that was read.
+std::optional<double> workIn(const json::object &params)
+{
+    constexpr double perSecond = 1e6;
+    const double work = std::round(realIn(params, "work") * perSecond) / perSecond;
+    const bool isInRange = work >= overload::minPromisedWork && work <= overload::maxPromisedWork;
+    return isInRange ? std::optional(work) : std::nullopt;
+}
+
 std::optional<std::uint64_t> fingerprintIn(const json::object &params)
 {
     const auto fingerprint = RequestFingerprint::parse(textIn(params, "request"));
@@ -77,13 +88,13 @@
     const auto rank = countAt(*params, "rank");
     const auto due = timeAt(*params, "due_us");
     const auto until = timeAt(*params, "until_us");
-    const auto work = realIn(*params, "work");
+    const auto work = workIn(*params);
     ModelName model(nameIn(*params, "model"));
-    const bool isWhole = request && rank && due && until && !model.isEmpty();
-    if (!isWhole || *rank > overload::maxRank || *due >= *until || work <= 0)
+    const bool isWhole = request && rank && due && until && work && !model.isEmpty();
+    if (!isWhole || *rank > overload::maxRank || *due >= *until)
         return std::nullopt;
-    return ReturnPromised{*request, std::move(model), static_cast<std::uint32_t>(*rank), work, *due,
-                          *until};
+    return ReturnPromised{
+        *request, std::move(model), static_cast<std::uint32_t>(*rank), *work, *due, *until};
 }
 
 std::string encode(const ReturnClaimed &message)
--- a/tests/returns/return_coordinator.cpp
+++ b/tests/returns/return_coordinator.cpp
@@ -92,7 +92,7 @@
     forAllSizes([](ReturnFleet &fleet) {
         const auto size = fleet.size();
         for (std::uint64_t one = 1; one <= 20; ++one)
-            fleet.promise(one % size, one, seconds(1));
+            fleet.promise(one % size, one, seconds(1) + std::chrono::nanoseconds(37 * one));
         fleet.pass(seconds(1));
         for (std::uint64_t one = 1; one <= 20; ++one)
             cr_assert(fleet.claimed((one * 5 + 3) % size, one) == std::optional(true));
--- a/tests/returns/return_messages.cpp
+++ b/tests/returns/return_messages.cpp
@@ -36,6 +36,24 @@
     }
 }
 
+// Guards against work that changes each time that it is read and written again; found by the
+// fuzzer.
+Test(return_messages, work_is_read_in_whole_microseconds)
+{
+    auto message = promised;
+    for (const double work : {0.1, 1.0 / 3, 59.9999994, 1e-6}) {
+        message.work_ = work;
+        const auto read = decodeReturnPromised(encode(message));
+        cr_assert(read.has_value());
+        cr_assert_float_eq(read->work_, work, 5.1e-7);
+        cr_assert(decodeReturnPromised(encode(*read)) == read);
+    }
+    for (const double work : {1e-9, 60.1, 18446744073.7}) {
+        message.work_ = work;
+        cr_assert_not(decodeReturnPromised(encode(message)).has_value());
+    }
+}
+
 // Guards against names of fields other than those of docs/design/overload.md, which entry VMs of
 // another build would not read.
 Test(return_messages, have_the_documented_fields)
