Name the headers of the queue and of returns in the umbrella header

Figures: nine headers missing before, three after; the test still fails. The other 12 labels run beside it passed (returns, fuzz, serving, endpoint-limits, endpoint-cooldowns, rpc, regressions, settings, adapter, net, evacuations, restored-store); labels that start real processes were not run. 63 tests of test_returns pass with the address and undefined-behaviour sanitizers.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -135,6 +135,11 @@
 #include <cardamombay/outcomes/outcome.hpp>
 #include <cardamombay/outcomes/stream_continuity.hpp>
 
+#include <cardamombay/overload/held_queue.hpp>
+#include <cardamombay/overload/return_register.hpp>
+#include <cardamombay/overload/return_schedule.hpp>
+#include <cardamombay/overload/wait_forecast.hpp>
+
 #include <cardamombay/planning/plan_decision.hpp>
 #include <cardamombay/planning/plan_state.hpp>
 #include <cardamombay/planning/planner.hpp>
@@ -216,6 +221,8 @@
 #include <cardamombay/serving/reservation_messages.hpp>
 #include <cardamombay/serving/reservation_scheduler.hpp>
 #include <cardamombay/serving/retry_window.hpp>
+#include <cardamombay/serving/return_coordinator.hpp>
+#include <cardamombay/serving/return_messages.hpp>
 #include <cardamombay/serving/roster.hpp>
 #include <cardamombay/serving/route_table.hpp>
 #include <cardamombay/serving/send_budget.hpp>
