--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -139,6 +139,7 @@
 #include <cardamombay/overload/admission_figures.hpp>
 #include <cardamombay/overload/demand_meter.hpp>
 #include <cardamombay/overload/held_queue.hpp>
+#include <cardamombay/overload/level_log.hpp>
 #include <cardamombay/overload/return_register.hpp>
 #include <cardamombay/overload/return_schedule.hpp>
 #include <cardamombay/overload/wait_forecast.hpp>
@@ -205,6 +206,7 @@
 #include <cardamombay/serving/gateway_settings.hpp>
 #include <cardamombay/serving/group_heads.hpp>
 #include <cardamombay/serving/group_view.hpp>
+#include <cardamombay/serving/kept_engines.hpp>
 #include <cardamombay/serving/load_tracker.hpp>
 #include <cardamombay/serving/metered_platform.hpp>
 #include <cardamombay/serving/model_mix.hpp>
