Prepare hosts for conversions and keep engines that were taken for a model

Cause: a conversion waits 12 s for a load; conversions stop at fixed bounds of the coverage, which depend on a level of the demand that is an underestimate in the first seconds; engines that were taken back for a larger group form small groups again, since the planner chooses their model anew by coverage.

Change: with PlanInput::mayPrepareConversions_, hosts of each group and spares also stage the model that their engines could be converted to (before the first traffic without a limit, afterwards with half of the loads), DemandMix::nextPrepared() converts as long as that raises the smaller coverage after the loss of a group, larger groups are reclaimed by the same measure, and leftover engines stay spares of both models. With or without the flag, KeptEngines records the engines of a group that is closed for another model, and they form groups of that model only; a model has at most half of its groups closed for larger ones, and groups that are about to form count before further ones are taken. The planner reports why a group is or is not converted (`model-mix-reviewed`).

--- a/include/cardamombay/serving/model_mix.hpp
+++ b/include/cardamombay/serving/model_mix.hpp
@@ -48,6 +48,11 @@
     /// \returns the most beneficial conversion; nothing if none is beneficial.
     [[nodiscard]] virtual std::optional<Conversion>
     next(std::span<const ModelLoad> models) const = 0;
+
+    /// \returns the most beneficial conversion if hosts have the other model staged, so that a
+    /// conversion takes seconds instead of a load; nothing if none is beneficial.
+    [[nodiscard]] virtual std::optional<Conversion>
+    nextPrepared(std::span<const ModelLoad> models) const = 0;
 };
 
 /// \brief Never converts: engines keep their initial models.
@@ -55,6 +60,8 @@
 {
 public:
     [[nodiscard]] std::optional<Conversion> next(std::span<const ModelLoad> models) const override;
+    [[nodiscard]] std::optional<Conversion>
+    nextPrepared(std::span<const ModelLoad> models) const override;
 };
 
 /// \brief Converts groups of a model with spare capacity into groups of a model that lacks
@@ -63,6 +70,8 @@
 {
 public:
     [[nodiscard]] std::optional<Conversion> next(std::span<const ModelLoad> models) const override;
+    [[nodiscard]] std::optional<Conversion>
+    nextPrepared(std::span<const ModelLoad> models) const override;
 };
 
 } // namespace cardamombay::serving
--- a/include/cardamombay/serving/replica_manager.hpp
+++ b/include/cardamombay/serving/replica_manager.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/leases/lease_keeper.hpp>
 #include <cardamombay/serving/endpoint_registry.hpp>
 #include <cardamombay/serving/group_heads.hpp>
+#include <cardamombay/serving/kept_engines.hpp>
 #include <cardamombay/serving/load_tracker.hpp>
 #include <cardamombay/serving/replica_planner.hpp>
 #include <cardamombay/serving/route_table.hpp>
@@ -68,6 +69,9 @@
     struct ServiceState
     {
         GroupHeads heads_;
+        KeptEngines keptEngines_;
+        std::string mixOutcome_; ///< Last logged outcome of the review of the model mix.
+        TimePoint mixLoggedAt_{};
         std::map<VmId, TimePoint> freeSince_; ///< Since when engines have been without a group.
         TimePoint ungroupedQueriedAt_{};
         std::size_t engineCount_ = 0; ///< Listed engines; updated during the first start.
@@ -90,6 +94,8 @@
     void planService(const Service &service);
     [[nodiscard]] bool isListingSettled(ServiceState &serviceState, std::size_t engines) const;
     [[nodiscard]] bool isDue(TimePoint now);
+    void logMix(const Service &service, ServiceState &serviceState, std::string_view outcome,
+                std::span<const ModelLoad> models) const;
     [[nodiscard]] PlanInput planInput(const Service &service, const ServiceState &serviceState,
                                       const std::vector<const Endpoint *> &engines);
     void send(const PlannedOrder &planned, const EngineProfile &profile);
--- a/include/cardamombay/serving/replica_planner.hpp
+++ b/include/cardamombay/serving/replica_planner.hpp
@@ -14,9 +14,13 @@
 #include <map>
 #include <set>
 #include <span>
+#include <string_view>
 
 namespace cardamombay::serving {
 
+/// \brief Receives the outcome of each review of the model mix, with the figures it was based on.
+using MixReport = std::function<void(std::string_view outcome, std::span<const ModelLoad> models)>;
+
 /// \brief Input of one planner run.
 struct PlanInput
 {
@@ -32,6 +36,11 @@
     bool isFirstStart_ = false;          ///< No request has arrived yet, so loads are fast.
     std::map<ModelName, double> demand_; ///< Demand by model, in groups; empty if unknown.
     const ModelMix *mix_ = nullptr;      ///< Null: engines keep their models.
+    std::map<VmId, ModelName> keptFor_;  ///< Engines taken for a model; see KeptEngines.
+    /// Hosts also stage the model that their engines could be converted to, and conversions follow
+    /// the ratio of the demands.
+    bool mayPrepareConversions_ = false;
+    MixReport reportMix_;                      ///< May be empty.
     std::function<std::uint64_t()> nextEpoch_; ///< Increases across all planners.
 };
 
@@ -42,6 +51,7 @@
     Order order_;
     std::string reason_; ///< For the log.
     bool loads_ = false; ///< The order starts a load from the weight store.
+    ModelName takenFor_; ///< Model that the engines of a closed group are taken for; or empty.
 };
 
 /// \brief Orders that are due now.
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -59,6 +59,7 @@
 inline constexpr std::string_view leaseLost = "planner-lease-lost";
 inline constexpr std::string_view groupPlanned = "group-planned";
 inline constexpr std::string_view capacity = "group-capacity";
+inline constexpr std::string_view mixReviewed = "model-mix-reviewed";
 inline constexpr std::string_view engineSilent = "engine-silent";
 inline constexpr std::string_view orderSent = "order-sent";
 inline constexpr std::string_view orderAnswered = "order-answered";
--- a/src/serving/model_mix.cpp
+++ b/src/serving/model_mix.cpp
@@ -40,6 +40,11 @@
     return std::nullopt;
 }
 
+std::optional<Conversion> FixedMix::nextPrepared(std::span<const ModelLoad> /*models*/) const
+{
+    return std::nullopt;
+}
+
 /// A model gives up only surplus groups, since reversing a conversion takes a full model load. With
 /// a shifted demand, 4.7% of the callers of the overloaded model find no free slot, compared with
 /// 9.3% without conversions (162 engines on a simulated clock, five seeds).
@@ -65,4 +70,32 @@
     return best;
 }
 
+/// The measured demand starts at zero and underestimates the level in the first seconds, while the
+/// ratios between models are correct. The rule therefore compares coverages only with each other:
+/// bounds on their level let the large model give 5 of 10 groups within 4 s. A model without any
+/// measured demand has no ratio and gives only what the other needs by its level.
+std::optional<Conversion> DemandMix::nextPrepared(std::span<const ModelLoad> models) const
+{
+    std::optional<Conversion> best;
+    double highest = 0;
+    for (const auto &to : models) {
+        for (const auto &from : models) {
+            const Conversion one{from.model_, to.model_};
+            const auto made = static_cast<double>(one.groupsMade());
+            const bool isKnown
+                = from.demand_ > minDemand || to.coverageAfterLoss() < sufficientCoverage;
+            if (from.model_ == to.model_ || made == 0 || !isKnown
+                || from.groups_ - 1 < minRemainingGroups)
+                continue;
+            const auto before = std::min(from.coverageAfterLoss(), to.coverageAfterLoss());
+            const auto after = std::min(from.coverageAfterLoss(-1), to.coverageAfterLoss(made));
+            if (after <= before || after <= highest)
+                continue;
+            best = one;
+            highest = after;
+        }
+    }
+    return best;
+}
+
 } // namespace cardamombay::serving
--- a/src/serving/planner_converting.cpp
+++ b/src/serving/planner_converting.cpp
@@ -9,6 +9,10 @@
 
 constexpr std::string_view convertReason = "its engines are needed for another model";
 
+/// Total demand, in groups, below which the ratio between the models is not known: with a moving
+/// average over 4 s, one group of demand corresponds to several dozen requests.
+constexpr double minDemandForRatio = 1;
+
 } // namespace
 
 std::vector<ModelLoad> PlannerRun::modelLoads() const
@@ -16,8 +20,10 @@
     std::vector<ModelLoad> result;
     for (const auto &model : input_.profile_->models_) {
         const auto demand = input_.demand_.find(model.name_);
+        const auto expected = expected_.find(model.name_);
         result.push_back(
-            {&model, groups_.at(model.name_), demand == input_.demand_.end() ? 0 : demand->second});
+            {&model, groups_.at(model.name_) + (expected == expected_.end() ? 0 : expected->second),
+             demand == input_.demand_.end() ? 0 : demand->second});
     }
     return result;
 }
@@ -28,18 +34,48 @@
 {
     if (input_.isFirstStart_ || input_.demand_.empty() || input_.mix_ == nullptr)
         return;
-    while (const auto conversion = input_.mix_->next(modelLoads())) {
+    while (const auto conversion = nextConversion()) {
         const auto *group = convertible(*conversion);
-        if (group == nullptr)
+        if (group == nullptr) {
+            reportMix("no group of " + conversion->from_->name_.text() + " can be converted to "
+                      + conversion->to_->name_.text());
             return;
-        converting_.insert(group->group_);
-        groups_[group->model_] -= 1;
-        groups_[conversion->to_->name_] += static_cast<double>(conversion->groupsMade());
-        if (allHaveStaged(*group, *conversion->to_))
-            closeForConversion(*group);
-        else if (group->state() == MemberState::Open)
-            stageForConversion(*group, *conversion->to_);
+        }
+        convertGroup(*group, *conversion);
     }
+    if (converting_.empty())
+        reportMix("no conversion is beneficial");
+}
+
+std::optional<Conversion> PlannerRun::nextConversion() const
+{
+    const auto loads = modelLoads();
+    if (!input_.mayPrepareConversions_)
+        return input_.mix_->next(loads);
+    double total = 0;
+    for (const auto &load : loads)
+        total += load.demand_;
+    return total < minDemandForRatio ? std::nullopt : input_.mix_->nextPrepared(loads);
+}
+
+void PlannerRun::convertGroup(const GroupView &group, const Conversion &conversion)
+{
+    const auto &to = *conversion.to_;
+    const bool isStaged = allHaveStaged(group, to);
+    reportMix(group.group_.text() + (isStaged ? " becomes " : " loads ") + to.name_.text());
+    converting_.insert(group.group_);
+    groups_[group.model_] -= 1;
+    groups_[to.name_] += static_cast<double>(conversion.groupsMade());
+    if (isStaged)
+        closeForConversion(group, to);
+    else if (group.state() == MemberState::Open)
+        stageForConversion(group, to);
+}
+
+void PlannerRun::reportMix(std::string_view outcome) const
+{
+    if (input_.reportMix_)
+        input_.reportMix_(outcome, modelLoads());
 }
 
 /// The group to convert next: preferably one that is already closing, otherwise the one with the
@@ -83,12 +119,19 @@
                        [&model](const auto *member) { return member->hasStaged(model.name_); });
 }
 
-void PlannerRun::closeForConversion(const GroupView &group)
+void PlannerRun::closeForConversion(const GroupView &group, const Model &model)
 {
     dissolving_.insert(group.group_);
-    if (group.state() == MemberState::Open && !input_.pending_.contains(group.head_->id_))
-        order(*group.head_, CloseOrder{group.group_, group.epoch_, false},
-              std::string(convertReason));
+    closeFor(group, model, convertReason);
+}
+
+/// Closes the group if it is open; its engines are then kept for \p model.
+void PlannerRun::closeFor(const GroupView &group, const Model &model, std::string_view reason)
+{
+    if (group.state() != MemberState::Open || input_.pending_.contains(group.head_->id_))
+        return;
+    order(*group.head_, CloseOrder{group.group_, group.epoch_, false}, std::string(reason));
+    result_.back().takenFor_ = model.name_;
 }
 
 /// The group's engines load the target model onto their hosts while the group continues to serve.
--- a/src/serving/planner_forming.cpp
+++ b/src/serving/planner_forming.cpp
@@ -2,6 +2,7 @@
 #include "serving/planner_run.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace cardamombay::serving::impl {
 
@@ -17,6 +18,10 @@
 /// must close together to form one group in a domain.
 constexpr double maxFirstClosingShare = 0.4;
 
+/// Ratio of capacity to demand, after the loss of a group, above which a model does not need groups
+/// across fabric domains; higher than the ratio of 1 below which they form.
+constexpr double surplusCoverage = 1.1;
+
 } // namespace
 
 /// Ratio of capacity to demand; the model with the lowest ratio is served worst.
@@ -75,9 +80,10 @@
     const Model *best = nullptr;
     for (const auto &model : input_.profile_->models_) {
         const auto able = std::count_if(free.begin(), free.end(), [&](const Endpoint *engine) {
-            return readinessOf(*engine, model.name_) <= worst;
+            return readinessOf(*engine, model.name_) <= worst && mayServe(*engine, model);
         });
-        if (static_cast<std::size_t>(able) < model.members_)
+        if (static_cast<std::size_t>(able) < model.members_
+            || isSpareOfBoth(model, free.front()->domain_))
             continue;
         if (best == nullptr || coverage(model) < coverage(*best))
             best = &model;
@@ -93,23 +99,45 @@
 
 bool PlannerRun::formNextGroup(Engines &free)
 {
-    const auto *model = worstServedModel(free, Readiness::Staged);
+    const auto *model = modelKeptFor(free);
+    if (model == nullptr)
+        model = worstServedModel(free, Readiness::Staged);
     // A group whose members must load weights waits for the slowest load. That is acceptable only
     // at the first start; later, engines load one by one while they are spare.
     if (model == nullptr && input_.isFirstStart_ && mayLoad())
         model = initialModel(free);
     if (model == nullptr)
         return false;
+    const auto rank = [this, model](const Endpoint *engine) {
+        return std::tuple(!mayServe(*engine, *model), !isKeptFor(*engine, *model),
+                          readinessOf(*engine, model->name_));
+    };
     std::stable_sort(
-        free.begin(), free.end(), [model](const Endpoint *left, const Endpoint *right) {
-            return readinessOf(*left, model->name_) < readinessOf(*right, model->name_);
-        });
+        free.begin(), free.end(),
+        [&rank](const Endpoint *left, const Endpoint *right) { return rank(left) < rank(right); });
     const auto end = free.begin() + model->members_;
     formGroup(*model, Engines(free.begin(), end));
     free.erase(free.begin(), end);
     return true;
 }
 
+/// The model that engines of \p free were taken for, if they now form a group of it.
+const Model *PlannerRun::modelKeptFor(const Engines &free) const
+{
+    for (const auto &model : input_.profile_->models_) {
+        const auto able = std::count_if(free.begin(), free.end(), [&](const Endpoint *engine) {
+            return readinessOf(*engine, model.name_) != Readiness::Empty
+                   && mayServe(*engine, model);
+        });
+        const bool isKept = std::any_of(free.begin(), free.end(), [&](const Endpoint *engine) {
+            return isKeptFor(*engine, model);
+        });
+        if (isKept && static_cast<std::size_t>(able) >= model.members_)
+            return &model;
+    }
+    return nullptr;
+}
+
 void PlannerRun::formGroup(const Model &model, const Engines &members)
 {
     JoinOrder join;
@@ -119,6 +147,8 @@
     for (const auto *member : members) {
         join.members_.push_back(member->id_);
         domainsWithGroups_.insert(member->domain_);
+        ++enginesInGroups_[member->domain_];
+        groupModels_[member->domain_].insert(&model);
         presentModels_[member->domain_].insert(&model);
     }
     for (const auto *member : members) {
@@ -185,7 +215,8 @@
     const double capacity = groups_.at(model.name_);
     double closingCapacity = 0;
     for (const auto *group : serving_) {
-        if (group->model_ != model.name_ || !group->spansDomains())
+        if (group->model_ != model.name_ || !group->spansDomains()
+            || dissolving_.contains(group->group_))
             continue;
         if (group->state() == MemberState::Open && !input_.pending_.contains(group->head_->id_)) {
             open.push_back(group);
@@ -266,6 +297,7 @@
         std::copy_if(engines.begin(), engines.end(), std::back_inserter(warm),
                      [this, &model](const Endpoint *engine) {
                          return readinessOf(*engine, model.name_) != Readiness::Empty
+                                && keptModel(*engine) == nullptr
                                 && !input_.recentlyFreed_.contains(engine->id_);
                      });
         byDomain.push_back(std::move(warm));
@@ -286,6 +318,8 @@
     if (input_.isFirstStart_)
         return;
     for (const auto &model : input_.profile_->models_) {
+        if (input_.mayPrepareConversions_ && !lacksCapacity(model))
+            continue;
         auto engines = settledSpares(model);
         while (engines.size() >= model.members_) {
             const Engines members(engines.begin(), engines.begin() + model.members_);
@@ -297,6 +331,33 @@
     }
 }
 
+/// Closes groups across fabric domains that are no longer needed, so that their engines serve as
+/// spares of both models again. They formed while a model lacked capacity.
+void PlannerRun::closeSurplusAcrossDomains()
+{
+    if (input_.demand_.empty())
+        return;
+    std::vector<const GroupView *> groups;
+    for (const auto *list : {&ready_, &serving_}) {
+        std::copy_if(list->begin(), list->end(), std::back_inserter(groups),
+                     [](const GroupView *group) { return group->spansDomains(); });
+    }
+    // Groups that are already closing come first, so that each run selects the same ones.
+    std::stable_sort(groups.begin(), groups.end(), [](const auto *left, const auto *right) {
+        return left->state() != MemberState::Open && right->state() == MemberState::Open;
+    });
+    for (const auto *group : groups) {
+        const auto load = expectedLoad(*modelNamed(group->model_));
+        if (load.coverageAfterLoss(-capacityOf(*group)) < surplusCoverage)
+            continue;
+        groups_[group->model_] -= capacityOf(*group);
+        dissolving_.insert(group->group_);
+        if (group->state() == MemberState::Open && !input_.pending_.contains(group->head_->id_))
+            order(*group->head_, CloseOrder{group->group_, group->epoch_, false},
+                  "its engines serve as spares");
+    }
+}
+
 /// Benefit of a load per second of load time, where the time includes all loads that the domain
 /// still needs for another group of the model.
 double PlannerRun::loadBenefit(const FabricDomain &domain, const Model &model) const
--- a/src/serving/planner_reclaiming.cpp
+++ b/src/serving/planner_reclaiming.cpp
@@ -17,6 +17,15 @@
 /// kept for engines without any model.
 constexpr std::uint32_t reserveLoadsDivisor = 2;
 
+/// Share of a model's groups that may be closed for larger groups at the same time; the others
+/// handle its work until the larger groups serve.
+constexpr double maxTakenShare = 0.5;
+
+/// Factor by which a reclaimed group must raise the smaller coverage if no free engines wait for
+/// it. Demand that is measured over 4 s fluctuates by about 2%, which would otherwise convert
+/// groups back and forth.
+constexpr double minReclaimGain = 1.02;
+
 } // namespace
 
 void PlannerRun::recordPresentModels()
@@ -43,8 +52,10 @@
 bool PlannerRun::isStagedForConversion(const Endpoint &engine, const ModelName &model) const
 {
     const auto *staged = modelNamed(model);
-    const auto *own
-        = engine.membership_ ? modelNamed(modelOf(engine.membership_->group_)) : nullptr;
+    const bool isSpare = !engine.membership_ && input_.mayPrepareConversions_;
+    const auto *own = engine.membership_ ? modelNamed(modelOf(engine.membership_->group_))
+                      : isSpare          ? modelNamed(engine.model_)
+                                         : nullptr;
     return staged != nullptr && own != nullptr && staged->members_ < own->members_;
 }
 
@@ -131,39 +142,118 @@
 {
     if (input_.demand_.empty())
         return;
-    for (const auto &[domain, present] : presentModels_) {
-        if (const auto *model = reserveModel(domain))
-            reclaimFor(*model, domain);
+    // Groups that are being completed come first: they count when others are considered.
+    for (const bool isBegun : {true, false}) {
+        for (const auto &[domain, present] : presentModels_) {
+            const auto *model = reserveModel(domain);
+            if (model != nullptr && hasKeptEngines(domain, *model) == isBegun)
+                reclaimFor(*model, domain);
+        }
     }
 }
 
+/// True if a group of \p model still waits for engines that were taken for it in \p domain.
+bool PlannerRun::hasKeptEngines(const FabricDomain &domain, const Model &model) const
+{
+    return std::any_of(engines_.begin(), engines_.end(), [&](const auto *engine) {
+        return engine->domain_ == domain && isKeptFor(*engine, model)
+               && !input_.joining_.contains(engine->id_);
+    });
+}
+
 void PlannerRun::reclaimFor(const Model &model, const FabricDomain &domain)
 {
     const auto &free = free_[domain];
     const auto able = static_cast<std::size_t>(
-        std::count_if(free.begin(), free.end(), [&model](const Endpoint *engine) {
-            return readinessOf(*engine, model.name_) != Readiness::Empty;
+        std::count_if(free.begin(), free.end(), [&](const Endpoint *engine) {
+            return readinessOf(*engine, model.name_) != Readiness::Empty
+                   && mayServe(*engine, model);
         }));
-    if (able >= model.members_ || (able == 0 && coverage(model) >= sufficientCoverage))
+    const bool hasKept = hasKeptEngines(domain, model);
+    const auto covered = input_.mayPrepareConversions_ ? expectedLoad(model).coverageAfterLoss()
+                                                       : expectedCoverage(model);
+    const bool isSufficient
+        = !hasSurvivors(model, able) && !hasKept && covered >= sufficientCoverage;
+    if (able >= model.members_ || isSufficient)
         return;
-    const auto selected = groupsToReclaim(model, domain, model.members_ - able);
+    const auto selected = groupsToReclaim(model, domain, able);
     if (selected.empty())
         return;
     reclaiming_.insert(domain);
+    reclaimedModels_[domain] = &model;
+    expected_[model.name_] += 1;
     for (const auto *group : selected) {
         dissolving_.insert(group->group_);
         groups_[group->model_] -= capacityOf(*group);
-        if (group->state() == MemberState::Open && !input_.pending_.contains(group->head_->id_))
-            order(*group->head_, CloseOrder{group->group_, group->epoch_, false},
-                  "its engines complete a larger group");
+        taken_[group->model_] += 1;
+        closeFor(*group, model, "its engines complete a larger group");
+    }
+}
+
+/// Groups of \p domain that complete a group of \p model together with \p able free engines. Those
+/// that are already kept for \p model come first; empty if the others may not be taken.
+std::vector<const GroupView *>
+PlannerRun::groupsToReclaim(const Model &model, const FabricDomain &domain, std::size_t able) const
+{
+    std::size_t missing = model.members_ - able;
+    std::vector<const GroupView *> result;
+    std::map<ModelName, double> taken;
+    for (const auto *group : reclaimableGroups(model, domain)) {
+        if (missing == 0)
+            break;
+        const auto &other = *modelNamed(group->model_);
+        const auto count = taken[other.name_] += 1;
+        if (!isKeptFor(*group->head_, model)
+            && !mayTake(other, count, model, hasSurvivors(model, able)))
+            return {};
+        result.push_back(group);
+        missing -= std::min<std::size_t>(missing, group->members_.size());
     }
+    return missing == 0 ? result : std::vector<const GroupView *>();
+}
+
+/// True if \p taken groups of \p from may be closed for a group of \p to: groups of \p from
+/// remain, its coverage remains the higher one, and not too many of its groups are closed at once.
+/// \param areWaiting survivors wait to be completed to the group.
+bool PlannerRun::mayTake(const Model &from, double taken, const Model &to, bool areWaiting) const
+{
+    const auto groups = groups_.at(from.name_);
+    const auto known = taken_.find(from.name_);
+    const auto before = known == taken_.end() ? 0 : known->second;
+    const bool isWithinLimit
+        = groups - taken >= 1 && before + taken <= maxTakenShare * (groups + before);
+    if (!input_.mayPrepareConversions_ || areWaiting)
+        return isWithinLimit && expectedCoverage(from, taken) > expectedCoverage(to);
+    return isWithinLimit && raisesSmallerCoverage(from, taken, to);
 }
 
-/// Groups of \p domain that supply \p missing engines; empty if that would take another model's
-/// last group or reduce its coverage to that of \p model or below.
-std::vector<const GroupView *> PlannerRun::groupsToReclaim(const Model &model,
-                                                           const FabricDomain &domain,
-                                                           std::size_t missing) const
+/// True if \p able free engines with \p model in a domain include survivors of a broken group. The
+/// engines that whole groups leave over are spares of both models and wait for nothing.
+bool PlannerRun::hasSurvivors(const Model &model, std::size_t able) const
+{
+    return able > (input_.mayPrepareConversions_ ? domainSize_ % model.members_ : 0);
+}
+
+/// The same measure as of DemandMix, so that groups are not converted back and forth.
+bool PlannerRun::raisesSmallerCoverage(const Model &from, double taken, const Model &to) const
+{
+    const auto giving = expectedLoad(from);
+    const auto getting = expectedLoad(to);
+    const auto before = std::min(giving.coverageAfterLoss(), getting.coverageAfterLoss());
+    const auto after = std::min(giving.coverageAfterLoss(-taken), getting.coverageAfterLoss(1));
+    return after > before * minReclaimGain;
+}
+
+ModelLoad PlannerRun::expectedLoad(const Model &model) const
+{
+    const auto loads = modelLoads();
+    return *std::find_if(loads.begin(), loads.end(),
+                         [&model](const ModelLoad &load) { return load.model_ == &model; });
+}
+
+/// Groups of smaller models in \p domain whose hosts have \p model.
+std::vector<const GroupView *> PlannerRun::reclaimableGroups(const Model &model,
+                                                             const FabricDomain &domain) const
 {
     std::vector<const GroupView *> groups;
     for (const auto *list : {&ready_, &serving_}) {
@@ -178,23 +268,93 @@
         }
     }
     // Groups that are already closing come first.
-    std::stable_sort(groups.begin(), groups.end(), [](const auto *left, const auto *right) {
-        return left->state() != MemberState::Open && right->state() == MemberState::Open;
+    const auto rank = [&](const GroupView *group) {
+        return std::pair(!isKeptFor(*group->head_, model), group->state() == MemberState::Open);
+    };
+    std::stable_sort(groups.begin(), groups.end(), [&rank](const auto *left, const auto *right) {
+        return rank(left) < rank(right);
     });
-    std::vector<const GroupView *> result;
-    std::map<ModelName, double> taken;
-    for (const auto *group : groups) {
-        if (missing == 0)
-            break;
-        const auto *other = modelNamed(group->model_);
-        taken[other->name_] += 1;
-        const auto left = groups_.at(other->name_) - taken[other->name_];
-        if (left < 1 || coverage(*other, left) <= coverage(model))
-            return {};
-        result.push_back(group);
-        missing -= std::min<std::size_t>(missing, group->members_.size());
+    return groups;
+}
+
+/// Coverage of \p model with the groups that are certain to form and without \p less groups.
+double PlannerRun::expectedCoverage(const Model &model, double less) const
+{
+    const auto expected = expected_.find(model.name_);
+    const auto more = expected == expected_.end() ? 0 : expected->second;
+    return coverage(model, groups_.at(model.name_) + more - less);
+}
+
+/// Counts groups that are certain to form but are not listed yet, so that no run takes more groups
+/// for them than necessary.
+void PlannerRun::countExpectedGroups()
+{
+    countKeptEngines();
+    if (input_.mayPrepareConversions_)
+        countUnlistedGroups();
+}
+
+void PlannerRun::countKeptEngines()
+{
+    for (const auto &[domain, free] : free_) {
+        for (const auto &model : input_.profile_->models_) {
+            std::size_t kept = 0;
+            std::size_t able = 0;
+            for (const auto *engine : free) {
+                kept += isKeptFor(*engine, model) ? 1 : 0;
+                able += mayServe(*engine, model)
+                                && readinessOf(*engine, model.name_) != Readiness::Empty
+                            ? 1
+                            : 0;
+                if (const auto *own = modelNamed(engine->model_);
+                    own != nullptr && own != &model && isKeptFor(*engine, model))
+                    taken_[own->name_] += 1.0 / own->members_;
+            }
+            const auto needed = (kept + model.members_ - 1) / model.members_;
+            expected_[model.name_]
+                += static_cast<double>(std::min<std::size_t>(able / model.members_, needed));
+        }
     }
-    return missing == 0 ? result : std::vector<const GroupView *>();
+}
+
+/// Counts groups that engines were ordered to join and of which no member is listed yet.
+void PlannerRun::countUnlistedGroups()
+{
+    std::set<GroupName> unlisted;
+    for (const auto &[engine, group] : input_.joining_) {
+        if (!isWarmUp(group) && modelNamed(modelOf(group)) != nullptr)
+            unlisted.insert(group);
+    }
+    for (const auto *engine : engines_) {
+        if (engine->membership_)
+            unlisted.erase(engine->membership_->group_);
+    }
+    for (const auto &group : unlisted)
+        expected_[modelOf(group)] += 1;
+}
+
+/// The model that the engine was taken for; null if none.
+const ModelName *PlannerRun::keptModel(const Endpoint &engine) const
+{
+    const auto found = input_.keptFor_.find(engine.id_);
+    return found == input_.keptFor_.end() ? nullptr : &found->second;
+}
+
+bool PlannerRun::isKeptFor(const Endpoint &engine, const Model &model) const
+{
+    const auto *kept = keptModel(engine);
+    return kept != nullptr && *kept == model.name_;
+}
+
+/// False if the free engine waits for a group of another model: it was taken for it, or its domain
+/// reclaims engines to complete such a group.
+bool PlannerRun::mayServe(const Endpoint &engine, const Model &model) const
+{
+    if (const auto *kept = keptModel(engine))
+        return *kept == model.name_;
+    const auto found = reclaimedModels_.find(engine.domain_);
+    return found == reclaimedModels_.end() || found->second == &model
+           || readinessOf(engine, found->second->name_) == Readiness::Empty;
 }
 
 bool PlannerRun::mayLoadReserve() const
@@ -210,16 +370,74 @@
 {
     for (const auto *list : {&ready_, &serving_}) {
         for (const auto *group : *list) {
-            for (const auto *member : group->members_) {
-                const auto *model = reserveModel(member->domain_);
-                if (model == nullptr || !mayLoadReserve() || model->name_ == group->model_
-                    || member->hasStaged(model->name_) || isLoading(*member) || hasOrder(*member)
-                    || input_.pending_.contains(member->id_))
-                    continue;
-                order(*member, StageOrder{model->name_}, "reserve", true);
-            }
+            const auto *partner
+                = input_.mayPrepareConversions_ ? conversionPartner(group->model_) : nullptr;
+            for (const auto *member : group->members_)
+                stageReserve(*member, partner != nullptr ? partner : reserveModel(member->domain_),
+                             group->model_);
         }
     }
+    if (input_.mayPrepareConversions_)
+        stageForSpares();
+}
+
+void PlannerRun::stageReserve(const Endpoint &engine, const Model *model, const ModelName &own)
+{
+    if (model == nullptr || !mayLoadReserve() || model->name_ == own
+        || engine.hasStaged(model->name_) || isLoading(engine) || hasOrder(engine)
+        || input_.pending_.contains(engine.id_))
+        return;
+    order(engine, StageOrder{model->name_}, "reserve", true);
+}
+
+/// Spares keep one model in memory and the other one on their hosts, so that they can replace a
+/// member of either.
+void PlannerRun::stageForSpares()
+{
+    for (const auto &[domain, engines] : free_) {
+        for (const auto *engine : engines)
+            stageReserve(*engine, conversionPartner(engine->model_), engine->model_);
+    }
+}
+
+/// The model that engines of a group of \p name could be converted to; null if there is none.
+const Model *PlannerRun::conversionPartner(const ModelName &name) const
+{
+    const auto *own = modelNamed(name);
+    if (own == nullptr)
+        return nullptr;
+    for (const auto &other : input_.profile_->models_) {
+        const bool isWhole
+            = Conversion{own, &other}.groupsMade() > 0 || Conversion{&other, own}.groupsMade() > 0;
+        if (other.name_ != name && isWhole)
+            return &other;
+    }
+    return nullptr;
+}
+
+/// True if another group of \p model in \p domain would consist of the engines that the domain's
+/// larger groups leave over. These replace lost members of either model, so that a lost engine does
+/// not take down a large group until a small one has closed.
+bool PlannerRun::isSpareOfBoth(const Model &model, const FabricDomain &domain) const
+{
+    if (!input_.mayPrepareConversions_ || lacksCapacity(model))
+        return false;
+    const auto models = groupModels_.find(domain);
+    const auto engines = enginesInGroups_.find(domain);
+    if (models == groupModels_.end() || engines == enginesInGroups_.end())
+        return false;
+    return std::any_of(models->second.begin(), models->second.end(), [&](const Model *larger) {
+        return larger != nullptr && larger->members_ > model.members_
+               && engines->second + model.members_
+                      > domainSize_ / larger->members_ * larger->members_;
+    });
+}
+
+/// True if the model's groups would be full after the loss of one.
+bool PlannerRun::lacksCapacity(const Model &model) const
+{
+    const auto known = input_.demand_.find(model.name_);
+    return known != input_.demand_.end() && expectedLoad(model).coverageAfterLoss() < 1;
 }
 
 } // namespace cardamombay::serving::impl
--- a/src/serving/planner_run.cpp
+++ b/src/serving/planner_run.cpp
@@ -14,7 +14,7 @@
 
 void PlannerRun::order(const Endpoint &engine, Order order, std::string reason, bool loads)
 {
-    result_.push_back({engine.id_, std::move(order), std::move(reason), loads});
+    result_.push_back({engine.id_, std::move(order), std::move(reason), loads, {}});
     loads_ += loads ? 1 : 0;
 }
 
@@ -52,11 +52,19 @@
         }
         domainsWithGroups_.insert(engine->domain_);
         members.push_back(engine);
+        if (const auto &group = engine->membership_->group_; !isWarmUp(group)) {
+            ++enginesInGroups_[engine->domain_];
+            groupModels_[engine->domain_].insert(modelNamed(modelOf(group)));
+        }
     }
     const auto groups = groupsOf(members);
     for (const auto &group : groups)
         review(group);
+    countExpectedGroups();
     reclaim();
+    // Before conversions, which would otherwise rely on the capacity of these groups.
+    if (input_.mayPrepareConversions_ && !input_.isFirstStart_)
+        closeSurplusAcrossDomains();
     convert();
     openReady();
     consolidateGroups();
@@ -97,8 +105,10 @@
     for (const auto *engine : engines_) {
         domainSize_ = std::max(domainSize_, ++sizes[engine->domain_]);
         auto &counts = staged[engine->domain_];
+        // A member's host may hold a model only for a possible conversion.
+        const bool mayBeForConversion = input_.mayPrepareConversions_ && engine->membership_;
         for (const auto &model : engine->staged_)
-            ++counts[model];
+            counts[model] += mayBeForConversion ? 0 : 1;
         if (engine->membership_)
             ++counts[modelOf(engine->membership_->group_)];
     }
--- a/src/serving/planner_run.hpp
+++ b/src/serving/planner_run.hpp
@@ -51,9 +51,11 @@
     void addIfFree(const Endpoint &engine);
     void formInDomain(Engines &free);
     bool formNextGroup(Engines &free);
+    [[nodiscard]] const Model *modelKeptFor(const Engines &free) const;
     void formGroup(const Model &model, const Engines &members);
     void formAcrossDomains();
     void consolidateGroups();
+    void closeSurplusAcrossDomains();
     void consolidate(const Model &model);
     [[nodiscard]] std::map<FabricDomain, std::size_t> leftoverSpares(const Model &model) const;
     [[nodiscard]] static std::vector<const GroupView *>
@@ -66,8 +68,29 @@
     void reclaim();
     void reclaimFor(const Model &model, const FabricDomain &domain);
     [[nodiscard]] std::vector<const GroupView *>
-    groupsToReclaim(const Model &model, const FabricDomain &domain, std::size_t missing) const;
+    groupsToReclaim(const Model &model, const FabricDomain &domain, std::size_t able) const;
+    [[nodiscard]] std::vector<const GroupView *>
+    reclaimableGroups(const Model &model, const FabricDomain &domain) const;
+    [[nodiscard]] bool mayTake(const Model &from, double taken, const Model &to,
+                               bool areWaiting) const;
+    [[nodiscard]] bool hasKeptEngines(const FabricDomain &domain, const Model &model) const;
+    [[nodiscard]] bool hasSurvivors(const Model &model, std::size_t able) const;
+    [[nodiscard]] bool raisesSmallerCoverage(const Model &from, double taken,
+                                             const Model &to) const;
+    [[nodiscard]] ModelLoad expectedLoad(const Model &model) const;
+    [[nodiscard]] double expectedCoverage(const Model &model, double less = 0) const;
+    void countExpectedGroups();
+    void countKeptEngines();
+    void countUnlistedGroups();
+    [[nodiscard]] const ModelName *keptModel(const Endpoint &engine) const;
+    [[nodiscard]] bool isKeptFor(const Endpoint &engine, const Model &model) const;
+    [[nodiscard]] bool mayServe(const Endpoint &engine, const Model &model) const;
     void stageReserveModels();
+    void stageReserve(const Endpoint &engine, const Model *model, const ModelName &own);
+    void stageForSpares();
+    [[nodiscard]] const Model *conversionPartner(const ModelName &name) const;
+    [[nodiscard]] bool isSpareOfBoth(const Model &model, const FabricDomain &domain) const;
+    [[nodiscard]] bool lacksCapacity(const Model &model) const;
     [[nodiscard]] bool mayLoadReserve() const;
     [[nodiscard]] const Model *initialModel(const Engines &free) const;
     [[nodiscard]] bool shouldMixModels(std::size_t engines) const;
@@ -93,10 +116,14 @@
 
     [[nodiscard]] std::vector<ModelLoad> modelLoads() const;
     void convert();
+    [[nodiscard]] std::optional<Conversion> nextConversion() const;
+    void convertGroup(const GroupView &group, const Conversion &conversion);
+    void reportMix(std::string_view outcome) const;
     [[nodiscard]] const GroupView *convertible(const Conversion &conversion) const;
     [[nodiscard]] bool hasOrLoadsModel(const Endpoint &engine, const Model &model) const;
     [[nodiscard]] static bool allHaveStaged(const GroupView &group, const Model &model);
-    void closeForConversion(const GroupView &group);
+    void closeForConversion(const GroupView &group, const Model &model);
+    void closeFor(const GroupView &group, const Model &model, std::string_view reason);
     void stageForConversion(const GroupView &group, const Model &model);
 
     [[nodiscard]] double domainWeight(const Model &model) const;
@@ -109,15 +136,21 @@
     std::map<FabricDomain, std::set<const Model *>> presentModels_; ///< Models held by its engines.
     std::size_t loads_;
     std::map<ModelName, double> groups_; ///< Serving or being formed.
+    /// Groups that are certain to form from reclaimed or converted engines, but are not in groups_.
+    std::map<ModelName, double> expected_;
+    std::map<ModelName, double> taken_; ///< Groups being closed for other models, by their model.
     std::map<FabricDomain, Engines> free_;
     std::set<FabricDomain> domainsWithGroups_;
-    std::vector<const GroupView *> serving_; ///< Complete groups.
-    std::vector<const GroupView *> ready_;   ///< Complete groups that can be opened.
-    std::set<GroupName> dissolving_;         ///< Their engines are needed for other groups.
-    std::set<GroupName> converting_;         ///< Already counted as groups of the target model.
+    std::map<FabricDomain, std::size_t> enginesInGroups_;         ///< Members of serving groups.
+    std::map<FabricDomain, std::set<const Model *>> groupModels_; ///< Models of these groups.
+    std::vector<const GroupView *> serving_;                      ///< Complete groups.
+    std::vector<const GroupView *> ready_; ///< Complete groups that can be opened.
+    std::set<GroupName> dissolving_;       ///< Their engines are needed for other groups.
+    std::set<GroupName> converting_;       ///< Already counted as groups of the target model.
     std::set<FabricDomain>
         consolidating_;                 ///< Their spares wait for engines of cross-domain groups.
     std::set<FabricDomain> reclaiming_; ///< Their spares wait for reclaimed engines.
+    std::map<FabricDomain, const Model *> reclaimedModels_; ///< Models of the groups they wait for.
     Plan result_;
 };
 
--- a/src/serving/replica_manager.cpp
+++ b/src/serving/replica_manager.cpp
@@ -40,6 +40,9 @@
 
 constexpr Duration capacityLogPeriod = std::chrono::seconds(1);
 
+/// A run every 40 ms may alternate between outcomes while groups close.
+constexpr Duration mixLogPause = std::chrono::milliseconds(200);
+
 /// Number of group epochs per lease epoch; the lease epoch forms the leading digits.
 constexpr std::uint64_t epochsPerTenure = 1'000'000;
 
@@ -143,6 +146,7 @@
             input.recentlyFreed_.insert(engine);
     }
     input.releasedGroups_ = serviceState.heads_.released(engines);
+    input.keptFor_ = serviceState.keptEngines_.models();
     input.isFirstStart_ = isFirstStart_;
     input.demand_ = demand_;
     input.mix_ = parts_.mix_;
@@ -160,11 +164,41 @@
     queryUngroupedEngines(serviceState, engines);
     updateFreeSince(serviceState, engines);
     serviceState.heads_.update(engines);
+    const auto now = parts_.clock_.now();
+    serviceState.keptEngines_.update(engines, now);
     logCapacity(service, serviceState, engines);
-    const auto plan = planReplicas(planInput(service, serviceState, engines));
+    auto input = planInput(service, serviceState, engines);
+    input.reportMix_ = [&](std::string_view outcome, std::span<const ModelLoad> models) {
+        logMix(service, serviceState, outcome, models);
+    };
+    const auto plan = planReplicas(input);
     hadOrders_ = hadOrders_ || !plan.empty();
-    for (const auto &order : plan)
+    for (const auto &order : plan) {
+        serviceState.keptEngines_.record(order, engines, now);
         send(order, *service.engine_);
+    }
+}
+
+/// Logs why a group is or is not converted, with the figures of each model, when the outcome
+/// changes.
+void ReplicaManager::logMix(const Service &service, ServiceState &serviceState,
+                            std::string_view outcome, std::span<const ModelLoad> models) const
+{
+    const auto now = parts_.clock_.now();
+    if (serviceState.mixOutcome_ == outcome || now - serviceState.mixLoggedAt_ < mixLogPause)
+        return;
+    serviceState.mixOutcome_ = outcome;
+    serviceState.mixLoggedAt_ = now;
+    std::string figures;
+    for (const auto &load : models) {
+        figures += (figures.empty() ? "" : " ") + load.model_->name_.text() + ":"
+                   + std::to_string(load.groups_).substr(0, 5) + "/"
+                   + std::to_string(load.demand_).substr(0, 5) + "="
+                   + std::to_string(load.coverageAfterLoss()).substr(0, 5);
+    }
+    log::info(event::mixReviewed, {{"service", service.name_.text()},
+                                   {"outcome", std::string(outcome)},
+                                   {"groups-demand-coverage", figures}});
 }
 
 /// Groups within evacuated availability zones are left as they are until the zone returns, and no
--- a/tests/support/planner_bench.hpp
+++ b/tests/support/planner_bench.hpp
@@ -5,6 +5,7 @@
 #include "support/gateway_fixture.hpp"
 
 #include <cardamombay/serving/group_heads.hpp>
+#include <cardamombay/serving/kept_engines.hpp>
 #include <cardamombay/serving/replica_planner.hpp>
 
 #include <algorithm>
@@ -35,7 +36,12 @@
         input_.engines_ = engines;
         input_.profile_ = &profile_;
         input_.nextEpoch_ = [this] { return ++epoch_; };
-        return planReplicas(input_);
+        keptEngines_.update(engines, now_);
+        input_.keptFor_ = keptEngines_.models();
+        auto result = planReplicas(input_);
+        for (const auto &order : result)
+            keptEngines_.record(order, engines, now_);
+        return result;
     }
 
     /// \brief Adds a group of two engines.
@@ -52,6 +58,8 @@
     std::vector<serving::Endpoint> engines_;
     serving::PlanInput input_;
     serving::GroupHeads heads_;
+    serving::KeptEngines keptEngines_;
+    TimePoint now_{}; ///< Time of the next plan.
     std::uint64_t epoch_ = 10;
 };
 
--- a/tests/support/shifted_demand_simulation.hpp
+++ b/tests/support/shifted_demand_simulation.hpp
@@ -7,7 +7,10 @@
 
 #include <cardamombay/core/random.hpp>
 
+#include <criterion/criterion.h>
+
 #include <cstdio>
+#include <functional>
 #include <map>
 #include <queue>
 #include <set>
@@ -16,10 +19,18 @@
 
 using namespace cardamombay::serving;
 
-inline constexpr int domains = 9;
-inline constexpr int enginesPerDomain = 18;
-inline constexpr std::uint32_t largeGroup = 8;
-inline constexpr std::uint32_t smallGroup = 2;
+/// Size of the fleet and whether its hosts may prepare conversions.
+struct FleetSize
+{
+    int domains_ = 9;
+    int enginesPerDomain_ = 18;
+    std::uint32_t largeGroup_ = 8;
+    std::uint32_t smallGroup_ = 2;
+    bool mayPrepareConversions_ = false;
+    bool losesEngines_ = true;
+    double crossDomainFactor_ = 1;
+};
+
 inline constexpr std::size_t slotsPerGroup = 20;
 
 /// Durations in the simulation, in seconds.
@@ -53,22 +64,33 @@
     int conversions_ = 0; ///< Groups that were told to close.
 };
 
-/// 162 engines that execute the planner's orders with delays; one engine is lost every 1.5 s.
+/// Open groups of each model whose members are in one fabric domain.
+struct OpenGroups
+{
+    std::size_t large_ = 0;
+    std::size_t small_ = 0;
+};
+
+/// Engines, 162 by default, that execute the planner's orders with delays; one engine is lost every
+/// 1.5 s.
 class ShiftedDemandSimulation
 {
 public:
-    ShiftedDemandSimulation(const ModelMix &mix, std::uint64_t seed)
-        : random_(seed)
+    ShiftedDemandSimulation(const ModelMix &mix, std::uint64_t seed, const FleetSize &size = {})
+        : size_(size)
+        , random_(seed)
     {
-        bench_.profile_.models_[0].members_ = largeGroup;
-        bench_.profile_.models_[1].members_ = smallGroup;
+        bench_.profile_.models_[0].members_ = size.largeGroup_;
+        bench_.profile_.models_[1].members_ = size.smallGroup_;
+        bench_.input_.mayPrepareConversions_ = size.mayPrepareConversions_;
         bench_.profile_.models_[0].share_ = 0.5;
         bench_.profile_.models_[1].share_ = 0.5;
         bench_.profile_.fullSpeedLoads_ = 20;
+        bench_.profile_.crossDomainFactor_ = size.crossDomainFactor_;
         bench_.input_.mix_ = &mix;
         bench_.input_.isFirstStart_ = true;
-        for (int i = 0; i < domains * enginesPerDomain; ++i)
-            add("d" + std::to_string(i / enginesPerDomain));
+        for (int i = 0; i < size.domains_ * size.enginesPerDomain_; ++i)
+            add(domainName(i / size.enginesPerDomain_));
         for (; now_ < 12; now_ += step)
             advance();
         bench_.input_.isFirstStart_ = false;
@@ -95,6 +117,59 @@
         return {share("n"), share("m"), conversions_};
     }
 
+    /// Advances for \p seconds with \p demand in groups and calls \p check after each step.
+    void run(double seconds, const std::map<ModelName, double> &demand,
+             const std::function<void()> &check = {})
+    {
+        for (const double end = now_ + seconds; now_ < end; now_ += step) {
+            measureGroups(demand);
+            advance();
+            if (check)
+                check();
+        }
+    }
+
+    [[nodiscard]] static std::string domainName(int domain) { return "d" + std::to_string(domain); }
+
+    [[nodiscard]] OpenGroups open() const
+    {
+        return {openInDomains(ModelName("m")), openInDomains(ModelName("n"))};
+    }
+
+    /// Makes all engines of \p domain unresponsive, with their groups.
+    void darken(int domain)
+    {
+        for (auto &engine : bench_.engines_) {
+            if (engine.domain_ != FabricDomain(domainName(domain)))
+                continue;
+            bench_.input_.unresponsive_.insert(engine.id_);
+            dropOrders(engine.id_);
+        }
+    }
+
+    /// Restarts all engines of \p domain: their memory is empty and their hosts keep what is
+    /// staged, or only \p staged if it is given.
+    void restore(int domain, const std::string &staged = {})
+    {
+        for (auto &engine : bench_.engines_) {
+            if (engine.domain_ != FabricDomain(domainName(domain)))
+                continue;
+            bench_.input_.unresponsive_.erase(engine.id_);
+            engine.model_ = ModelName();
+            engine.membership_.reset();
+            ++engine.startedAt_;
+            if (!staged.empty())
+                engine.staged_ = {ModelName(staged)};
+        }
+    }
+
+    [[nodiscard]] const std::vector<Endpoint> &engines() const { return bench_.engines_; }
+
+    /// Orders to close a group, by the reason in the log.
+    std::map<std::string, int> closes_;
+    std::size_t formed_ = 0;    ///< Groups ordered since the traffic began, by their heads.
+    std::size_t mostLoads_ = 0; ///< Most loads in progress at a time since the traffic began.
+
 private:
     static constexpr double step = 0.05;
 
@@ -104,6 +179,13 @@
         std::size_t waiting_ = 0;
     };
 
+    void dropOrders(const VmId &engine)
+    {
+        due_.erase(engine);
+        loads_.erase(engine);
+        forgetOrder(engine);
+    }
+
     void add(const std::string &domain)
     {
         bench_.engines_.push_back(spareEngine("e" + std::to_string(++count_), domain));
@@ -119,18 +201,22 @@
     /// Updates the measured demand as entry VMs do: in groups, smoothed over four seconds.
     void measure(const RequestMix &requestMix)
     {
-        const auto addSample = [&](const char *model, double perSecond) {
-            const double groups = perSecond * answerSeconds / static_cast<double>(slotsPerGroup);
-            auto &known = bench_.input_.demand_[ModelName(model)];
+        const double groupsPerRequest = answerSeconds / static_cast<double>(slotsPerGroup);
+        measureGroups({{ModelName("m"), requestMix.large_ * groupsPerRequest},
+                       {ModelName("n"), requestMix.small_ * groupsPerRequest}});
+    }
+
+    void measureGroups(const std::map<ModelName, double> &demand)
+    {
+        for (const auto &[model, groups] : demand) {
+            auto &known = bench_.input_.demand_[model];
             known += (groups - known) * step / 4;
-        };
-        addSample("m", requestMix.large_);
-        addSample("n", requestMix.small_);
+        }
     }
 
     void advance()
     {
-        if (started_ && now_ >= nextLoss_) {
+        if (started_ && size_.losesEngines_ && now_ >= nextLoss_) {
             nextLoss_ = now_ + lossIntervalSeconds;
             removeRandomEngine();
         }
@@ -139,8 +225,55 @@
             arrivals_.pop();
         }
         executeDue();
-        for (const auto &order : bench_.plan())
+        bench_.now_ += std::chrono::milliseconds(50);
+        const auto plan = bench_.plan();
+        check(plan);
+        for (const auto &order : plan)
             accept(order);
+        mostLoads_ = started_ ? std::max(mostLoads_, bench_.input_.loading_.size()) : 0;
+    }
+
+    /// Checks that no engine is in two groups, that only groups with all their members are opened,
+    /// and that each order to join reaches all members.
+    void check(const Plan &plan)
+    {
+        std::set<VmId> ordered;
+        std::map<GroupName, std::size_t> joins;
+        for (const auto &order : plan) {
+            const auto *engine = find(order.engine_);
+            cr_assert_not_null(engine);
+            cr_assert(ordered.insert(order.engine_).second, "two orders to one engine");
+            cr_assert_not(bench_.input_.unresponsive_.contains(order.engine_));
+            if (const auto *join = std::get_if<JoinOrder>(&order.order_)) {
+                cr_assert(
+                    !engine->membership_
+                        || bench_.input_.releasedGroups_.contains(engine->membership_->group_),
+                    "an engine of a group is ordered into another");
+                ++joins[join->group_];
+                formed_
+                    += started_ && !isWarmUp(join->group_) && join->members_.front() == engine->id_;
+            }
+            if (std::holds_alternative<OpenOrder>(order.order_))
+                cr_assert_eq(listedMembers(engine->membership_->group_),
+                             sizeOf(modelOf(engine->membership_->group_)));
+            if (std::holds_alternative<CloseOrder>(order.order_))
+                closes_[order.reason_] += started_ ? 1 : 0;
+        }
+        for (const auto &[group, members] : joins)
+            cr_assert_eq(members, isWarmUp(group) ? 1 : sizeOf(modelOf(group)));
+    }
+
+    [[nodiscard]] std::size_t sizeOf(const ModelName &model) const
+    {
+        return model == ModelName("m") ? size_.largeGroup_ : size_.smallGroup_;
+    }
+
+    [[nodiscard]] std::size_t listedMembers(const GroupName &group) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(bench_.engines_.begin(), bench_.engines_.end(), [&](const auto &engine) {
+                return engine.membership_ && engine.membership_->group_ == group;
+            }));
     }
 
     /// Removes a random engine; its group ends, and the survivors become free.
@@ -268,11 +401,26 @@
         }
     }
 
+    [[nodiscard]] std::size_t openInDomains(const ModelName &model) const
+    {
+        const auto names = openGroups(model);
+        std::vector<const Endpoint *> engines;
+        for (const auto &engine : bench_.engines_)
+            engines.push_back(&engine);
+        const auto groups = groupsOf(engines);
+        return static_cast<std::size_t>(
+            std::count_if(groups.begin(), groups.end(), [&names](const GroupView &group) {
+                return !group.spansDomains()
+                       && std::find(names.begin(), names.end(), group.group_) != names.end();
+            }));
+    }
+
     [[nodiscard]] std::vector<GroupName> openGroups(const ModelName &model) const
     {
         std::vector<GroupName> result;
         for (const auto &engine : bench_.engines_) {
             const bool serves = engine.membership_ && engine.membership_->isHead()
+                                && !bench_.input_.unresponsive_.contains(engine.id_)
                                 && engine.membership_->state_ == MemberState::Open
                                 && modelOf(engine.membership_->group_) == model;
             if (serves)
@@ -281,6 +429,7 @@
         return result;
     }
 
+    FleetSize size_;
     Random random_;
     PlannerBench bench_;
     double now_ = 0;
@@ -298,13 +447,14 @@
 /// Mean results over several seeds. If \p settling is positive, callers first arrive with the mix
 /// \p before and then for \p settling seconds with \p requestMix before they are counted.
 inline WaitingShares meanWaitingShares(const ModelMix &mix, RequestMix requestMix,
-                                       RequestMix before = {}, double settling = 0)
+                                       RequestMix before = {}, double settling = 0,
+                                       const FleetSize &size = {})
 {
     constexpr std::uint64_t seeds = 5;
     constexpr double seconds = 40;
     WaitingShares sum;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
-        ShiftedDemandSimulation fleet(mix, seed);
+        ShiftedDemandSimulation fleet(mix, seed, size);
         if (settling > 0) {
             (void)fleet.serve(seconds / 2, before);
             (void)fleet.serve(settling, requestMix);
