Test that engines taken for a larger group are kept for it

Three new tests of replica_reclaiming and one of replica_manager fail on (small groups form from the taken engines; 4 domains close more than half of a model's groups in one run) and pass with KeptEngines. A fifth test bounds the time for which engines are kept.

--- a/src/serving/planner_run.hpp
+++ b/src/serving/planner_run.hpp
@@ -51,6 +51,7 @@
     void addIfFree(const Endpoint &engine);
     void formInDomain(Engines &free);
     bool formNextGroup(Engines &free);
+    [[nodiscard]] bool isNeededForLarger(const Endpoint &engine, const Model &model) const;
     [[nodiscard]] const Model *modelKeptFor(const Engines &free) const;
     void formGroup(const Model &model, const Engines &members);
     void formAcrossDomains();
--- a/tests/serving/model_mix.cpp
+++ b/tests/serving/model_mix.cpp
@@ -1,6 +1,8 @@
 // Decisions of the model mix policies.
 #include <cardamombay/serving/model_mix.hpp>
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
 #include <criterion/criterion.h>
@@ -124,3 +126,54 @@
     const TwoModels models;
     cr_assert_not(FixedMix().next(models.loads(10, 0.1, 2, 30)).has_value());
 }
+
+/// Groups after all conversions that \p mix finds beneficial with prepared hosts.
+static std::pair<double, double> preparedGroups(double large, double largeDemand, double small,
+                                                double smallDemand)
+{
+    const TwoModels models;
+    const DemandMix mix;
+    while (mix.nextPrepared(models.loads(large, largeDemand, small, smallDemand))) {
+        large -= 1;
+        small += 4;
+    }
+    return {large, small};
+}
+
+/// Guards against fixed bounds, with which a model with a coverage of 1.5 gave nothing to one with
+/// 0.6.
+Test(model_mix, prepared_groups_are_converted_while_the_smaller_coverage_rises)
+{
+    const auto [large, small] = preparedGroups(7, 3.9, 10, 28);
+    cr_assert_eq(large, 4);
+    cr_assert_eq(small, 22);
+    const auto lowest = [](double largeGroups, double smallGroups) {
+        return std::min((largeGroups - 1) / 3.9, (smallGroups - 1) / 28);
+    };
+    cr_assert_gt(lowest(large, small), lowest(large + 1, small - 4));
+    cr_assert_leq(lowest(large - 1, small + 4), lowest(large, small));
+}
+
+/// Guards against a level of the demand that is too low in the first seconds.
+Test(model_mix, prepared_groups_depend_on_the_ratio_of_the_demands_only)
+{
+    const auto whole = preparedGroups(10, 4, 16, 24);
+    for (const double part : {0.05, 0.2, 0.5, 2.0})
+        cr_assert(preparedGroups(10, 4 * part, 16, 24 * part) == whole);
+}
+
+/// Guards against giving away the groups of a model whose callers have not come yet.
+Test(model_mix, model_without_demand_gives_prepared_groups_only_to_one_that_lacks_capacity)
+{
+    cr_assert_eq(preparedGroups(10, 0, 16, 9).first, 10);
+    cr_assert_eq(preparedGroups(10, 0, 16, 20).first, 5);
+    cr_assert_eq(preparedGroups(10, 0, 16, 200).first, 2);
+}
+
+/// Guards against conversions that repeat without a change of the demand.
+Test(model_mix, prepared_groups_are_not_converted_at_equal_coverage)
+{
+    const TwoModels models;
+    cr_assert_not(DemandMix().nextPrepared(models.loads(5, 4, 29, 28)).has_value());
+    cr_assert_not(FixedMix().nextPrepared(models.loads(10, 0.1, 2, 30)).has_value());
+}
--- a/tests/serving/replica_manager.cpp
+++ b/tests/serving/replica_manager.cpp
@@ -230,3 +230,48 @@
     }
     cr_assert_eq(bench.orders_.sent_.size(), 2);
 }
+
+/// Guards against engines that a small group gave for a larger one and that form small groups
+/// again, since the demand has changed when they are free.
+Test(replica_manager, engines_of_a_group_closed_for_a_larger_one_are_kept_for_it)
+{
+    Bench bench;
+    auto configuration = gatewayConfiguration();
+    auto &models = configuration.services_.front().engine_->models_;
+    models[0].members_ = 4;
+    models[1].members_ = 2;
+    const RouteTable routes(configuration);
+    const auto addGroup = [&bench](const std::string &name, const std::string &domain,
+                                   std::uint32_t members) {
+        for (std::uint32_t rank = 0; rank < members; ++rank) {
+            auto engine = engineIn(name + "-" + std::to_string(rank), domain, GroupName(name), 1,
+                                   rank, rank == 0 ? MemberState::Open : MemberState::Ready);
+            engine.staged_ = {ModelName("m")};
+            bench.endpointRegistry_.put(engine);
+        }
+    };
+    for (const auto *name : {"n.1", "n.2", "n.3"})
+        addGroup(name, "d", 2);
+    addGroup("m.9", "e", 4);
+    bench.endpointRegistry_.put(loadedIn("a", "d"));
+    bench.endpointRegistry_.put(loadedIn("b", "d"));
+    bench.manager_.setDemand({{ModelName("m"), 2}, {ModelName("n"), 2}});
+    bench.manager_.tick(routes, bench.clock_.now());
+    cr_assert_eq(bench.orders_.sent_.size(), 1);
+    const auto *close = std::get_if<CloseOrder>(&bench.orders_.sent_.front().second);
+    cr_assert_not_null(close);
+    for (const auto *rank : {"-0", "-1"}) {
+        auto engine = *bench.endpointRegistry_.find(VmId(close->group_.text() + rank));
+        engine.membership_.reset();
+        bench.endpointRegistry_.put(engine);
+    }
+    bench.manager_.setDemand({{ModelName("m"), 0.01}, {ModelName("n"), 9}});
+    bench.clock_.advance(milliseconds(900));
+    bench.manager_.tick(routes, bench.clock_.now());
+    cr_assert_eq(bench.orders_.sent_.size(), 5);
+    for (std::size_t i = 1; i < bench.orders_.sent_.size(); ++i) {
+        const auto *join = std::get_if<JoinOrder>(&bench.orders_.sent_[i].second);
+        cr_assert_not_null(join);
+        cr_assert_eq(join->model_, ModelName("m"));
+    }
+}
--- a/tests/serving/replica_reclaiming.cpp
+++ b/tests/serving/replica_reclaiming.cpp
@@ -31,6 +31,33 @@
             engine->staged_ = {ModelName("m")};
     }
 
+    /// Makes the engines of group \p name leave it; they keep its model in memory.
+    void freeGroup(const std::string &name)
+    {
+        for (auto &engine : engines_) {
+            if (!engine.membership_ || engine.membership_->group_ != GroupName(name))
+                continue;
+            engine.model_ = modelOf(engine.membership_->group_);
+            engine.membership_.reset();
+        }
+    }
+
+    /// Sets the state of the head of group \p name.
+    void setHead(const std::string &name, MemberState state)
+    {
+        for (auto &engine : engines_) {
+            if (engine.id_ == VmId(name + "-0"))
+                engine.membership_->state_ = state;
+        }
+    }
+
+    void addLargeGroupElsewhere()
+    {
+        for (std::uint32_t rank = 0; rank < 4; ++rank)
+            engines_.push_back(engineIn("m.9-" + std::to_string(rank), "e", GroupName("m.9"), 1,
+                                        rank, rank == 0 ? MemberState::Open : MemberState::Ready));
+    }
+
     void addSurvivors(int count)
     {
         for (int i = 0; i < count; ++i)
@@ -177,3 +204,87 @@
     bench.engines_ = {engine};
     cr_assert(targetsOf<JoinOrder>(bench.plan()).empty());
 }
+
+/// Guards against engines that form small groups again while the larger group waits for further
+/// ones: the same groups closed and formed over and over.
+Test(replica_reclaiming, engines_of_a_closed_group_wait_for_those_that_are_still_closing)
+{
+    MixedBench bench;
+    bench.addSurvivors(1);
+    for (const auto *name : {"n.1", "n.2", "n.3", "n.4"})
+        bench.addReclaimableGroup(name);
+    bench.input_.demand_ = {{ModelName("m"), 1}, {ModelName("n"), 1}};
+    cr_assert_eq(targetsOf<CloseOrder>(bench.plan()), (Names{"n.1-0", "n.2-0"}));
+    bench.setHead("n.2", MemberState::Closing);
+    bench.freeGroup("n.1");
+    cr_assert(targetsOf<JoinOrder>(bench.plan()).empty());
+    bench.freeGroup("n.2");
+    const auto joins = joinsOf(bench.plan());
+    cr_assert_eq(joins.at(ModelName("m")).begin()->second, 4);
+    cr_assert_eq(joins.count(ModelName("n")), 0);
+}
+
+/// Guards against a choice that changes with the demand between the close order and the time at
+/// which the engines are free.
+Test(replica_reclaiming, engines_taken_for_a_larger_group_form_it_although_the_demand_has_changed)
+{
+    MixedBench bench;
+    bench.addSurvivors(2);
+    for (const auto *name : {"n.1", "n.2", "n.3"})
+        bench.addReclaimableGroup(name);
+    bench.addLargeGroupElsewhere();
+    bench.input_.demand_ = {{ModelName("m"), 2}, {ModelName("n"), 2}};
+    cr_assert_eq(targetsOf<CloseOrder>(bench.plan()), Names{"n.1-0"});
+    bench.freeGroup("n.1");
+    bench.input_.demand_ = {{ModelName("m"), 0.01}, {ModelName("n"), 9}};
+    const auto joins = joinsOf(bench.plan());
+    cr_assert_eq(joins.at(ModelName("m")).begin()->second, 4);
+    cr_assert_eq(joins.count(ModelName("n")), 0);
+}
+
+/// Guards against engines that stay idle if the larger group cannot form.
+Test(replica_reclaiming, taken_engines_serve_any_model_after_a_time)
+{
+    MixedBench bench;
+    bench.addSurvivors(2);
+    for (const auto *name : {"n.1", "n.2", "n.3"})
+        bench.addReclaimableGroup(name);
+    bench.addLargeGroupElsewhere();
+    bench.input_.demand_ = {{ModelName("m"), 2}, {ModelName("n"), 2}};
+    cr_assert_eq(targetsOf<CloseOrder>(bench.plan()), Names{"n.1-0"});
+    bench.freeGroup("n.1");
+    std::erase_if(bench.engines_,
+                  [](const Endpoint &engine) { return engine.id_.text().starts_with("s"); });
+    bench.input_.demand_ = {{ModelName("m"), 0.01}, {ModelName("n"), 9}};
+    bench.now_ += KeptEngines::keepTime - std::chrono::milliseconds(1);
+    cr_assert(targetsOf<JoinOrder>(bench.plan()).empty());
+    bench.now_ += std::chrono::milliseconds(1);
+    cr_assert_eq(joinsOf(bench.plan()).count(ModelName("n")), 1);
+}
+
+/// Guards against several domains that each take groups of the same model at the same time: no run
+/// counted the larger groups that the others were about to form.
+Test(replica_reclaiming, model_keeps_half_of_its_groups_while_several_domains_reclaim)
+{
+    MixedBench bench;
+    bench.input_.demand_ = {{ModelName("m"), 4}, {ModelName("n"), 0.5}};
+    for (int domain = 0; domain < 4; ++domain) {
+        const auto name = std::to_string(domain);
+        bench.engines_.push_back(loadedEngine("s" + name, name, "m"));
+        for (int i = 0; i < 2; ++i) {
+            bench.addGroup("n." + std::to_string(domain * 2 + i), name, MemberState::Open);
+            for (auto *engine = &bench.engines_.back() - 1; engine <= &bench.engines_.back();
+                 ++engine)
+                engine->staged_ = {ModelName("m")};
+        }
+    }
+    cr_assert_eq(targetsOf<CloseOrder>(bench.plan()).size(), 4);
+    // The other groups are not taken before the engines of the first ones serve.
+    for (const auto *name : {"n.0", "n.1", "n.2", "n.3"})
+        bench.freeGroup(name);
+    for (auto &engine : bench.engines_) {
+        if (engine.domain_ == FabricDomain("0"))
+            bench.input_.pending_.insert(engine.id_);
+    }
+    cr_assert(targetsOf<CloseOrder>(bench.plan()).empty());
+}
