Test prepared conversions under swings, losses and a lost planner

The simulation checks each plan: one order for an engine, no engine of a group in another one, only whole groups opened.

--- a/src/serving/planner_converting.cpp
+++ b/src/serving/planner_converting.cpp
@@ -44,7 +44,8 @@
         convertGroup(*group, *conversion);
     }
     if (converting_.empty())
-        reportMix("no conversion is beneficial");
+        reportMix(isRatioKnown() ? "no conversion is beneficial"
+                                 : "the demand is too low for a ratio");
 }
 
 std::optional<Conversion> PlannerRun::nextConversion() const
@@ -52,10 +53,15 @@
     const auto loads = modelLoads();
     if (!input_.mayPrepareConversions_)
         return input_.mix_->next(loads);
+    return isRatioKnown() ? input_.mix_->nextPrepared(loads) : std::nullopt;
+}
+
+bool PlannerRun::isRatioKnown() const
+{
     double total = 0;
-    for (const auto &load : loads)
-        total += load.demand_;
-    return total < minDemandForRatio ? std::nullopt : input_.mix_->nextPrepared(loads);
+    for (const auto &[model, groups] : input_.demand_)
+        total += groups;
+    return !input_.mayPrepareConversions_ || total >= minDemandForRatio;
 }
 
 void PlannerRun::convertGroup(const GroupView &group, const Conversion &conversion)
--- a/src/serving/planner_run.hpp
+++ b/src/serving/planner_run.hpp
@@ -118,6 +118,7 @@
     [[nodiscard]] std::vector<ModelLoad> modelLoads() const;
     void convert();
     [[nodiscard]] std::optional<Conversion> nextConversion() const;
+    [[nodiscard]] bool isRatioKnown() const;
     void convertGroup(const GroupView &group, const Conversion &conversion);
     void reportMix(std::string_view outcome) const;
     [[nodiscard]] const GroupView *convertible(const Conversion &conversion) const;
--- a/tests/serving/prepared_conversions.cpp
+++ b/tests/serving/prepared_conversions.cpp
@@ -240,9 +240,74 @@
     const DemandMix mix;
     const auto shifted = meanWaitingShares(mix, shiftedMix, {}, 0, size);
     const auto turned = meanWaitingShares(mix, shiftedMix, originalMix, loadSeconds, size);
-    print("prepared hosts, shifted and turned mix", shifted, turned);
+    for (const auto &one : {shifted, turned})
+        std::printf("prepared hosts: callers without a free slot, small model %.4f, large model "
+                    "%.4f; groups closed %d\n",
+                    one.small_, one.large_, one.conversions_);
     for (const auto &one : {shifted, turned}) {
         cr_expect_lt(one.small_, maxWaitingShare);
         cr_expect_lt(one.large_, maxWaitingShare);
     }
 }
+
+/// Guards against engines that are ordered twice or into a group whose members are missing; the
+/// simulation checks each plan.
+Test(prepared_conversions, orders_satisfy_invariants_while_the_demand_swings_and_engines_are_lost)
+{
+    const DemandMix mix;
+    for (auto size : sizes) {
+        size.losesEngines_ = true;
+        const double small = size.largeGroup_ == 8 ? 16 : 28;
+        const double large = size.largeGroup_ == 8 ? 4 : 2;
+        for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+            ShiftedDemandSimulation fleet(mix, seed, size);
+            for (int swing = 0; swing < 4; ++swing) {
+                const int dark = (swing + static_cast<int>(seed)) % size.domains_;
+                fleet.run(4, demand(large * 1.5, small * 0.5));
+                fleet.darken(dark);
+                fleet.run(8, demand(large * 0.5, small * 1.5));
+                fleet.restore(dark);
+                fleet.run(5, demand(large, small));
+            }
+            cr_expect_geq(fleet.open().large_, 1);
+            cr_expect_geq(fleet.open().small_, 4);
+        }
+    }
+}
+
+/// Guards against groups that close and form with each swing of the demand in the second
+/// deployment.
+Test(prepared_conversions, few_groups_close_while_the_demand_swings_by_half)
+{
+    const DemandMix mix;
+    ShiftedDemandSimulation fleet(mix, 1, large222);
+    fleet.run(15, demand(2, 30));
+    fleet.closes_.clear();
+    for (int swing = 0; swing < 4; ++swing) {
+        fleet.run(7.5, demand(2, 20));
+        fleet.run(7.5, demand(2, 30));
+    }
+    printOpen("after four swings", large222, fleet.open());
+    cr_expect_leq(totalClosed(fleet), 10);
+}
+
+/// Guards against a planner that is lost while groups close for others: the next one knows only
+/// what the engines report.
+Test(prepared_conversions, next_planner_completes_what_a_lost_one_has_begun)
+{
+    const DemandMix mix;
+    for (const auto &size : sizes) {
+        const double many = size.largeGroup_ == 8 ? 26 : 40;
+        for (const double lostAfter : {0.5, 1.0, 2.0, 3.0, 4.0}) {
+            ShiftedDemandSimulation fleet(mix, 1, size);
+            fleet.run(15, demand(2, many));
+            const auto before = fleet.open();
+            fleet.run(lostAfter, demand(6, many / 2));
+            fleet.replacePlanner();
+            fleet.run(20 - lostAfter, demand(6, many / 2));
+            printOpen("after the next planner", size, fleet.open());
+            cr_expect_gt(fleet.open().large_, before.large_);
+            cr_expect_geq(smallerCoverage(fleet.open(), 6, many / 2), 1);
+        }
+    }
+}
--- a/tests/serving/replica_converting.cpp
+++ b/tests/serving/replica_converting.cpp
@@ -157,3 +157,79 @@
     bench.addLarge("m.9", "d1");
     cr_assert_eq(loadsOf(bench.plan(), "n"), 0);
 }
+
+/// Guards against conversions that first load for 12 s.
+Test(replica_converting, hosts_of_each_group_stage_the_other_model_before_the_first_traffic)
+{
+    ShiftedBench bench;
+    bench.input_.isFirstStart_ = true;
+    bench.input_.mayPrepareConversions_ = true;
+    bench.input_.demand_.clear();
+    const auto plan = bench.plan();
+    cr_assert_eq(loadsOf(plan, "n"), 12);
+    cr_assert_eq(loadsOf(plan, "m"), 6);
+}
+
+Test(replica_converting, preparing_takes_at_most_half_of_the_loads_once_traffic_has_come)
+{
+    ShiftedBench bench;
+    bench.input_.mayPrepareConversions_ = true;
+    bench.profile_.fullSpeedLoads_ = 6;
+    cr_assert_eq(targetsOf<StageOrder>(bench.plan()).size(), 3);
+}
+
+/// Guards against staging a model whose groups would leave engines over.
+Test(replica_converting, hosts_stage_no_model_that_their_engines_cannot_be_converted_to)
+{
+    ShiftedBench bench;
+    bench.profile_.models_[0].members_ = 4;
+    bench.profile_.models_[1].members_ = 3;
+    bench.input_.isFirstStart_ = true;
+    bench.input_.mayPrepareConversions_ = true;
+    bench.input_.demand_.clear();
+    cr_assert_eq(loadsOf(bench.plan(), "n"), 0);
+}
+
+Test(replica_converting, engines_of_a_converted_group_are_kept_for_the_target_model)
+{
+    ShiftedBench bench;
+    bench.stage(1, "n");
+    for (const auto &order : bench.plan()) {
+        if (std::holds_alternative<CloseOrder>(order.order_))
+            cr_assert_eq(order.takenFor_, ModelName("n"));
+    }
+    for (auto &engine : bench.engines_) {
+        if (engine.id_.text().starts_with("m.1-"))
+            engine.membership_.reset();
+    }
+    // The demand has turned before the engines are free.
+    bench.input_.demand_ = {{ModelName("m"), 9}, {ModelName("n"), 0.1}};
+    const auto plan = bench.plan();
+    cr_assert_eq(targetsOf<JoinOrder>(plan).size(), 4);
+    for (const auto &order : plan) {
+        if (const auto *join = std::get_if<JoinOrder>(&order.order_))
+            cr_assert_eq(join->model_, ModelName("n"));
+    }
+}
+
+Test(replica_converting, reason_for_each_decision_is_reported)
+{
+    ShiftedBench bench;
+    std::vector<std::string> outcomes;
+    bench.input_.reportMix_ = [&](std::string_view outcome, std::span<const ModelLoad> models) {
+        outcomes.emplace_back(outcome);
+        cr_assert_eq(models.size(), 2);
+    };
+    bench.stage(1, "n");
+    (void)bench.plan();
+    cr_assert_eq(outcomes, std::vector<std::string>{"m.1 becomes n"});
+    outcomes.clear();
+    bench.input_.demand_ = {{ModelName("m"), 2}, {ModelName("n"), 1}};
+    (void)bench.plan();
+    cr_assert_eq(outcomes, std::vector<std::string>{"no conversion is beneficial"});
+    outcomes.clear();
+    bench.input_.mayPrepareConversions_ = true;
+    bench.input_.demand_ = {{ModelName("m"), 0.1}, {ModelName("n"), 0.4}};
+    (void)bench.plan();
+    cr_assert_eq(outcomes, std::vector<std::string>{"the demand is too low for a ratio"});
+}
--- a/tests/support/shifted_demand_simulation.hpp
+++ b/tests/support/shifted_demand_simulation.hpp
@@ -163,6 +163,13 @@
         }
     }
 
+    /// Lets another planner continue, which knows only what the engines report.
+    void replacePlanner()
+    {
+        bench_.keptEngines_ = {};
+        bench_.heads_ = {};
+    }
+
     [[nodiscard]] const std::vector<Endpoint> &engines() const { return bench_.engines_; }
 
     /// Orders to close a group, by the reason in the log.
