Bound what an entry VM holds for callers that do not read, and read on when they do

Cause: a stream whose caller had 256 KB outstanding was never read on, since only new data of the endpoint led to a decision to read, and none comes without reading. It stood still until its time was over. There was no bound for all streams together.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/net/http_server.hpp>
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/balancer.hpp>
+#include <cardamombay/serving/caller_buffers.hpp>
 #include <cardamombay/serving/cold_endpoints.hpp>
 #include <cardamombay/serving/crash_detector.hpp>
 #include <cardamombay/serving/dialect.hpp>
@@ -40,6 +41,8 @@
     double retryShare_ = 0.2; ///< Retries per request, over all entry VMs.
     Duration retryWindow_ = std::chrono::seconds(10);
     double retryReserve_ = 100; ///< Retries per window regardless of load, over all entry VMs.
+    /// Bytes that may be buffered for callers that do not read.
+    std::size_t callerBufferBytes_ = BoundedCallerBuffers::defaultBound;
 };
 
 /// \brief Dependencies of the gateway and its sessions; all must outlive the gateway.
@@ -51,6 +54,7 @@
     LoadTracker &loadTracker_;
     Balancer &balancer_;
     GatewayMetrics &metrics_;
+    CallerBuffers *callerBuffers_ = nullptr; ///< Null: the gateway's own, by GatewayBounds.
 };
 
 /// \brief Handles callers' requests on an entry VM.
@@ -143,6 +147,11 @@
     /// \name For sessions
     /// \{
     [[nodiscard]] GatewayParts &parts() { return parts_; }
+    /// \brief Bytes buffered for callers that do not read.
+    [[nodiscard]] CallerBuffers &callerBuffers()
+    {
+        return parts_.callerBuffers_ == nullptr ? ownCallerBuffers_ : *parts_.callerBuffers_;
+    }
     [[nodiscard]] double randomUnit() { return random_.unit(); }
     /// \brief Consumes one retry from the fleet's budget.
     /// \returns false if neither this entry VM's share nor the fleet has any left.
@@ -190,6 +199,7 @@
     ReservationCoordinator reservations_;
     EndpointGate gate_;
     std::function<void()> crashCallback_;
+    BoundedCallerBuffers ownCallerBuffers_;
     std::unordered_map<Session *, std::shared_ptr<Session>> sessions_;
     std::vector<std::shared_ptr<Session>> released_;
 };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -52,6 +52,7 @@
     , sendRates_({&notices_.limits(), &coldEndpoints_})
     , reservations_(parts.clock_, sendRates_, parts.metrics_, Random(random.bits()))
     , gate_(parts.balancer_, notices_, reservations_)
+    , ownCallerBuffers_(bounds.callerBufferBytes_, parts.metrics_)
 {
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
     poisonPills_.onVerdict([this](const PoisonVerdict &verdict) { requestQuarantined(verdict); });
@@ -205,6 +206,7 @@
 void Gateway::setBounds(const GatewayBounds &bounds)
 {
     bounds_ = bounds;
+    ownCallerBuffers_.setBound(bounds.callerBufferBytes_);
 }
 
 Duration Gateway::unconfirmedFor() const
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -63,6 +63,13 @@
                                     "Endpoints that take only few requests a second for now."))
     , evacuatedZones_(registry.gauge("cardamombay_gateway_evacuated_zones",
                                      "Availability zones whose endpoints get no requests."))
+    , callerBufferBytes_(registry.gauge("cardamombay_gateway_caller_buffer_bytes",
+                                        "Bytes of streams that callers have not read yet."))
+    , readPauses_(registry.counter("cardamombay_gateway_read_pauses_total",
+                                   "Times that a stream was paused for a caller to read."))
+    , callerBufferRefusals_(registry.counter(
+          "cardamombay_gateway_caller_buffer_refusals_total",
+          "Streams refused because callers had too many bytes left to read."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/src/serving/gateway_settings.cpp
+++ b/src/serving/gateway_settings.cpp
@@ -21,6 +21,8 @@
 constexpr Range<Duration> boundRange{milliseconds(500), minutes(10)};
 constexpr Range<double> coreRange{0.01, 1024};
 constexpr Range<double> linkRange{0.1, 1'000'000};
+constexpr Range<double> memoryRange{1, 100'000'000};
+constexpr double bytesPerMegabyte = 1024 * 1024;
 constexpr Range<double> reserveRange{0, 1'000'000};
 
 /// Share of the revocation limit for which a confirmed configuration may be used; the rest is left
@@ -87,6 +89,11 @@
     auto reader = root.child(*table, "machine");
     reader.read("cores", result.cores_, coreRange);
     reader.read("link_mbps", result.linkMegabits_, linkRange);
+    double memory = 0;
+    reader.read("memory_mb", memory, memoryRange);
+    if (memory > 0)
+        result.bounds_.callerBufferBytes_ = static_cast<std::size_t>(
+            memory * bytesPerMegabyte * BoundedCallerBuffers::memoryShare);
     reader.finish();
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -244,6 +244,8 @@
     if (!call_)
         return;
     call_.reset();
+    isReadingPaused_ = false;
+    unconsumed_ = 0;
     gateway_.parts().loadTracker_.ended(target_.endpoint_);
 }
 
@@ -329,6 +331,8 @@
 /// waiting in the endpoint's queue, so it is moved early only if other requests there have stalled.
 bool Session::isStalled(TimePoint now) const
 {
+    if (isReadingPaused_)
+        return false;
     const auto silent = now - progressAt_;
     if (!service_->engine_)
         return phase_ == Phase::Waiting && silent > plainStallGoals * route_->latencyGoal_;
@@ -370,6 +374,7 @@
         giveUp(*reason);
         return;
     }
+    resumeReading();
     if (!call_ || !isStalled(now))
         return;
     gateway_.parts().loadTracker_.stalled(target_.endpoint_, now);
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -8,6 +8,7 @@
 #include <cardamombay/net/server_exchange.hpp>
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/balancer.hpp>
+#include <cardamombay/serving/caller_buffers.hpp>
 #include <cardamombay/serving/dialect.hpp>
 #include <cardamombay/serving/endpoint_gate.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
@@ -95,6 +96,7 @@
     [[nodiscard]] bool isStartupWaitOver(TimePoint now) const;
     [[nodiscard]] std::optional<std::string_view> rejectionReason(TimePoint now) const;
     [[nodiscard]] bool refuseQuarantined();
+    [[nodiscard]] bool openBufferShare();
     void refuse(std::uint32_t status, std::string_view reason, std::optional<Duration> retryAfter);
     /// \}
 
@@ -132,6 +134,10 @@
     void takeStreamHead(const net::HttpResponse &head);
     void discardAnswer();
     void recordEvents(TimePoint now);
+    [[nodiscard]] bool mayReadOn() const;
+    void readOnOrPause(std::size_t size);
+    void resumeReading();
+    void updateBufferShare();
     void forwardEvents(std::string_view data);
     void flush();
     void sendStreamHead();
@@ -187,6 +193,9 @@
     TimePoint lastEventAt_{};    ///< Time of the last event.
     std::string pending_;        ///< Complete events that wait for the current write.
     std::string writing_;
+    std::optional<BufferShare> bufferShare_; ///< Of a stream that was admitted.
+    bool isReadingPaused_ = false; ///< The endpoint is not read, since the caller does not read.
+    std::size_t unconsumed_ = 0;   ///< Bytes to consume when reading resumes.
     bool isWriting_ = false;
     bool isStreamEnded_ = false;
     bool isDone_ = false;
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -102,6 +102,19 @@
         refuse(statusUnavailable, *reason, std::nullopt);
         return false;
     }
+    return !isStream() || openBufferShare();
+}
+
+/// \returns false if the stream was refused, since other callers have too much left to read.
+bool Session::openBufferShare()
+{
+    auto &buffers = gateway_.callerBuffers();
+    if (!buffers.acceptsStreams()) {
+        gateway_.parts().metrics_.callerBufferRefusals_.increment();
+        refuse(statusUnavailable, "callers read too slowly", retryDelay());
+        return false;
+    }
+    bufferShare_.emplace(buffers);
     return true;
 }
 
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -130,12 +130,47 @@
         pending_.append(data.substr(0, whole.size_));
     }
     flush();
-    if (call_ && pending_.size() < maxPendingBytes)
-        call_->consume(whole.size_);
+    readOnOrPause(whole.size_);
+}
+
+bool Session::mayReadOn() const
+{
+    return pending_.size() < maxPendingBytes && (!bufferShare_ || bufferShare_->mayRead());
+}
+
+/// \param size bytes of the endpoint's data that were processed.
+void Session::readOnOrPause(std::size_t size)
+{
+    if (!call_)
+        return;
+    if (mayReadOn()) {
+        call_->consume(size);
+        return;
+    }
+    unconsumed_ = size;
+    isReadingPaused_ = true;
+    gateway_.parts().metrics_.readPauses_.increment();
+}
+
+/// The endpoint was not silent while it was not read, so its stall timer restarts.
+void Session::resumeReading()
+{
+    if (!isReadingPaused_ || !call_ || !mayReadOn())
+        return;
+    isReadingPaused_ = false;
+    restartStallTimer(gateway_.parts().clock_.now());
+    call_->consume(std::exchange(unconsumed_, 0));
+}
+
+void Session::updateBufferShare()
+{
+    if (bufferShare_)
+        bufferShare_->set(pending_.size() + writing_.size());
 }
 
 void Session::flush()
 {
+    updateBufferShare();
     if (isWriting_ || !exchange_)
         return;
     if (pending_.empty() && !isStreamEnded_)
@@ -154,7 +189,9 @@
         if (!self || self->isDone_)
             return;
         self->isWriting_ = false;
+        self->writing_ = {};
         self->flush();
+        self->resumeReading();
     });
 }
 
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -88,6 +88,7 @@
     isHeld_ = false;
     dropAttempt();
     reservation_.reset();
+    bufferShare_.reset();
     auto &metrics = gateway_.parts().metrics_;
     const auto elapsed = gateway_.parts().clock_.now() - arrivedAt_;
     if (outcome == "served") {
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -324,6 +324,7 @@
 [machine]
 cores = 0.12
 link_mbps = 20
+memory_mb = 96.5
 [bounds]
 stop_within = "7.5s"
 revoke_within = "4000.5ms"
@@ -338,4 +339,6 @@
     cr_assert_eq(settings.bounds_.retryWindow_, seconds(10));
     cr_assert_float_eq(settings.bounds_.retryReserve_, 41.33, 1e-9);
     cr_assert_float_eq(settings.cores_, 0.12, 1e-9);
+    // An eighth of 96.5 MB.
+    cr_assert_eq(settings.bounds_.callerBufferBytes_, 12'648'448);
 }
