--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -36,8 +36,8 @@
     metrics::Counter coldStarts_; ///< Endpoints detected as cold.
     metrics::Gauge coldEndpoints_;
     metrics::Gauge evacuatedZones_;
-    metrics::Gauge callerBufferBytes_;       ///< Bytes buffered for callers, over all streams.
-    metrics::Counter readPauses_;            ///< Streams paused since their callers do not read.
+    metrics::Gauge callerBufferBytes_;      ///< Bytes buffered for callers, over all streams.
+    metrics::Counter readPauses_;           ///< Streams paused since their callers do not read.
     metrics::Counter callerBufferRefusals_; ///< Streams refused since the buffers are full.
     /// Age of the confirmed endpoint data at each send, in seconds.
     metrics::Histogram endpointsAge_;
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -67,9 +67,9 @@
                                         "Bytes of streams that callers have not read yet."))
     , readPauses_(registry.counter("cardamombay_gateway_read_pauses_total",
                                    "Times that a stream was paused for a caller to read."))
-    , callerBufferRefusals_(registry.counter(
-          "cardamombay_gateway_caller_buffer_refusals_total",
-          "Streams refused because callers had too many bytes left to read."))
+    , callerBufferRefusals_(
+          registry.counter("cardamombay_gateway_caller_buffer_refusals_total",
+                           "Streams refused because callers had too many bytes left to read."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/tests/support/paced_streams.cpp
+++ b/tests/support/paced_streams.cpp
@@ -70,6 +70,17 @@
     return result;
 }
 
+bool PacedCall::accept()
+{
+    if (!listener_->onConnected())
+        return false;
+    net::HttpResponse head;
+    head.status_ = 200;
+    head.fields_ = {{"seal", "s"}};
+    listener_->onHead(std::move(head));
+    return true;
+}
+
 bool PacedCall::send(std::size_t count)
 {
     if (listener_ == nullptr || !std::exchange(isReading_, false))
@@ -80,10 +91,12 @@
     return true;
 }
 
-void PacedCall::end()
+bool PacedCall::end()
 {
-    if (auto *listener = std::exchange(listener_, nullptr))
-        listener->onEnd(unconsumed_);
+    if (listener_ == nullptr || !isReading_)
+        return false;
+    std::exchange(listener_, nullptr)->onEnd(unconsumed_);
+    return true;
 }
 
 void PacedCall::fail()
@@ -105,6 +118,14 @@
     return std::make_unique<PacedUpstreamCall>(std::move(call));
 }
 
+std::unique_ptr<net::UpstreamCall> PacedUpstream::probe(const Address & /*address*/,
+                                                        Duration /*timeout*/,
+                                                        net::UpstreamListener &listener)
+{
+    listener.onConnected();
+    return nullptr;
+}
+
 void PacedCaller::read(std::size_t size)
 {
     while (!unread_.empty() && size > 0) {
@@ -158,14 +179,8 @@
     request.fields_ = {{"id", "r-1"}, {"host", "h"}, {"key", "key-a"}, {"model", "m"}};
     const auto calls = upstream_.calls_.size();
     gateway_.handle(std::move(request), std::make_shared<PacedExchange>(caller));
-    if (upstream_.calls_.size() > calls) {
-        net::HttpResponse head;
-        head.status_ = 200;
-        head.fields_ = {{"seal", "s"}};
-        auto *listener = upstream_.calls_.back()->listener_;
-        if (listener->onConnected())
-            listener->onHead(std::move(head));
-    }
+    if (upstream_.calls_.size() > calls)
+        (void)upstream_.calls_.back()->accept();
     return caller;
 }
 
@@ -180,7 +195,7 @@
 {
     const auto calls = upstream_.calls_;
     for (const auto &call : calls)
-        call->end();
+        (void)call->end();
 }
 
 void PacedFixture::pass(Duration time)
--- a/tests/support/paced_streams.hpp
+++ b/tests/support/paced_streams.hpp
@@ -29,10 +29,15 @@
     std::string unconsumed_;
     bool isReading_ = true; ///< The gateway reads on.
 
+    /// \brief Accepts the connection and sends the head of the answer.
+    /// \returns false if the gateway does not send the request.
+    bool accept();
     /// \brief Sends the next \p count events if the gateway reads.
     /// \returns false if it doesn't.
     bool send(std::size_t count);
-    void end();
+    /// \brief Ends the answer if the gateway reads.
+    /// \returns false if it doesn't.
+    bool end();
     void fail();
 };
 
@@ -44,6 +49,10 @@
     [[nodiscard]] std::unique_ptr<net::UpstreamCall>
     start(net::UpstreamRequest request, net::UpstreamListener &listener) override;
 
+    /// \brief Accepts all connections, so that no endpoint counts as crashed.
+    [[nodiscard]] std::unique_ptr<net::UpstreamCall>
+    probe(const Address &address, Duration timeout, net::UpstreamListener &listener) override;
+
     std::vector<std::shared_ptr<PacedCall>> calls_;
 };
 
@@ -77,7 +86,7 @@
     std::shared_ptr<PacedCaller> ask();
     /// \brief Every endpoint that is read sends \p count events.
     void sendAll(std::size_t count);
-    /// \brief Ends every stream.
+    /// \brief Ends every stream that is read.
     void endAll();
     /// \brief Advances the clock sweep by sweep.
     void pass(Duration time);
