--- a/tests/serving/digests.cpp
+++ b/tests/serving/digests.cpp
@@ -165,6 +165,48 @@
     }
 }
 
+// Guards against zones that do not hear each other once the first two of each have ended: sums went
+// to these two only.
+Test(reporters, all_members_of_a_silent_zone_are_tried_in_turn)
+{
+    const auto all = fleet(6);
+    for (const auto &[entry, zone] : all) {
+        auto reporters = reportersOf(entry.text(), all);
+        if (reporters.own(start))
+            continue;
+        reporters.check(start);
+        cr_assert_eq(reporters.others(start + milliseconds(400)).size(), 4);
+        std::set<EntryId> tried;
+        for (auto at = milliseconds(500); at < milliseconds(800); at += milliseconds(100)) {
+            reporters.check(start + at);
+            const auto others = reporters.others(start + at);
+            cr_assert_leq(others.size(), 8);
+            tried.insert(others.begin(), others.end());
+        }
+        cr_assert_eq(tried.size(), 12);
+    }
+}
+
+// Guards against a reporter of another zone that is told nothing because others rank before it.
+Test(reporters, one_that_reports_for_another_zone_is_told_whatever_its_rank)
+{
+    const auto all = fleet(6);
+    auto reporters = reportersOf("a0", all);
+    reporters.check(start);
+    const auto usual = reporters.others(start);
+    for (int i = 0; i < 6; ++i) {
+        const EntryId last("b" + std::to_string(i));
+        const bool isUsual = std::find(usual.begin(), usual.end(), last) != usual.end();
+        reporters.heardZone(AvailabilityZone("b"), last, start);
+        const auto others = reporters.others(start + milliseconds(400));
+        cr_assert(std::find(others.begin(), others.end(), last) != others.end());
+        reporters.check(start + milliseconds(500));
+        reporters.heardZone(AvailabilityZone("b"), usual.front(), start + milliseconds(500));
+        const auto later = reporters.others(start + milliseconds(500));
+        cr_assert_eq(std::find(later.begin(), later.end(), last) != later.end(), isUsual);
+    }
+}
+
 Test(change_history, tells_each_endpoint_once_with_its_newest_entry)
 {
     ChangeHistory history;
