--- a/tests/fleet_membership/lost_reporters.cpp
+++ b/tests/fleet_membership/lost_reporters.cpp
@@ -39,9 +39,8 @@
         fleet.faults_.lossShare_ = 0.1;
         fleet.start();
         fleet.pass(seconds(4));
-        fleet.isCut_ = [](const FleetNode &from, const FleetNode &to) {
-            return from.zone() != to.zone();
-        };
+        fleet.isCut_
+            = [](const FleetNode &from, const FleetNode &to) { return from.zone() != to.zone(); };
         fleet.pass(seconds(15));
         const auto apart = fleet.peerCounts();
         fleet.isCut_ = {};
