--- a/include/cardamombay/serving/reporters.hpp
+++ b/include/cardamombay/serving/reporters.hpp
@@ -40,7 +40,8 @@
 
     /// \brief The reporters of the other zones and their successors in case they fail.
     /// \details Includes entry VMs that report for their zone now, whatever their rank. While
-    /// nobody is heard from a zone, a few more of its members are added, others at each call period.
+    /// nobody is heard from a zone, a few more of its members are added, others at each call
+    /// period.
     [[nodiscard]] std::vector<EntryId> others(TimePoint now) const;
 
     /// \brief Records a sum from \p reporter.
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -22,8 +22,8 @@
 /// a call to the store.
 constexpr Duration peerRelistInterval = std::chrono::seconds(4);
 
-/// Interval between probes of lost peers. A fleet that shrank for good probes as long as the rows of
-/// the others stay in the table, at about 1 KB/s.
+/// Interval between probes of lost peers. A fleet that shrank for good probes as long as the rows
+/// of the others stay in the table, at about 1 KB/s.
 constexpr Duration probeInterval = std::chrono::milliseconds(200);
 
 /// Lost peers that get every other probe; with two large entry VMs in each of four zones, these.
