--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -44,6 +44,9 @@
     metrics::Counter returnClaimsDenied_;     ///< Of these, those that are new.
     metrics::Counter returnClaimsUnanswered_; ///< Of these, those that count as new for lack of an
                                               ///< answer.
+    metrics::Gauge callerBufferBytes_;        ///< Bytes buffered for callers, over all streams.
+    metrics::Counter readPauses_;             ///< Streams paused since their callers do not read.
+    metrics::Counter callerBufferRefusals_;   ///< Streams refused since the buffers are full.
     /// Age of the confirmed endpoint data at each send, in seconds.
     metrics::Histogram endpointsAge_;
     metrics::Histogram
