Ask about a return before each refusal, and leave room for returns

Cause: a caller that comes back when told to was asked about only if the level refused it, and returns were admitted on top of the room that the level gave to others. Change: the owner is asked before each refusal, also by the queue and its forecast; a granted return counts as offered work of the most urgent rank.

--- a/include/cardamombay/serving/overload_control.hpp
+++ b/include/cardamombay/serving/overload_control.hpp
@@ -28,6 +28,7 @@
     RequestFingerprint fingerprint_;
     double work_ = 0;          ///< Seconds of a full group's time.
     bool hasReturned_ = false; ///< Its caller came back when told to.
+    bool isCounted_ = false;   ///< Its work is part of the offered work.
 };
 
 /// \brief Inputs of the decision on one request, for its log line.
@@ -68,10 +69,13 @@
 
     /// \name Requests
     /// \{
-    /// \brief Describes a request and counts its work.
-    [[nodiscard]] ControlledRequest count(const Service &service, const RequestHead &head,
-                                          overload::Rank rank, const TeamName &team,
-                                          const RequestFingerprint &fingerprint, double work);
+    [[nodiscard]] ControlledRequest describe(const Service &service, const RequestHead &head,
+                                             overload::Rank rank, const TeamName &team,
+                                             const RequestFingerprint &fingerprint,
+                                             double work) const;
+    /// \brief Counts the work that a request offers, once; again, as work of the most urgent rank,
+    /// if it turns out to be a return.
+    void count(ControlledRequest &request);
     /// \returns true if the request may be sent or held.
     [[nodiscard]] bool admits(const Service &service, const ControlledRequest &request) const;
     /// \brief True if some caller of the model was told to come back.
--- a/src/serving/overload_control.cpp
+++ b/src/serving/overload_control.cpp
@@ -2,6 +2,9 @@
 
 #include <cardamombay/core/hash.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace cardamombay::serving {
 
 namespace {
@@ -94,9 +97,10 @@
     return found == demand.end() ? none : found->second;
 }
 
-ControlledRequest OverloadControl::count(const Service &service, const RequestHead &head,
-                                         overload::Rank rank, const TeamName &team,
-                                         const RequestFingerprint &fingerprint, double work)
+ControlledRequest OverloadControl::describe(const Service &service, const RequestHead &head,
+                                            overload::Rank rank, const TeamName &team,
+                                            const RequestFingerprint &fingerprint,
+                                            double work) const
 {
     ControlledRequest result;
     const auto *model = service.engine_->model(head.model_);
@@ -105,10 +109,20 @@
            stableHash(head.request_.text(), seed_)};
     result.fingerprint_ = fingerprint;
     result.work_ = work;
-    meter_.count(result.admission_, work);
     return result;
 }
 
+/// Returns are admitted before anything else, so the level has to leave room for them.
+void OverloadControl::count(ControlledRequest &request)
+{
+    if (std::exchange(request.isCounted_, true) && !request.hasReturned_)
+        return;
+    auto counted = request.admission_;
+    if (request.hasReturned_)
+        counted.rank_ = 0;
+    meter_.count(counted, request.work_);
+}
+
 bool OverloadControl::admits(const Service &service, const ControlledRequest &request) const
 {
     const auto &model = request.admission_.model_;
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -109,8 +109,9 @@
     [[nodiscard]] std::optional<std::string_view> rejectionReason(TimePoint now) const;
     [[nodiscard]] bool refuseQuarantined();
     [[nodiscard]] bool admitUnderLoad();
-    void claimAnswered(bool isGranted);
     void refuseForLoad(std::string_view reason);
+    void claimAnswered(bool isGranted, std::string_view reason);
+    void refuseNow(std::string_view reason);
     [[nodiscard]] bool mayRefuseForLoad() const;
     [[nodiscard]] Duration usefulWait(TimePoint now) const;
     [[nodiscard]] bool waitsInVain(TimePoint now) const;
@@ -204,6 +205,7 @@
     std::optional<Duration> retryAfter_; ///< Until endpoints at their limits accept again.
     bool needsRetryBudget_ = false;      ///< The next attempt consumes the fleet's budget.
     bool awaitsStartup_ = false;         ///< Waits until this process has started up.
+    bool wasClaimAsked_ = false;         ///< The owner was asked about its return.
     bool awaitsClaim_ = false;           ///< Waits for the answer about its return.
     bool isHeld_ = false;                ///< Waits for capacity.
     bool wasHeld_ = false;
--- a/src/serving/session_overload.cpp
+++ b/src/serving/session_overload.cpp
@@ -26,38 +26,53 @@
     auto &overload = gateway_.overload();
     if (!overload.controls(*service_))
         return true;
-    controlled_ = overload.count(*service_, head_, priority_, team_, fingerprint_,
-                                 toSeconds(gateway_.workOf(*service_, head_)));
-    if (overload.admits(*service_, *controlled_))
+    controlled_ = overload.describe(*service_, head_, priority_, team_, fingerprint_,
+                                    toSeconds(gateway_.workOf(*service_, head_)));
+    if (overload.admits(*service_, *controlled_)) {
+        overload.count(*controlled_);
         return true;
-    if (!overload.expectsReturns(controlled_->admission_.model_)) {
-        refuseForLoad(overloadReason);
-        return false;
     }
+    refuseForLoad(overloadReason);
+    return false;
+}
+
+/// Refuses a request of which no attempt can have run, and tells its caller when to come back.
+/// Before that, asks whether its caller has come back when told to: it will not come a third time.
+void Session::refuseForLoad(std::string_view reason)
+{
+    isHeld_ = false;
+    auto &overload = gateway_.overload();
+    const bool maybeReturned
+        = !wasClaimAsked_ && overload.expectsReturns(controlled_->admission_.model_);
+    if (!maybeReturned) {
+        overload.count(*controlled_);
+        refuseNow(reason);
+        return;
+    }
+    wasClaimAsked_ = true;
     awaitsClaim_ = true;
     overload.returns().claim(fingerprint_, claimWait(route_->latencyGoal_),
-                             [weak = weak_from_this()](bool isGranted) {
+                             [weak = weak_from_this(), reason](bool isGranted) {
                                  if (const auto self = weak.lock())
-                                     self->claimAnswered(isGranted);
+                                     self->claimAnswered(isGranted, reason);
                              });
-    return false;
 }
 
-void Session::claimAnswered(bool isGranted)
+/// \param reason why the request is refused if its caller has not come back.
+void Session::claimAnswered(bool isGranted, std::string_view reason)
 {
     if (isDone_ || !std::exchange(awaitsClaim_, false))
         return;
     controlled_->hasReturned_ = isGranted;
+    gateway_.overload().count(*controlled_);
     if (isGranted)
         dispatch();
     else
-        refuseForLoad(overloadReason);
+        refuseNow(reason);
 }
 
-/// Refuses a request of which no attempt can have run, and tells its caller when to come back.
-void Session::refuseForLoad(std::string_view reason)
+void Session::refuseNow(std::string_view reason)
 {
-    isHeld_ = false;
     const auto now = gateway_.parts().clock_.now();
     retryAfter_ = gateway_.overload().returnTime(*controlled_, timeLeft(now));
     gateway_.parts().metrics_.refusedForLoad_.increment();
