Fuzz the digest fields of overload control

Cause: figures of peers decide what is admitted, so implausible ones must not admit more (docs/design/overload.md, Bad input).

--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -18,6 +18,7 @@
 #include <cardamombay/groups/vm_row.hpp>
 #include <cardamombay/leases/lease_row.hpp>
 #include <cardamombay/net/asio_http_client.hpp>
+#include <cardamombay/overload/admission_controller.hpp>
 #include <cardamombay/platform/http_object_store.hpp>
 #include <cardamombay/platform/http_table_store.hpp>
 #include <cardamombay/platform/http_vm_directory.hpp>
@@ -32,6 +33,7 @@
 #include <cardamombay/traffic/request_parser.hpp>
 
 #include <array>
+#include <cmath>
 #include <stdexcept>
 #include <utility>
 
@@ -354,7 +356,79 @@
     (void)decodeConfigurationPart(text);
 }
 
-constexpr std::array<FuzzTarget, 12> allTargets{{
+bool isPlausible(double figure)
+{
+    return std::isfinite(figure) && figure >= 0;
+}
+
+void requirePlausible(const overload::ModelDemand &demand)
+{
+    for (const auto &[rank, figure] : demand.offered_)
+        require(rank <= overload::maxRank && isPlausible(figure), "offered work is plausible");
+    for (const auto &[rank, figure] : demand.waiting_)
+        require(rank <= overload::maxRank && isPlausible(figure), "waiting work is plausible");
+    for (const auto &[team, figure] : demand.teams_)
+        require(isPlausible(figure), "work of teams is plausible");
+    require(isPlausible(demand.promised_), "promised work is plausible");
+}
+
+/// Figures of a digest never admit more than the room, nor more of the fleet's own work than
+/// without them.
+void requireBounded(const overload::ModelDemand &told)
+{
+    constexpr double margin = 1e-6;
+    constexpr double room = 10;
+    const overload::RankedAdmission policy;
+    overload::ModelDemand fleet;
+    fleet.offered_ = {{0, 4}, {3, 12}};
+    const auto before = policy.divide(fleet, room);
+    auto all = fleet;
+    all += told;
+    const auto level = policy.divide(all, room);
+    double admitted = 0;
+    for (const auto &[rank, offered] : all.offered_) {
+        const bool isDivided = level.dividedRank_ == rank;
+        admitted += offered * (isDivided ? level.dividedShare_ : level.share(rank, {}));
+        require(level.share(rank, {}) >= 0 && level.share(rank, {}) <= 1,
+                "a share is within 0 and 1");
+    }
+    require(admitted <= room * (1 + margin), "no more is admitted than the room");
+    for (const auto &[team, share] : level.teamShares_)
+        require(share >= 0 && share <= 1, "the share of a team is within 0 and 1");
+    for (const auto &[rank, offered] : fleet.offered_) {
+        const double admittedBefore = before.share(rank, {});
+        if (level.teamShares_.empty())
+            require(level.share(rank, {}) <= admittedBefore + margin, "figures admit no more");
+    }
+    all -= told;
+    requirePlausible(all);
+}
+
+/// Digest fields of overload control.
+void runOverload(std::string_view text)
+{
+    using namespace serving;
+    std::optional<LoadDigest> digest = decodeLoadDigest(text);
+    if (const auto summary = decodeLoadSummary(text))
+        digest = summary->sum_;
+    if (!digest)
+        return;
+    for (const auto &[model, demand] : digest->overload_) {
+        requirePlausible(demand);
+        requireBounded(demand);
+    }
+    const auto once = decodeLoadDigest(encode(*digest));
+    require(once.has_value(), "an encoded digest can be read");
+    const auto twice = decodeLoadDigest(encode(*once));
+    require(twice && twice->overload_ == once->overload_, "figures are kept once shortened");
+    require(once->failing_ == digest->failing_, "failing endpoints are kept");
+    DigestHub hub({EntryId("self"), {}, AvailabilityZone("z")}, Incarnation(1));
+    hub.take(*digest, TimePoint{});
+    for (const auto &[model, demand] : hub.fleetSummary(TimePoint{}).sum_.overload_)
+        requirePlausible(demand);
+}
+
+constexpr std::array<FuzzTarget, 13> allTargets{{
     {"configuration", runConfiguration},
     {"settings", runSettings},
     {"chart", runChart},
@@ -367,6 +441,7 @@
     {"admin", runAdmin},
     {"store_entries", runStoreEntries},
     {"datagrams", runDatagrams},
+    {"overload", runOverload},
 }};
 
 } // namespace
--- a/tests/fuzz/seeded_fuzz.cpp
+++ b/tests/fuzz/seeded_fuzz.cpp
@@ -199,6 +199,11 @@
     fuzz("datagrams");
 }
 
+Test(seeded_fuzz, overload)
+{
+    fuzz("overload");
+}
+
 Test(seeded_fuzz, same_seed_gives_the_same_texts)
 {
     Mutator first({"{\"a\": 1}", "[]"}, 7);
