Test broken attempts with answers that do not stall, and lost digests

Change: simulated answers send an event every 40 ms. A group that loses one answer in twenty at random is checked with 7 and 87 entry VMs. The comment on the report time has the figures of these tests. Conclusion: the bound holds in each run as a mean over the entry VMs; a single one loses up to 5.

--- a/src/serving/load_tracker.cpp
+++ b/src/serving/load_tracker.cpp
@@ -19,8 +19,8 @@
 constexpr std::size_t minFailingReports = 2;
 /// An endpoint is reported as failing until a retry is answered, but no longer than this after the
 /// last broken attempt. An end with the avoidance would let all others lose requests before the
-/// retry: with 7 entry VMs up to 33 requests were reset within 6 s. The longest avoidance fits into
-/// this time; with two digests it remains below 5 s.
+/// retry: with 7 entry VMs up to 26 requests were reset within 6 s, now 15. The longest avoidance
+/// fits into this time; with two digests it remains below 5 s.
 constexpr Duration failingReportTime = std::chrono::milliseconds(4500);
 
 /// Reports of a peer are dropped after several of its digests are missed.
--- a/tests/serving/broken_endpoints.cpp
+++ b/tests/serving/broken_endpoints.cpp
@@ -20,6 +20,8 @@
 /// Time until a reset arrives, and until an answer is complete.
 constexpr Duration resetTime = milliseconds(4);
 constexpr Duration answerTime = milliseconds(500);
+/// Time between the events of an answer; a stream without events for longer would count as stalled.
+constexpr Duration eventInterval = milliseconds(40);
 /// Two digests and their way; by then all entry VMs know of a report.
 constexpr Duration knownAfter = milliseconds(240);
 const std::string broken = "g-0";
@@ -80,6 +82,17 @@
         cr_assert_fail("no stream reached the group");
     }
 
+    /// \brief Number of entry VMs that avoid the faulty group now.
+    [[nodiscard]] std::size_t avoiding()
+    {
+        std::size_t result = 0;
+        for (std::size_t i = 0; i < fleet_.size(); ++i) {
+            auto &node = fleet_.node(i);
+            result += node.loadTracker_.isBreaking(VmId(broken), node.clock_.now()) ? 1 : 0;
+        }
+        return result;
+    }
+
     [[nodiscard]] std::size_t resets() const
     {
         std::size_t result = 0;
@@ -105,8 +118,9 @@
 private:
     struct Due
     {
-        TimePoint at_;
+        TimePoint at_; ///< Time of the next event, or of the reset.
         std::shared_ptr<FakeCall> call_;
+        TimePoint endsAt_{}; ///< End of the answer.
     };
 
     void ask(std::size_t entry)
@@ -124,7 +138,7 @@
                 take(i, calls[seen_[i]], now);
         }
         endDue(resetting_, now, [](FakeCall &call) { call.fail(true); });
-        endDue(answering_, now, [](FakeCall &call) { call.end(oneEvent); });
+        sendEvents(now);
         std::erase_if(older_, [](const auto &call) { return call->isDropped(); });
         for (const auto &call : older_)
             call->data(oneEvent);
@@ -146,7 +160,24 @@
         }
         call->sealedHead();
         call->data(oneEvent);
-        answering_.push_back({now + answerTime, call});
+        answering_.push_back({now + eventInterval, call, now + answerTime});
+    }
+
+    void sendEvents(TimePoint now)
+    {
+        while (!answering_.empty() && answering_.front().at_ <= now) {
+            auto next = answering_.front();
+            answering_.pop_front();
+            if (next.call_->isDropped())
+                continue;
+            if (now >= next.endsAt_) {
+                next.call_->end(oneEvent);
+                continue;
+            }
+            next.call_->data(oneEvent);
+            next.at_ = now + eventInterval;
+            answering_.push_back(std::move(next));
+        }
     }
 
     template<typename Action>
@@ -177,11 +208,11 @@
 }
 
 /// The faulty group resets all new requests for 6 s, as the observed one did.
-/// \returns the number of reset requests.
-std::size_t resetNewRequests(std::size_t entries, std::size_t zones, double rate, double share,
-                             std::uint64_t seed)
+void resetNewRequests(std::size_t entries, std::size_t zones, double rate, double share,
+                      std::uint64_t seed, double lossShare = 0)
 {
     CalledFleet bench(entries, zones, groupsFor(entries, rate, share), seed);
+    bench.fleet_.faults_.lossShare_ = lossShare;
     bench.run(seconds(1), rate);
     bench.openStream(0);
     bench.openStream(1);
@@ -201,31 +232,26 @@
                 entries, rate, share, resets, bench.mostResets(),
                 static_cast<long long>(toMilliseconds(bench.answeredAt_.front() - recoveredAt)),
                 bench.answeredByBroken_ - before);
+    cr_expect_leq(resets, 3 * entries);
     cr_expect_gt(bench.answeredByBroken_, before);
-    return resets;
-}
-
-/// \returns the mean number of reset requests over \p seeds runs.
-double meanResets(std::size_t entries, double rate, double share, std::uint64_t seeds)
-{
-    std::size_t sum = 0;
-    for (std::uint64_t seed = 1; seed <= seeds; ++seed)
-        sum += resetNewRequests(entries, 3, rate, share, seed);
-    return static_cast<double>(sum) / static_cast<double>(seeds);
 }
 
 } // namespace
 
 /// Guards against an endpoint that attracts requests by resetting them: 1,142 requests of 87 entry
 /// VMs were reset within 6 s, since a broken connection was no failure of the endpoint and older
-/// streams went on. The bound is a mean: an entry VM that reaches two broken attempts before it
-/// hears of the others loses five within 6 s, two at once and one after each of three pauses.
+/// streams went on. The bound
+/// is a mean over the entry VMs: one that reaches two broken attempts before it hears of the others
+/// loses five within 6 s, two at once and one after each of three pauses.
 Test(broken_endpoints, group_that_resets_new_requests_costs_three_per_entry_vm)
 {
-    cr_expect_leq(meanResets(7, 4, 0.85, 10), 3 * 7);
-    cr_expect_leq(meanResets(7, 20, 0.85, 10), 3 * 7);
-    cr_expect_leq(meanResets(87, 4, 0.85, 1), 3 * 87);
-    cr_expect_leq(meanResets(87, 4, 1.2, 1), 3 * 87);
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        resetNewRequests(7, 3, 4, 0.85, seed);
+        resetNewRequests(7, 3, 20, 0.85, seed);
+        resetNewRequests(7, 3, 4, 0.85, seed, 0.2);
+    }
+    resetNewRequests(87, 3, 4, 0.85, 1);
+    resetNewRequests(87, 3, 4, 1.2, 1);
 }
 
 /// Guards against one entry VM that is cut off from an endpoint and takes it out of use everywhere.
@@ -272,10 +298,7 @@
     bench.isReset_ = [](std::size_t) { return false; };
     bench.run(seconds(5), rate);
     const auto recovered = bench.answeredByBroken_;
-    for (std::size_t i = 0; i < entries; ++i) {
-        auto &node = bench.fleet_.node(i);
-        cr_expect_not(node.loadTracker_.isBreaking(VmId(broken), node.clock_.now()), "node %zu", i);
-    }
+    cr_expect_eq(bench.avoiding(), 0);
     bench.run(seconds(3), rate);
     std::printf("two entry VMs avoid the group for %lld of 8000 ms: %zu requests of the others in "
                 "this time; %zu answers in 3 s once it has recovered\n",
@@ -285,3 +308,28 @@
     cr_expect_eq(strays, 0);
     cr_expect_gt(bench.answeredByBroken_ - recovered, 15);
 }
+
+/// Guards against an endpoint that is taken out of use by answers that are lost now and then.
+Test(broken_endpoints, group_that_loses_one_answer_in_twenty_stays_in_use)
+{
+    for (const std::size_t entries : {std::size_t{7}, std::size_t{87}}) {
+        constexpr double rate = 4;
+        std::size_t checks = 0;
+        std::size_t avoided = 0;
+        for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            CalledFleet bench(entries, 3, groupsFor(entries, rate), seed);
+            Random random(seed);
+            bench.isReset_ = [&random](std::size_t) { return random.unit() < 0.05; };
+            for (int i = 0; i < 100; ++i) {
+                bench.run(milliseconds(100), rate);
+                avoided += bench.avoiding();
+                checks += entries;
+            }
+        }
+        const auto share = static_cast<double>(avoided) / static_cast<double>(checks);
+        std::printf("%zu entry VMs: a group that loses one answer in twenty is avoided for %.4f of "
+                    "the time\n",
+                    entries, share);
+        cr_expect_lt(share, 0.03);
+    }
+}
