--- a/include/cardamombay/serving/quantile_tracker.hpp
+++ b/include/cardamombay/serving/quantile_tracker.hpp
@@ -33,7 +33,7 @@
         const auto scale = std::max<std::int64_t>(1, firstSteps / ++count_);
         value_ = value > value_ ? value_ + up_ * scale
                                 : std::max(Duration::zero(), value_ - down_ * scale);
-        count_ = std::min<std::int64_t>(count_, firstSteps);
+        count_ = std::min(count_, firstSteps);
     }
 
     [[nodiscard]] Duration value() const { return value_; }
