--- a/include/cardamombay/serving/caller_buffers.hpp
+++ b/include/cardamombay/serving/caller_buffers.hpp
@@ -68,7 +68,7 @@
 class BoundedCallerBuffers final : public CallerBuffers
 {
 public:
-    /// An eighth of the smallest entry VM, 256 MB.
+    /// In bytes, for a machine whose memory is not set.
     static constexpr std::size_t defaultBound = std::size_t{32} * 1024 * 1024;
     /// Part of a machine's memory that may be used for callers that do not read.
     static constexpr double memoryShare = 1.0 / 8;
--- a/src/serving/caller_buffers.cpp
+++ b/src/serving/caller_buffers.cpp
@@ -10,9 +10,8 @@
 
 namespace {
 
-/// The reserve for streams that are read on beyond the bound is this part of the bound. Callers
-/// that read leave at most a few KB in their streams: with 32 MB it is 20 KB for each of 195
-/// streams.
+/// The reserve for streams that are read on beyond the bound is this part of the bound. It holds
+/// one read of 16 KB for each of 195 streams with the default bound.
 constexpr std::size_t reserveDivisor = 8;
 
 /// Reading resumes once this part of the bound is used. With a higher one, streams would pause and
