--- a/tests/fuzz/fuzz_targets.cpp
+++ b/tests/fuzz/fuzz_targets.cpp
@@ -452,7 +452,7 @@
         requirePlausible(demand);
 }
 
-constexpr std::array<FuzzTarget, 13> allTargets{{
+constexpr std::array<FuzzTarget, 14> allTargets{{
     {"configuration", runConfiguration},
     {"settings", runSettings},
     {"chart", runChart},
