--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -139,6 +139,7 @@
 #include <cardamombay/overload/admission_figures.hpp>
 #include <cardamombay/overload/demand_meter.hpp>
 #include <cardamombay/overload/held_queue.hpp>
+#include <cardamombay/overload/level_log.hpp>
 #include <cardamombay/overload/return_register.hpp>
 #include <cardamombay/overload/return_schedule.hpp>
 #include <cardamombay/overload/wait_forecast.hpp>
@@ -182,6 +183,7 @@
 
 #include <cardamombay/serving/answer_notices.hpp>
 #include <cardamombay/serving/balancer.hpp>
+#include <cardamombay/serving/caller_buffers.hpp>
 #include <cardamombay/serving/change_history.hpp>
 #include <cardamombay/serving/cold_endpoints.hpp>
 #include <cardamombay/serving/configuration.hpp>
@@ -205,15 +207,18 @@
 #include <cardamombay/serving/gateway_settings.hpp>
 #include <cardamombay/serving/group_heads.hpp>
 #include <cardamombay/serving/group_view.hpp>
+#include <cardamombay/serving/kept_engines.hpp>
 #include <cardamombay/serving/load_tracker.hpp>
 #include <cardamombay/serving/metered_platform.hpp>
 #include <cardamombay/serving/model_mix.hpp>
 #include <cardamombay/serving/node.hpp>
+#include <cardamombay/serving/overload_control.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/planner_lease.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/propagation_budget.hpp>
+#include <cardamombay/serving/quantile_tracker.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
 #include <cardamombay/serving/replica_orders.hpp>
 #include <cardamombay/serving/replica_planner.hpp>
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -13,8 +13,10 @@
 
     metrics::Counter requests_;
     metrics::Counter served_;
-    metrics::Counter refused_; ///< Not run; the caller was told so.
-    metrics::Counter failed_;  ///< Outcome unknown, or the answer was aborted.
+    metrics::Counter refused_;        ///< Not run; the caller was told so.
+    metrics::Counter refusedForLoad_; ///< Refused since more work was asked for than groups can do.
+    metrics::Counter displaced_;      ///< Held requests refused in favour of more urgent ones.
+    metrics::Counter failed_;         ///< Outcome unknown, or the answer was aborted.
     metrics::Counter callerLeft_;
     metrics::Counter retries_;
     metrics::Counter stalls_;          ///< Attempts abandoned because the endpoint sent nothing.
@@ -36,6 +38,15 @@
     metrics::Counter coldStarts_; ///< Endpoints detected as cold.
     metrics::Gauge coldEndpoints_;
     metrics::Gauge evacuatedZones_;
+    metrics::Counter returnPromises_;         ///< Refused callers that were promised room.
+    metrics::Counter returnClaims_;           ///< Requests that may be returns; owners were asked.
+    metrics::Counter returnClaimsGranted_;    ///< Of these, those that are returns.
+    metrics::Counter returnClaimsDenied_;     ///< Of these, those that are new.
+    metrics::Counter returnClaimsUnanswered_; ///< Of these, those that count as new for lack of an
+                                              ///< answer.
+    metrics::Gauge callerBufferBytes_;        ///< Bytes buffered for callers, over all streams.
+    metrics::Counter readPauses_;             ///< Streams paused since their callers do not read.
+    metrics::Counter callerBufferRefusals_;   ///< Streams refused since the buffers are full.
     /// Age of the confirmed endpoint data at each send, in seconds.
     metrics::Histogram endpointsAge_;
     metrics::Histogram
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -182,8 +182,18 @@
         EntryCapacity capacity_ = 0;
         std::map<ModelName, double> demand_;         ///< Received directly from the peer.
         std::map<ServiceName, RetryCounts> retries_; ///< Received directly from the peer.
+        overload::FleetDemand overload_;             ///< Received directly from the peer.
+        TimePoint overloadAt_{};
         TimePoint heardAt_{};
     };
+    struct OverloadFigures
+    {
+        overload::FleetDemand demand_;
+        std::optional<TimePoint> at_; ///< When the newest part was received.
+    };
+    [[nodiscard]] OverloadFigures peerOverload(TimePoint now) const;
+    void updateOverload(TimePoint now, Duration passed);
+    [[nodiscard]] bool namesTeams() const;
     [[nodiscard]] TimePoint lastConfirmedAt(const Peer &peer) const;
 
     /// Progress of comparing the known peers with those of another entry VM.
@@ -198,6 +208,7 @@
     {
         std::map<ModelName, double> demand_;
         std::map<ServiceName, RetryCounts> retries_;
+        overload::FleetDemand overload_;
         TimePoint at_{};
     };
 
@@ -249,7 +260,9 @@
     std::size_t sumsSent_ = 0;
     std::size_t maxPeers_ = 0;  ///< Maximum since the peers were last listed.
     TimePoint peersListedAt_{}; ///< Last listing, not counting the one at the start.
-    bool isRelisting_ = false;  ///< The listing in progress is a repeated one.
+    /// Known peers before the loss that led to the repeated listing in progress; 0 if there is
+    /// none.
+    std::size_t relistedFrom_ = 0;
     /// Listed entry VMs that were not heard since this one lost them.
     std::vector<PeerInfo> lostPeers_;
     TimePoint probedAt_{};
@@ -275,6 +288,7 @@
     TimePoint standbyUntil_{}; ///< Until then this entry VM does not compete for the lease.
     std::map<ModelName, double> ownDemand_; ///< Smoothed demand here, in groups' worth of work.
     TimePoint demandAt_{};
+    std::uint64_t digestsSent_ = 0;
     bool hasUnreportedCrash_ = false; ///< An endpoint ended here since the last report.
     TimePoint reportedAt_{};
     /// Quarantines in the store, as far as this entry VM knows; the planner maintains them.
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -43,6 +43,12 @@
 /// take up the engine's time.
 constexpr Duration newConnectionCost = std::chrono::milliseconds(20);
 
+/// The difference between observed and predicted times to the first event is tracked as a low
+/// quantile, since requests that wait in an engine's queue take longer for another reason.
+constexpr double firstEventQuantile = 0.35;
+/// An added time of 110 ms is followed within about 80 answers.
+constexpr Duration firstEventStep = std::chrono::milliseconds(4);
+
 /// Weight of a new prompt in the moving average, which covers about 50 requests.
 constexpr double newPromptWeight = 0.02;
 
@@ -145,6 +151,49 @@
                       [&model](const Candidate &one) { return one.model_ == model; }));
 }
 
+overload::ModelCapacity Balancer::capacity(const Service &service, const ModelName &model,
+                                           TimePoint now)
+{
+    overload::ModelCapacity result;
+    double requests = 0;
+    for (const auto &one : candidatesOf(service)) {
+        if (one.model_ != model || !loadTracker_.isUsable(one.endpoint_, now)
+            || loadTracker_.isBreaking(one.endpoint_, now)
+            || loadTracker_.hasCrashed(one.endpoint_, one.startedAt_))
+            continue;
+        const double share = 1 / std::max(1.0, one.slowdown_);
+        result.groups_ += share;
+        requests += share * static_cast<double>(loadTracker_.totalRequests(one.endpoint_));
+    }
+    if (result.groups_ > 0)
+        result.occupancy_ = requests / (result.groups_ * service.engine_->slots_);
+    return result;
+}
+
+std::size_t Balancer::ownRequests(const Service &service, const ModelName &model)
+{
+    std::size_t result = 0;
+    for (const auto &one : candidatesOf(service)) {
+        if (one.model_ == model)
+            result += loadTracker_.ownRequests(one.endpoint_);
+    }
+    return result;
+}
+
+Duration Balancer::firstEventTime(const RoutingRequest &request) const
+{
+    const auto &profile = *request.service_->engine_;
+    const auto *known = profile.model(request.model_);
+    if (known == nullptr)
+        return Duration::zero();
+    const EngineModel model(profile, *known);
+    const auto pass = model.eventInterval(profile.slots_, model.meanContext());
+    const auto own
+        = model.prefillTime(std::min(request.promptTokens_, typicalPromptTokens(request)));
+    return fromSeconds(toSeconds(pass) * passesBeforeFirstEvent + toSeconds(own))
+           + firstEventCorrection(request.service_->name_);
+}
+
 Balancer::Usable Balancer::usableCandidates(const RoutingRequest &request, TimePoint now)
 {
     Usable result;
@@ -170,7 +219,9 @@
             }
             continue;
         }
-        auto &list = loadTracker_.isUsable(candidate.endpoint_, now) ? result.candidates_ : avoided;
+        const bool isAvoided = !loadTracker_.isUsable(candidate.endpoint_, now)
+                               || loadTracker_.isBreaking(candidate.endpoint_, now);
+        auto &list = isAvoided ? avoided : result.candidates_;
         list.push_back(&candidate);
     }
     // A plain endpoint that often fails is still better than none. A request for a group waits
@@ -225,6 +276,27 @@
     return fromSeconds(work * candidate.slowdown_) + backlog(candidate, profile, now);
 }
 
+void Balancer::recordFirstEvent(const ServiceName &service, Duration predicted, Duration observed)
+{
+    firstEventCorrections_.try_emplace(service, QuantileTracker(firstEventQuantile, firstEventStep))
+        .first->second.add(observed - predicted);
+}
+
+Duration Balancer::firstEventCorrection(const ServiceName &service) const
+{
+    const auto found = firstEventCorrections_.find(service);
+    return found == firstEventCorrections_.end() ? Duration::zero() : found->second.value();
+}
+
+/// An idle group is judged by its profile alone: if the correction ruled out all groups, no
+/// observation could lower it again.
+Duration Balancer::correction(const Candidate &candidate, const RoutingRequest &request) const
+{
+    if (!request.hasRanks_ || loadTracker_.totalRequests(candidate.endpoint_) == 0)
+        return Duration::zero();
+    return firstEventCorrection(request.service_->name_);
+}
+
 bool Balancer::hasRoom(const Candidate &candidate, const RoutingRequest &request,
                        TimePoint now) const
 {
@@ -238,7 +310,8 @@
     const auto goal = toSeconds(request.latencyGoal_);
     if (request.wasQueued_)
         return toSeconds(backlog(candidate, profile, now)) <= goal * queuedBacklogShare;
-    return toSeconds(timeToFirst(candidate, request, now)) <= goal * goalShare;
+    const auto expected = timeToFirst(candidate, request, now) + correction(candidate, request);
+    return toSeconds(expected) <= goal * goalShare;
 }
 
 /// Predicted time to the first event, plus the cost of a new connection if one is needed.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -51,7 +51,9 @@
     , coldEndpoints_(parts.clock_, parts.metrics_)
     , sendRates_({&notices_.limits(), &coldEndpoints_})
     , reservations_(parts.clock_, sendRates_, parts.metrics_, Random(random.bits()))
+    , overload_(parts.clock_, parts.balancer_, parts.metrics_, Random(random.bits()))
     , gate_(parts.balancer_, notices_, reservations_)
+    , ownCallerBuffers_(bounds.callerBufferBytes_, parts.metrics_)
 {
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
     poisonPills_.onVerdict([this](const PoisonVerdict &verdict) { requestQuarantined(verdict); });
@@ -108,6 +110,7 @@
     notices_.expire(now);
     coldEndpoints_.expire();
     reservations_.sweep();
+    overload_.returns().sweep();
     retryHeld(sessions);
 }
 
@@ -206,6 +209,7 @@
 void Gateway::setBounds(const GatewayBounds &bounds)
 {
     bounds_ = bounds;
+    ownCallerBuffers_.setBound(bounds.callerBufferBytes_);
 }
 
 Duration Gateway::unconfirmedFor() const
@@ -235,9 +239,63 @@
     if (!service.engine_)
         return;
     if (const auto *model = service.engine_->model(head.model_))
-        demand_[model->name_]
-            += toSeconds(EngineModel(*service.engine_, *model)
-                             .amortizedGroupTime(head.promptTokens_, expectedAnswerTokens(head)));
+        demand_[model->name_] += toSeconds(workOf(service, head));
+}
+
+Duration Gateway::workOf(const Service &service, const RequestHead &head) const
+{
+    const auto *model = service.engine_->model(head.model_);
+    if (model == nullptr)
+        return Duration::zero();
+    return EngineModel(*service.engine_, *model)
+        .amortizedGroupTime(head.promptTokens_, expectedAnswerTokens(head));
+}
+
+void Gateway::setRoutes(std::shared_ptr<const RouteTable> routes)
+{
+    routes_ = std::move(routes);
+    overload_.setRoutes(routes_);
+}
+
+std::vector<overload::HeldRequest> Gateway::heldRequests(const ModelName &model) const
+{
+    std::vector<overload::HeldRequest> result;
+    for (const auto &[number, session] : sessions_) {
+        if (session->isHeld() && session->isControlled() && session->model() == model)
+            result.push_back(session->heldRequest());
+    }
+    return result;
+}
+
+void Gateway::displaceHeld(Session &arrival)
+{
+    std::vector<std::shared_ptr<Session>> others;
+    std::vector<overload::HeldRequest> queue;
+    for (const auto &[number, session] : sessions_) {
+        if (session.get() == &arrival || !session->isHeld() || !session->isControlled()
+            || session->model() != arrival.model())
+            continue;
+        others.push_back(session);
+        queue.push_back(session->heldRequest());
+    }
+    const auto request = arrival.heldRequest();
+    if (const auto index = overload::displacedBy(queue, request))
+        others[*index]->displace();
+    else if (overload::isRefusedByFullQueue(queue, request))
+        arrival.displace();
+}
+
+overload::FleetDemand Gateway::overloadDemand(bool withTeams) const
+{
+    std::vector<overload::AdmissionRequest> held;
+    std::vector<double> work;
+    for (const auto &[number, session] : sessions_) {
+        if (!session->isHeld() || !session->isControlled())
+            continue;
+        held.push_back(session->controlled().admission_);
+        work.push_back(session->controlled().work_);
+    }
+    return overload_.ownDemand(held, work, withTeams);
 }
 
 void Gateway::setPeerRetries(std::map<ServiceName, RetryCounts> counts)
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -17,6 +17,11 @@
     : requests_(registry.counter("cardamombay_gateway_requests_total", "Requests taken."))
     , served_(registry.counter("cardamombay_gateway_served_total", "Requests answered whole."))
     , refused_(registry.counter("cardamombay_gateway_refused_total", "Requests not run."))
+    , refusedForLoad_(
+          registry.counter("cardamombay_gateway_refused_for_load_total",
+                           "Requests refused since more work was asked for than groups can do."))
+    , displaced_(registry.counter("cardamombay_gateway_displaced_total",
+                                  "Held requests refused in favour of more urgent ones."))
     , failed_(registry.counter("cardamombay_gateway_failed_total",
                                "Requests whose outcome is unknown or that were broken off."))
     , callerLeft_(registry.counter("cardamombay_gateway_caller_left_total",
@@ -63,6 +68,24 @@
                                     "Endpoints that take only few requests a second for now."))
     , evacuatedZones_(registry.gauge("cardamombay_gateway_evacuated_zones",
                                      "Availability zones whose endpoints get no requests."))
+    , returnPromises_(registry.counter("cardamombay_gateway_return_promises_total",
+                                       "Refused callers for whose return room was promised."))
+    , returnClaims_(registry.counter("cardamombay_gateway_return_claims_total",
+                                     "Requests for which an owner of promises was asked."))
+    , returnClaimsGranted_(registry.counter("cardamombay_gateway_return_claims_granted_total",
+                                            "Of these, those with a promise."))
+    , returnClaimsDenied_(registry.counter("cardamombay_gateway_return_claims_denied_total",
+                                           "Of these, those without a promise."))
+    , returnClaimsUnanswered_(
+          registry.counter("cardamombay_gateway_return_claims_unanswered_total",
+                           "Of these, those whose owner did not answer in time."))
+    , callerBufferBytes_(registry.gauge("cardamombay_gateway_caller_buffer_bytes",
+                                        "Bytes of streams that callers have not read yet."))
+    , readPauses_(registry.counter("cardamombay_gateway_read_pauses_total",
+                                   "Times that a stream was paused for a caller to read."))
+    , callerBufferRefusals_(
+          registry.counter("cardamombay_gateway_caller_buffer_refusals_total",
+                           "Streams refused because callers had too many bytes left to read."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -12,6 +12,8 @@
 inline constexpr std::string_view attemptFailed = "attempt-failed";
 inline constexpr std::string_view requestQuarantined = "request-quarantined";
 inline constexpr std::string_view quarantineLifted = "quarantine-lifted";
+inline constexpr std::string_view callerBuffersFull = "caller-buffers-full";
+inline constexpr std::string_view callerBuffersFree = "caller-buffers-free";
 inline constexpr std::string_view endpointCrashed = "endpoint-crashed";
 inline constexpr std::string_view endpointLimited = "endpoint-limited";
 inline constexpr std::string_view endpointLimitEnded = "endpoint-limit-ended";
@@ -21,6 +23,9 @@
 inline constexpr std::string_view endpointSaysLeaving = "endpoint-says-leaving";
 inline constexpr std::string_view endpointCold = "endpoint-cold";
 inline constexpr std::string_view limitOwnerSilent = "limit-owner-silent";
+inline constexpr std::string_view returnOwnerLost = "return-owner-lost";
+inline constexpr std::string_view returnPromiseVoid = "return-promise-void";
+inline constexpr std::string_view returnMessageIgnored = "return-message-ignored";
 inline constexpr std::string_view endpointLimitUnreadable = "endpoint-limit-unreadable";
 /// \}
 
@@ -59,6 +64,7 @@
 inline constexpr std::string_view leaseLost = "planner-lease-lost";
 inline constexpr std::string_view groupPlanned = "group-planned";
 inline constexpr std::string_view capacity = "group-capacity";
+inline constexpr std::string_view mixReviewed = "model-mix-reviewed";
 inline constexpr std::string_view engineSilent = "engine-silent";
 inline constexpr std::string_view orderSent = "order-sent";
 inline constexpr std::string_view orderAnswered = "order-answered";
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -77,6 +77,7 @@
     parts_.gateway_.notices().onLeaving({});
     parts_.gateway_.onEndpointCrash({});
     parts_.gateway_.reservations().onSend({});
+    parts_.gateway_.overload().returns().onSend({});
 }
 
 void Node::start()
@@ -104,6 +105,10 @@
     reservations.setSelf(settings_.entry_, settings_.digests_);
     reservations.onSend(
         [this](const Address &to, std::string_view text) { parts_.datagrams_.send(to, text); });
+    auto &returns = parts_.gateway_.overload().returns();
+    returns.setSelf(settings_.entry_);
+    returns.onSend(
+        [this](const Address &to, std::string_view text) { parts_.datagrams_.send(to, text); });
     announce();
     peersChanged();
     if (settings_.isFirstStart_)
@@ -249,7 +254,12 @@
         peers_.erase(entry);
         return;
     }
-    peers_[entry] = {info->address_, info->zone_, info->capacity_, {}, {}, parts_.clock_.now()};
+    Peer peer;
+    peer.address_ = info->address_;
+    peer.zone_ = info->zone_;
+    peer.capacity_ = info->capacity_;
+    peer.heardAt_ = parts_.clock_.now();
+    peers_[entry] = std::move(peer);
 }
 
 /// Parses a row that peerRow() wrote; nothing if it has another form.
@@ -309,6 +319,7 @@
     rank_ = rank;
     parts_.lease_.setCandidateRank(isStandingBy(parts_.clock_.now()) ? std::nullopt : rank_);
     parts_.gateway_.setEntryCount(peers_.size() + 1);
+    parts_.gateway_.overload().returns().setPeers(addresses);
     parts_.gateway_.reservations().setPeers(std::move(addresses));
 }
 
--- /dev/null
+++ b/src/serving/node_overload.cpp
@@ -0,0 +1,51 @@
+// Overload part of Node: what digests tell about the work that callers offer.
+#include <cardamombay/serving/node.hpp>
+
+#include <algorithm>
+
+namespace cardamombay::serving {
+
+namespace {
+
+/// Work offered at a peer that sent nothing for this time is left out: its callers have moved to
+/// other entry VMs by then.
+constexpr Duration overloadFiguresLifetime = std::chrono::seconds(1);
+
+constexpr std::uint64_t digestsPerTeams = 5;
+
+} // namespace
+
+/// Teams change slowly and are most of the bytes, so they are named in every fifth digest only.
+bool Node::namesTeams() const
+{
+    return digestsSent_ % digestsPerTeams == 0;
+}
+
+/// Work offered at the other entry VMs, as told lately by digests or sums.
+Node::OverloadFigures Node::peerOverload(TimePoint now) const
+{
+    OverloadFigures result;
+    const auto add = [&](const overload::FleetDemand &demand, TimePoint at) {
+        if (now - at > overloadFiguresLifetime)
+            return;
+        for (const auto &[model, one] : demand)
+            result.demand_[model] += one;
+        result.at_ = std::max(result.at_.value_or(at), at);
+    };
+    for (const auto &[entry, peer] : peers_)
+        add(peer.overload_, peer.overloadAt_);
+    for (const auto &[entry, sum] : sums_)
+        add(sum.overload_, sum.at_);
+    return result;
+}
+
+void Node::updateOverload(TimePoint now, Duration passed)
+{
+    auto &overload = parts_.gateway_.overload();
+    overload.advance(passed);
+    auto others = peerOverload(now);
+    overload.update(parts_.gateway_.overloadDemand(true), others.demand_, others.at_,
+                    peers_.size() + 1);
+}
+
+} // namespace cardamombay::serving
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -22,10 +22,14 @@
 /// a call to the store.
 constexpr Duration peerRelistInterval = std::chrono::seconds(4);
 
-/// Interval between probes of lost peers. A fleet that shrank for good probes as long as the rows of
-/// the others stay in the table, at about 1 KB/s.
+/// Interval between probes of lost peers. A fleet that shrank for good probes as long as the rows
+/// of the others stay in the table, at 1.2 KB/s.
 constexpr Duration probeInterval = std::chrono::milliseconds(200);
 
+/// An entry VM that has kept less than this part of its peers counts as isolated. Zones that are
+/// cut off from each other keep more, with up to seven zones.
+constexpr std::size_t isolationDivisor = 8;
+
 /// Lost peers that get every other probe; with two large entry VMs in each of four zones, these.
 constexpr std::size_t firstProbed = 8;
 
@@ -53,6 +57,7 @@
         demand += (rate - demand) * weight;
     }
     parts_.gateway_.poisonPills().expire(now);
+    updateOverload(now, fromSeconds(seconds));
     if (havePeersChanged_)
         peersChanged();
     report(now);
@@ -87,8 +92,10 @@
     digest.sent_ = parts_.loadTracker_.ownSentTokens(now);
     digest.silent_ = parts_.loadTracker_.locallyStalled();
     digest.heard_ = parts_.loadTracker_.locallyActive(now);
+    digest.failing_ = parts_.loadTracker_.locallyFailing(now);
     digest.demand_ = ownDemand_;
     digest.retries_ = parts_.gateway_.retryCounts(now);
+    digest.overload_ = parts_.gateway_.overloadDemand(namesTeams());
     digest.poison_ = parts_.gateway_.poisonPills().pendingUpdate(now);
     auto &reservations = parts_.gateway_.reservations();
     digest.limits_ = parts_.gateway_.limits().updates(
@@ -113,6 +120,7 @@
 void Node::report(TimePoint now)
 {
     reportedAt_ = now;
+    ++digestsSent_;
     hasUnreportedCrash_ = false;
     hub_.expire(now);
     auto digest = ownDigest(now);
@@ -148,6 +156,7 @@
     for (auto &[entry, peer] : peers_) {
         peer.demand_.clear();
         peer.retries_.clear();
+        peer.overload_.clear();
     }
     log::info(event::reporterChanged, {{"reporter", reporter_  ? reporter_->text()
                                                     : isNeeded ? "self"
@@ -163,6 +172,8 @@
         return;
     ++sumsSent_;
     auto zone = hub_.zoneSummary(now);
+    if (!namesTeams())
+        overload::dropTeams(zone.sum_.overload_);
     zone.roster_ = rosterPageOf(hub_.roster(false, now));
     zone.rosterTotal_ = authoritativeTotal(settings_.zone_, now);
     const auto zoneText = encode(zone);
@@ -173,7 +184,15 @@
     if (members.empty())
         return;
     auto fleet = hub_.fleetSummary(now);
+    if (!namesTeams())
+        overload::dropTeams(fleet.sum_.overload_);
     fleet.roster_ = rosterPageOf(hub_.roster(true, now));
+    // A member that lost sums may report here, and know only what was heard here while this entry
+    // VM took itself for the reporter. It finds back to the reporter only if told of it.
+    if (const auto found = reporter_ ? peers_.find(*reporter_) : peers_.end();
+        found != peers_.end())
+        fleet.roster_.push_back(
+            {found->first, found->second.address_, found->second.zone_, found->second.capacity_});
     fleet.rosterTotal_ = authoritativeTotal({}, now);
     const auto fleetText = encode(fleet);
     // The link's queue drops what exceeds it; rotating the order spreads the losses over all
@@ -223,10 +242,12 @@
 /// Records the load of several entry VMs, received in one sum.
 void Node::recordLoad(const EntryId &from, LoadDigest sum, std::size_t entries, TimePoint now)
 {
-    sums_[from] = {std::move(sum.demand_), std::move(sum.retries_), now};
-    parts_.loadTracker_.setPeerLoad(from.text(),
-                                    {std::move(sum.underWay_), std::move(sum.sent_),
-                                     std::move(sum.silent_), now, entries, std::move(sum.heard_)});
+    auto &known = sums_[from];
+    overload::keepTeams(sum.overload_, known.overload_);
+    known = {std::move(sum.demand_), std::move(sum.retries_), std::move(sum.overload_), now};
+    parts_.loadTracker_.setPeerLoad(from.text(), {std::move(sum.underWay_), std::move(sum.sent_),
+                                                  std::move(sum.silent_), now, entries,
+                                                  std::move(sum.heard_), std::move(sum.failing_)});
 }
 
 std::size_t Node::entriesIn(const AvailabilityZone &zone) const
@@ -258,7 +279,8 @@
 {
     if (auto digest = decodeLoadDigest(text))
         onDigest(*std::move(digest));
-    else if (parts_.gateway_.reservations().take(text))
+    else if (parts_.gateway_.reservations().take(text)
+             || parts_.gateway_.overload().returns().take(text))
         return;
     else if (auto summary = decodeLoadSummary(text))
         onSummary(*std::move(summary));
@@ -313,6 +335,8 @@
     leftAt_.erase(digest.from_);
     if (!meet({digest.from_, digest.address_, digest.zone_, digest.capacity_}, now))
         return;
+    // A single entry VM counts once, or a forged count would outweigh the others in sums.
+    std::erase_if(digest.failing_, [](const auto &one) { return one.second != 1; });
     parts_.gateway_.reservations().heard(digest.from_);
     addTransitTime(digest, now);
     parts_.gateway_.takePoisonUpdate(digest.poison_);
@@ -330,9 +354,13 @@
     auto &peer = peers_[digest.from_];
     peer.demand_ = std::move(digest.demand_);
     peer.retries_ = std::move(digest.retries_);
+    overload::keepTeams(digest.overload_, peer.overload_);
+    peer.overload_ = std::move(digest.overload_);
+    peer.overloadAt_ = now;
     parts_.loadTracker_.setPeerLoad(digest.from_.text(),
                                     {std::move(digest.underWay_), std::move(digest.sent_),
-                                     std::move(digest.silent_), now, 1, std::move(digest.heard_)});
+                                     std::move(digest.silent_), now, 1, std::move(digest.heard_),
+                                     std::move(digest.failing_)});
 }
 
 /// A failed engine blocks all streams of its group, so the planner candidates are alerted at once;
@@ -386,18 +414,20 @@
     if (!isDue)
         return;
     peersListedAt_ = now;
+    relistedFrom_ = isFirst ? 0 : maxPeers_;
     maxPeers_ = peers_.size();
-    isRelisting_ = !isFirst;
     peerWatch_.start();
 }
 
 /// Rows of entry VMs that ended without leaving stay in the table. When an entry VM that still has
 /// peers lists them again, those that it does not know are therefore probed before they count as
 /// peers: otherwise they would be known for another peerLifetime, and be chosen as reporters. An
-/// entry VM without any peer, such as one that was suspended, takes them as they are.
+/// entry VM that has lost nearly all of its peers was probably suspended or cut off itself, and
+/// takes the rows as they are: with few known peers it would claim duties that others have.
 void Node::peersListed(const std::vector<platform::Row> &rows)
 {
-    const bool mustProbe = std::exchange(isRelisting_, false) && !peers_.empty();
+    const auto before = std::exchange(relistedFrom_, 0);
+    const bool mustProbe = before > 0 && peers_.size() * isolationDivisor >= before;
     lostPeers_.clear();
     for (const auto &row : rows) {
         const auto info = peerInfoIn(row);
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -35,6 +35,9 @@
 /// first event.
 constexpr double maxHoldShare = 0.65;
 
+/// Engines accept priorities up to this one; less urgent ranks share it.
+constexpr std::uint32_t maxRequestPriority = 9;
+
 constexpr Duration connectTimeout = std::chrono::milliseconds(250);
 
 } // namespace
@@ -93,8 +96,7 @@
     }
     const bool endsCooldown = none != nullptr && *none == NoTarget::Cooldown;
     if ((service_->engine_ || endsCooldown) && mayHold(now)) {
-        isHeld_ = true;
-        wasHeld_ = true;
+        (void)holdForRoom(now);
         return target != nullptr;
     }
     if (target != nullptr) {
@@ -121,6 +123,7 @@
         demand.suspect_ = fingerprint_;
     demand.gate_ = &gateway_.gate();
     demand.maxWait_ = holdLeft(now);
+    demand.hasRanks_ = routes_->hasRanks(service_->name_);
     if (reservation_ && reservation_->isOpen(now))
         demand.reserved_ = reservation_->endpoint();
     return gateway_.parts().balancer_.choose(demand, now);
@@ -227,6 +230,8 @@
     attempt.team_ = team_;
     attempt.patience_ = timeLeft(now);
     attempt.lastEvent_ = lastEventId_;
+    if (routes_->hasRanks(service_->name_))
+        attempt.requestPriority_ = std::min(priority_, maxRequestPriority);
     net::UpstreamRequest upstream;
     upstream.address_ = target.address_;
     upstream.method_ = request_.method_;
@@ -235,8 +240,8 @@
     upstream.body_ = request_.body_;
     upstream.connectTimeout_ = std::min(connectTimeout, timeLeft(now));
     upstream.longestIdle_ = isSafeToRetry() ? maxIdleSafeToRetry : maxIdleUnsafeToRetry;
-    gateway_.parts().loadTracker_.started(target.endpoint_, service_->engine_ ? prefillTokens() : 0,
-                                          now);
+    send_ = gateway_.parts().loadTracker_.started(target.endpoint_,
+                                                  service_->engine_ ? prefillTokens() : 0, now);
     call_ = gateway_.parts().upstream_.start(std::move(upstream), *this);
 }
 
@@ -245,7 +250,9 @@
     if (!call_)
         return;
     call_.reset();
-    gateway_.parts().loadTracker_.ended(target_.endpoint_);
+    isReadingPaused_ = false;
+    unconsumed_ = 0;
+    gateway_.parts().loadTracker_.ended(target_.endpoint_, send_);
 }
 
 /// The endpoint was chosen before the connection was established, and the process may have been
@@ -282,7 +289,7 @@
     if (!failure.mayHaveLeft_)
         gateway_.parts().loadTracker_.failed(target_.endpoint_, now);
     else if (!failure.isTimeout_)
-        reportBrokenAttempt();
+        recordBrokenAttempt(now);
     attemptFailed(failure.mayHaveLeft_ ? Failure::Unknown : Failure::NotSent, failure.detail_);
 }
 
@@ -308,6 +315,14 @@
     gateway_.onAttemptBroken(target_, {fingerprint_, hasProgress_});
 }
 
+/// Counts against the endpoint unless the request has failed at other endpoints too.
+void Session::recordBrokenAttempt(TimePoint now)
+{
+    reportBrokenAttempt();
+    if (gateway_.blamesEndpoint(fingerprint_, target_.endpoint_))
+        gateway_.parts().loadTracker_.broke(target_.endpoint_, send_, now);
+}
+
 void Session::attemptFailed(Failure failure, std::string_view detail)
 {
     dropAttempt();
@@ -330,6 +345,8 @@
 /// waiting in the endpoint's queue, so it is moved early only if other requests there have stalled.
 bool Session::isStalled(TimePoint now) const
 {
+    if (isReadingPaused_)
+        return false;
     const auto silent = now - progressAt_;
     if (!service_->engine_)
         return phase_ == Phase::Waiting && silent > plainStallGoals * route_->latencyGoal_;
@@ -366,11 +383,16 @@
         giveUp("no room in time");
         return;
     }
+    if (isHeld_ && waitsInVain(now)) {
+        refuseForLoad("no room before the goal has passed");
+        return;
+    }
     if (const auto reason = isHeld_ ? rejectionReason(now) : std::nullopt) {
         isHeld_ = false;
         giveUp(*reason);
         return;
     }
+    resumeReading();
     if (!call_ || !isStalled(now))
         return;
     gateway_.parts().loadTracker_.stalled(target_.endpoint_, now);
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -8,9 +8,11 @@
 #include <cardamombay/net/server_exchange.hpp>
 #include <cardamombay/net/upstream.hpp>
 #include <cardamombay/serving/balancer.hpp>
+#include <cardamombay/serving/caller_buffers.hpp>
 #include <cardamombay/serving/dialect.hpp>
 #include <cardamombay/serving/endpoint_gate.hpp>
 #include <cardamombay/serving/endpoint_limits.hpp>
+#include <cardamombay/serving/overload_control.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/reservation_coordinator.hpp>
 
@@ -55,6 +57,15 @@
     /// \brief The target service. Valid only while the request is held.
     [[nodiscard]] const ServiceName &service() const { return service_->name_; }
 
+    /// \brief The request as the queue sees it.
+    [[nodiscard]] overload::HeldRequest heldRequest() const;
+    /// \brief True if a service under overload control serves it.
+    [[nodiscard]] bool isControlled() const { return controlled_.has_value(); }
+    /// \brief Admission properties of a controlled request.
+    [[nodiscard]] const ControlledRequest &controlled() const { return *controlled_; }
+    /// \brief Refuses a held request in favour of a more urgent one.
+    void displace();
+
     /// \brief Ends the request immediately because the process is shutting down.
     void terminate();
 
@@ -97,6 +108,15 @@
     [[nodiscard]] bool isStartupWaitOver(TimePoint now) const;
     [[nodiscard]] std::optional<std::string_view> rejectionReason(TimePoint now) const;
     [[nodiscard]] bool refuseQuarantined();
+    [[nodiscard]] bool admitUnderLoad();
+    void refuseForLoad(std::string_view reason);
+    void claimAnswered(bool isGranted, std::string_view reason);
+    void refuseNow(std::string_view reason);
+    [[nodiscard]] bool mayRefuseForLoad() const;
+    [[nodiscard]] Duration usefulWait(TimePoint now) const;
+    [[nodiscard]] bool waitsInVain(TimePoint now) const;
+    [[nodiscard]] bool holdForRoom(TimePoint now);
+    [[nodiscard]] bool openBufferShare();
     void refuse(std::uint32_t status, std::string_view reason, std::optional<Duration> retryAfter);
     /// \}
 
@@ -119,6 +139,7 @@
     void dropAttempt();
     void attemptFailed(Failure failure, std::string_view detail);
     void reportBrokenAttempt();
+    void recordBrokenAttempt(TimePoint now);
     void logFailure(std::string_view detail) const;
     [[nodiscard]] bool mayRetry(Failure failure) const;
     [[nodiscard]] bool isSafeToRetry() const;
@@ -128,12 +149,17 @@
 
     /// \name The answer
     /// \{
+    void recordAnswerData(TimePoint now);
     void recordAnswerStatus(std::uint32_t status, TimePoint now);
     void recordRefusal(bool isWrongPlace, TimePoint now);
     void recordNotices(const EndpointResponseHead &answer, TimePoint now);
     void takeStreamHead(const net::HttpResponse &head);
     void discardAnswer();
     void recordEvents(TimePoint now);
+    [[nodiscard]] bool mayReadOn() const;
+    void readOnOrPause(std::size_t size);
+    void resumeReading();
+    void updateBufferShare();
     void forwardEvents(std::string_view data);
     void flush();
     void sendStreamHead();
@@ -161,6 +187,7 @@
     RequestRegions regions_;
     RequestFingerprint fingerprint_;
     std::uint32_t priority_ = 0;
+    std::optional<ControlledRequest> controlled_; ///< Set for services under overload control.
 
     std::unique_ptr<net::UpstreamCall> call_;
     Target target_;
@@ -169,6 +196,7 @@
     std::unique_ptr<Reservation> reservation_; ///< Reservation for the next send.
     bool isReserved_ = false;                  ///< The current attempt used a reservation.
     bool isConnected_ = false;
+    LoadTracker::SendNumber send_ = 0; ///< Number of the current attempt.
     TimePoint attemptAt_;
     TimePoint progressAt_;
     std::vector<VmId> tried_;
@@ -177,6 +205,8 @@
     std::optional<Duration> retryAfter_; ///< Until endpoints at their limits accept again.
     bool needsRetryBudget_ = false;      ///< The next attempt consumes the fleet's budget.
     bool awaitsStartup_ = false;         ///< Waits until this process has started up.
+    bool wasClaimAsked_ = false;         ///< The owner was asked about its return.
+    bool awaitsClaim_ = false;           ///< Waits for the answer about its return.
     bool isHeld_ = false;                ///< Waits for capacity.
     bool wasHeld_ = false;
     bool hasProgress_ = false; ///< The current attempt has received data.
@@ -190,6 +220,9 @@
     TimePoint lastEventAt_{};    ///< Time of the last event.
     std::string pending_;        ///< Complete events that wait for the current write.
     std::string writing_;
+    std::optional<BufferShare> bufferShare_; ///< Of a stream that was admitted.
+    bool isReadingPaused_ = false; ///< The endpoint is not read, since the caller does not read.
+    std::size_t unconsumed_ = 0;   ///< Bytes to consume when reading resumes.
     bool isWriting_ = false;
     bool isStreamEnded_ = false;
     bool isDone_ = false;
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -29,6 +29,8 @@
     const auto now = gateway_.parts().clock_.now();
     const auto answer = gateway_.parts().dialect_.parseResponseHead(head);
     recordNotices(answer, now);
+    if (controlled_)
+        gateway_.overload().recordSend(controlled_->admission_.model_, answer.isRefused_);
     if (answer.isRefused_) {
         --possibleRuns_;
         recordRefusal(answer.isMisdirected_, now);
@@ -93,8 +95,7 @@
 void Session::onData(std::string_view data)
 {
     const auto now = gateway_.parts().clock_.now();
-    if (answer_.status_ < minServerError)
-        gateway_.parts().loadTracker_.progressed(target_.endpoint_, now);
+    recordAnswerData(now);
     if (phase_ == Phase::Buffered) {
         recordProgress(now);
         answer_.body_.append(data);
@@ -104,12 +105,25 @@
     forwardEvents(data);
 }
 
+/// A head alone does not clear broken attempts: the connection may still break before the first
+/// data.
+void Session::recordAnswerData(TimePoint now)
+{
+    if (answer_.status_ >= minServerError)
+        return;
+    gateway_.parts().loadTracker_.progressed(target_.endpoint_, now);
+    gateway_.parts().loadTracker_.answered(target_.endpoint_, send_);
+}
+
 void Session::recordEvents(TimePoint now)
 {
     const auto &metrics = gateway_.parts().metrics_;
     if (events_ == 0) {
         firstEventDelay_ = now - arrivedAt_;
         metrics.firstByte_.observe(toSeconds(firstEventDelay_));
+        if (target_.predictedFirst_)
+            gateway_.parts().balancer_.recordFirstEvent(service_->name_, *target_.predictedFirst_,
+                                                        now - attemptAt_);
     } else {
         maxEventGap_ = std::max(maxEventGap_, now - lastEventAt_);
         metrics.eventGap_.observe(toSeconds(now - lastEventAt_));
@@ -130,12 +144,47 @@
         pending_.append(data.substr(0, whole.size_));
     }
     flush();
-    if (call_ && pending_.size() < maxPendingBytes)
-        call_->consume(whole.size_);
+    readOnOrPause(whole.size_);
+}
+
+bool Session::mayReadOn() const
+{
+    return pending_.size() < maxPendingBytes && (!bufferShare_ || bufferShare_->mayRead());
+}
+
+/// \param size bytes of the endpoint's data that were processed.
+void Session::readOnOrPause(std::size_t size)
+{
+    if (!call_)
+        return;
+    if (mayReadOn()) {
+        call_->consume(size);
+        return;
+    }
+    unconsumed_ = size;
+    isReadingPaused_ = true;
+    gateway_.parts().metrics_.readPauses_.increment();
+}
+
+/// The endpoint was not silent while it was not read, so its stall timer restarts.
+void Session::resumeReading()
+{
+    if (!isReadingPaused_ || !call_ || !mayReadOn())
+        return;
+    isReadingPaused_ = false;
+    restartStallTimer(gateway_.parts().clock_.now());
+    call_->consume(std::exchange(unconsumed_, 0));
+}
+
+void Session::updateBufferShare()
+{
+    if (bufferShare_)
+        bufferShare_->set(pending_.size() + writing_.size());
 }
 
 void Session::flush()
 {
+    updateBufferShare();
     if (isWriting_ || !exchange_)
         return;
     if (pending_.empty() && !isStreamEnded_)
@@ -154,7 +203,9 @@
         if (!self || self->isDone_)
             return;
         self->isWriting_ = false;
+        self->writing_ = {};
         self->flush();
+        self->resumeReading();
     });
 }
 
@@ -172,11 +223,9 @@
 
 void Session::onEnd(std::string_view rest)
 {
-    auto &board = gateway_.parts().loadTracker_;
-    if (answer_.status_ < minServerError) {
-        board.progressed(target_.endpoint_, gateway_.parts().clock_.now());
-        board.succeeded(target_.endpoint_);
-    }
+    recordAnswerData(gateway_.parts().clock_.now());
+    if (answer_.status_ < minServerError)
+        gateway_.parts().loadTracker_.succeeded(target_.endpoint_);
     if (phase_ == Phase::Streaming)
         endStream(rest);
     else
@@ -191,7 +240,7 @@
         if (whole.lastId_)
             lastEventId_ = whole.lastId_;
         events_ += whole.count_;
-        reportBrokenAttempt();
+        recordBrokenAttempt(gateway_.parts().clock_.now());
         attemptFailed(Failure::Unknown, "the stream ends inside an event");
         return;
     }
