Avoid at most a quarter of the groups for broken requests

Change: when more than a quarter of a model's groups, and more than one, break requests, none is avoided for it. Conclusion: avoidance is for single endpoints.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -156,6 +156,8 @@
         std::optional<Duration> earliestCooldownEnd_;
     };
 
+    /// True if \p breaking of \p all endpoints are few enough to be avoided.
+    [[nodiscard]] static bool mayAvoidBreaking(std::size_t breaking, std::size_t all);
     [[nodiscard]] RegionName regionOf(const Endpoint &endpoint) const;
     [[nodiscard]] bool isOutOfRegion(const RoutingRequest &request) const;
     [[nodiscard]] Usable usableCandidates(const RoutingRequest &request, TimePoint now);
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -151,35 +151,6 @@
                       [&model](const Candidate &one) { return one.model_ == model; }));
 }
 
-overload::ModelCapacity Balancer::capacity(const Service &service, const ModelName &model,
-                                           TimePoint now)
-{
-    overload::ModelCapacity result;
-    double requests = 0;
-    for (const auto &one : candidatesOf(service)) {
-        if (one.model_ != model || !loadTracker_.isUsable(one.endpoint_, now)
-            || loadTracker_.isBreaking(one.endpoint_, now)
-            || loadTracker_.hasCrashed(one.endpoint_, one.startedAt_))
-            continue;
-        const double share = 1 / std::max(1.0, one.slowdown_);
-        result.groups_ += share;
-        requests += share * static_cast<double>(loadTracker_.totalRequests(one.endpoint_));
-    }
-    if (result.groups_ > 0)
-        result.occupancy_ = requests / (result.groups_ * service.engine_->slots_);
-    return result;
-}
-
-std::size_t Balancer::ownRequests(const Service &service, const ModelName &model)
-{
-    std::size_t result = 0;
-    for (const auto &one : candidatesOf(service)) {
-        if (one.model_ == model)
-            result += loadTracker_.ownRequests(one.endpoint_);
-    }
-    return result;
-}
-
 Duration Balancer::firstEventTime(const RoutingRequest &request) const
 {
     const auto &profile = *request.service_->engine_;
@@ -198,6 +169,7 @@
 {
     Usable result;
     std::vector<const Candidate *> avoided;
+    std::vector<const Candidate *> breaking;
     for (const auto &candidate : candidatesOf(*request.service_)) {
         if (request.service_->engine_ && candidate.model_ != request.model_)
             continue;
@@ -219,11 +191,16 @@
             }
             continue;
         }
-        const bool isAvoided = !loadTracker_.isUsable(candidate.endpoint_, now)
-                               || loadTracker_.isBreaking(candidate.endpoint_, now);
-        auto &list = isAvoided ? avoided : result.candidates_;
-        list.push_back(&candidate);
+        if (!loadTracker_.isUsable(candidate.endpoint_, now))
+            avoided.push_back(&candidate);
+        else if (loadTracker_.isBreaking(candidate.endpoint_, now))
+            breaking.push_back(&candidate);
+        else
+            result.candidates_.push_back(&candidate);
     }
+    const auto all = result.candidates_.size() + breaking.size() + avoided.size();
+    auto &list = mayAvoidBreaking(breaking.size(), all) ? avoided : result.candidates_;
+    list.insert(list.end(), breaking.begin(), breaking.end());
     // A plain endpoint that often fails is still better than none. A request for a group waits
     // instead until an avoided group may be tried again.
     if (result.candidates_.empty() && !request.service_->engine_)
--- a/tests/serving/broken_attempts.cpp
+++ b/tests/serving/broken_attempts.cpp
@@ -312,3 +312,38 @@
     tracker.expire(now + seconds(31));
     cr_assert_not(tracker.isBreaking(VmId(broken), now));
 }
+
+/// Guards against avoiding most groups when all lose a part of their answers: what remains cannot
+/// do the work of the others.
+Test(broken_attempts, groups_stay_in_use_if_more_than_a_quarter_break_requests)
+{
+    constexpr std::size_t groups = 8;
+    BreakingGroup bench(groups);
+    auto &fixture = bench.fixture_;
+    auto &tracker = fixture.loadTracker_;
+    const auto breakTwice = [&](std::size_t group) {
+        const VmId endpoint("g-" + std::to_string(group));
+        for (int i = 0; i < 2; ++i) {
+            const auto send = tracker.started(endpoint, 0, fixture.clock_.now());
+            tracker.broke(endpoint, send, fixture.clock_.now());
+            tracker.ended(endpoint, send);
+        }
+    };
+    const auto isUsed = [&](const std::string &group) {
+        bool result = false;
+        for (int i = 0; i < 20; ++i) {
+            bench.start();
+            const auto call = fixture.lastCall();
+            result = result || call->field("endpoint") == group;
+            bench.finish(*call);
+            fixture.pass(milliseconds(10));
+        }
+        return result;
+    };
+
+    breakTwice(0);
+    breakTwice(1);
+    cr_expect_not(isUsed("g-0"));
+    breakTwice(2);
+    cr_expect(isUsed("g-0"));
+}
