Show operators what overload control decides from

Cause: the figures behind a refusal were in no metric; the line of a refused request lacked the forecast; an endpoint that began or ceased to be avoided because it breaks requests left no line, and neither did forged counts of such reports. Conclusion: from the id of a refused request to its cause by lines and metrics; no metric names a team or an endpoint.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -182,6 +182,7 @@
 #include <cardamombay/rpc/rpc_http_handler.hpp>
 
 #include <cardamombay/serving/answer_notices.hpp>
+#include <cardamombay/serving/avoidance_log.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/caller_buffers.hpp>
 #include <cardamombay/serving/change_history.hpp>
@@ -213,6 +214,7 @@
 #include <cardamombay/serving/model_mix.hpp>
 #include <cardamombay/serving/node.hpp>
 #include <cardamombay/serving/overload_control.hpp>
+#include <cardamombay/serving/overload_metrics.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/planner_lease.hpp>
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cardamombay/metrics/registry.hpp>
+#include <cardamombay/serving/overload_metrics.hpp>
 
 namespace cardamombay::serving {
 
@@ -38,10 +39,11 @@
     metrics::Counter coldStarts_; ///< Endpoints detected as cold.
     metrics::Gauge coldEndpoints_;
     metrics::Gauge evacuatedZones_;
-    metrics::Counter returnPromises_;         ///< Refused callers that were promised room.
-    metrics::Counter returnClaims_;           ///< Requests that may be returns; owners were asked.
-    metrics::Counter returnClaimsGranted_;    ///< Of these, those that are returns.
-    metrics::Counter returnClaimsDenied_;     ///< Of these, those that are new.
+    metrics::Gauge avoidedEndpoints_;      ///< Endpoints avoided because they break new requests.
+    metrics::Counter returnPromises_;      ///< Refused callers that were promised room.
+    metrics::Counter returnClaims_;        ///< Requests that may be returns; owners were asked.
+    metrics::Counter returnClaimsGranted_; ///< Of these, those that are returns.
+    metrics::Counter returnClaimsDenied_;  ///< Of these, those that are new.
     metrics::Counter returnClaimsUnanswered_; ///< Of these, those that count as new for lack of an
                                               ///< answer.
     metrics::Gauge callerBufferBytes_;        ///< Bytes buffered for callers, over all streams.
@@ -53,6 +55,7 @@
         firstByte_; ///< Seconds from the request to the first event or complete answer.
     metrics::Histogram eventGap_;       ///< Seconds between consecutive events.
     metrics::Histogram answerDuration_; ///< Seconds from the request to the end of the answer.
+    OverloadMetrics overload_;
 };
 
 } // namespace cardamombay::serving
--- a/include/cardamombay/serving/load_tracker.hpp
+++ b/include/cardamombay/serving/load_tracker.hpp
@@ -110,6 +110,17 @@
     /// \brief Endpoints that this entry VM avoids because they break new requests, each with the
     /// count 1; reported to peers.
     [[nodiscard]] std::unordered_map<VmId, std::size_t> locallyFailing(TimePoint now) const;
+    /// \brief Why an endpoint is avoided because it breaks new requests.
+    struct Breaking
+    {
+        bool isOwn_ = false;              ///< Enough attempts of this entry VM broke.
+        std::size_t breaks_ = 0;          ///< Broken attempts in a row at this entry VM.
+        std::size_t reports_ = 0;         ///< Other entry VMs that reported it.
+        std::vector<std::string> toldBy_; ///< Peers whose digests or sums contain these reports.
+    };
+    /// \brief Endpoints that broke too many attempts here, until one is answered, or that enough
+    /// peers report; for logs and metrics.
+    [[nodiscard]] std::map<VmId, Breaking> breakingEndpoints(TimePoint now) const;
     /// \brief True if this incarnation of the endpoint is known to have crashed.
     [[nodiscard]] bool hasCrashed(const VmId &endpoint, std::uint64_t startedAt) const;
     /// \brief When the endpoint last sent data; the epoch if never.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -4,6 +4,7 @@
 /// the planner periodically. Decides whether the entry VM is ready for callers. Runs on one thread.
 #pragma once
 
+#include <cardamombay/serving/avoidance_log.hpp>
 #include <cardamombay/serving/change_history.hpp>
 #include <cardamombay/serving/configuration_exchange.hpp>
 #include <cardamombay/serving/digest_hub.hpp>
@@ -193,6 +194,8 @@
     };
     [[nodiscard]] OverloadFigures peerOverload(TimePoint now) const;
     void updateOverload(TimePoint now, Duration passed);
+    void logAvoidedEndpoints(TimePoint now);
+    void logIgnoredReports(const EntryId &from, std::size_t reports);
     [[nodiscard]] bool namesTeams() const;
     [[nodiscard]] TimePoint lastConfirmedAt(const Peer &peer) const;
 
@@ -254,6 +257,7 @@
     bool hasReporters_ = false;
     LoadDigest lastDigest_; ///< The last digest sent.
     std::map<EntryId, Sum> sums_;
+    AvoidanceLog avoidanceLog_;
     std::vector<EntryId> planners_; ///< Entry VMs that may hold the planner's lease.
     /// Stalled endpoints that the planners have been alerted to.
     std::vector<VmId> alarmedEndpoints_;
--- a/include/cardamombay/serving/overload_control.hpp
+++ b/include/cardamombay/serving/overload_control.hpp
@@ -100,9 +100,13 @@
     void updateModel(const Service &service, const ModelName &model,
                      const overload::FleetDemand &own, std::optional<TimePoint> receivedAt,
                      std::size_t entries);
+    [[nodiscard]] Duration timeWithoutFigures(std::size_t entries) const;
 
     Clock &clock_;
     Balancer &balancer_;
+    GatewayMetrics &metrics_;
+    TimePoint startedAt_;
+    std::optional<TimePoint> receivedAt_; ///< When figures of other entry VMs last arrived.
     std::shared_ptr<const RouteTable> routes_;
     std::uint64_t seed_; ///< Keeps callers from choosing request ids that are admitted.
     overload::RankedAdmission policy_;
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -68,6 +68,8 @@
                                     "Endpoints that take only few requests a second for now."))
     , evacuatedZones_(registry.gauge("cardamombay_gateway_evacuated_zones",
                                      "Availability zones whose endpoints get no requests."))
+    , avoidedEndpoints_(registry.gauge("cardamombay_gateway_avoided_endpoints",
+                                       "Endpoints avoided because they break new requests."))
     , returnPromises_(registry.counter("cardamombay_gateway_return_promises_total",
                                        "Refused callers for whose return room was promised."))
     , returnClaims_(registry.counter("cardamombay_gateway_return_claims_total",
@@ -97,6 +99,7 @@
     , answerDuration_(registry.histogram("cardamombay_gateway_answer_seconds",
                                          "From a request to the end of its answer.",
                                          latencyBuckets))
+    , overload_(registry)
 {
 }
 
--- a/src/serving/load_tracker.cpp
+++ b/src/serving/load_tracker.cpp
@@ -343,6 +343,27 @@
     return result;
 }
 
+std::map<VmId, LoadTracker::Breaking> LoadTracker::breakingEndpoints(TimePoint now) const
+{
+    std::map<VmId, Breaking> result;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.breaks_ > 0)
+            result[id] = {entry.breaks_ >= breaksBeforeAvoidance, entry.breaks_, 0, {}};
+    }
+    for (const auto &[name, peer] : peers_) {
+        if (now - peer.at_ >= maxReportAge)
+            continue;
+        for (const auto &[id, count] : peer.failing_)
+            result[id].toldBy_.push_back(name);
+    }
+    for (auto &[id, one] : result)
+        one.reports_ = failingElsewhere(id, now);
+    std::erase_if(result, [](const auto &one) {
+        return !one.second.isOwn_ && one.second.reports_ < minFailingReports;
+    });
+    return result;
+}
+
 TimePoint LoadTracker::lastProgressAt(const VmId &endpoint) const
 {
     const auto found = entries_.find(endpoint);
--- a/src/serving/node_overload.cpp
+++ b/src/serving/node_overload.cpp
@@ -1,6 +1,9 @@
-// Overload part of Node: what digests tell about the work that callers offer.
+// Overload part of Node: what digests tell about the work that callers offer, and about endpoints
+// that break new requests.
 #include <cardamombay/serving/node.hpp>
 
+#include <cardamombay/log/log.hpp>
+
 #include <algorithm>
 
 namespace cardamombay::serving {
@@ -48,4 +51,23 @@
                     peers_.size() + 1);
 }
 
+void Node::logAvoidedEndpoints(TimePoint now)
+{
+    const auto isListed
+        = [this](const VmId &id) { return parts_.endpointRegistry_.find(id) != nullptr; };
+    const auto lines
+        = avoidanceLog_.update(parts_.loadTracker_.breakingEndpoints(now), isListed, now);
+    for (const auto &line : lines)
+        log::write(log::Level::Info, line.event_, line.details_);
+    parts_.gateway_.parts().metrics_.avoidedEndpoints_.set(
+        static_cast<double>(avoidanceLog_.size()));
+}
+
+/// \param reports number of endpoints with a count that the sender cannot know of.
+void Node::logIgnoredReports(const EntryId &from, std::size_t reports)
+{
+    if (const auto line = avoidanceLog_.ignored(from, reports))
+        log::write(log::Level::Warning, line->event_, line->details_);
+}
+
 } // namespace cardamombay::serving
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -58,6 +58,7 @@
     }
     parts_.gateway_.poisonPills().expire(now);
     updateOverload(now, fromSeconds(seconds));
+    logAvoidedEndpoints(now);
     if (havePeersChanged_)
         peersChanged();
     report(now);
@@ -242,6 +243,9 @@
 /// Records the load of several entry VMs, received in one sum.
 void Node::recordLoad(const EntryId &from, LoadDigest sum, std::size_t entries, TimePoint now)
 {
+    const auto isForged = [entries](const auto &one) { return one.second > entries; };
+    logIgnoredReports(from, static_cast<std::size_t>(
+                                std::count_if(sum.failing_.begin(), sum.failing_.end(), isForged)));
     auto &known = sums_[from];
     overload::keepTeams(sum.overload_, known.overload_);
     known = {std::move(sum.demand_), std::move(sum.retries_), std::move(sum.overload_), now};
@@ -336,7 +340,8 @@
     if (!meet({digest.from_, digest.address_, digest.zone_, digest.capacity_}, now))
         return;
     // A single entry VM counts once, or a forged count would outweigh the others in sums.
-    std::erase_if(digest.failing_, [](const auto &one) { return one.second != 1; });
+    logIgnoredReports(digest.from_, std::erase_if(digest.failing_,
+                                                  [](const auto &one) { return one.second != 1; }));
     parts_.gateway_.reservations().heard(digest.from_);
     addTransitTime(digest, now);
     parts_.gateway_.takePoisonUpdate(digest.poison_);
--- a/src/serving/overload_control.cpp
+++ b/src/serving/overload_control.cpp
@@ -18,6 +18,8 @@
                                  Random random)
     : clock_(clock)
     , balancer_(balancer)
+    , metrics_(metrics)
+    , startedAt_(clock.now())
     , seed_(random.bits())
     , controller_(policy_, clock.now())
     , returns_(clock, metrics, Random(random.bits()))
@@ -58,6 +60,8 @@
 {
     others_ = others;
     demand_ = others;
+    if (receivedAt)
+        receivedAt_ = receivedAt;
     for (const auto &[model, demand] : own)
         demand_[model] += demand;
     std::vector<ModelName> models;
@@ -71,6 +75,7 @@
         }
     }
     controller_.retain(models);
+    metrics_.overload_.retain(models);
 }
 
 void OverloadControl::updateModel(const Service &service, const ModelName &model,
@@ -87,6 +92,18 @@
     figures.entries_ = entries;
     figures.receivedAt_ = receivedAt;
     controller_.update(model, figures, now);
+    metrics_.overload_.set(
+        model, {figures.fleet_, controller_.level(model, now), timeWithoutFigures(entries)});
+}
+
+/// For the metric of their age, which an alert watches. Figures of peers that are silent for a
+/// second are dropped, so their own age never exceeds it.
+/// \param entries an entry VM that never had a peer has complete figures.
+Duration OverloadControl::timeWithoutFigures(std::size_t entries) const
+{
+    if (!receivedAt_ && entries <= 1)
+        return {};
+    return clock_.now() - receivedAt_.value_or(startedAt_);
 }
 
 const overload::ModelDemand &OverloadControl::demandOf(const overload::FleetDemand &demand,
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -85,6 +85,12 @@
     /// \}
 
 private:
+    /// A wait as forecast, and the longest that is of use.
+    struct WaitForecast
+    {
+        Duration wait_{};
+        Duration useful_{};
+    };
     /// How an attempt without a usable answer failed.
     enum class Failure {
         NotSent, ///< No byte of the request was sent.
@@ -114,7 +120,7 @@
     void refuseNow(std::string_view reason);
     [[nodiscard]] bool mayRefuseForLoad() const;
     [[nodiscard]] Duration usefulWait(TimePoint now) const;
-    [[nodiscard]] bool waitsInVain(TimePoint now) const;
+    [[nodiscard]] bool waitsInVain(TimePoint now);
     [[nodiscard]] bool holdForRoom(TimePoint now);
     [[nodiscard]] bool openBufferShare();
     void refuse(std::uint32_t status, std::string_view reason, std::optional<Duration> retryAfter);
@@ -141,6 +147,7 @@
     void reportBrokenAttempt();
     void recordBrokenAttempt(TimePoint now);
     void logFailure(std::string_view detail) const;
+    void appendForecast(std::vector<Detail> &details) const;
     [[nodiscard]] bool mayRetry(Failure failure) const;
     [[nodiscard]] bool isSafeToRetry() const;
     [[nodiscard]] bool isStalled(TimePoint now) const;
@@ -188,6 +195,9 @@
     RequestFingerprint fingerprint_;
     std::uint32_t priority_ = 0;
     std::optional<ControlledRequest> controlled_; ///< Set for services under overload control.
+    /// Last forecast of the wait for room and the longest wait that was of use; absent if none was
+    /// made, as for a request that the level refuses on arrival.
+    std::optional<WaitForecast> forecast_;
 
     std::unique_ptr<net::UpstreamCall> call_;
     Target target_;
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -43,6 +43,12 @@
         details.push_back({"figures-age-ms", std::to_string(toMilliseconds(*inputs.figuresAge_))});
 }
 
+/// \param wait the longest representable duration if there is no room.
+std::string textOfWait(Duration wait)
+{
+    return wait == Duration::max() ? "unbounded" : std::to_string(toMilliseconds(wait));
+}
+
 /// Appends the start and the remaining time of the endpoint's cooldown.
 void appendCooldown(std::vector<Detail> &details, const Cooldown &cooldown, TimePoint now)
 {
@@ -98,6 +104,15 @@
     finish("unknown", reason);
 }
 
+/// Appends the forecast of the wait by which the request was held or refused.
+void Session::appendForecast(std::vector<Detail> &details) const
+{
+    const auto wait = forecast_ ? textOfWait(forecast_->wait_) : "none";
+    details.push_back({"forecast-ms", wait});
+    if (forecast_)
+        details.push_back({"useful-wait-ms", std::to_string(toMilliseconds(forecast_->useful_))});
+}
+
 void Session::finish(std::string_view outcome, std::string_view reason)
 {
     isDone_ = true;
@@ -138,8 +153,10 @@
         {"most-answer", std::to_string(head_.maxAnswerTokens_)},
         {"likely-answer", std::to_string(head_.expectedAnswerTokens_)},
         {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}};
-    if (controlled_)
+    if (controlled_) {
         appendAdmission(details, *controlled_, gateway_.overload());
+        appendForecast(details);
+    }
     if (target_.skippedInCooldown_ > 0)
         details.push_back({"passed-over", std::to_string(target_.skippedInCooldown_)});
     if (retryAfter_ && outcome == "refused")
--- a/src/serving/session_overload.cpp
+++ b/src/serving/session_overload.cpp
@@ -75,7 +75,9 @@
 {
     const auto now = gateway_.parts().clock_.now();
     retryAfter_ = gateway_.overload().returnTime(*controlled_, timeLeft(now));
-    gateway_.parts().metrics_.refusedForLoad_.increment();
+    auto &metrics = gateway_.parts().metrics_;
+    metrics.refusedForLoad_.increment();
+    metrics.overload_.refused(controlled_->admission_.model_, reason);
     refuse(statusUnavailable, reason, retryAfter_);
 }
 
@@ -108,12 +110,13 @@
 }
 
 /// True if the request is forecast to find room too late to be of use.
-bool Session::waitsInVain(TimePoint now) const
+bool Session::waitsInVain(TimePoint now)
 {
     if (!mayRefuseForLoad())
         return false;
     const auto held = gateway_.heldRequests(head_.model_);
-    return gateway_.overload().forecast(heldRequest(), held, head_.model_) > usefulWait(now);
+    forecast_ = {gateway_.overload().forecast(heldRequest(), held, head_.model_), usefulWait(now)};
+    return forecast_->wait_ > forecast_->useful_;
 }
 
 /// Holds the request if that is of use, or refuses it.
--- a/tests/returns/return_coordinator.cpp
+++ b/tests/returns/return_coordinator.cpp
@@ -2,14 +2,10 @@
 // VMs and forged messages, in fleets of 7, 87 and 195.
 #include "return_fleet.hpp"
 
+#include "support/log_lines.hpp"
+
 #include <cstdio>
 #include <ctime>
-#include <fstream>
-
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <cardamombay/log/log.hpp>
 
 #include <criterion/criterion.h>
 
@@ -18,6 +14,7 @@
 using namespace cardamombay::serving;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using support::linesOf;
 
 namespace {
 
@@ -33,29 +30,6 @@
     }
 }
 
-/// Lines written to standard error while \p body runs that name \p event.
-template<typename Body>
-std::vector<std::string> linesOf(std::string_view event, Body body)
-{
-    const std::string path = "returns-log-" + std::to_string(::getpid()) + ".txt";
-    const int file = ::open(path.c_str(), O_CREAT | O_TRUNC | O_WRONLY, 0600);
-    const int before = ::dup(STDERR_FILENO);
-    ::dup2(file, STDERR_FILENO);
-    log::configure(log::Level::Info);
-    body();
-    ::dup2(before, STDERR_FILENO);
-    ::close(before);
-    ::close(file);
-    std::ifstream in(path);
-    std::vector<std::string> lines;
-    for (std::string line; std::getline(in, line);) {
-        if (line.find("event=" + std::string(event)) != std::string::npos)
-            lines.push_back(line);
-    }
-    ::unlink(path.c_str());
-    return lines;
-}
-
 double sumOf(const ReturnFleet &fleet, metrics::Counter GatewayMetrics::*counter)
 {
     double sum = 0;
--- a/tests/serving/broken_endpoints.cpp
+++ b/tests/serving/broken_endpoints.cpp
@@ -1,4 +1,5 @@
 // Entry VMs that tell each other which endpoints break new requests.
+#include "support/log_lines.hpp"
 #include "support/node_fleet.hpp"
 
 #include <algorithm>
@@ -333,3 +334,65 @@
         cr_expect_lt(share, 0.03);
     }
 }
+
+/// Guards against an endpoint that is avoided, or used again, without a line that tells who found
+/// it broken, and against a line for each digest.
+Test(broken_endpoints, avoidance_is_logged_at_each_entry_vm_with_its_count_and_source)
+{
+    constexpr std::size_t entries = 7;
+    constexpr double rate = 20;
+    CalledFleet bench(entries, 3, groupsFor(entries, rate));
+    bench.isReset_ = [](std::size_t entry) { return entry < 2; };
+    double mostAvoided = 0;
+    const auto began = linesOf("endpoint-avoided", [&] {
+        bench.run(seconds(2), rate);
+        for (std::size_t i = 0; i < entries; ++i)
+            mostAvoided += bench.fleet_.node(i).metrics_.avoidedEndpoints_.value();
+    });
+    bench.isReset_ = [](std::size_t) { return false; };
+    const auto ended = linesOf("endpoint-used-again", [&] { bench.run(seconds(8), rate); });
+
+    std::size_t own = 0;
+    std::size_t told = 0;
+    for (const auto &line : began) {
+        cr_expect_eq(valueIn(line, "endpoint"), broken);
+        if (valueIn(line, "from") == "own") {
+            ++own;
+            cr_expect_geq(std::stoul(valueIn(line, "breaks")), 2);
+        } else {
+            ++told;
+            cr_expect_geq(std::stoul(valueIn(line, "reports")), 2);
+            cr_expect_neq(valueIn(line, "told-by"), "none");
+        }
+    }
+    cr_expect_eq(own, 2);
+    cr_expect_eq(told, entries - 2);
+    cr_expect_eq(mostAvoided, static_cast<double>(entries));
+    cr_expect_eq(ended.size(), entries);
+    for (const auto &line : ended)
+        cr_expect_gt(std::stol(valueIn(line, "avoided-ms")), 0);
+    for (std::size_t i = 0; i < entries; ++i)
+        cr_expect_eq(bench.fleet_.node(i).metrics_.avoidedEndpoints_.value(), 0);
+}
+
+/// Guards against counts that a sender cannot know of and that are dropped in silence, and against
+/// a sender that fills the log with them.
+Test(broken_endpoints, forged_counts_are_logged_once_for_each_sender)
+{
+    constexpr std::size_t entries = 7;
+    CalledFleet bench(entries, 3, 4);
+    bench.fleet_.corrupt_ = [](std::string &text) {
+        const std::string before = R"("draining":false)";
+        const auto at = text.find(before);
+        if (at != std::string::npos && text.find(R"("method":"load")") != std::string::npos)
+            text.insert(at, R"("failing":{"g-0":1000},)");
+    };
+    const auto lines = linesOf("break-report-ignored", [&] { bench.run(seconds(3), 1); });
+
+    cr_expect_eq(lines.size(), entries * (entries - 1));
+    for (const auto &line : lines) {
+        cr_expect_neq(valueIn(line, "from"), "");
+        cr_expect_eq(valueIn(line, "endpoints"), "1");
+    }
+    cr_expect_eq(bench.avoiding(), 0);
+}
