Test that only forged counts of sums are logged

Cause: sums name several entry VMs, so that an honest count is above 1. Change: a test with 24 entry VMs, in which the honest sums leave no line and forged ones do. Conclusion: no false warnings in a fleet with reporters.

--- a/tests/serving/broken_endpoints.cpp
+++ b/tests/serving/broken_endpoints.cpp
@@ -396,3 +396,38 @@
     }
     cr_expect_eq(bench.avoiding(), 0);
 }
+
+/// Guards against warnings about honest sums, whose counts rise with the entry VMs that report, and
+/// against forged sums that are used in silence. Fleets of more than 16 entry VMs have reporters.
+Test(broken_endpoints, only_forged_counts_of_sums_are_logged)
+{
+    constexpr std::size_t entries = 24;
+    constexpr double rate = 10;
+    CalledFleet bench(entries, 3, groupsFor(entries, rate));
+    bench.isReset_ = [](std::size_t) { return true; };
+    const auto honest = linesOf("break-report-ignored", [&] { bench.run(seconds(3), rate); });
+    std::size_t reporting = 0;
+    for (std::size_t i = 0; i < entries; ++i) {
+        auto &node = bench.fleet_.node(i);
+        const auto reports = node.loadTracker_.locallyFailing(node.clock_.now());
+        reporting += reports.contains(VmId(broken)) ? 1 : 0;
+        cr_expect_eq(node.metrics_.avoidedEndpoints_.value(), 1);
+    }
+    cr_expect_geq(reporting, 2);
+    cr_expect(honest.empty(), "%zu lines", honest.size());
+
+    std::size_t forged = 0;
+    bench.fleet_.corrupt_ = [&forged](std::string &text) {
+        const std::string before = R"("failing":{"g-0":)";
+        const auto at = text.find(before);
+        if (at == std::string::npos || text.find(R"("method":"summary")") == std::string::npos)
+            return;
+        text.insert(at + before.size(), "9");
+        text.insert(at + before.size(), "9");
+        ++forged;
+    };
+    const auto lines = linesOf("break-report-ignored", [&] { bench.run(seconds(1), rate); });
+    cr_expect_gt(forged, 0);
+    cr_expect_gt(lines.size(), 0);
+    cr_expect_leq(lines.size(), entries * 3);
+}
