Forget broken attempts when an engine joins another group

Cause: an endpoint that broke two requests in a row is avoided, and reported to peers for up to 4.5 s after the last break. The record belongs to the engine. When the survivors of a broken group form the next group with the same head, the record went on: entry VMs that had lost no request themselves avoided the healthy group as long as two others reported it, and with few requests at each entry VM no retry ended the reports. This applied to services with one rank too.

Change: the endpoint registry tells when an endpoint is listed in another group without a restart. The load tracker then ends the avoidance and the report. One broken attempt stays on record, so that one more in the new group leads to avoidance at once. Attempts sent to the earlier group do not count.

Result: in the new test with 7 entry VMs, without callers for 600 ms after the group has formed, at least one entry VM still avoided it before (the test fails with an empty regrouped()); none does now. How often this happens in a deployment was not measured.

--- a/include/cardamombay/serving/endpoint_registry.hpp
+++ b/include/cardamombay/serving/endpoint_registry.hpp
@@ -51,6 +51,13 @@
         restartCallback_ = std::move(action);
     }
 
+    /// \brief Sets the callback for an endpoint that is listed in another group than before,
+    /// without a restart. \param action receives the id of the endpoint.
+    void onRegrouped(std::function<void(const VmId &)> action)
+    {
+        regroupCallback_ = std::move(action);
+    }
+
     /// \brief Entries of endpoints for which \p action returns true count as draining, whatever
     /// they say.
     void setLeavingCheck(std::function<bool(const EndpointIncarnation &)> action)
@@ -101,6 +108,7 @@
     std::map<VmId, Endpoint> endpoints_;
     std::map<VmId, Removed> removed_;
     std::function<void(const Endpoint &)> restartCallback_;
+    std::function<void(const VmId &)> regroupCallback_;
     std::function<bool(const EndpointIncarnation &)> isKnownLeaving_;
     std::map<VmId, TimePoint> missing_; ///< Unlisted endpoints and when they are dropped.
     TimePoint absenceToleratedUntil_{};
--- a/include/cardamombay/serving/load_tracker.hpp
+++ b/include/cardamombay/serving/load_tracker.hpp
@@ -60,6 +60,9 @@
     void crashed(const EndpointIncarnation &endpoint, TimePoint now);
     /// \brief The endpoint restarted: clears its pending prompt tokens and failures.
     void restarted(const VmId &endpoint);
+    /// \brief The endpoint is a member of another group than before, so that attempts that broke in
+    /// the earlier one say little about it. A further broken attempt leads to avoidance at once.
+    void regrouped(const VmId &endpoint);
     /// \}
 
     /// \brief Load reported by a peer, and the endpoints that are stalled there.
--- a/src/serving/endpoint_registry.cpp
+++ b/src/serving/endpoint_registry.cpp
@@ -22,6 +22,15 @@
         endpoint.model_ = known->model_;
 }
 
+/// True if \p endpoint is listed in a group other than that of its \p known entry.
+bool joinsOtherGroup(const Endpoint &endpoint, const Endpoint &known)
+{
+    if (!endpoint.membership_)
+        return false;
+    return !known.membership_ || known.membership_->group_ != endpoint.membership_->group_
+           || known.membership_->epoch_ != endpoint.membership_->epoch_;
+}
+
 } // namespace
 
 /// True if the same incarnation is already known to be draining or gone.
@@ -69,6 +78,7 @@
         earlier = *known;
     const bool isKnownIncarnation = found != endpoints_.end() && !earlier;
     keepLoadedModel(endpoint, isKnownIncarnation ? &found->second : nullptr);
+    const bool isRegrouped = known != nullptr && !earlier && joinsOtherGroup(endpoint, *known);
     removed_.erase(id);
     if (isKnownIncarnation && found->second == endpoint)
         return;
@@ -76,6 +86,8 @@
     ++revision_;
     if (earlier && restartCallback_)
         restartCallback_(*earlier);
+    if (isRegrouped && regroupCallback_)
+        regroupCallback_(id);
 }
 
 void EndpointRegistry::markLeaving(const EndpointIncarnation &endpoint)
--- a/src/serving/load_tracker.cpp
+++ b/src/serving/load_tracker.cpp
@@ -175,6 +175,20 @@
     found->second = fresh;
 }
 
+/// Few requests of each entry VM reach a certain group, so that no retry might clear the failures
+/// for as long as they are reported to peers, while the engine already serves in a new group.
+void LoadTracker::regrouped(const VmId &endpoint)
+{
+    const auto found = entries_.find(endpoint);
+    if (found == entries_.end())
+        return;
+    auto &entry = found->second;
+    entry.breaks_ = std::min(entry.breaks_, breaksBeforeAvoidance - 1);
+    entry.brokenAfter_ = sends_;
+    entry.brokenUntil_ = {};
+    entry.retry_ = 0;
+}
+
 /// First subtracts the tokens processed since the last update.
 void LoadTracker::addPendingTokens(Entry &entry, double tokens, TimePoint now)
 {
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -73,6 +73,7 @@
 Node::~Node()
 {
     parts_.endpointRegistry_.onRestarted({});
+    parts_.endpointRegistry_.onRegrouped({});
     parts_.endpointRegistry_.setLeavingCheck({});
     parts_.gateway_.notices().onLeaving({});
     parts_.gateway_.onEndpointCrash({});
@@ -85,6 +86,8 @@
     parts_.datagrams_.onReceived([this](std::string_view text) { onDatagram(text); });
     parts_.endpointRegistry_.onRestarted(
         [this](const Endpoint &before) { endpointRestarted(before); });
+    parts_.endpointRegistry_.onRegrouped(
+        [this](const VmId &endpoint) { parts_.loadTracker_.regrouped(endpoint); });
     auto &notices = parts_.gateway_.notices();
     notices.onLeaving([this](const EndpointIncarnation &endpoint) {
         parts_.endpointRegistry_.markLeaving(endpoint);
--- a/tests/serving/broken_endpoints.cpp
+++ b/tests/serving/broken_endpoints.cpp
@@ -309,6 +309,27 @@
     cr_expect_gt(bench.answeredByBroken_ - recovered, 15);
 }
 
+/// Guards against a group that nobody uses for up to 4.5 s after it was formed, because an earlier
+/// group with the same head lost requests: with few callers at each entry VM, no retry clears that.
+Test(broken_endpoints, group_that_the_head_of_a_broken_one_forms_is_used_by_all)
+{
+    CalledFleet bench(7, 3, groupsFor(7, 20));
+    bench.isReset_ = [](std::size_t entry) { return entry < 3; };
+    bench.run(seconds(2), 20);
+    bench.isReset_ = [](std::size_t) { return false; };
+    bench.run(knownAfter, 0);
+    // Those that lost no request themselves avoid it as long as the others report it.
+    cr_assert_geq(bench.avoiding(), 4);
+    bench.answeredByBroken_ = 0;
+    bench.fleet_.list(broken, "d m.again 0 0");
+    bench.fleet_.list(broken + "-member", "d m.again 1");
+    // The feed, and the age at which reports of peers are ignored.
+    bench.run(milliseconds(600), 0);
+    cr_assert_eq(bench.avoiding(), 0);
+    bench.run(seconds(1), 20);
+    cr_expect_gt(bench.answeredByBroken_, 0);
+}
+
 /// Guards against an endpoint that is taken out of use by answers that are lost now and then.
 Test(broken_endpoints, group_that_loses_one_answer_in_twenty_stays_in_use)
 {
--- a/tests/serving/endpoint_lives.cpp
+++ b/tests/serving/endpoint_lives.cpp
@@ -74,6 +74,55 @@
     cr_assert_not_null(endpointRegistry.find(VmId("i")));
 }
 
+/// Guards against failures that are forgotten with each change of an entry, and against failures of
+/// an earlier group that count against the engine's next one.
+Test(endpoint_book, change_of_the_group_is_told_once)
+{
+    EndpointRegistry endpointRegistry;
+    int changes = 0;
+    endpointRegistry.onRegrouped([&](const VmId & /*endpoint*/) { ++changes; });
+    const auto put = [&](const char *group, std::uint64_t epoch, MemberState state) {
+        endpointRegistry.put(engineIn("i", "d", GroupName(group), epoch, 0, state));
+    };
+    put("m.1", 1, MemberState::Joining);
+    cr_assert_eq(changes, 0);
+    for (const auto state : {MemberState::Ready, MemberState::Open, MemberState::Closing})
+        put("m.1", 1, state);
+    endpointRegistry.put(spareEngine("i", "d"));
+    cr_assert_eq(changes, 0);
+    put("m.2", 2, MemberState::Joining);
+    put("m.2", 2, MemberState::Open);
+    cr_assert_eq(changes, 1);
+    put("m.2", 3, MemberState::Open);
+    cr_assert_eq(changes, 2);
+}
+
+/// Guards against an engine that breaks requests in each group that it joins and needs two broken
+/// attempts in each.
+Test(load_board, one_more_broken_attempt_in_the_next_group_leads_to_avoidance)
+{
+    LoadTracker loadTracker;
+    const VmId engine("i");
+    const auto breakOne = [&] {
+        const auto send = loadTracker.started(engine, 0, start);
+        loadTracker.broke(engine, send, start);
+        loadTracker.ended(engine, send);
+    };
+    breakOne();
+    breakOne();
+    const auto older = loadTracker.started(engine, 0, start);
+    cr_assert(loadTracker.isBreaking(engine, start));
+    loadTracker.regrouped(engine);
+    cr_assert_not(loadTracker.isBreaking(engine, start));
+    cr_assert(loadTracker.locallyFailing(start).empty());
+    // It was sent to the earlier group.
+    loadTracker.broke(engine, older, start);
+    cr_assert_not(loadTracker.isBreaking(engine, start));
+    breakOne();
+    cr_assert(loadTracker.isBreaking(engine, start));
+    loadTracker.ended(engine, older);
+}
+
 Test(load_board, new_life_has_no_failures_and_nothing_to_read)
 {
     LoadTracker loadTracker;
