Blame server errors and broken attempts separately

Cause: broken attempts were recorded in the same list as server errors. A request that broke at one endpoint then excused the server errors of another endpoint for 30 s. Requests of different callers with the same content have the same fingerprint, so an endpoint that answered nothing but errors stayed in use as long as another one broke connections. Before broken attempts counted, it was avoided after four errors in a row.

Change: broken attempts have a record of their own.

Result: in the new test the failing endpoint was not avoided within 20 requests before; now it is avoided after at most 5 errors.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -167,6 +167,10 @@
     /// \brief Records a server error of \p endpoint.
     /// \returns false if the request has failed at other endpoints too.
     [[nodiscard]] bool blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint);
+    /// \brief Records that the connection of an attempt at \p endpoint broke.
+    /// \returns false if attempts of the request have broken at other endpoints too.
+    [[nodiscard]] bool blamesEndpointForBreak(const RequestFingerprint &request,
+                                              const VmId &endpoint);
     void countRequest(const Service &service, const RequestHead &head);
     /// \brief Time of a full group that the request is expected to take.
     [[nodiscard]] Duration workOf(const Service &service, const RequestHead &head) const;
@@ -203,6 +207,9 @@
     std::map<ServiceName, RetryCounts> peerRetries_;
     std::map<ServiceName, double> surplusRetries_; ///< Consumed since the peers' last report.
     FailureBlame failureBlame_;
+    /// Kept apart from server errors: many callers may send the same request, and a connection that
+    /// broke at one endpoint must not excuse the errors of another.
+    FailureBlame breakBlame_;
     CrashDetector crashDetector_;
     PoisonPills poisonPills_;
     EndpointNotices notices_;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -124,6 +124,11 @@
     return failureBlame_.blamesEndpoint(request, endpoint, parts_.clock_.now());
 }
 
+bool Gateway::blamesEndpointForBreak(const RequestFingerprint &request, const VmId &endpoint)
+{
+    return breakBlame_.blamesEndpoint(request, endpoint, parts_.clock_.now());
+}
+
 void Gateway::endpointCrashed(const EndpointCrash &crash)
 {
     parts_.metrics_.endpointCrashes_.increment();
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -315,11 +315,11 @@
     gateway_.onAttemptBroken(target_, {fingerprint_, hasProgress_});
 }
 
-/// Counts against the endpoint unless the request has failed at other endpoints too.
+/// Counts against the endpoint unless attempts of the request have broken at other endpoints too.
 void Session::recordBrokenAttempt(TimePoint now)
 {
     reportBrokenAttempt();
-    if (gateway_.blamesEndpoint(fingerprint_, target_.endpoint_))
+    if (gateway_.blamesEndpointForBreak(fingerprint_, target_.endpoint_))
         gateway_.parts().loadTracker_.broke(target_.endpoint_, send_, now);
 }
 
--- a/tests/serving/broken_attempts.cpp
+++ b/tests/serving/broken_attempts.cpp
@@ -259,6 +259,36 @@
     cr_assert_gt(fixture.upstream_.calls_.size(), before);
 }
 
+/// Guards against an endpoint whose errors no longer count because the same request, sent by many
+/// callers, broke at another endpoint before.
+Test(broken_attempts, errors_count_although_the_request_broke_at_another_endpoint)
+{
+    GatewayFixture fixture;
+    const VmId failing("p-1");
+    std::size_t errors = 0;
+    const auto isAvoided
+        = [&] { return !fixture.loadTracker_.isUsable(failing, fixture.clock_.now()); };
+    for (int i = 0; i < 20 && !isAvoided(); ++i) {
+        const auto before = fixture.upstream_.calls_.size();
+        fixture.ask("/again/same");
+        for (auto next = before; next < fixture.upstream_.calls_.size(); ++next) {
+            const auto call = fixture.upstream_.calls_[next];
+            call->connect();
+            if (call->field("endpoint") == "p-0") {
+                call->fail(true);
+                continue;
+            }
+            ++errors;
+            call->head(500, {{"seal", "s"}});
+            if (!call->isDropped())
+                call->end("x");
+        }
+        fixture.pass(Gateway::sweepPeriod);
+    }
+    cr_assert(isAvoided());
+    cr_assert_leq(errors, 5);
+}
+
 /// Guards against a report that outlives its sender, and against one entry VM whose forged count
 /// takes an endpoint out of use for all others.
 Test(broken_attempts, reports_of_two_other_entry_vms_count_while_they_are_recent)
