Forecast waits from the room of the groups also without figures of the fleet

Change: the room of these levels is that of the usable groups. Conclusion: a VM without digests holds requests as others do.

--- a/src/overload/admission_controller.cpp
+++ b/src/overload/admission_controller.cpp
@@ -193,6 +193,8 @@
         divided.teams_ = own.teams_;
     }
     entry.ownLevel_ = policy_.divide(divided, rank ? share * divided.offered_.at(*rank) : 0);
+    // Waits and returns are forecast from the room of the groups, also while digests are late.
+    entry.ownLevel_.room_ = entry.fleetLevel_.room_;
     entry.ownLevel_.occupancy_ = entry.figures_.capacity_.occupancy_;
 }
 
--- a/tests/overload/admission_controller.cpp
+++ b/tests/overload/admission_controller.cpp
@@ -303,3 +303,19 @@
 
     cr_expect_eq(admitted(f.controller_, 2, start), 1);
 }
+
+/// Guards against refusing every request that has to wait: without digests, or before the first
+/// sum, the room was 0 and each wait forecast as endless.
+Test(admission_controller, room_is_known_without_figures_of_the_fleet)
+{
+    Fixture fixture;
+    fixture.controller_.update(model, figures(std::nullopt), start);
+    const auto atStart = fixture.controller_.level(model, start);
+    cr_expect(atStart.source_ == FigureSource::Start);
+    cr_expect_float_eq(atStart.room_, 10, 1e-9);
+
+    fixture.losesDigests();
+    const auto late = fixture.controller_.level(model, fixture.now_);
+    cr_expect(late.source_ == FigureSource::Own);
+    cr_expect_float_eq(late.room_, 10, 1e-9);
+}
