Forecast rooms and returns of held requests by what is known, and order returns first

Cause: five faults of the joined overload control. A request without work ahead was held beyond its goal, since its forecast is zero. While digests are late the level's room is zero unless a rank is divided, so each request that found no slot was refused at once. Held requests were retried by rank and arrival only, so returned callers waited behind new ones. The work of a refused return was counted twice. The hash that admits a request also chose its jitter. Change: a request whose useful wait is over is refused; without figures of the fleet the room is this entry VM's equal share of the groups; the retry order has returned before new; a return is counted once; jitter has a hash of its own. The retry loop skips requests that an earlier one displaced; no test covers this.

--- a/include/cardamombay/serving/overload_control.hpp
+++ b/include/cardamombay/serving/overload_control.hpp
@@ -16,6 +16,7 @@
 #include <cardamombay/serving/dialect.hpp>
 #include <cardamombay/serving/return_coordinator.hpp>
 
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -26,9 +27,10 @@
 {
     overload::AdmissionRequest admission_;
     RequestFingerprint fingerprint_;
-    double work_ = 0;          ///< Seconds of a full group's time.
-    bool hasReturned_ = false; ///< Its caller came back when told to.
-    bool isCounted_ = false;   ///< Its work is part of the offered work.
+    double work_ = 0;                ///< Seconds of a full group's time.
+    bool hasReturned_ = false;       ///< Its caller came back when told to.
+    bool isCounted_ = false;         ///< Its work is part of the offered work.
+    bool isCountedAsReturn_ = false; ///< Its work is part of that of the most urgent rank.
 };
 
 /// \brief Inputs of the decision on one request, for its log line.
@@ -95,6 +97,7 @@
     [[nodiscard]] ReturnCoordinator &returns() { return returns_; }
 
 private:
+    [[nodiscard]] double room(const ModelName &model) const;
     [[nodiscard]] static const overload::ModelDemand &demandOf(const overload::FleetDemand &demand,
                                                                const ModelName &model);
     void updateModel(const Service &service, const ModelName &model,
@@ -110,6 +113,8 @@
     overload::DemandMeter meter_;
     overload::FleetDemand others_; ///< Demand at the other entry VMs.
     overload::FleetDemand demand_; ///< Demand at all of them.
+    /// Room of the groups divided by the number of entry VMs, in groups.
+    std::map<ModelName, double> ownRooms_;
     ReturnCoordinator returns_;
 };
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace cardamombay::serving {
@@ -171,17 +172,22 @@
         session->quarantined(verdict);
 }
 
-/// Retries by priority, then by arrival. Once a request finds no capacity, later ones of the same
-/// service and model are skipped unless they hold a reservation.
+/// Retries by priority, returned callers before new ones, then by arrival. Once a request finds no
+/// capacity, later ones of the same service and model are skipped unless they hold a reservation.
 void Gateway::retryHeld(std::vector<std::shared_ptr<Session>> &sessions)
 {
     std::erase_if(sessions, [](const auto &session) { return !session->isHeld(); });
-    std::sort(sessions.begin(), sessions.end(), [](const auto &left, const auto &right) {
-        return std::pair(left->priority(), left->number())
-               < std::pair(right->priority(), right->number());
-    });
+    const auto key = [](const Session &session) {
+        const bool hasReturned = session.isControlled() && session.controlled().hasReturned_;
+        return std::tuple(session.priority(), !hasReturned, session.number());
+    };
+    std::sort(sessions.begin(), sessions.end(),
+              [&key](const auto &left, const auto &right) { return key(*left) < key(*right); });
     std::set<std::pair<ServiceName, ModelName>> full;
     for (const auto &session : sessions) {
+        // An earlier one may have displaced it, after which it must not be sent.
+        if (!session->isHeld())
+            continue;
         const std::pair needed(session->service(), session->model());
         const bool mayFindRoom = !full.contains(needed) || session->hasOpenReservation();
         if (mayFindRoom && !session->retryHeld())
--- a/src/serving/overload_control.cpp
+++ b/src/serving/overload_control.cpp
@@ -3,6 +3,7 @@
 #include <cardamombay/core/hash.hpp>
 
 #include <algorithm>
+#include <string>
 #include <utility>
 
 namespace cardamombay::serving {
@@ -71,6 +72,9 @@
         }
     }
     controller_.retain(models);
+    std::erase_if(ownRooms_, [&](const auto &one) {
+        return std::find(models.begin(), models.end(), one.first) == models.end();
+    });
 }
 
 void OverloadControl::updateModel(const Service &service, const ModelName &model,
@@ -86,6 +90,8 @@
                                               * static_cast<double>(service.engine_->slots_));
     figures.entries_ = entries;
     figures.receivedAt_ = receivedAt;
+    ownRooms_[model] = overload::RankedAdmission::room(figures.capacity_)
+                       / static_cast<double>(std::max<std::size_t>(1, entries));
     controller_.update(model, figures, now);
 }
 
@@ -115,7 +121,8 @@
 /// Returns are admitted before anything else, so the level has to leave room for them.
 void OverloadControl::count(ControlledRequest &request)
 {
-    if (std::exchange(request.isCounted_, true) && !request.hasReturned_)
+    const bool wasCounted = std::exchange(request.isCounted_, true);
+    if (request.hasReturned_ ? std::exchange(request.isCountedAsReturn_, true) : wasCounted)
         return;
     auto counted = request.admission_;
     if (request.hasReturned_)
@@ -141,18 +148,30 @@
                                    const ModelName &model) const
 {
     const double ahead = overload::workAhead(held, request);
-    return overload::forecastWait(demandOf(others_, model), request.rank_, ahead,
-                                  controller_.level(model, clock_.now()).room_);
+    return overload::forecastWait(demandOf(others_, model), request.rank_, ahead, room(model));
+}
+
+/// Rate of work that the groups take. While digests are late, the level tells only what this entry
+/// VM admits, and the work of the others is unknown; its equal share of the groups is left.
+double OverloadControl::room(const ModelName &model) const
+{
+    const auto level = controller_.level(model, clock_.now());
+    if (level.source_ == overload::FigureSource::Fleet)
+        return level.room_;
+    const auto found = ownRooms_.find(model);
+    return found == ownRooms_.end() ? 0 : found->second;
 }
 
 Duration OverloadControl::returnTime(const ControlledRequest &request, Duration timeLeft)
 {
     const auto now = clock_.now();
     const auto &admission = request.admission_;
-    const overload::RefusedRequest refused{admission.rank_, request.work_, timeLeft,
-                                           admission.draw_, request.hasReturned_};
+    // Refused requests have the largest draws; as jitter these would hardly differ.
+    const auto draw = stableHash(std::to_string(admission.draw_), seed_);
+    const overload::RefusedRequest refused{admission.rank_, request.work_, timeLeft, draw,
+                                           request.hasReturned_};
     const auto told = overload::returnTime(refused, demandOf(demand_, admission.model_),
-                                           controller_.level(admission.model_, now).room_);
+                                           room(admission.model_));
     if (told.isPromised_)
         returns_.promise(overload::promiseOf(request.fingerprint_.value(), admission.model_,
                                              refused, told, now));
--- a/src/serving/session_overload.cpp
+++ b/src/serving/session_overload.cpp
@@ -112,8 +112,12 @@
 {
     if (!mayRefuseForLoad())
         return false;
+    // Without work ahead the forecast is zero, however long the request has waited.
+    const auto useful = usefulWait(now);
+    if (useful <= Duration::zero())
+        return true;
     const auto held = gateway_.heldRequests(head_.model_);
-    return gateway_.overload().forecast(heldRequest(), held, head_.model_) > usefulWait(now);
+    return gateway_.overload().forecast(heldRequest(), held, head_.model_) > useful;
 }
 
 /// Holds the request if that is of use, or refuses it.
