Give the answers that fill the slots in a test time enough

Cause: filling 80 groups takes 32 s of the paused clock, and the first answers timed out after 30 s, so the bench filled them again without end. Change: their route has a time-out of 120 s. Conclusion: no check changed.

--- a/tests/serving/overload_sessions.cpp
+++ b/tests/serving/overload_sessions.cpp
@@ -30,7 +30,7 @@
             configuration = withRanks(std::move(configuration));
         // The answers that fill the slots go on until the end of the test.
         for (auto &route : configuration.routes_)
-            route.timeout_ = seconds(30);
+            route.timeout_ = seconds(120);
         fixture_.gateway_.setRoutes(std::make_shared<RouteTable>(std::move(configuration)));
         for (std::size_t i = 0; i < groups; ++i)
             fixture_.addGroup("head-" + std::to_string(i));
