--- a/include/cardamombay/overload/admission_controller.hpp
+++ b/include/cardamombay/overload/admission_controller.hpp
@@ -86,7 +86,7 @@
     ModelCapacity capacity_;
     std::size_t slots_ = 0;   ///< Slots of the usable groups.
     std::size_t entries_ = 1; ///< Entry VMs that the store lists, this one included.
-    /// When the oldest part of \ref fleet_ was received; no value before the first one.
+    /// When the newest part of \ref fleet_ was received; no value before the first one.
     std::optional<TimePoint> receivedAt_;
 };
 
--- a/src/serving/load_tracker.cpp
+++ b/src/serving/load_tracker.cpp
@@ -175,6 +175,20 @@
     found->second = fresh;
 }
 
+/// Few requests of each entry VM reach a certain group, so that no retry might clear the failures
+/// for as long as they are reported to peers, while the engine already serves in a new group.
+void LoadTracker::regrouped(const VmId &endpoint)
+{
+    const auto found = entries_.find(endpoint);
+    if (found == entries_.end())
+        return;
+    auto &entry = found->second;
+    entry.breaks_ = std::min(entry.breaks_, breaksBeforeAvoidance - 1);
+    entry.brokenAfter_ = sends_;
+    entry.brokenUntil_ = {};
+    entry.retry_ = 0;
+}
+
 /// First subtracts the tokens processed since the last update.
 void LoadTracker::addPendingTokens(Entry &entry, double tokens, TimePoint now)
 {
@@ -343,6 +357,27 @@
     return result;
 }
 
+std::map<VmId, LoadTracker::Breaking> LoadTracker::breakingEndpoints(TimePoint now) const
+{
+    std::map<VmId, Breaking> result;
+    for (const auto &[id, entry] : entries_) {
+        if (entry.breaks_ > 0)
+            result[id] = {entry.breaks_ >= breaksBeforeAvoidance, entry.breaks_, 0, {}};
+    }
+    for (const auto &[name, peer] : peers_) {
+        if (now - peer.at_ >= maxReportAge)
+            continue;
+        for (const auto &[id, count] : peer.failing_)
+            result[id].toldBy_.push_back(name);
+    }
+    for (auto &[id, one] : result)
+        one.reports_ = failingElsewhere(id, now);
+    std::erase_if(result, [](const auto &one) {
+        return !one.second.isOwn_ && one.second.reports_ < minFailingReports;
+    });
+    return result;
+}
+
 TimePoint LoadTracker::lastProgressAt(const VmId &endpoint) const
 {
     const auto found = entries_.find(endpoint);
