Probe again when a closing listener resets the probe of a crashed endpoint

What callers saw: a request that crashes endpoints ended five or six of them before it was quarantined, one of them twice; each crash breaks the streams of all others there (label quarantine-restart, beside load).

Cause: the probe that follows a broken attempt may reach the listener while the process ends. The kernel accepts the connection and resets it when the listener closes. The detector took every failure but a refusal for a sign of life, so the crash never counted and the verdict came with a later one, 1.6 s on.

Evidence: the untouched code failed 2 of 40 runs beside 40 busy processes and eight copies (4 before and 5 after; 5 and 6, e-1-0 twice), with no line that named the second crash. With the new line endpoint-crash-ruled-out 3 of 50 failed beside 60 busy processes, and each missing crash has a line with the probe "Connection reset by peer". Ruled out: sends after the restart (no such attempt in any log), a withdrawal by a peer (no endpoint-crash-retracted line).

Logs tell why a crash is ruled out or retracted, and the stand-in prints each crash with the request that caused it.

endpoint_whose_closing_listener_resets_the_probe_has_crashed fails with the detector before (432 of 433 of label serving pass) and passes now.

--- a/include/cardamombay/serving/crash_detector.hpp
+++ b/include/cardamombay/serving/crash_detector.hpp
@@ -85,12 +85,14 @@
         Address address_;
         TimePoint startedAt_{};
         bool isRestarted_ = false;
-        bool isProbedTwice_ = false;
-        std::unique_ptr<Probe> probe_;
+        std::unique_ptr<Probe> probe_; ///< The last one.
+        std::size_t probes_ = 1;
         std::vector<RequestAtCrash> requests_; ///< Not yet reported.
     };
 
     [[nodiscard]] Verdict evaluate(const VmId &endpoint, Investigation &one);
+    static void logRuledOut(const EndpointIncarnation &endpoint, const Investigation &one,
+                            Verdict verdict);
     [[nodiscard]] Verdict verdictOnRefusal(const VmId &endpoint) const;
 
     Clock &clock_;
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -1,5 +1,9 @@
 #include <cardamombay/serving/crash_detector.hpp>
 
+#include "serving/log_events.hpp"
+
+#include <cardamombay/log/log.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -18,6 +22,10 @@
 /// A listening process accepts within 1 to 2 ms; the time-out also covers one retransmission.
 constexpr Duration probeTimeout = std::chrono::milliseconds(500);
 
+/// Maximum number of probes, one for each sweep, whose last one was accepted or reset.
+constexpr std::size_t maxProbesIfAccepted = 2;
+constexpr std::size_t maxProbesIfReset = 4;
+
 /// Maximum number of requests collected per crash: several batches; bounds memory.
 constexpr std::size_t maxRequests = 128;
 
@@ -27,7 +35,13 @@
 class CrashDetector::Probe final : public net::UpstreamListener
 {
 public:
-    enum class State { Pending, Listening, Ended, Unreachable };
+    enum class State {
+        Pending,
+        Accepted,
+        Refused,
+        Reset, ///< Accepted by a listener that was closing, or broken on the way.
+        Silent,
+    };
 
     Probe(net::Upstream &upstream, const Address &address)
         : call_(upstream.probe(address, probeTimeout, *this))
@@ -38,7 +52,7 @@
 
     bool onConnected() override
     {
-        state_ = State::Listening;
+        state_ = State::Accepted;
         return false;
     }
     void onHead(net::HttpResponse /*head*/) override {}
@@ -46,11 +60,31 @@
     void onEnd(std::string_view /*rest*/) override {}
     void onFailure(net::UpstreamFailure failure) override
     {
-        state_ = failure.isRefused_ ? State::Ended : State::Unreachable;
+        state_ = failure.isRefused_   ? State::Refused
+                 : failure.isTimeout_ ? State::Silent
+                                      : State::Reset;
+        detail_ = std::move(failure.detail_);
+    }
+
+    /// \brief What the probe found, for logs.
+    [[nodiscard]] std::string text() const
+    {
+        switch (state_) {
+        case State::Pending:
+            return "no answer yet";
+        case State::Accepted:
+            return "accepted";
+        case State::Refused:
+        case State::Reset:
+        case State::Silent:
+            break;
+        }
+        return detail_;
     }
 
 private:
     State state_ = State::Pending;
+    std::string detail_;
     std::unique_ptr<net::UpstreamCall> call_;
 };
 
@@ -87,7 +121,7 @@
 {
     std::vector<VmId> result;
     for (const auto &[endpoint, one] : investigations_) {
-        if (one.probe_->state() == Probe::State::Ended)
+        if (one.probe_->state() == Probe::State::Refused)
             result.push_back(endpoint.id_);
     }
     return result;
@@ -104,6 +138,8 @@
             crashes.push_back({endpoint, std::exchange(one.requests_, {})});
         const bool isOver
             = verdict == Verdict::Alive || clock_.now() - one.startedAt_ > investigationLifetime;
+        if (isOver && !one.requests_.empty())
+            logRuledOut(endpoint, one, verdict);
         place = isOver ? investigations_.erase(place) : std::next(place);
     }
     for (const auto &crash : crashes) {
@@ -112,8 +148,19 @@
     }
 }
 
-/// A terminating process may still accept connections while the existing ones break, so a
-/// successful probe is repeated once.
+void CrashDetector::logRuledOut(const EndpointIncarnation &endpoint, const Investigation &one,
+                                Verdict verdict)
+{
+    log::info(event::endpointCrashRuledOut,
+              {{"endpoint", endpoint.text()},
+               {"under-way", std::to_string(one.requests_.size())},
+               {"verdict", verdict == Verdict::Alive ? "alive" : "undecided"},
+               {"probe", one.probe_->text()},
+               {"probes", std::to_string(one.probes_)}});
+}
+
+/// A terminating process may still accept connections while the existing ones break, and its
+/// listener resets those that it accepts as it closes. Such probes are repeated.
 CrashDetector::Verdict CrashDetector::evaluate(const VmId &endpoint, Investigation &one)
 {
     if (clock_.now() - one.startedAt_ < collectPeriod)
@@ -121,12 +168,14 @@
     const auto state = one.probe_->state();
     if (one.isRestarted_)
         return Verdict::Ended;
-    if (state == Probe::State::Ended)
+    if (state == Probe::State::Refused)
         return verdictOnRefusal(endpoint);
     if (state == Probe::State::Pending)
         return Verdict::Undecided;
-    if (state == Probe::State::Unreachable || std::exchange(one.isProbedTwice_, true))
+    const auto limit = state == Probe::State::Reset ? maxProbesIfReset : maxProbesIfAccepted;
+    if (state == Probe::State::Silent || one.probes_ >= limit)
         return Verdict::Alive;
+    ++one.probes_;
     one.probe_ = std::make_unique<Probe>(upstream_, one.address_);
     return Verdict::Undecided;
 }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -178,6 +178,7 @@
     const auto crashed = parts_.loadTracker_.observedCrash(endpoint);
     if (!crashed)
         return;
+    log::info(event::endpointCrashRetracted, {{"endpoint", crashed->text()}});
     poisonPills_.retract(*crashed, parts_.clock_.now());
     parts_.loadTracker_.retractCrash(endpoint);
 }
--- a/tests/serving/crash_detector.cpp
+++ b/tests/serving/crash_detector.cpp
@@ -79,6 +79,27 @@
     cr_assert_eq(fixture.crashes_.size(), 1);
 }
 
+/// The listener of a terminating process resets connections that it has accepted but not handed on.
+Test(crash_detector, endpoint_whose_closing_listener_resets_the_probe_has_crashed)
+{
+    DetectorFixture fixture;
+    fixture.upstream_.resets_[address] = 2;
+    fixture.upstream_.ended_.insert(address);
+    fixture.detector_.onAttemptBroken(engine, address, request(1));
+    fixture.pass(milliseconds(80));
+    cr_assert_eq(fixture.crashes_.size(), 1);
+}
+
+Test(crash_detector, endpoint_whose_connections_are_all_reset_has_not_crashed)
+{
+    DetectorFixture fixture;
+    fixture.upstream_.resets_[address] = 1000;
+    fixture.detector_.onAttemptBroken(engine, address, request(1));
+    fixture.pass(milliseconds(500));
+    cr_assert(fixture.crashes_.empty());
+    cr_assert_leq(fixture.upstream_.probes_, 4);
+}
+
 Test(crash_detector, request_that_breaks_later_is_reported_for_the_same_crash)
 {
     DetectorFixture fixture;
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -213,7 +213,11 @@
     ++probes_;
     if (silent_.contains(address))
         return nullptr;
-    if (ended_.contains(address))
+    const auto reset = resets_.find(address);
+    if (reset != resets_.end() && reset->second > 0) {
+        --reset->second;
+        listener.onFailure({false, false, "Connection reset by peer", false});
+    } else if (ended_.contains(address))
         listener.onFailure({false, false, "Connection refused", true});
     else
         listener.onConnected();
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -5,6 +5,7 @@
 #include <cardamombay/core/manual_clock.hpp>
 #include <cardamombay/serving/gateway.hpp>
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -70,12 +71,13 @@
     start(net::UpstreamRequest request, net::UpstreamListener &listener) override;
 
     /// \brief Refuses connections to the addresses in ended_, answers nothing for those in silent_
-    /// and accepts all others.
+    /// and accepts all others, after it has reset as many as resets_ tells.
     [[nodiscard]] std::unique_ptr<net::UpstreamCall>
     probe(const Address &address, Duration timeout, net::UpstreamListener &listener) override;
 
     std::set<Address> ended_;
     std::set<Address> silent_;
+    std::map<Address, std::size_t> resets_; ///< Probes that are still to be reset.
     std::size_t probes_ = 0;
     std::vector<std::shared_ptr<FakeCall>> calls_;
     std::set<Address> unused_; ///< Addresses with an idle connection.
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 
+#include <cstdio>
+
 namespace cardamombay::support {
 
 namespace asio = boost::asio;
@@ -37,6 +39,21 @@
     return value == nullptr ? 0 : value->to_number<std::uint64_t>();
 }
 
+/// Lets a test find the attempt of a gateway that crashed the engine.
+void reportCrash(const std::string &engine, std::string_view request,
+                 std::chrono::system_clock::time_point arrivedAt)
+{
+    const auto milliseconds = [](std::chrono::system_clock::time_point time) {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch())
+            .count();
+    };
+    std::printf("event=crash engine=%s request=%.*s arrived-ms=%lld now-ms=%lld\n", engine.c_str(),
+                static_cast<int>(request.size()), request.data(),
+                static_cast<long long>(milliseconds(arrivedAt)),
+                static_cast<long long>(milliseconds(std::chrono::system_clock::now())));
+    std::fflush(stdout);
+}
+
 std::string textIn(const json::object &object, const char *name)
 {
     const auto *value = object.if_contains(name);
@@ -170,7 +187,9 @@
                                   exchange.request().target().size());
     const bool isOpen = !group_ || (group_->state_ == "open" && group_->rank_ == 0);
     if (target.ends_with("/pill") && isOpen) {
+        const auto arrivedAt = std::chrono::system_clock::now();
         co_await pauseFor(eventInterval);
+        reportCrash(id_, request, arrivedAt);
         exchange.drop();
         crash();
         co_return;
