Leave pauses of the entry VM out of the silence of endpoints

An entry VM that is paused more often than the stall time, as on a loaded machine, detects no stall, moves no stream and reports nothing to the planner.

Ruled out: a planner that stands by, a probe that clears the stall.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -32,8 +32,8 @@
 /// Maximum number of requests listed in one log line.
 constexpr std::size_t maxLoggedRequests = 16;
 
-/// After a longer gap between two sweeps this process was paused itself, so the endpoints' stall
-/// timers are restarted.
+/// After a longer gap between two sweeps this process was paused itself, which does not count as
+/// silence of the endpoints.
 constexpr Duration maxSweepGap = std::chrono::milliseconds(120);
 
 /// Expected length of the answer: the caller's estimate, or else half of the limit that it set.
@@ -127,11 +127,12 @@
     for (const auto &[key, session] : sessions_)
         sessions.push_back(session);
     const auto now = parts_.clock_.now();
-    const bool wasPaused = now - std::exchange(lastSweepAt_, now) > maxSweepGap;
+    const auto gap = now - std::exchange(lastSweepAt_, now);
     for (const auto &session : sessions) {
-        // Data that arrived while the process was paused has not been read yet.
-        if (wasPaused)
-            session->restartStallTimer(now);
+        // Data that arrived during a pause has not been read yet. One period counts, so that stalls
+        // are also detected by a process that is paused before each sweep.
+        if (gap > maxSweepGap)
+            session->excludePause(gap - sweepPeriod, now);
         session->check(now);
     }
     for (const auto &endpoint : crashDetector_.refusing())
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -17,6 +17,7 @@
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/reservation_coordinator.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -49,8 +50,12 @@
     /// \brief Handles time-outs and stalls of the request and its current attempt.
     void check(TimePoint now);
 
-    /// \brief Restarts stall detection of the current attempt at \p now.
-    void restartStallTimer(TimePoint now) { progressAt_ = std::max(progressAt_, now); }
+    /// \brief Does not count \p pause, during which this process did not run, as silence of the
+    /// endpoint.
+    void excludePause(Duration pause, TimePoint now)
+    {
+        progressAt_ = std::min(now, progressAt_ + pause);
+    }
 
     /// \brief Tries again to dispatch a held request.
     /// \returns false if no endpoint has capacity for this or any other request of its model.
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -185,7 +185,7 @@
     if (!isReadingPaused_ || !call_ || !mayReadOn())
         return;
     isReadingPaused_ = false;
-    restartStallTimer(gateway_.parts().clock_.now());
+    progressAt_ = gateway_.parts().clock_.now();
     call_->consume(std::exchange(unconsumed_, 0));
 }
 
--- a/tests/serving/streams.cpp
+++ b/tests/serving/streams.cpp
@@ -252,6 +252,35 @@
     cr_assert(fixture.loadTracker_.locallyStalled().empty());
 }
 
+/// A loaded machine pauses the process again and again, each time before the stall is detected.
+Test(streams, silent_endpoint_is_detected_although_the_entry_vm_is_paused_again_and_again)
+{
+    GatewayFixture fixture;
+    fixture.addGroup("g-0");
+    fixture.addGroup("g-1");
+    begin(fixture, "/stream/1");
+    for (int i = 0; i < 20; ++i) {
+        fixture.pass(milliseconds(100));
+        fixture.clock_.jump(milliseconds(130));
+    }
+    fixture.pass(milliseconds(40));
+    cr_assert_eq(fixture.upstream_.calls_.size(), 2);
+    cr_assert_not(fixture.loadTracker_.locallyStalled().empty());
+}
+
+Test(streams, silent_endpoint_is_detected_although_each_sweep_comes_late)
+{
+    GatewayFixture fixture;
+    fixture.addGroup("g-0");
+    fixture.addGroup("g-1");
+    begin(fixture, "/stream/1");
+    for (int i = 0; i < 30; ++i) {
+        fixture.clock_.jump(milliseconds(130));
+        fixture.pass(milliseconds(20));
+    }
+    cr_assert_eq(fixture.upstream_.calls_.size(), 2);
+}
+
 Test(streams, group_whose_other_streams_get_on_is_not_silent)
 {
     GatewayFixture fixture;
