Choose among limited endpoints by the wait until a send becomes due

Cause: among endpoints with limits the balancer compared requests under way and open connections. Requests that wait for a booked send are neither, so an endpoint at its limit looked idle, and won against one to which the entry VM had no open connection, as after a restart.

Change: an entry VM remembers how long its last booked send to an endpoint had to wait, and prefers the endpoints with the shortest wait; load and connections decide between these.

--- a/include/cardamombay/serving/balancer.hpp
+++ b/include/cardamombay/serving/balancer.hpp
@@ -168,6 +168,9 @@
                                               const RoutingRequest &request, TimePoint now);
     [[nodiscard]] const Candidate *best(const std::vector<const Candidate *> &candidates,
                                         const RoutingRequest &request, TimePoint now);
+    /// \returns the candidates whose next send is expected to become due first.
+    [[nodiscard]] static std::vector<const Candidate *>
+    shortestWaits(std::vector<const Candidate *> candidates, const SendGate &gate);
     [[nodiscard]] Choice chooseLimited(const std::vector<const Candidate *> &limited,
                                        const RoutingRequest &request, TimePoint now);
     [[nodiscard]] const Candidate *leastLoaded(const std::vector<const Candidate *> &candidates,
--- a/include/cardamombay/serving/endpoint_gate.hpp
+++ b/include/cardamombay/serving/endpoint_gate.hpp
@@ -44,6 +44,7 @@
     [[nodiscard]] bool isLimited(const EndpointIncarnation &endpoint) const override;
     [[nodiscard]] std::optional<Duration> timeUntilCapacity(const EndpointIncarnation &endpoint,
                                                             Duration wait) const override;
+    [[nodiscard]] Duration expectedWait(const EndpointIncarnation &endpoint) const override;
     /// \}
 
 private:
--- a/include/cardamombay/serving/reservation_coordinator.hpp
+++ b/include/cardamombay/serving/reservation_coordinator.hpp
@@ -102,6 +102,10 @@
     [[nodiscard]] std::optional<Duration> timeUntilCapacity(const EndpointIncarnation &endpoint,
                                                             Duration wait) const;
 
+    /// \brief How long the last booked send to the endpoint had to wait until it became due; zero
+    /// if there is none, or if it became due long ago.
+    [[nodiscard]] Duration expectedWait(const EndpointIncarnation &endpoint) const;
+
 private:
     friend class Reservation;
 
@@ -128,6 +132,13 @@
         TimePoint noSlotBefore_{}; ///< No send becomes due earlier.
     };
 
+    /// The last booking of this entry VM for an endpoint.
+    struct LastBooking
+    {
+        Duration wait_{}; ///< From the answer of the owner until the send became due.
+        TimePoint opensAt_{};
+    };
+
     [[nodiscard]] double perSecond(const EndpointIncarnation &endpoint) const;
     [[nodiscard]] Owner ownerOf(const EndpointIncarnation &endpoint) const;
     [[nodiscard]] Owner skippedOwner(const EndpointIncarnation &endpoint) const;
@@ -166,6 +177,7 @@
     std::uint64_t lastNumber_; ///< Number of the last request.
     std::map<std::uint64_t, Pending> pending_;
     std::map<EndpointIncarnation, Rejection> rejections_;
+    std::map<EndpointIncarnation, LastBooking> lastBookings_;
     std::map<EntryId, TimePoint> unresponsiveUntil_;
     std::map<EntryId, TimePoint> lastContactAt_; ///< Recent contacts.
     TimePoint lastSweepAt_{};
--- a/include/cardamombay/serving/send_gate.hpp
+++ b/include/cardamombay/serving/send_gate.hpp
@@ -45,6 +45,9 @@
     /// wait.
     [[nodiscard]] virtual std::optional<Duration>
     timeUntilCapacity(const EndpointIncarnation &endpoint, Duration wait) const = 0;
+
+    /// \brief How long a send booked now is expected to wait until it becomes due; zero if unknown.
+    [[nodiscard]] virtual Duration expectedWait(const EndpointIncarnation &endpoint) const = 0;
 };
 
 } // namespace cardamombay::serving
--- a/src/serving/balancer_choice.cpp
+++ b/src/serving/balancer_choice.cpp
@@ -14,6 +14,10 @@
 constexpr double stallFactor = 1.3;
 constexpr Duration networkAllowance = std::chrono::milliseconds(20);
 
+/// Endpoints whose sends become due this much later than those of the first are still compared by
+/// load: less than the time that a new connection costs.
+constexpr Duration waitTolerance = std::chrono::milliseconds(20);
+
 /// Maximum time after the end of a cooldown over which the retries of callers are spread.
 constexpr Duration maxReturnSpread = std::chrono::seconds(2);
 
@@ -29,7 +33,8 @@
 } // namespace
 
 /// Used only if no unlimited endpoint has capacity, since a rate limit indicates a shortage at the
-/// endpoint.
+/// endpoint. Requests that wait for their turn do not count as load, so an endpoint at its limit
+/// may seem idle.
 Choice Balancer::chooseLimited(const std::vector<const Candidate *> &limited,
                                const RoutingRequest &request, TimePoint now)
 {
@@ -43,7 +48,10 @@
         else if (!earliestRetry || *timeUntilCapacity < *earliestRetry)
             earliestRetry = timeUntilCapacity;
     }
-    if (const auto *candidate = best(open, request, now))
+    const auto *candidate = best(shortestWaits(open, *request.gate_), request, now);
+    if (candidate == nullptr)
+        candidate = best(open, request, now); // Those that wait least may be full.
+    if (candidate != nullptr)
         return NeedsReservation{candidate->incarnation()};
     // If an endpoint is within its rate limit but full, a slot may become free at any time.
     if (open.empty() && earliestRetry)
@@ -51,6 +59,18 @@
     return NoTarget::Full;
 }
 
+std::vector<const Balancer::Candidate *>
+Balancer::shortestWaits(std::vector<const Candidate *> candidates, const SendGate &gate)
+{
+    auto shortest = Duration::max();
+    for (const auto *candidate : candidates)
+        shortest = std::min(shortest, gate.expectedWait(candidate->incarnation()));
+    std::erase_if(candidates, [&](const Candidate *candidate) {
+        return gate.expectedWait(candidate->incarnation()) > shortest + waitTolerance;
+    });
+    return candidates;
+}
+
 /// Adds jitter so that callers do not all retry at the end of the cooldown.
 Choice Balancer::afterCooldown(Duration remaining, const RoutingRequest &request)
 {
--- a/src/serving/endpoint_gate.cpp
+++ b/src/serving/endpoint_gate.cpp
@@ -39,6 +39,11 @@
     return reservations_.timeUntilCapacity(endpoint, wait);
 }
 
+Duration EndpointGate::expectedWait(const EndpointIncarnation &endpoint) const
+{
+    return reservations_.expectedWait(endpoint);
+}
+
 SendDecision EndpointGate::decide(const EndpointIncarnation &endpoint, bool isReserved,
                                   TimePoint now) const
 {
--- a/src/serving/reservation_coordinator.cpp
+++ b/src/serving/reservation_coordinator.cpp
@@ -40,6 +40,10 @@
 /// owner.
 constexpr double rejectionHoldShare = 0.5;
 constexpr Duration minRejectionHold = std::chrono::milliseconds(20);
+/// For how long the wait of a booked send says something about the next one, from when it became
+/// due. By then all sends that were booked after it have become due as well.
+constexpr Duration waitLifetime = ReservationScheduler::maxBookingAhead;
+
 /// Retry time if no owner answered.
 constexpr Duration noOwnerRetryAfter = std::chrono::milliseconds(200);
 
@@ -105,6 +109,14 @@
     return std::max(found->second.retryAt_, found->second.until_) - now;
 }
 
+Duration ReservationCoordinator::expectedWait(const EndpointIncarnation &endpoint) const
+{
+    const auto found = lastBookings_.find(endpoint);
+    const bool isKnown
+        = found != lastBookings_.end() && clock_.now() - found->second.opensAt_ <= waitLifetime;
+    return isKnown ? found->second.wait_ : Duration::zero();
+}
+
 double ReservationCoordinator::perSecond(const EndpointIncarnation &endpoint) const
 {
     return rates_.perSecond(endpoint).value_or(0);
@@ -201,6 +213,7 @@
     const auto now = clock_.now();
     if (const auto *booked = std::get_if<Booked>(&result)) {
         const auto opensAt = now + booked->opensIn_;
+        lastBookings_[endpoint] = {booked->opensIn_, opensAt};
         if (reservation == nullptr) {
             returnBooking(endpoint, opensAt, owner);
             return;
@@ -426,6 +439,8 @@
     for (auto &node : overdue)
         retryRequest(node.key(), std::move(node.mapped()));
     scheduler_.expire(now);
+    std::erase_if(lastBookings_,
+                  [now](const auto &one) { return now - one.second.opensAt_ > waitLifetime; });
     std::erase_if(rejections_, [now](const auto &one) { return now >= one.second.until_; });
     std::erase_if(unresponsiveUntil_, [now](const auto &one) { return now >= one.second; });
     std::erase_if(lastContactAt_,
--- a/tests/serving/limited_sessions.cpp
+++ b/tests/serving/limited_sessions.cpp
@@ -2,6 +2,7 @@
 #include "support/gateway_fixture.hpp"
 
 #include <algorithm>
+#include <map>
 #include <set>
 
 #include <criterion/criterion.h>
@@ -211,3 +212,32 @@
         cr_assert_geq(fixture.upstream_.calls_.size(), 2, "%s", text);
     }
 }
+
+/// Guards against callers who all wait for their turn at one endpoint while another one has room.
+Test(limited_sessions, endpoint_without_open_connections_is_used_while_others_have_a_queue)
+{
+    GatewayFixture fixture;
+    auto second = plainEndpoint("p-1");
+    second.address_.port_ = 81;
+    fixture.endpointRegistry_.put(second);
+    fixture.upstream_.unused_.insert(plainEndpoint("p-0").address_);
+    std::map<std::string, int> sends;
+    std::vector<std::shared_ptr<CallerView>> callers(3);
+    for (int step = 0; step < 200; ++step) {
+        for (auto &caller : callers) {
+            if (!caller || caller->answer_)
+                caller = fixture.ask("/once/1");
+        }
+        const auto calls = fixture.upstream_.calls_;
+        for (const auto &call : calls) {
+            if (call->isDropped() || !call->connect())
+                continue;
+            ++sends[call->field("endpoint")];
+            call->head(200, {{"seal", "s"}, {"limit", "3"}});
+            call->end("answer");
+        }
+        fixture.pass(milliseconds(40));
+    }
+    cr_assert_geq(sends["p-0"], 16, "p-0 got %d, p-1 %d", sends["p-0"], sends["p-1"]);
+    cr_assert_geq(sends["p-1"], 16, "p-0 got %d, p-1 %d", sends["p-0"], sends["p-1"]);
+}
