--- a/src/serving/balancer_choice.cpp
+++ b/src/serving/balancer_choice.cpp
@@ -14,8 +14,8 @@
 constexpr double stallFactor = 1.3;
 constexpr Duration networkAllowance = std::chrono::milliseconds(20);
 
-/// Endpoints whose sends become due this much later than those of the first are still compared by
-/// load: less than the time that a new connection costs.
+/// Endpoints whose sends become due up to this much later than the first are still compared by
+/// load; a new connection costs as much.
 constexpr Duration waitTolerance = std::chrono::milliseconds(20);
 
 /// Maximum time after the end of a cooldown over which the retries of callers are spread.
--- a/src/serving/reservation_coordinator.cpp
+++ b/src/serving/reservation_coordinator.cpp
@@ -4,6 +4,7 @@
 
 #include <cardamombay/core/hash.hpp>
 #include <cardamombay/log/log.hpp>
+#include <cardamombay/serving/propagation_budget.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -21,7 +22,6 @@
 constexpr Duration livenessWindow = std::chrono::milliseconds(500);
 /// Peers heard of an owner up to one digest period before it was paused, so they may replace it
 /// after a pause of this length.
-constexpr Duration digestPeriod = std::chrono::milliseconds(100);
 constexpr Duration minTakeoverTime = livenessWindow - digestPeriod;
 /// An entry VM that stands in for an unresponsive owner books no further ahead, so that the owner
 /// can soon book again after its return.
