--- a/src/load/http_caller.cpp
+++ b/src/load/http_caller.cpp
@@ -29,6 +29,7 @@
 
 TimePoint now()
 {
+    // The tool measures answers as its own VM sees them and decides nothing.
     return std::chrono::steady_clock::now();
 }
 
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -32,6 +32,7 @@
     void start(std::function<void(const LoadReport &)> done)
     {
         done_ = std::move(done);
+        // Arrivals follow the clock of the timer; a suspended run is worthless either way.
         startedAt_ = std::chrono::steady_clock::now();
         waitForNext();
     }
