--- a/include/cardamombay/serving/crash_detector.hpp
+++ b/include/cardamombay/serving/crash_detector.hpp
@@ -23,7 +23,12 @@
 struct RequestAtCrash
 {
     RequestFingerprint fingerprint_;
-    bool hadEvents_ = false; ///< The endpoint had started to answer it.
+    bool hadEvents_ = false; ///< The endpoint had sent an event of the answer.
+    bool hadHead_ = false;   ///< The endpoint had sent the head of the answer.
+
+    /// \brief True if the endpoint had just begun the answer, so that the request probably
+    /// crashed it.
+    [[nodiscard]] bool hadBegun() const { return hadHead_ && !hadEvents_; }
 
     friend bool operator==(const RequestAtCrash &, const RequestAtCrash &) = default;
 };
--- a/include/cardamombay/serving/dialect.hpp
+++ b/include/cardamombay/serving/dialect.hpp
@@ -8,6 +8,7 @@
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/net/http_client.hpp>
 #include <cardamombay/serving/answer_notices.hpp>
+#include <cardamombay/serving/request_fingerprint.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -21,6 +22,9 @@
 /// \brief Contents of a caller's request header fields.
 struct RequestHead
 {
+    /// \brief Maximum number of shared parts that are read; bounds the work for each request.
+    static constexpr std::size_t maxSharedParts = 32;
+
     RequestId request_; ///< Unique for each attempt of a caller.
     std::string host_;
     std::string key_;                  ///< API key; empty if there is none.
@@ -30,6 +34,12 @@
     std::uint32_t maxAnswerTokens_ = 0;
     std::uint32_t expectedAnswerTokens_ = 0; ///< The caller's estimate; 0 if there is none.
     std::optional<std::uint64_t> lastEvent_; ///< Last stream event that the caller received.
+    /// Parts of the prompt that other requests may share, in order and without repetition. The
+    /// part of the request or session itself is not among them.
+    std::vector<RequestFingerprint> sharedParts_;
+    /// The list of the prompt's parts is malformed, or longer than maxSharedParts. A malformed one
+    /// counts as absent.
+    bool arePartsIncomplete_ = false;
 };
 
 /// \brief Header field values added to a request for one attempt at an endpoint.
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -55,6 +55,8 @@
     metrics::Gauge callerBufferBytes_;        ///< Bytes buffered for callers, over all streams.
     metrics::Counter readPauses_;             ///< Streams paused since their callers do not read.
     metrics::Counter callerBufferRefusals_;   ///< Streams refused since the buffers are full.
+    /// Requests whose list of prompt parts is malformed or too long to be read whole.
+    metrics::Counter incompleteParts_;
     /// Age of the confirmed endpoint data at each send, in seconds.
     metrics::Histogram endpointsAge_;
     metrics::Histogram
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -195,18 +195,26 @@
 {
     parts_.metrics_.endpointCrashes_.increment();
     std::string waiting;
+    std::string begun;
     std::size_t named = 0;
-    std::size_t begun = 0;
+    std::size_t withEvents = 0;
     for (const auto &request : crash.requests_) {
-        if (request.hadEvents_)
-            ++begun;
-        else if (named++ < maxLoggedRequests)
-            waiting += (waiting.empty() ? "" : ",") + request.fingerprint_.text();
+        if (request.hadEvents_) {
+            ++withEvents;
+            continue;
+        }
+        if (named++ >= maxLoggedRequests)
+            continue;
+        const auto text = request.fingerprint_.text();
+        waiting += (waiting.empty() ? "" : ",") + text;
+        if (request.hadBegun())
+            begun += (begun.empty() ? "" : ",") + text;
     }
     log::warning(event::endpointCrashed, {{"endpoint", crash.endpoint_.text()},
                                           {"under-way", std::to_string(crash.requests_.size())},
-                                          {"had-events", std::to_string(begun)},
-                                          {"without-events", waiting}});
+                                          {"had-events", std::to_string(withEvents)},
+                                          {"without-events", waiting},
+                                          {"had-head-only", begun}});
     parts_.loadTracker_.crashed(crash.endpoint_, parts_.clock_.now());
     poisonPills_.endpointCrashed(crash, parts_.clock_.now());
     if (crashCallback_)
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -101,6 +101,9 @@
     , callerBufferRefusals_(
           registry.counter("cardamombay_gateway_caller_buffer_refusals_total",
                            "Streams refused because callers had too many bytes left to read."))
+    , incompleteParts_(
+          registry.counter("cardamombay_gateway_incomplete_prompt_parts_total",
+                           "Requests whose list of prompt parts is malformed or too long."))
     , endpointsAge_(registry.histogram(
           "cardamombay_gateway_endpoints_age_seconds",
           "Age of the knowledge of endpoints by which a request was sent.", ageBuckets))
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -257,6 +257,7 @@
 {
     isConnected_ = false;
     hasProgress_ = false;
+    hasHead_ = false;
     attemptAt_ = now;
     progressAt_ = now;
 }
@@ -355,7 +356,7 @@
 /// The endpoint may have crashed; the crash detector needs the requests that were in flight there.
 void Session::reportBrokenAttempt()
 {
-    gateway_.onAttemptBroken(target_, {fingerprint_, hasProgress_});
+    gateway_.onAttemptBroken(target_, {fingerprint_, hasProgress_, hasHead_});
 }
 
 /// Counts against the endpoint unless attempts of the request have broken at other endpoints too.
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -222,7 +222,7 @@
     const Service *service_ = nullptr;
     TeamName team_;
     RequestRegions regions_;
-    RequestFingerprint fingerprint_;
+    RequestFingerprint fingerprint_; ///< Of the content.
     std::uint32_t priority_ = 0;
     std::optional<ControlledRequest> controlled_; ///< Set for services under overload control.
     /// Last forecast of the wait for room and the longest wait that was of use; absent if none was
@@ -253,6 +253,7 @@
     bool isHeld_ = false;                ///< Waits for capacity.
     bool wasHeld_ = false;
     bool hasProgress_ = false; ///< The current attempt has received data.
+    bool hasHead_ = false;     ///< The current attempt has received the head of an answer.
 
     Phase phase_ = Phase::Waiting;
     net::HttpResponse answer_; ///< Head and, if buffered, the body so far.
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -96,6 +96,8 @@
         refuse(statusUnavailable, "the route leads to no known service", controlStateRetryDelay);
         return false;
     }
+    if (head_.arePartsIncomplete_)
+        gateway_.parts().metrics_.incompleteParts_.increment();
     fingerprint_
         = fingerprintOf({request_.method_, head_.host_, request_.target_, team_, request_.body_});
     if (refuseQuarantined())
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -58,6 +58,7 @@
         attemptFailed(Failure::Unknown, "an answer without the endpoint's seal");
         return;
     }
+    hasHead_ = true;
     if (isSuccess && isStream()) {
         takeStreamHead(head);
         return;
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -43,6 +43,14 @@
         details.push_back({"figures-age-ms", std::to_string(toMilliseconds(*inputs.figuresAge_))});
 }
 
+/// What an attempt had received when it ended.
+std::string_view nameOfProgress(bool hasHead, bool hasEvents)
+{
+    if (hasEvents)
+        return "events";
+    return hasHead ? "head" : "none";
+}
+
 /// \param wait the longest representable duration if there is no room.
 std::string textOfWait(Duration wait)
 {
@@ -74,6 +82,8 @@
                                 {"endpoint", target_.endpoint_.text()},
                                 {"detail", std::string(detail)},
                                 {"events", std::to_string(events_)},
+                                {"received", std::string(nameOfProgress(hasHead_, hasProgress_))},
+                                {"parts", textOf(head_.sharedParts_)},
                                 {"sends", std::to_string(sends_)},
                                 {"elapsed-ms", std::to_string(toMilliseconds(now - arrivedAt_))}};
     if (carrier_)
@@ -154,6 +164,7 @@
         {"prompt", std::to_string(head_.promptTokens_)},
         {"most-answer", std::to_string(head_.maxAnswerTokens_)},
         {"likely-answer", std::to_string(head_.expectedAnswerTokens_)},
+        {"parts", textOf(head_.sharedParts_)},
         {"elapsed-ms", std::to_string(toMilliseconds(elapsed))}};
     if (controlled_) {
         appendAdmission(details, *controlled_, gateway_.overload());
--- a/tests/support/gateway_fixture.cpp
+++ b/tests/support/gateway_fixture.cpp
@@ -94,6 +94,17 @@
 
 } // namespace
 
+std::vector<RequestFingerprint> sharedParts(const std::string &parts)
+{
+    std::vector<RequestFingerprint> result;
+    for (std::size_t begin = 0, comma = parts.find(','); comma != std::string::npos;
+         begin = comma + 1, comma = parts.find(',', begin)) {
+        const auto id = std::stoull(parts.substr(begin), nullptr, 16);
+        result.emplace_back(id, FingerprintKind::PromptPart);
+    }
+    return result;
+}
+
 RequestHead FakeDialect::parseRequestHead(std::span<const net::HttpField> fields) const
 {
     RequestHead head;
@@ -105,6 +116,7 @@
     head.maxAnswerTokens_ = 100;
     if (const auto waits = fieldIn(fields, "waits"); !waits.empty())
         head.patience_ = milliseconds(std::stoll(waits));
+    head.sharedParts_ = sharedParts(fieldIn(fields, "parts"));
     return head;
 }
 
@@ -326,6 +338,18 @@
     return view;
 }
 
+std::shared_ptr<CallerView> askWithParts(Gateway &gateway, const std::string &path,
+                                         const std::string &model, const std::string &key,
+                                         const std::string &parts)
+{
+    auto view = std::make_shared<CallerView>();
+    auto request = requestFor(path, model, key);
+    if (!parts.empty())
+        request.fields_.push_back({"parts", parts});
+    gateway.handle(std::move(request), std::make_shared<FakeExchange>(view));
+    return view;
+}
+
 std::shared_ptr<CallerView> askRelayed(Gateway &gateway, const std::string &path,
                                        const std::string &model, const std::string &key,
                                        const std::vector<net::HttpField> &fields)
--- a/tests/support/gateway_fixture.hpp
+++ b/tests/support/gateway_fixture.hpp
@@ -102,6 +102,14 @@
                                                 const std::string &model, const std::string &key,
                                                 Duration patience = {});
 
+/// \brief The parts of a list such as "a:40,b:200" but the last.
+[[nodiscard]] std::vector<serving::RequestFingerprint> sharedParts(const std::string &parts);
+
+/// \brief Sends a request whose prompt has \p parts, such as "a:40,b:200"; none if empty.
+[[nodiscard]] std::shared_ptr<CallerView>
+askWithParts(serving::Gateway &gateway, const std::string &path, const std::string &model,
+             const std::string &key, const std::string &parts);
+
 /// \brief Sends a request that another entry VM relays, with \p fields beside the caller's.
 [[nodiscard]] std::shared_ptr<CallerView>
 askRelayed(serving::Gateway &gateway, const std::string &path, const std::string &model,
