Reproduce a part of prompts that crashes every endpoint, on the paused clock

Requests that have nothing in common but one part of their prompts crash engine after engine.

Change: the simulation of crashing requests moves to tests/support and gets requests of which no two are alike with a deadly part, beside sound ones that share their team and their other parts.

Each new request costs up to three endpoints, and the contents of sound requests are judged in its stead.

--- a/tests/crashing_requests/callers.cpp
+++ b/tests/crashing_requests/callers.cpp
@@ -1,6 +1,6 @@
 // Simulates the service to other callers while a poison pill crashes endpoints, and checks which
 // requests are quarantined.
-#include "load.hpp"
+#include "support/crash_simulation.hpp"
 
 #include <criterion/criterion.h>
 
--- a/tests/crashing_requests/spread.cpp
+++ b/tests/crashing_requests/spread.cpp
@@ -1,5 +1,5 @@
 // Tests how fast a verdict reaches all entry VMs despite lost datagrams and suspended peers.
-#include "load.hpp"
+#include "support/crash_simulation.hpp"
 
 #include <algorithm>
 #include <cstdio>
--- a/tests/crashing_requests/load.cpp
+++ b/tests/support/crash_simulation.cpp
@@ -1,4 +1,4 @@
-#include "load.hpp"
+#include "support/crash_simulation.hpp"
 
 #include <algorithm>
 
@@ -17,6 +17,14 @@
 constexpr Duration onTimeLimit = seconds(1);
 constexpr Duration spreadLimit = seconds(3);
 constexpr auto poisonPath = "/stream/poison";
+constexpr auto deadlyPart = "dead";
+constexpr auto rareCompanion = "ace";
+constexpr Duration faultDelay = seconds(2); ///< From the start to the first harmful request.
+constexpr std::size_t sharedParts = 12;
+/// Share of sound requests with the rare companion of the deadly part.
+constexpr double rareShare = 0.02;
+/// Share of sound requests with the deadly part while it is sound.
+constexpr double formerlySoundShare = 0.1;
 
 struct Run
 {
@@ -39,6 +47,7 @@
 struct Caller
 {
     std::string path_;
+    std::string parts_; ///< Of the prompt.
     std::shared_ptr<CallerView> view_;
     TimePoint since_;
     TimePoint againAt_{};
@@ -46,9 +55,17 @@
     bool hasEvent_ = false;
     bool isOnTime_ = false;
     bool isPoison_ = false;
+    bool isDeadly_ = false; ///< Has the deadly part.
     bool isDone_ = false;
 };
 
+/// A sound request and whether its first attempt began.
+struct FirstTry
+{
+    TimePoint at_;
+    bool hasBegun_ = false;
+};
+
 /// A single simulation run.
 class Simulation
 {
@@ -77,12 +94,15 @@
             if (now() - startedAt_ < load_.length_)
                 startCallers(step);
             fleet_.pass(step);
+            if (load_.disturb_)
+                load_.disturb_(fleet_, now() - startedAt_);
             takeCalls();
             processRuns();
             crashRandomGroups();
             replaceEnded();
             checkCallers();
         }
+        countFirstTries();
         return outcome_;
     }
 
@@ -99,7 +119,7 @@
     void ask(Caller &caller)
     {
         auto &node = fleet_.node(random_.below(fleet_.size()));
-        caller.view_ = askAt(node.gateway_, caller.path_, "m", "key");
+        caller.view_ = askWithParts(node.gateway_, caller.path_, "m", "key", caller.parts_);
         caller.againAt_ = {};
     }
 
@@ -109,24 +129,97 @@
         for (; dueCallers_ >= 1; dueCallers_ -= 1) {
             Caller caller;
             caller.path_ = "/stream/" + std::to_string(outcome_.asked_++);
-            caller.since_ = now();
-            ask(caller);
-            callers_.push_back(std::move(caller));
+            caller.parts_ = soundParts();
+            add(std::move(caller));
         }
+        startDeadlyCallers(step);
         const auto since = now() - startedAt_;
-        if (!isPoisoned_ && load_.poisonCallers_ > 0 && since > seconds(2)) {
+        if (!isPoisoned_ && load_.poisonCallers_ > 0 && since > faultDelay) {
             isPoisoned_ = true;
             for (std::size_t i = 0; i < load_.poisonCallers_; ++i) {
                 Caller caller;
                 caller.path_ = poisonPath;
-                caller.since_ = now();
                 caller.isPoison_ = true;
-                ask(caller);
-                callers_.push_back(std::move(caller));
+                add(std::move(caller));
             }
         }
     }
 
+    void add(Caller caller)
+    {
+        caller.since_ = now();
+        ask(caller);
+        callers_.push_back(std::move(caller));
+    }
+
+    /// Small numbers are more frequent.
+    std::string sharedPart()
+    {
+        const auto unit = random_.unit();
+        const auto number = static_cast<std::size_t>(unit * unit * sharedParts);
+        return "b" + std::to_string(number);
+    }
+
+    std::string ownPart() { return "f" + std::to_string(++ownParts_) + ":200"; }
+
+    [[nodiscard]] bool isDeadlyNow() const
+    {
+        const auto since = now() - startedAt_;
+        return since > faultDelay && since < faultDelay + load_.deadly_.lasts_;
+    }
+
+    std::string soundParts()
+    {
+        const auto &deadly = load_.deadly_;
+        auto parts = deadly.isFirst_ ? std::string() : std::string("a:40,");
+        if (deadly.wasSound_ && now() - startedAt_ <= faultDelay
+            && random_.unit() < formerlySoundShare)
+            parts += std::string(deadlyPart) + ":90,";
+        if (deadly.hasRareCompanion_ && random_.unit() < rareShare)
+            parts += std::string(rareCompanion) + ":60,";
+        return parts + sharedPart() + ":100," + ownPart();
+    }
+
+    std::string deadlyParts()
+    {
+        const auto &deadly = load_.deadly_;
+        const auto harmful = std::string(deadlyPart) + ":90,";
+        auto parts = deadly.isFirst_ ? harmful : "a:40," + harmful;
+        if (deadly.hasRareCompanion_)
+            parts += std::string(rareCompanion) + ":60,";
+        return parts + sharedPart() + ":100," + ownPart();
+    }
+
+    void startDeadlyCallers(Duration step)
+    {
+        if (!isDeadlyNow())
+            return;
+        dueDeadly_ += load_.deadly_.requestsPerSecond_ * toSeconds(step);
+        for (; dueDeadly_ >= 1; dueDeadly_ -= 1) {
+            Caller caller;
+            caller.path_ = "/stream/deadly-" + std::to_string(++deadlyCallers_);
+            caller.parts_ = deadlyParts();
+            caller.isPoison_ = true;
+            caller.isDeadly_ = true;
+            add(std::move(caller));
+        }
+    }
+
+    /// Compares sound requests from before the first deadly one with those since
+    /// the fleet has had time to find out the cause.
+    void countFirstTries()
+    {
+        const auto firstAt = startedAt_ + faultDelay;
+        const auto lastAt = firstAt + load_.deadly_.lasts_;
+        const auto knownAt = decisiveCrashAt_ + 2 * spreadLimit;
+        for (const auto &one : firstTries_) {
+            if (one.at_ < firstAt)
+                outcome_.firstTryBefore_.add(one.hasBegun_);
+            else if (decisiveCrashAt_ != TimePoint{} && one.at_ > knownAt && one.at_ < lastAt)
+                outcome_.firstTryAfter_.add(one.hasBegun_);
+        }
+    }
+
     void takeCalls()
     {
         for (std::size_t i = 0; i < fleet_.size(); ++i) {
@@ -146,21 +239,33 @@
             return;
         }
         call->connect();
-        Run run{call, {}, {}, false, call->request_.target_ == poisonPath};
+        Run run{call, {}, {}, false, isHarmful(*call)};
         run.beginsAt_ = now() + milliseconds(40 + random_.below(300));
-        run.endsAt_ = run.beginsAt_ + milliseconds(800 + random_.below(1500));
+        run.endsAt_ = run.beginsAt_ + load_.answersLast_ + milliseconds(random_.below(1500));
         if (run.isPoison_)
             countPoisonSend();
         found->second.runs_.push_back(std::move(run));
     }
 
+    [[nodiscard]] bool isHarmful(const FakeCall &call) const
+    {
+        const bool hasDeadlyPart = call.field("parts").find(deadlyPart) != std::string::npos;
+        return call.request_.target_ == poisonPath || (hasDeadlyPart && isDeadlyNow());
+    }
+
     void countPoisonSend()
     {
         ++outcome_.poisonSends_;
-        if (thirdCrashAt_ != TimePoint{} && now() - thirdCrashAt_ > spreadLimit)
+        const bool isDecided = outcome_.ended_ >= decisiveCrashes();
+        if (isDecided && now() - decisiveCrashAt_ > spreadLimit)
             ++outcome_.poisonLate_;
     }
 
+    [[nodiscard]] std::size_t decisiveCrashes() const
+    {
+        return load_.deadly_.requestsPerSecond_ > 0 ? 5 : 3;
+    }
+
     void processRuns()
     {
         for (auto &[head, group] : groups_) {
@@ -179,6 +284,8 @@
             return;
         if (!std::exchange(run.hasBegun_, true)) {
             if (run.isPoison_ && !load_.answersFirst_) {
+                if (load_.deadly_.requestsPerSecond_ > 0 && load_.deadly_.sendsHead_)
+                    run.call_->sealedHead();
                 crashUnderPoison(head, group);
                 return;
             }
@@ -199,8 +306,8 @@
 
     void crashUnderPoison(const std::string &head, Group &group)
     {
-        if (++outcome_.ended_ == 3)
-            thirdCrashAt_ = now();
+        if (++outcome_.ended_ <= decisiveCrashes())
+            decisiveCrashAt_ = now();
         end(head, group);
     }
 
@@ -264,8 +371,10 @@
                 ask(caller);
             return;
         }
-        if (!view.streamed_.empty() && !std::exchange(caller.hasEvent_, true))
+        if (!view.streamed_.empty() && !std::exchange(caller.hasEvent_, true)) {
             caller.isOnTime_ = now() - caller.since_ <= onTimeLimit;
+            recordFirstTry(caller, true);
+        }
         if (view.isFinished_) {
             outcome_.served_ += caller.isPoison_ ? 0 : 1;
             outcome_.onTime_ += !caller.isPoison_ && caller.isOnTime_ ? 1 : 0;
@@ -274,17 +383,25 @@
         }
         if (!view.answer_ && !view.isAborted_)
             return;
+        recordFirstTry(caller, false);
         const bool isPoisonous
             = view.answer_ && view.answer_->body_.find("ends the endpoints") != std::string::npos;
         outcome_.quarantined_ += isPoisonous && !caller.isPoison_ ? 1 : 0;
-        const bool comesAgain = caller.isPoison_
-                                    ? now() - startedAt_ < seconds(2) + load_.poisonFor_
-                                    : caller.tries_ < 2;
+        const bool repeatsForLong = caller.isPoison_ && !caller.isDeadly_;
+        const bool comesAgain = repeatsForLong ? now() - startedAt_ < seconds(2) + load_.poisonFor_
+                                               : caller.tries_ < 2;
         caller.isDone_ = !comesAgain;
         ++caller.tries_;
         caller.againAt_ = now() + milliseconds(60);
     }
 
+    void recordFirstTry(const Caller &caller, bool hasBegun)
+    {
+        const bool isFirst = caller.tries_ == 1 && (hasBegun || !caller.hasEvent_);
+        if (!caller.isPoison_ && isFirst)
+            firstTries_.push_back({caller.since_, hasBegun});
+    }
+
     Load load_;
     Random random_;
     NodeFleet fleet_;
@@ -294,11 +411,15 @@
     std::vector<std::size_t> scanned_; ///< Number of processed calls of each node.
     std::size_t addedGroups_ = 0;
     std::size_t replacedGroups_ = 0;
+    std::size_t ownParts_ = 0;
+    std::size_t deadlyCallers_ = 0;
     double dueCallers_ = 0;
+    double dueDeadly_ = 0;
     bool isPoisoned_ = false;
     TimePoint startedAt_{};
     TimePoint crashedAt_{};
-    TimePoint thirdCrashAt_{};
+    TimePoint decisiveCrashAt_{};
+    std::vector<FirstTry> firstTries_;
 };
 
 } // namespace
