Quarantine parts of prompts that crash endpoints, not only whole requests

Cause: evidence of crashes was kept under the content of a whole request. What crashed the engines was a part of the prompts of many requests, no two of which were alike: each new one cost up to three engines before its own verdict, and requests that only waited at these engines were judged in its stead. The class: evidence kept under an identity that is narrower than the cause.

Change: suspects are the content of a request and each shared part of its prompt. Evidence weighs most if the answer had just begun. A part is cleared of the crashes before an answer on it began, told to all peers; one that was answered before needs four such crashes, and one that many callers share also that others at these crashes have been answered since. Parts that were together at all crashes are refused only together, so that sound requests with one of them clear it. A verdict comes half a second after the evidence; requests with the part wait that long. It reaches new, held, queued and repeated requests, and excuses those that were judged at the same crashes. Blame for errors and broken connections looks at unanswered parts too. Rows and digests of the release before are read; new fields are ignored by it.

--- a/include/cardamombay/serving/crash_detector.hpp
+++ b/include/cardamombay/serving/crash_detector.hpp
@@ -15,6 +15,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
+#include <utility>
 #include <vector>
 
 namespace cardamombay::serving {
@@ -29,6 +31,11 @@
     /// \brief True if the endpoint had just begun the answer, so that the request probably
     /// crashed it.
     [[nodiscard]] bool hadBegun() const { return hadHead_ && !hadEvents_; }
+    /// \brief True if the endpoint's progress makes this request a more likely cause than \p other.
+    [[nodiscard]] bool isMoreSuspicious(const RequestAtCrash &other) const
+    {
+        return std::pair(!hadEvents_, hadBegun()) > std::pair(!other.hadEvents_, other.hadBegun());
+    }
 
     friend bool operator==(const RequestAtCrash &, const RequestAtCrash &) = default;
 };
@@ -38,6 +45,8 @@
 {
     EndpointIncarnation endpoint_;
     std::vector<RequestAtCrash> requests_;
+    /// Parts of these requests' prompts, each as in the most suspicious one of them.
+    std::vector<RequestAtCrash> parts_{};
 };
 
 /// \brief Whether the path to an endpoint is trusted to be whole.
@@ -70,8 +79,9 @@
     }
 
     /// \brief Records an attempt at the endpoint that broke before its answer was complete.
+    /// \param parts the parts of the request's prompt that other requests may share.
     void onAttemptBroken(const EndpointIncarnation &endpoint, const Address &address,
-                         RequestAtCrash request);
+                         RequestAtCrash request, std::span<const RequestFingerprint> parts = {});
 
     /// \brief Records that the platform lists a new instance of the endpoint.
     void endpointRestarted(const EndpointIncarnation &endpoint);
@@ -93,8 +103,10 @@
         std::unique_ptr<Probe> probe_; ///< The last one.
         std::size_t probes_ = 1;
         std::vector<RequestAtCrash> requests_; ///< Not yet reported.
+        std::vector<RequestAtCrash> parts_;    ///< Of these.
     };
 
+    static void addPart(std::vector<RequestAtCrash> &parts, const RequestAtCrash &part);
     [[nodiscard]] Verdict evaluate(const VmId &endpoint, Investigation &one);
     static void logRuledOut(const EndpointIncarnation &endpoint, const Investigation &one,
                             Verdict verdict);
--- a/include/cardamombay/serving/failure_blame.hpp
+++ b/include/cardamombay/serving/failure_blame.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/serving/request_fingerprint.hpp>
 
 #include <set>
+#include <span>
 #include <unordered_map>
 
 namespace cardamombay::serving {
@@ -17,13 +18,18 @@
 class FailureBlame
 {
 public:
-    /// \brief Records that \p endpoint answered \p request with a server error.
-    /// \returns true if the endpoint may be at fault; false if the request has failed at another
-    /// endpoint too.
-    [[nodiscard]] bool blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint,
-                                      TimePoint now);
+    /// \brief Records that \p endpoint failed a request.
+    /// \param suspects the request's content and those parts of its prompt that no endpoint has
+    /// answered.
+    /// \returns true if the endpoint may be at fault; false if one of \p suspects has failed at
+    /// another endpoint too.
+    [[nodiscard]] bool blamesEndpoint(std::span<const RequestFingerprint> suspects,
+                                      const VmId &endpoint, TimePoint now);
 
 private:
+    [[nodiscard]] bool failedOnlyAt(const VmId &endpoint, const RequestFingerprint &suspect,
+                                    TimePoint now);
+
     struct Failures
     {
         std::set<VmId> endpoints_;
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -27,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -175,13 +176,17 @@
     /// \returns false if neither this entry VM's share nor the fleet has any left.
     [[nodiscard]] bool takeRetry(const ServiceName &service);
     /// \brief Reports that the connection to \p target broke before the answer was complete.
-    void onAttemptBroken(const Target &target, RequestAtCrash request);
+    void onAttemptBroken(const Target &target, RequestAtCrash request,
+                         std::span<const RequestFingerprint> parts);
     /// \brief Records a server error of \p endpoint.
-    /// \returns false if the request has failed at other endpoints too.
-    [[nodiscard]] bool blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint);
+    /// \param fingerprints the request's content and the shared parts of its prompt.
+    /// \returns false if the request, or one like it, has failed at other endpoints too.
+    [[nodiscard]] bool blamesEndpoint(std::span<const RequestFingerprint> fingerprints,
+                                      const VmId &endpoint);
     /// \brief Records that the connection of an attempt at \p endpoint broke.
-    /// \returns false if attempts of the request have broken at other endpoints too.
-    [[nodiscard]] bool blamesEndpointForBreak(const RequestFingerprint &request,
+    /// \returns false if attempts of the request, or of one like it, have broken at other endpoints
+    /// too.
+    [[nodiscard]] bool blamesEndpointForBreak(std::span<const RequestFingerprint> fingerprints,
                                               const VmId &endpoint);
     void countRequest(const Service &service, const RequestHead &head);
     /// \brief Time of a full group that the request is expected to take.
--- a/src/serving/crash_detector.cpp
+++ b/src/serving/crash_detector.cpp
@@ -26,8 +26,10 @@
 constexpr std::size_t maxProbesIfAccepted = 2;
 constexpr std::size_t maxProbesIfReset = 4;
 
-/// Maximum number of requests collected per crash: several batches; bounds memory.
+/// Maximum number of requests collected per crash: several batches; bounds memory. The same for
+/// the parts of their prompts.
 constexpr std::size_t maxRequests = 128;
+constexpr std::size_t maxParts = 128;
 
 } // namespace
 
@@ -97,7 +99,8 @@
 CrashDetector::~CrashDetector() = default;
 
 void CrashDetector::onAttemptBroken(const EndpointIncarnation &endpoint, const Address &address,
-                                    RequestAtCrash request)
+                                    RequestAtCrash request,
+                                    std::span<const RequestFingerprint> parts)
 {
     const auto [place, isNew] = investigations_.try_emplace(endpoint);
     auto &one = place->second;
@@ -108,6 +111,8 @@
     }
     if (one.requests_.size() < maxRequests)
         one.requests_.push_back(request);
+    for (const auto &part : parts)
+        addPart(one.parts_, {part, request.hadEvents_, request.hadHead_});
 }
 
 void CrashDetector::endpointRestarted(const EndpointIncarnation &endpoint)
@@ -135,7 +140,8 @@
         auto &one = place->second;
         const auto verdict = evaluate(endpoint.id_, one);
         if (verdict == Verdict::Ended && !one.requests_.empty())
-            crashes.push_back({endpoint, std::exchange(one.requests_, {})});
+            crashes.push_back(
+                {endpoint, std::exchange(one.requests_, {}), std::exchange(one.parts_, {})});
         const bool isOver
             = verdict == Verdict::Alive || clock_.now() - one.startedAt_ > investigationLifetime;
         if (isOver && !one.requests_.empty())
@@ -148,6 +154,19 @@
     }
 }
 
+void CrashDetector::addPart(std::vector<RequestAtCrash> &parts, const RequestAtCrash &part)
+{
+    const auto known = std::find_if(parts.begin(), parts.end(), [&part](const auto &one) {
+        return one.fingerprint_ == part.fingerprint_;
+    });
+    if (known == parts.end()) {
+        if (parts.size() < maxParts)
+            parts.push_back(part);
+    } else if (part.isMoreSuspicious(*known)) {
+        *known = part;
+    }
+}
+
 void CrashDetector::logRuledOut(const EndpointIncarnation &endpoint, const Investigation &one,
                                 Verdict verdict)
 {
--- a/src/serving/failure_blame.cpp
+++ b/src/serving/failure_blame.cpp
@@ -17,8 +17,17 @@
 
 } // namespace
 
-bool FailureBlame::blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint,
-                                  TimePoint now)
+bool FailureBlame::blamesEndpoint(std::span<const RequestFingerprint> suspects,
+                                  const VmId &endpoint, TimePoint now)
+{
+    bool result = true;
+    for (const auto &suspect : suspects)
+        result = failedOnlyAt(endpoint, suspect, now) && result;
+    return result;
+}
+
+bool FailureBlame::failedOnlyAt(const VmId &endpoint, const RequestFingerprint &suspect,
+                                TimePoint now)
 {
     if (failures_.size() >= maxRequests)
         std::erase_if(failures_, [now](const auto &one) {
@@ -26,7 +35,7 @@
         });
     if (failures_.size() >= maxRequests)
         failures_.clear();
-    auto &failures = failures_[request];
+    auto &failures = failures_[suspect];
     if (failures.endpoints_.empty() || now - failures.firstAt_ > comparisonPeriod)
         failures = {{}, now};
     if (failures.endpoints_.size() < maxEndpointsPerRequest)
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -140,6 +140,7 @@
     paths_.sweep(now);
     updatePathMetrics();
     crashDetector_.sweep();
+    poisonPills_.review(now);
     notices_.expire(now);
     coldEndpoints_.expire();
     reservations_.sweep();
@@ -147,19 +148,25 @@
     retryHeld(sessions);
 }
 
-void Gateway::onAttemptBroken(const Target &target, RequestAtCrash request)
+void Gateway::onAttemptBroken(const Target &target, RequestAtCrash request,
+                              std::span<const RequestFingerprint> parts)
 {
-    crashDetector_.onAttemptBroken(target.incarnation(), target.address_, request);
+    crashDetector_.onAttemptBroken(target.incarnation(), target.address_, request, parts);
 }
 
-bool Gateway::blamesEndpoint(const RequestFingerprint &request, const VmId &endpoint)
+bool Gateway::blamesEndpoint(std::span<const RequestFingerprint> fingerprints, const VmId &endpoint)
 {
-    return failureBlame_.blamesEndpoint(request, endpoint, parts_.clock_.now());
+    const auto now = parts_.clock_.now();
+    const auto suspects = poisonPills_.unanswered(fingerprints, now);
+    return failureBlame_.blamesEndpoint(suspects, endpoint, now);
 }
 
-bool Gateway::blamesEndpointForBreak(const RequestFingerprint &request, const VmId &endpoint)
+bool Gateway::blamesEndpointForBreak(std::span<const RequestFingerprint> fingerprints,
+                                     const VmId &endpoint)
 {
-    return breakBlame_.blamesEndpoint(request, endpoint, parts_.clock_.now());
+    const auto now = parts_.clock_.now();
+    const auto suspects = poisonPills_.unanswered(fingerprints, now);
+    return breakBlame_.blamesEndpoint(suspects, endpoint, now);
 }
 
 void Gateway::updatePathMetrics()
@@ -198,17 +205,21 @@
     std::string begun;
     std::size_t named = 0;
     std::size_t withEvents = 0;
-    for (const auto &request : crash.requests_) {
-        if (request.hadEvents_) {
-            ++withEvents;
-            continue;
-        }
-        if (named++ >= maxLoggedRequests)
-            continue;
-        const auto text = request.fingerprint_.text();
+    const auto name = [&](const RequestAtCrash &one) {
+        const auto text = one.fingerprint_.text();
         waiting += (waiting.empty() ? "" : ",") + text;
-        if (request.hadBegun())
+        if (one.hadBegun())
             begun += (begun.empty() ? "" : ",") + text;
+    };
+    for (const auto &request : crash.requests_) {
+        if (request.hadEvents_)
+            ++withEvents;
+        else if (named++ < maxLoggedRequests)
+            name(request);
+    }
+    for (const auto &part : crash.parts_) {
+        if (!part.hadEvents_ && named++ < maxLoggedRequests)
+            name(part);
     }
     log::warning(event::endpointCrashed, {{"endpoint", crash.endpoint_.text()},
                                           {"under-way", std::to_string(crash.requests_.size())},
@@ -245,21 +256,21 @@
                 heardAt == TimePoint{} ? "never" : std::to_string(toMilliseconds(now - heardAt))}});
 }
 
-/// Copies of the request in an endpoint's queue would crash it once they start, so they are
+/// Requests of this kind in an endpoint's queue would crash it once they start, so they are
 /// cancelled.
 void Gateway::requestQuarantined(const PoisonVerdict &verdict)
 {
     const auto all = poisonPills_.quarantined(parts_.clock_.now());
     std::string endpoints;
-    for (const auto &endpoint : all.at(verdict.request_))
+    for (const auto &endpoint : all.at(verdict.fingerprint_))
         endpoints += (endpoints.empty() ? "" : ",") + endpoint.text();
     log::warning(event::requestQuarantined,
-                 {{"fingerprint", verdict.request_.text()},
+                 {{"fingerprint", verdict.fingerprint_.text()},
                   {"for-ms", std::to_string(toMilliseconds(verdict.left_))},
                   {"endpoints", endpoints.empty() ? "told-by-a-peer" : endpoints}});
     const auto sessions = sessions_;
     for (const auto &[key, session] : sessions)
-        session->quarantined(verdict);
+        session->endIfQuarantined();
 }
 
 /// Retries by priority, returned callers before new ones, then by arrival. Once a request finds no
--- a/src/serving/poison_pills.cpp
+++ b/src/serving/poison_pills.cpp
@@ -7,18 +7,6 @@
 
 namespace {
 
-/// Weight of a crash before the endpoint started to answer the request: a poison pill usually
-/// crashes an endpoint as soon as it runs.
-constexpr std::size_t beforeAnswerWeight = 2;
-/// Weight of a crash during the answer. Long answers are in flight at many crashes that they did
-/// not cause. One request is sent to about four endpoints at most, so such crashes alone never lead
-/// to a verdict, unless the caller repeats the request over and over.
-constexpr std::size_t duringAnswerWeight = 1;
-/// Weight that leads to a verdict: three crashes before the answer, or six during it. Two are not
-/// enough: if a seventh of the engines crash at once, requests that were moved to another engine
-/// are hit by a second crash by chance.
-constexpr std::size_t verdictWeight = 6;
-
 /// Evidence is kept for as long as the first quarantine lasts.
 constexpr Duration evidenceLifetime = PoisonPills::firstQuarantine;
 
@@ -49,6 +37,11 @@
 
 /// Time for which crashes and clearances are announced: seven digests, each over up to three hops.
 constexpr Duration announcementPeriod = std::chrono::milliseconds(700);
+/// The same for answers, from their start: an answer is known to last only after a while.
+constexpr Duration answerAnnouncementPeriod = std::chrono::seconds(2);
+/// Bound for the time between the stamping of an age by the sender and its arrival here, over up to
+/// three hops.
+constexpr Duration maxTransit = std::chrono::milliseconds(200);
 /// Maximum number of announced requests per crash: one batch. A message with six full crashes takes
 /// 3 KB.
 constexpr std::size_t maxAnnouncedRequests = 24;
@@ -61,35 +54,28 @@
 /// Maximum number of records, about 200 bytes each, 1 MB in total.
 constexpr std::size_t maxRecords = 4096;
 
-std::size_t weightOf(const std::map<EndpointIncarnation, bool> &crashes)
-{
-    std::size_t result = 0;
-    for (const auto &[endpoint, hadEvents] : crashes)
-        result += hadEvents ? duringAnswerWeight : beforeAnswerWeight;
-    return result;
-}
-
-/// Orders requests without an event first, since they are more likely the cause.
-std::vector<RequestAtCrash> mostLikelyCauses(std::vector<RequestAtCrash> requests)
-{
-    std::stable_partition(requests.begin(), requests.end(),
-                          [](const RequestAtCrash &one) { return !one.hadEvents_; });
-    if (requests.size() > maxAnnouncedRequests)
-        requests.resize(maxAnnouncedRequests);
-    return requests;
-}
-
 template<typename Values>
 bool contains(const Values &values, const typename Values::value_type &value)
 {
     return std::find(values.begin(), values.end(), value) != values.end();
 }
 
+/// Adds \p value unless it is being announced already.
+template<typename Announcements, typename Value>
+void announceOnce(Announcements &announcements, const Value &value, TimePoint now)
+{
+    const bool isAnnounced = std::any_of(announcements.begin(), announcements.end(),
+                                         [&](const auto &one) { return one.value_ == value; });
+    if (!isAnnounced)
+        announcements.push_back({value, now});
+}
+
 } // namespace
 
 bool PoisonUpdate::isEmpty() const
 {
-    return crashes_.empty() && verdicts_.empty() && cleared_.empty() && retracted_.empty();
+    return crashes_.empty() && verdicts_.empty() && cleared_.empty() && vouched_.empty()
+           && answered_.empty() && retracted_.empty();
 }
 
 void mergeUpdates(PoisonUpdate &into, const PoisonUpdate &from)
@@ -102,15 +88,26 @@
         }
     }
     for (const auto &verdict : from.verdicts_) {
-        const bool isKnown
-            = std::any_of(into.verdicts_.begin(), into.verdicts_.end(),
-                          [&](const auto &one) { return one.request_ == verdict.request_; });
-        if (!isKnown)
+        const auto known
+            = std::find_if(into.verdicts_.begin(), into.verdicts_.end(), [&](const auto &one) {
+                  return one.fingerprint_ == verdict.fingerprint_;
+              });
+        if (known == into.verdicts_.end())
             into.verdicts_.push_back(verdict);
+        else
+            known->isProven_ = known->isProven_ || verdict.isProven_;
+    }
+    for (const auto &fingerprint : from.cleared_) {
+        if (!contains(into.cleared_, fingerprint))
+            into.cleared_.push_back(fingerprint);
+    }
+    for (const auto &part : from.vouched_) {
+        if (!contains(into.vouched_, part))
+            into.vouched_.push_back(part);
     }
-    for (const auto &request : from.cleared_) {
-        if (!contains(into.cleared_, request))
-            into.cleared_.push_back(request);
+    for (const auto &[part, age] : from.answered_) {
+        auto &known = into.answered_.try_emplace(part, age).first->second;
+        known = std::min(known, age);
     }
     for (const auto &endpoint : from.retracted_) {
         if (!contains(into.retracted_, endpoint))
@@ -120,12 +117,13 @@
 
 void PoisonPills::endpointCrashed(const EndpointCrash &crash, TimePoint now)
 {
-    const EndpointCrash announced{crash.endpoint_, mostLikelyCauses(crash.requests_)};
+    const EndpointCrash announced{crash.endpoint_, mostLikelyCauses(crash, now), {}};
     ownCrashes_.push_back({announced, now});
     if (ownCrashes_.size() > maxAnnouncedCrashes)
         ownCrashes_.erase(ownCrashes_.begin());
     for (const auto &request : announced.requests_)
         recordCrash(announced.endpoint_, request, now);
+    reportVerdicts(now);
 }
 
 bool PoisonPills::wasRecentlyServed(const RequestFingerprint &request, TimePoint now) const
@@ -134,47 +132,129 @@
     return found != servedAt_.end() && now - found->second <= recentlyServedPeriod;
 }
 
+/// Orders parts of prompts before contents and what had just begun before what waited, since they
+/// are more likely the cause. Most of the parts that endpoints were answering are popular ones.
+std::vector<RequestAtCrash> PoisonPills::mostLikelyCauses(const EndpointCrash &crash,
+                                                          TimePoint now) const
+{
+    std::vector<RequestAtCrash> result;
+    for (const auto &part : crash.parts_) {
+        if (!part.hadEvents_ || !answeredParts_.contains(part.fingerprint_, now))
+            result.push_back(part);
+    }
+    result.insert(result.end(), crash.requests_.begin(), crash.requests_.end());
+    std::stable_sort(result.begin(), result.end(), [](const auto &left, const auto &right) {
+        return stateOf(left) > stateOf(right);
+    });
+    if (result.size() > maxAnnouncedRequests)
+        result.resize(maxAnnouncedRequests);
+    return result;
+}
+
 /// Announces to the peers that the request was served here; at most once per announcement period.
-void PoisonPills::announceCleared(const RequestFingerprint &request, TimePoint now)
+void PoisonPills::announceCleared(const RequestFingerprint &fingerprint, TimePoint now)
 {
-    const bool isAnnounced = std::any_of(ownCleared_.begin(), ownCleared_.end(),
-                                         [&](const auto &one) { return one.value_ == request; });
-    if (!isAnnounced)
-        ownCleared_.push_back({request, now});
+    announceOnce(ownCleared_, fingerprint, now);
+}
+
+void PoisonPills::vouch(Entry &entry, TimePoint now)
+{
+    announceOnce(ownVouched_, entry.first, now);
+    setVouched(entry, now);
+}
+
+/// The part was answered before the crashes, so more evidence is needed. A verdict that was reached
+/// without knowing this may not hold.
+void PoisonPills::setVouched(Entry &entry, TimePoint now)
+{
+    auto &record = entry.second;
+    if (std::exchange(record.isVouched_, true))
+        return;
+    const bool isQuarantined = now < record.quarantinedUntil_;
+    if (!isQuarantined || record.isProven_ || isSufficient(entry))
+        return;
+    endQuarantine(entry);
+    record.verdicts_ = 0;
+    record.clearedAt_ = now;
 }
 
 void PoisonPills::recordCrash(const EndpointIncarnation &endpoint, const RequestAtCrash &request,
                               TimePoint now)
 {
-    if (wasRecentlyServed(request.fingerprint_, now)) {
-        announceCleared(request.fingerprint_, now);
+    const auto &fingerprint = request.fingerprint_;
+    if (wasRecentlyServed(fingerprint, now)) {
+        announceCleared(fingerprint, now);
         return;
     }
-    if (!records_.contains(request.fingerprint_))
+    auto &summary = allCrashes_.try_emplace(endpoint, CrashSummary{now}).first->second;
+    summary.hadBegun_ = summary.hadBegun_ || request.hadBegun();
+    if (!records_.contains(fingerprint))
         evictOldestSuspect();
-    auto &record = records_[request.fingerprint_];
+    auto &entry = *records_.try_emplace(fingerprint).first;
+    auto &record = entry.second;
     if (contains(record.ignored_, endpoint))
         return;
-    const auto [place, isNew] = record.crashes_.try_emplace(endpoint, request.hadEvents_);
-    const bool isStronger = place->second && !request.hadEvents_;
-    if (!isNew && !isStronger)
+    if (fingerprint.isPromptPart() && answeredParts_.contains(fingerprint, now))
+        vouch(entry, now);
+    const Crash crash{stateOf(request), now};
+    const auto [place, isNew] = record.crashes_.try_emplace(endpoint, crash);
+    if (!isNew && place->second.state_ >= crash.state_)
         return;
-    place->second = request.hadEvents_;
+    place->second.state_ = crash.state_;
     record.lastEvidenceAt_ = now;
-    if (weightOf(record.crashes_) >= verdictWeight && now >= record.quarantinedUntil_) {
-        const auto doublings = std::min(record.verdicts_, maxDoublings);
-        quarantine(request.fingerprint_, record, firstQuarantine * (1 << doublings), now);
-    }
+    if (now < record.quarantinedUntil_ || weightOf(entry) < requiredWeight(entry))
+        return;
+    if (!fingerprint.isPromptPart() || record.verdicts_ > 0)
+        quarantine(entry, quarantineTime(record), record.isVouched_, now);
+    else if (partsUnderReview_.insert(fingerprint).second)
+        record.sufficientSince_ = now;
+}
+
+/// Each quarantine lasts twice as long as the last one.
+Duration PoisonPills::quarantineTime(const Record &record)
+{
+    const auto first = record.isVouched_ ? firstQuarantineIfVouched : firstQuarantine;
+    return first * (1 << std::min(record.verdicts_, maxDoublings));
 }
 
-void PoisonPills::quarantine(const RequestFingerprint &request, Record &record, Duration time,
-                             TimePoint now)
+void PoisonPills::quarantine(Entry &entry, Duration time, bool isProven, TimePoint now)
 {
+    auto &[fingerprint, record] = entry;
+    record.isProven_ = isProven;
     record.quarantinedUntil_ = now + time;
     record.lastEvidenceAt_ = now;
     ++record.verdicts_;
-    if (verdictCallback_)
-        verdictCallback_({request, time});
+    partsUnderReview_.erase(fingerprint);
+    if (fingerprint.isPromptPart()) {
+        quarantinedParts_.insert(fingerprint);
+        acquitVictims(now);
+    }
+    newVerdicts_.push_back({fingerprint, time, isProven});
+}
+
+/// Called once all verdicts of an event are known: which requests one applies to depends on the
+/// others.
+void PoisonPills::reportVerdicts(TimePoint now)
+{
+    for (const auto &verdict : std::exchange(newVerdicts_, {})) {
+        if (verdictCallback_ && quarantineLeft(verdict.fingerprint_, now))
+            verdictCallback_(verdict);
+    }
+}
+
+void PoisonPills::endQuarantine(Entry &entry)
+{
+    entry.second.quarantinedUntil_ = {};
+    quarantinedParts_.erase(entry.first);
+}
+
+void PoisonPills::review(TimePoint now)
+{
+    if (partsUnderReview_.empty())
+        return;
+    while (auto *entry = nextConvicted(now))
+        quarantine(*entry, quarantineTime(entry->second), entry->second.isVouched_, now);
+    reportVerdicts(now);
 }
 
 void PoisonPills::retract(const EndpointIncarnation &endpoint, TimePoint now)
@@ -189,17 +269,18 @@
 /// Reports of the crash that arrive later are ignored as well.
 void PoisonPills::ignoreCrash(const EndpointIncarnation &endpoint, TimePoint now)
 {
-    for (auto &[request, record] : records_) {
+    for (auto &entry : records_) {
+        auto &[fingerprint, record] = entry;
         if (record.crashes_.erase(endpoint) == 0)
             continue;
         record.ignored_.push_back(endpoint);
         const bool wasQuarantined = now < record.quarantinedUntil_;
-        if (!wasQuarantined || weightOf(record.crashes_) >= verdictWeight)
+        if (!wasQuarantined || weightOf(entry) >= requiredWeight(entry))
             continue;
-        record.quarantinedUntil_ = {};
+        endQuarantine(entry);
         record.verdicts_ -= std::min<std::size_t>(record.verdicts_, 1);
         record.clearedAt_ = now;
-        announceCleared(request, now);
+        announceCleared(fingerprint, now);
     }
 }
 
@@ -212,27 +293,77 @@
         announceCleared(request, now);
 }
 
+void PoisonPills::answered(std::span<const RequestFingerprint> parts, TimePoint begunAt,
+                           TimePoint now)
+{
+    answeredParts_.add(parts, now);
+    for (const auto &part : parts) {
+        const auto found = records_.find(part);
+        if (found == records_.end())
+            continue;
+        if (!found->second.crashes_.empty() && !found->second.isVouched_)
+            vouch(*found, now);
+        if (!refute(*found, begunAt, now))
+            continue;
+        auto &announced = ownAnswered_[part];
+        announced = std::max(announced, begunAt);
+    }
+}
+
+/// Only answers that began after a crash tell anything about it: the part may have become harmful.
+/// \returns true if crashes or a quarantine no longer count against the part.
+bool PoisonPills::refute(Entry &entry, TimePoint begunAt, TimePoint now)
+{
+    auto &[part, record] = entry;
+    std::size_t refuted = 0;
+    for (auto place = record.crashes_.begin(); place != record.crashes_.end();) {
+        if (place->second.at_ >= begunAt) {
+            ++place;
+            continue;
+        }
+        ignoreLater(record, place->first);
+        place = record.crashes_.erase(place);
+        ++refuted;
+    }
+    const bool wasQuarantined = now < record.quarantinedUntil_;
+    if (record.crashes_.empty() && wasQuarantined && record.lastEvidenceAt_ < begunAt) {
+        endQuarantine(entry);
+        record.verdicts_ = 0;
+        ++refuted;
+    }
+    if (refuted > 0)
+        record.clearedAt_ = now;
+    return refuted > 0;
+}
+
+void PoisonPills::ignoreLater(Record &record, const EndpointIncarnation &endpoint)
+{
+    record.ignored_.push_back(endpoint);
+    if (record.ignored_.size() > maxIgnored)
+        record.ignored_.erase(record.ignored_.begin());
+}
+
 /// Known crashes no longer count; later ones do. A quarantined request may still be served, by an
 /// endpoint at which it was already in flight.
-bool PoisonPills::clear(const RequestFingerprint &request, TimePoint now, bool isLifted)
+bool PoisonPills::clear(const RequestFingerprint &fingerprint, TimePoint now, bool isLifted)
 {
-    const auto found = records_.find(request);
+    const auto found = records_.find(fingerprint);
     const bool isKnown
         = found != records_.end()
           && (!found->second.crashes_.empty() || now < found->second.quarantinedUntil_);
     if (!isKnown)
         return false;
     auto &record = found->second;
-    for (const auto &[endpoint, hadEvents] : record.crashes_)
-        record.ignored_.push_back(endpoint);
-    if (record.ignored_.size() > maxIgnored)
-        record.ignored_.erase(record.ignored_.begin(), record.ignored_.end() - maxIgnored);
+    for (const auto &[endpoint, crash] : record.crashes_)
+        ignoreLater(record, endpoint);
     record.crashes_.clear();
-    record.quarantinedUntil_ = {};
+    endQuarantine(*found);
+    partsUnderReview_.erase(fingerprint);
     record.verdicts_ = 0;
     record.clearedAt_ = now;
+    record.isVouched_ = fingerprint.isPromptPart() && !isLifted;
     if (isLifted)
-        ownCleared_.push_back({request, now});
+        ownCleared_.push_back({fingerprint, now});
     return true;
 }
 
@@ -242,39 +373,55 @@
         for (const auto &request : requests)
             recordCrash(endpoint, request, now);
     }
+    for (const auto &part : update.vouched_)
+        if (const auto found = records_.find(part); found != records_.end())
+            setVouched(*found, now);
+    for (const auto &[part, age] : update.answered_) {
+        const auto found = records_.find(part);
+        if (found != records_.end())
+            (void)refute(*found, now - age - maxTransit, now);
+    }
     for (const auto &verdict : update.verdicts_)
         applyVerdict(verdict, now);
-    for (const auto &request : update.cleared_)
-        (void)clear(request, now, false);
+    for (const auto &fingerprint : update.cleared_)
+        (void)clear(fingerprint, now, false);
     for (const auto &endpoint : update.retracted_)
         ignoreCrash(endpoint, now);
+    reportVerdicts(now);
 }
 
 void PoisonPills::applyVerdict(const PoisonVerdict &verdict, TimePoint now)
 {
-    if (wasRecentlyServed(verdict.request_, now)) {
-        announceCleared(verdict.request_, now);
+    if (wasRecentlyServed(verdict.fingerprint_, now)) {
+        announceCleared(verdict.fingerprint_, now);
         return;
     }
-    if (const auto known = quarantinedFor(verdict.request_, now)) {
+    if (const auto known = quarantineLeft(verdict.fingerprint_, now)) {
         if (verdict.left_ <= *known + extensionTolerance)
             return;
     } else if (verdict.left_ < minAdoptedQuarantine) {
         return;
     }
-    if (!records_.contains(verdict.request_))
+    if (!records_.contains(verdict.fingerprint_))
         evictOldestSuspect();
-    auto &record = records_[verdict.request_];
-    const bool isCleared
-        = record.clearedAt_ != TimePoint{} && now - record.clearedAt_ < clearanceLifetime;
+    auto &entry = *records_.try_emplace(verdict.fingerprint_).first;
+    const bool isAnswered
+        = verdict.fingerprint_.isPromptPart() && answeredParts_.contains(verdict.fingerprint_, now);
+    if (isAnswered)
+        vouch(entry, now);
+    if (isAnswered && !verdict.isProven_)
+        return;
+    const auto clearedAt = entry.second.clearedAt_;
+    const bool isCleared = clearedAt != TimePoint{} && now - clearedAt < clearanceLifetime;
     if (!isCleared)
-        quarantine(verdict.request_, record, verdict.left_, now);
+        quarantine(entry, verdict.left_, verdict.isProven_, now);
 }
 
-void PoisonPills::restore(const RequestFingerprint &request, TimePoint now)
+void PoisonPills::restore(const RequestFingerprint &fingerprint, TimePoint now)
 {
-    if (!quarantinedFor(request, now))
-        quarantine(request, records_[request], firstQuarantine, now);
+    if (!quarantineLeft(fingerprint, now))
+        quarantine(*records_.try_emplace(fingerprint).first, firstQuarantine, false, now);
+    reportVerdicts(now);
 }
 
 /// Bounds memory against a flood of distinct requests: evicts the least recently seen suspect, and
@@ -288,6 +435,8 @@
               return std::pair(left.second.quarantinedUntil_, left.second.lastEvidenceAt_)
                      < std::pair(right.second.quarantinedUntil_, right.second.lastEvidenceAt_);
           });
+    quarantinedParts_.erase(oldest->first);
+    partsUnderReview_.erase(oldest->first);
     records_.erase(oldest);
 }
 
@@ -295,6 +444,9 @@
 /// as the quarantine lasted.
 void PoisonPills::expire(TimePoint now)
 {
+    std::erase_if(quarantinedParts_, [this, now](const auto &part) {
+        return now >= records_.at(part).quarantinedUntil_;
+    });
     std::erase_if(records_, [now](const auto &one) {
         const auto &record = one.second;
         const auto memory
@@ -302,35 +454,27 @@
         return now >= record.quarantinedUntil_
                && now - std::max(record.lastEvidenceAt_, record.quarantinedUntil_) > memory;
     });
-    for (auto &[request, record] : records_) {
-        const bool isOver
-            = record.quarantinedUntil_ != TimePoint{} && now >= record.quarantinedUntil_;
-        while (isOver && weightOf(record.crashes_) >= verdictWeight)
+    std::erase_if(partsUnderReview_, [this](const auto &part) { return !records_.contains(part); });
+    for (auto &entry : records_) {
+        auto &record = entry.second;
+        if (record.quarantinedUntil_ == TimePoint{} || now < record.quarantinedUntil_)
+            continue;
+        while (weightOf(entry) >= requiredWeight(entry))
             record.crashes_.erase(record.crashes_.begin());
     }
+    std::erase_if(allCrashes_,
+                  [now](const auto &one) { return now - one.second.at_ > evidenceLifetime; });
     std::erase_if(servedAt_,
                   [now](const auto &one) { return now - one.second > recentlyServedPeriod; });
     const auto isOld = [now](const auto &one) { return now - one.at_ > announcementPeriod; };
     std::erase_if(ownCrashes_, isOld);
     std::erase_if(ownCleared_, isOld);
+    std::erase_if(ownVouched_, isOld);
+    std::erase_if(ownAnswered_,
+                  [now](const auto &one) { return now - one.second > answerAnnouncementPeriod; });
     std::erase_if(ownRetracted_, isOld);
 }
 
-std::optional<Duration> PoisonPills::quarantinedFor(const RequestFingerprint &request,
-                                                    TimePoint now) const
-{
-    const auto found = records_.find(request);
-    if (found == records_.end() || now >= found->second.quarantinedUntil_)
-        return std::nullopt;
-    return found->second.quarantinedUntil_ - now;
-}
-
-bool PoisonPills::isSuspect(const RequestFingerprint &request) const
-{
-    const auto found = records_.find(request);
-    return found != records_.end() && !found->second.crashes_.empty();
-}
-
 std::map<RequestFingerprint, std::vector<EndpointIncarnation>>
 PoisonPills::quarantined(TimePoint now) const
 {
@@ -339,7 +483,7 @@
         if (now >= record.quarantinedUntil_)
             continue;
         auto &endpoints = result[request];
-        for (const auto &[endpoint, hadEvents] : record.crashes_)
+        for (const auto &[endpoint, crash] : record.crashes_)
             endpoints.push_back(endpoint);
     }
     return result;
@@ -358,6 +502,14 @@
         if (now - cleared.at_ <= announcementPeriod)
             result.cleared_.push_back(cleared.value_);
     }
+    for (const auto &vouched : ownVouched_) {
+        if (now - vouched.at_ <= announcementPeriod)
+            result.vouched_.push_back(vouched.value_);
+    }
+    for (const auto &[part, begunAt] : ownAnswered_) {
+        if (now - begunAt <= answerAnnouncementPeriod)
+            result.answered_.emplace(part, now - begunAt);
+    }
     for (const auto &retracted : ownRetracted_) {
         if (now - retracted.at_ <= announcementPeriod)
             result.retracted_.push_back(retracted.value_);
@@ -365,16 +517,16 @@
     std::vector<PoisonVerdict> inForce;
     for (const auto &[request, record] : records_) {
         if (now < record.quarantinedUntil_)
-            inForce.push_back({request, record.quarantinedUntil_ - now});
+            inForce.push_back({request, record.quarantinedUntil_ - now, record.isProven_});
     }
     const auto next = std::find_if(inForce.begin(), inForce.end(), [this](const auto &one) {
-        return !lastAnnounced_ || one.request_ > *lastAnnounced_;
+        return !lastAnnounced_ || one.fingerprint_ > *lastAnnounced_;
     });
     std::rotate(inForce.begin(), next, inForce.end());
     if (inForce.size() > maxAnnouncedVerdicts)
         inForce.resize(maxAnnouncedVerdicts);
     if (!inForce.empty())
-        lastAnnounced_ = inForce.back().request_;
+        lastAnnounced_ = inForce.back().fingerprint_;
     result.verdicts_ = std::move(inForce);
     return result;
 }
--- a/src/serving/poison_updates.cpp
+++ b/src/serving/poison_updates.cpp
@@ -2,6 +2,8 @@
 
 #include "serving/notification.hpp"
 
+#include <algorithm>
+
 namespace cardamombay::serving::impl {
 
 namespace json = boost::json;
@@ -21,6 +23,26 @@
     return {std::move(without), std::move(with)};
 }
 
+/// Those of the requests without events whose answer had begun. Listed apart, since earlier
+/// releases read two lists for each crash.
+json::array begunList(const std::vector<RequestAtCrash> &requests)
+{
+    json::array result;
+    for (const auto &request : requests) {
+        if (request.hadBegun())
+            result.emplace_back(request.fingerprint_.text());
+    }
+    return result;
+}
+
+json::array fingerprintList(const std::vector<RequestFingerprint> &fingerprints)
+{
+    json::array result;
+    for (const auto &one : fingerprints)
+        result.emplace_back(one.text());
+    return result;
+}
+
 std::vector<RequestFingerprint> fingerprintsIn(const json::value *value)
 {
     std::vector<RequestFingerprint> result;
@@ -55,6 +77,26 @@
     }
 }
 
+/// Marks requests that readCrashes() has read.
+void readBegun(const json::value *value, PoisonUpdate &update)
+{
+    const auto *begun = value == nullptr ? nullptr : value->if_object();
+    if (begun == nullptr)
+        return;
+    for (const auto &member : *begun) {
+        const auto crash = update.crashes_.find(
+            EndpointIncarnation::parse(std::string_view(member.key().data(), member.key().size())));
+        if (crash == update.crashes_.end())
+            continue;
+        const auto listed = fingerprintsIn(&member.value());
+        for (auto &request : crash->second) {
+            const bool isListed
+                = std::find(listed.begin(), listed.end(), request.fingerprint_) != listed.end();
+            request.hadHead_ = request.hadHead_ || (isListed && !request.hadEvents_);
+        }
+    }
+}
+
 void readVerdicts(const json::value *value, PoisonUpdate &update)
 {
     const auto *verdicts = value == nullptr ? nullptr : value->if_object();
@@ -72,6 +114,22 @@
     }
 }
 
+void readAnswered(const json::value *value, PoisonUpdate &update)
+{
+    const auto *answered = value == nullptr ? nullptr : value->if_object();
+    if (answered == nullptr)
+        return;
+    for (const auto &member : *answered) {
+        const auto part
+            = RequestFingerprint::parse(std::string_view(member.key().data(), member.key().size()));
+        const auto microseconds = countIn(member.value());
+        if (!part || !microseconds)
+            continue;
+        const auto oldest = static_cast<std::uint64_t>(microsecondsOf(longestQuarantine));
+        update.answered_.emplace(*part, std::chrono::microseconds(std::min(*microseconds, oldest)));
+    }
+}
+
 void readRetracted(const json::value *value, PoisonUpdate &update)
 {
     const auto *list = value == nullptr ? nullptr : value->if_array();
@@ -88,17 +146,33 @@
 json::object poisonObject(const PoisonUpdate &update)
 {
     json::object crashes;
-    for (const auto &[endpoint, requests] : update.crashes_)
+    json::object begun;
+    for (const auto &[endpoint, requests] : update.crashes_) {
         crashes[endpoint.text()] = requestLists(requests);
+        if (auto list = begunList(requests); !list.empty())
+            begun[endpoint.text()] = std::move(list);
+    }
     json::object verdicts;
-    for (const auto &verdict : update.verdicts_)
-        verdicts[verdict.request_.text()] = microsecondsOf(verdict.left_);
-    json::array cleared;
-    for (const auto &request : update.cleared_)
-        cleared.emplace_back(request.text());
+    json::array proven;
+    for (const auto &verdict : update.verdicts_) {
+        verdicts[verdict.fingerprint_.text()] = microsecondsOf(verdict.left_);
+        if (verdict.isProven_)
+            proven.emplace_back(verdict.fingerprint_.text());
+    }
+    json::object answered;
+    for (const auto &[part, age] : update.answered_)
+        answered[part.text()] = microsecondsOf(age);
     json::object result{{"crashes", std::move(crashes)},
                         {"verdicts", std::move(verdicts)},
-                        {"cleared", std::move(cleared)}};
+                        {"cleared", fingerprintList(update.cleared_)}};
+    if (!begun.empty())
+        result["begun"] = std::move(begun);
+    if (!proven.empty())
+        result["proven"] = std::move(proven);
+    if (!answered.empty())
+        result["answered"] = std::move(answered);
+    if (!update.vouched_.empty())
+        result["vouched"] = fingerprintList(update.vouched_);
     if (update.retracted_.empty())
         return result;
     json::array retracted;
@@ -115,8 +189,15 @@
     if (object == nullptr)
         return result;
     readCrashes(object->if_contains("crashes"), result);
+    readBegun(object->if_contains("begun"), result);
     readVerdicts(object->if_contains("verdicts"), result);
+    for (const auto &proven : fingerprintsIn(object->if_contains("proven"))) {
+        for (auto &verdict : result.verdicts_)
+            verdict.isProven_ = verdict.isProven_ || verdict.fingerprint_ == proven;
+    }
+    readAnswered(object->if_contains("answered"), result);
     result.cleared_ = fingerprintsIn(object->if_contains("cleared"));
+    result.vouched_ = fingerprintsIn(object->if_contains("vouched"));
     readRetracted(object->if_contains("retracted"), result);
     return result;
 }
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -71,6 +71,10 @@
         giveUp("time-out");
         return true;
     }
+    if (gateway_.poisonPills().awaitsVerdict(fingerprints_) && mayHold(now)) {
+        isHeld_ = true;
+        return true;
+    }
     dropUnusableReservation(now);
     auto choice = sends_ < maxSends ? choose(now) : Choice(NoTarget::NoEndpoint);
     while (const auto *needed = std::get_if<NeedsReservation>(&choice)) {
@@ -126,8 +130,7 @@
     demand.latencyGoal_ = route_->latencyGoal_;
     demand.wasQueued_ = wasHeld_;
     demand.hasPartialAnswer_ = events_ > 0;
-    if (gateway_.poisonPills().isSuspect(fingerprint_))
-        demand.suspect_ = fingerprint_;
+    demand.suspect_ = gateway_.poisonPills().mainSuspect(fingerprints_);
     demand.gate_ = &gateway_.gate();
     demand.maxWait_ = holdLeft(now);
     demand.hasRanks_ = routes_->hasRanks(service_->name_);
@@ -149,7 +152,7 @@
 /// continues, since a slow endpoint may still answer.
 bool Session::moveToOtherEndpoint(std::string_view why, TimePoint now)
 {
-    if (!mayRetry(Failure::Unknown))
+    if (!mayRetry(Failure::Unknown) || gateway_.poisonPills().awaitsVerdict(fingerprints_))
         return false;
     const auto choice = sends_ < maxSends ? choose(now) : Choice(NoTarget::NoEndpoint);
     const auto *target = std::get_if<Target>(&choice);
@@ -258,6 +261,7 @@
     isConnected_ = false;
     hasProgress_ = false;
     hasHead_ = false;
+    isAnswerReported_ = false;
     attemptAt_ = now;
     progressAt_ = now;
 }
@@ -339,8 +343,7 @@
 
 bool Session::mayRetry(Failure failure) const
 {
-    if ((sends_ >= maxSends && !mayRelay())
-        || gateway_.poisonPills().quarantinedFor(fingerprint_, gateway_.parts().clock_.now()))
+    if ((sends_ >= maxSends && !mayRelay()) || quarantineLeft())
         return false;
     if (failure != Failure::Unknown)
         return true;
@@ -356,7 +359,7 @@
 /// The endpoint may have crashed; the crash detector needs the requests that were in flight there.
 void Session::reportBrokenAttempt()
 {
-    gateway_.onAttemptBroken(target_, {fingerprint_, hasProgress_, hasHead_});
+    gateway_.onAttemptBroken(target_, {fingerprint_, hasProgress_, hasHead_}, head_.sharedParts_);
 }
 
 /// Counts against the endpoint unless attempts of the request have broken at other endpoints too.
@@ -365,7 +368,7 @@
     if (carrier_)
         return;
     reportBrokenAttempt();
-    if (gateway_.blamesEndpointForBreak(fingerprint_, target_.endpoint_))
+    if (gateway_.blamesEndpointForBreak(fingerprints_, target_.endpoint_))
         gateway_.parts().loadTracker_.broke(target_.endpoint_, send_, now);
 }
 
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -85,8 +85,8 @@
     /// \brief Fails the current attempt if it is at \p endpoint, whose restart lost the request.
     void endpointRestarted(const VmId &endpoint);
 
-    /// \brief Ends the request if \p verdict applies to it and no answer has started.
-    void quarantined(const PoisonVerdict &verdict);
+    /// \brief Ends the request if it is quarantined and no answer has started.
+    void endIfQuarantined();
 
     /// \name Events of the attempt
     /// \{
@@ -126,6 +126,7 @@
     [[nodiscard]] bool admit();
     [[nodiscard]] bool isStartupWaitOver(TimePoint now) const;
     [[nodiscard]] std::optional<std::string_view> rejectionReason(TimePoint now) const;
+    [[nodiscard]] std::optional<Duration> quarantineLeft() const;
     [[nodiscard]] bool refuseQuarantined();
     [[nodiscard]] bool admitUnderLoad();
     void refuseForLoad(std::string_view reason);
@@ -191,6 +192,7 @@
     void takeStreamHead(const net::HttpResponse &head);
     void discardAnswer();
     void recordEvents(TimePoint now);
+    void reportAnsweredParts(TimePoint now);
     [[nodiscard]] bool mayReadOn() const;
     void readOnOrPause(std::size_t size);
     void resumeReading();
@@ -223,6 +225,8 @@
     TeamName team_;
     RequestRegions regions_;
     RequestFingerprint fingerprint_; ///< Of the content.
+    /// That of the content and those of the shared parts of the prompt.
+    std::vector<RequestFingerprint> fingerprints_;
     std::uint32_t priority_ = 0;
     std::optional<ControlledRequest> controlled_; ///< Set for services under overload control.
     /// Last forecast of the wait for room and the longest wait that was of use; absent if none was
@@ -254,6 +258,9 @@
     bool wasHeld_ = false;
     bool hasProgress_ = false; ///< The current attempt has received data.
     bool hasHead_ = false;     ///< The current attempt has received the head of an answer.
+    /// Time of the first event of the current attempt, or of the head of another answer.
+    TimePoint answerBegunAt_{};
+    bool isAnswerReported_ = false; ///< The parts of the prompt were reported as answered.
 
     Phase phase_ = Phase::Waiting;
     net::HttpResponse answer_; ///< Head and, if buffered, the body so far.
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -100,6 +100,8 @@
         gateway_.parts().metrics_.incompleteParts_.increment();
     fingerprint_
         = fingerprintOf({request_.method_, head_.host_, request_.target_, team_, request_.body_});
+    fingerprints_ = {fingerprint_};
+    fingerprints_.insert(fingerprints_.end(), head_.sharedParts_.begin(), head_.sharedParts_.end());
     if (refuseQuarantined())
         return false;
     if (const auto reason = rejectionReason(gateway_.parts().clock_.now())) {
@@ -129,12 +131,16 @@
     return toSeconds(now - arrivedAt_) >= allowed;
 }
 
+std::optional<Duration> Session::quarantineLeft() const
+{
+    return gateway_.poisonPills().quarantinedFor(fingerprints_, gateway_.parts().clock_.now());
+}
+
 /// Answers 503 with a retry delay: the request has not run and will not until then. A status that
 /// forbids retries would stay in effect after an operator has lifted the quarantine.
 bool Session::refuseQuarantined()
 {
-    const auto left
-        = gateway_.poisonPills().quarantinedFor(fingerprint_, gateway_.parts().clock_.now());
+    const auto left = quarantineLeft();
     if (!left)
         return false;
     gateway_.parts().metrics_.quarantined_.increment();
@@ -143,11 +149,11 @@
 }
 
 /// A request that is being answered has started without crashing the endpoint, and continues.
-void Session::quarantined(const PoisonVerdict &verdict)
+void Session::endIfQuarantined()
 {
     const bool isAdmitted = !isDone_ && !awaitsStartup_ && service_ != nullptr;
     const bool isAnswered = isStreamEnded_ || (call_ && hasProgress_);
-    if (!isAdmitted || isAnswered || fingerprint_ != verdict.request_)
+    if (!isAdmitted || isAnswered || !quarantineLeft())
         return;
     isHeld_ = false;
     dropAttempt();
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -12,8 +12,12 @@
 
 namespace {
 
+constexpr std::uint32_t minClientError = 400;
 constexpr std::uint32_t minServerError = 500;
 
+/// Time after its first event from which an answer shows that its prompt is harmless.
+constexpr Duration establishedAnswer = std::chrono::milliseconds(500);
+
 /// Bytes buffered for a slow caller; beyond that, reading from the endpoint pauses.
 constexpr std::size_t maxPendingBytes = std::size_t{256} * 1024;
 
@@ -68,6 +72,7 @@
         return;
     }
     phase_ = Phase::Buffered;
+    answerBegunAt_ = gateway_.parts().clock_.now();
     answer_ = std::move(head);
     answer_.body_.clear();
 }
@@ -90,7 +95,7 @@
         return;
     }
     recordProgress(now);
-    if (!gateway_.blamesEndpoint(fingerprint_, target_.endpoint_))
+    if (!gateway_.blamesEndpoint(fingerprints_, target_.endpoint_))
         return;
     board.erred(target_.endpoint_,
                 service_->engine_ ? LoadTracker::groupErrorWeight : LoadTracker::plainErrorWeight,
@@ -143,6 +148,17 @@
         metrics.eventGap_.observe(toSeconds(now - lastEventAt_));
     }
     lastEventAt_ = now;
+    if (!hasProgress_)
+        answerBegunAt_ = now;
+    else if (now - answerBegunAt_ >= establishedAnswer)
+        reportAnsweredParts(now);
+}
+
+/// A part of the prompt that crashes endpoints does so as they begin an answer on it.
+void Session::reportAnsweredParts(TimePoint now)
+{
+    if (!std::exchange(isAnswerReported_, true) && !head_.sharedParts_.empty())
+        gateway_.poisonPills().answered(head_.sharedParts_, answerBegunAt_, now);
 }
 
 void Session::forwardEvents(std::string_view data)
@@ -270,6 +286,13 @@
     pending_.append(rest);
     events_ += whole.count_;
     isStreamEnded_ = true;
+    const auto now = gateway_.parts().clock_.now();
+    if (whole.count_ > 0 && !hasProgress_) {
+        answerBegunAt_ = now;
+        recordProgress(now);
+    }
+    if (hasProgress_)
+        reportAnsweredParts(now);
     dropAttempt();
     flush();
 }
@@ -279,6 +302,8 @@
     answer_.body_.append(rest);
     dropAttempt();
     const auto now = gateway_.parts().clock_.now();
+    if (answer_.status_ < minClientError)
+        reportAnsweredParts(now);
     firstEventDelay_ = now - arrivedAt_;
     gateway_.parts().metrics_.firstByte_.observe(toSeconds(firstEventDelay_));
     net::HttpResponse response;
@@ -286,7 +311,7 @@
     response.fields_ = answerFields();
     response.body_ = std::move(answer_.body_);
     std::exchange(exchange_, nullptr)->respond(std::move(response));
-    finish("served", answer_.status_ < 400 ? "" : "the endpoint's own failure");
+    finish("served", answer_.status_ < minClientError ? "" : "the endpoint's own failure");
 }
 
 } // namespace cardamombay::serving
--- a/tests/support/crash_simulation.hpp
+++ b/tests/support/crash_simulation.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,7 +78,8 @@
     std::size_t poisonSends_ = 0; ///< Sends of the poison pill to live groups.
     /// Sends later than 3 s after the third crash, or after the fifth if a part is deadly.
     std::size_t poisonLate_ = 0;
-    std::size_t ended_ = 0; ///< Groups crashed by the poison pill.
+    std::set<std::string> soundPartsJudged_; ///< Parts in quarantine that are not deadly.
+    std::size_t ended_ = 0;                  ///< Groups crashed by the poison pill.
     /// Sound requests that began at the first attempt: before the first deadly request, and from
     /// 6 s after the fifth crash until the last one.
     Share firstTryBefore_;
