Take answers that end with their connection, and none without an event for whole

UpstreamClient failed each such answer. KeptUpstream took it as whole, also a stream that ended before its first event, as when an endpoint crashes after the head: its kernel closes the connection in order.

Change: both clients take an unframed answer as whole when its connection is closed in order, and as broken when it is reset; the connection is not used again. They tell the session that the answer is unframed; an unframed stream without an event counts as broken.

--- a/include/cardamombay/net/http_client.hpp
+++ b/include/cardamombay/net/http_client.hpp
@@ -39,6 +39,8 @@
     std::uint32_t status_ = 0;
     std::vector<HttpField> fields_;
     std::string body_;
+    /// The body has neither a length nor chunks, and ends when the connection is closed.
+    bool endsWithConnection_ = false;
 
     /// \brief Value of a field by name, in any case; empty if absent.
     [[nodiscard]] std::string field(std::string_view name) const;
--- a/include/cardamombay/net/upstream.hpp
+++ b/include/cardamombay/net/upstream.hpp
@@ -60,7 +60,8 @@
     /// \param data all bytes that were not consumed yet; valid until the next consume().
     virtual void onData(std::string_view data) = 0;
 
-    /// \brief The answer is whole, as its framing says.
+    /// \brief The answer is whole, as its framing says. One with neither a length nor chunks is
+    /// whole when its connection is closed in order.
     /// \param rest all bytes that were not consumed; valid as long as the call.
     virtual void onEnd(std::string_view rest) = 0;
 
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -77,6 +77,13 @@
     return {};
 }
 
+/// True if the body ends with the connection.
+template<typename Parser>
+bool isUnframed(const Parser &parser)
+{
+    return !parser.chunked() && !parser.content_length() && !parser.is_done();
+}
+
 /// One request and its answer; lives until its operations are done.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -229,6 +236,7 @@
     if (!isForeign_) {
         HttpResponse head;
         head.status_ = message.result_int();
+        head.endsWithConnection_ = isUnframed(*parser_);
         for (const auto &field : message)
             head.fields_.push_back({textOf(field.name_string()), textOf(field.value())});
         listener_->onHead(std::move(head));
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -145,14 +145,10 @@
     if (listener_ == nullptr)
         return;
     const auto &message = parser_.get();
-    const bool isFramed
-        = parser_.chunked() || parser_.content_length().has_value() || parser_.is_done();
-    if (!isFramed) {
-        fail({true, false, "the answer has neither a length nor chunks"});
-        return;
-    }
     HttpResponse head;
     head.status_ = message.result_int();
+    head.endsWithConnection_
+        = !parser_.chunked() && !parser_.content_length() && !parser_.is_done();
     for (const auto &field : message)
         head.fields_.push_back({textOf(field.name_string()), textOf(field.value())});
     listener_->onHead(std::move(head));
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -274,6 +274,12 @@
 void Session::endStream(std::string_view rest)
 {
     const auto whole = scanCompleteEvents(rest);
+    // A process that ends closes its connections in order as well.
+    if (answer_.endsWithConnection_ && events_ + whole.count_ == 0) {
+        recordBrokenAttempt(gateway_.parts().clock_.now());
+        attemptFailed(Failure::Unknown, "the stream ends before its first event");
+        return;
+    }
     if (whole.size_ != rest.size()) {
         pending_.append(rest.substr(0, whole.size_));
         if (whole.lastId_)
--- a/tests/serving/streams.cpp
+++ b/tests/serving/streams.cpp
@@ -129,6 +129,24 @@
     cr_assert_not(caller->isFinished_);
 }
 
+Test(streams, stream_that_ends_with_its_connection_before_an_event_is_not_whole)
+{
+    GatewayFixture fixture;
+    fixture.addGroup("head-1");
+    fixture.addGroup("head-2");
+    const auto caller = fixture.ask("/stream/1");
+    fixture.lastCall()->connect();
+    net::HttpResponse head{200, {{"seal", "s"}}, {}, true};
+    fixture.lastCall()->listener_->onHead(head);
+    fixture.lastCall()->end("");
+    cr_assert_not(caller->isFinished_);
+    cr_assert_eq(fixture.upstream_.calls_.size(), 2);
+    fixture.lastCall()->connect();
+    fixture.lastCall()->listener_->onHead(head);
+    fixture.lastCall()->end("id: 1\ndata: x\n\n");
+    cr_assert(caller->isFinished_);
+}
+
 Test(streams, stream_that_ends_inside_an_event_is_not_whole)
 {
     GatewayFixture fixture;
--- a/tests/support/scripted_server.cpp
+++ b/tests/support/scripted_server.cpp
@@ -70,8 +70,7 @@
         session->answer_ = std::move(script_.front());
         script_.pop_front();
         if (session->answer_.resets_) {
-            session->socket_.set_option(asio::socket_base::linger(true, 0));
-            session->socket_.close();
+            reset(session);
             return;
         }
         session->timer_.expires_after(session->answer_.delay_);
@@ -81,6 +80,12 @@
         });
     }
 
+    void reset(const SessionPointer &session)
+    {
+        session->socket_.set_option(asio::socket_base::linger(true, 0));
+        session->socket_.close();
+    }
+
     void write(const SessionPointer &session, const std::string &bytes)
     {
         asio::async_write(session->socket_, asio::buffer(bytes),
@@ -101,6 +106,14 @@
             });
             return;
         }
+        if (session->answer_.resetsLater_) {
+            session->timer_.expires_after(std::chrono::milliseconds(20));
+            session->timer_.async_wait([self = shared_from_this(), session](error_code failure) {
+                if (!failure)
+                    self->reset(session);
+            });
+            return;
+        }
         if (session->answer_.closes_)
             session->socket_.close();
         else
--- a/tests/support/scripted_server.hpp
+++ b/tests/support/scripted_server.hpp
@@ -24,6 +24,7 @@
     Duration delay_{};            ///< Wait before sending.
     std::string laterBytes_ = {}; ///< Sent 20 ms after bytes_.
     bool resets_ = false;         ///< Resets the connection before anything is sent.
+    bool resetsLater_ = false;    ///< Resets the connection 20 ms after bytes_.
 };
 
 /// \brief Serves on 127.0.0.1 within the test's event loop; past its script it stays silent.
