Count each crash under a part that was never answered; test it with real processes

Cause: repeats of one request crash three endpoints within 50 ms, and crashes within 100 ms counted once, so that before real gateways a deadly part crashed six endpoints (5 at most expected). A part that also waited at another crash seemed likelier than the deadly one. An event on a part counted against it, although the endpoint had begun an answer on it.

Change: each crash as an answer begins counts by itself against a part that was never answered. Crashes as answers begin decide which of two parts was at the crashes of the other. Crashes in the middle of answers do not count against parts. The stand-in engines crash under a deadly part after the head; a test with three gateways and a soak use it.

--- a/include/cardamombay/serving/poison_pills.hpp
+++ b/include/cardamombay/serving/poison_pills.hpp
@@ -214,6 +214,7 @@
     [[nodiscard]] std::size_t weightOf(const Entry &entry, bool onlyBegun) const;
     [[nodiscard]] std::size_t weightOf(const Entry &entry) const;
     [[nodiscard]] static std::size_t requiredWeight(const Entry &entry);
+    [[nodiscard]] static bool wasAtCrashesOf(const Record &one, const Record &other);
     [[nodiscard]] bool isCausedByOther(const EndpointIncarnation &endpoint,
                                        const Entry &entry) const;
     [[nodiscard]] bool isExplainedByOneRequest(const Record &part) const;
--- a/src/serving/poison_verdicts.cpp
+++ b/src/serving/poison_verdicts.cpp
@@ -16,7 +16,8 @@
 constexpr std::size_t beforeAnswerWeight = 2;
 /// Weight of a crash during the answer. Long answers are in flight at many crashes that they did
 /// not cause. One request is sent to about four endpoints at most, so such crashes alone never lead
-/// to a verdict, unless the caller repeats the request over and over.
+/// to a verdict, unless the caller repeats the request over and over. They do not count against a
+/// part of its prompt, on which the endpoint has begun an answer without crashing.
 constexpr std::size_t duringAnswerWeight = 1;
 /// Weight of a crash that interrupted an answer of which only the head had been sent, for parts of
 /// prompts. Few requests are in this state at any time. The content of a single request is in it
@@ -41,25 +42,15 @@
 /// is in flight at all endpoints that fail together; one that crashes them reaches them in turn.
 constexpr Duration commonFailurePeriod = std::chrono::milliseconds(100);
 
-template<typename Map>
-bool containsKeys(const Map &map, const Map &of)
-{
-    return std::all_of(of.begin(), of.end(),
-                       [&map](const auto &one) { return map.contains(one.first); });
-}
-
-/// Calls \p action for each failure, with the largest weight of its crashes. Crashes within \p
-/// period after the first one are one failure.
+/// Calls \p action for each failure, with the largest weight of its crashes.
 template<typename Action>
-void forEachFailure(std::vector<std::pair<TimePoint, std::size_t>> crashes, Duration period,
-                    Action action)
+void forEachFailure(std::vector<std::pair<TimePoint, std::size_t>> crashes, Action action)
 {
     std::sort(crashes.begin(), crashes.end());
     for (auto next = crashes.begin(); next != crashes.end();) {
-        const auto end = next->first + period;
+        const auto end = next->first + commonFailurePeriod;
         auto weight = next->second;
-        for (++next; next != crashes.end() && period > Duration::zero() && next->first <= end;
-             ++next)
+        for (++next; next != crashes.end() && next->first <= end; ++next)
             weight = std::max(weight, next->second);
         action(weight);
     }
@@ -85,7 +76,7 @@
 {
     switch (crash.state_) {
     case AnswerState::Answering:
-        return duringAnswerWeight;
+        return isPart ? 0 : duringAnswerWeight;
     case AnswerState::Waiting:
         return hadBegunAnswer(endpoint) ? bystanderWeight : beforeAnswerWeight;
     case AnswerState::Begun:
@@ -99,15 +90,20 @@
 std::size_t PoisonPills::weightOf(const Entry &entry, bool onlyBegun) const
 {
     const bool isPart = entry.first.isPromptPart();
-    std::vector<std::pair<TimePoint, std::size_t>> weights;
+    std::size_t result = 0;
+    std::vector<std::pair<TimePoint, std::size_t>> grouped;
     for (const auto &[endpoint, crash] : entry.second.crashes_) {
-        const bool counts = !onlyBegun || crash.state_ == AnswerState::Begun;
-        if (counts && !isCausedByOther(endpoint, entry))
-            weights.emplace_back(crash.at_, weightOf(endpoint, crash, isPart));
+        const bool hadBegun = crash.state_ == AnswerState::Begun;
+        if ((onlyBegun && !hadBegun) || isCausedByOther(endpoint, entry))
+            continue;
+        const auto weight = weightOf(endpoint, crash, isPart);
+        // Few requests with a part that was never answered begin at the same moment.
+        if (!isPart || (hadBegun && !entry.second.isVouched_))
+            result += weight;
+        else
+            grouped.emplace_back(crash.at_, weight);
     }
-    const auto period = isPart ? commonFailurePeriod : Duration::zero();
-    std::size_t result = 0;
-    forEachFailure(weights, period, [&](std::size_t weight) { result += weight; });
+    forEachFailure(grouped, [&](std::size_t weight) { result += weight; });
     return result;
 }
 
@@ -121,18 +117,34 @@
     return entry.second.isVouched_ ? vouchedVerdictWeight : verdictWeight;
 }
 
+/// True if \p one was at all crashes of \p other. If answers on the latter had just begun at some
+/// of them, only those count: a part may wait at any other crash.
+bool PoisonPills::wasAtCrashesOf(const Record &one, const Record &other)
+{
+    const bool onlyBegun
+        = std::any_of(other.crashes_.begin(), other.crashes_.end(),
+                      [](const auto &crash) { return crash.second.state_ == AnswerState::Begun; });
+    return std::all_of(other.crashes_.begin(), other.crashes_.end(), [&](const auto &crash) {
+        if (onlyBegun && crash.second.state_ != AnswerState::Begun)
+            return true;
+        const auto found = one.crashes_.find(crash.first);
+        return found != one.crashes_.end()
+               && (!onlyBegun || found->second.state_ == AnswerState::Begun);
+    });
+}
+
 /// True if a quarantined part was in flight too. A part that was at fewer crashes does not excuse
 /// one that was at all of these, unless the latter had been answered before.
 bool PoisonPills::isCausedByOther(const EndpointIncarnation &endpoint, const Entry &entry) const
 {
-    return std::any_of(
-        quarantinedParts_.begin(), quarantinedParts_.end(), [&](const RequestFingerprint &part) {
-            const auto &other = records_.at(part);
-            if (part == entry.first || !other.crashes_.contains(endpoint))
-                return false;
-            const bool isLessLikely = entry.second.isVouched_ && !other.isVouched_;
-            return isLessLikely || !containsKeys(entry.second.crashes_, other.crashes_);
-        });
+    return std::any_of(quarantinedParts_.begin(), quarantinedParts_.end(),
+                       [&](const RequestFingerprint &part) {
+                           const auto &other = records_.at(part);
+                           if (part == entry.first || !other.crashes_.contains(endpoint))
+                               return false;
+                           const bool isLessLikely = entry.second.isVouched_ && !other.isVouched_;
+                           return isLessLikely || !wasAtCrashesOf(entry.second, other);
+                       });
 }
 
 /// True if the part was in flight at most of the failures since its first crash. A harmless part is
@@ -150,8 +162,8 @@
     }
     std::size_t ownFailures = 0;
     std::size_t allFailures = 0;
-    forEachFailure(own, commonFailurePeriod, [&](std::size_t) { ++ownFailures; });
-    forEachFailure(all, commonFailurePeriod, [&](std::size_t) { ++allFailures; });
+    forEachFailure(own, [&](std::size_t) { ++ownFailures; });
+    forEachFailure(all, [&](std::size_t) { ++allFailures; });
     return 2 * ownFailures > allFailures;
 }
 
@@ -253,16 +265,16 @@
 bool PoisonPills::appliesTo(const Entry &part,
                             std::span<const RequestFingerprint> fingerprints) const
 {
-    const auto &crashes = part.second.crashes_;
+    const auto &record = part.second;
     return std::none_of(
-        quarantinedParts_.begin(), quarantinedParts_.end(), [&](const RequestFingerprint &other) {
-            const auto &others = records_.at(other).crashes_;
-            if (crashes.empty() || other == part.first || !containsKeys(others, crashes))
+        quarantinedParts_.begin(), quarantinedParts_.end(), [&](const RequestFingerprint &name) {
+            const auto &other = records_.at(name);
+            if (record.crashes_.empty() || name == part.first || !wasAtCrashesOf(other, record))
                 return false;
-            const bool isWhole = others.size() == crashes.size();
+            const bool areAlike = wasAtCrashesOf(record, other);
             const bool hasOther
-                = std::find(fingerprints.begin(), fingerprints.end(), other) != fingerprints.end();
-            return !isWhole || !hasOther;
+                = std::find(fingerprints.begin(), fingerprints.end(), name) != fingerprints.end();
+            return !areAlike || !hasOther;
         });
 }
 
--- a/tests/fleet_platform/soak.cpp
+++ b/tests/fleet_platform/soak.cpp
@@ -235,26 +235,30 @@
 constexpr int mostCrashes = 12;
 
 /// The caller of a poison pill, who never gives up.
+/// \param isPart no two of the requests are alike, but all have a deadly part in their prompts.
 void poisonUntil(const Deployment &deployment, const std::atomic<bool> &isStopped,
-                 std::uint64_t seed)
+                 std::uint64_t seed, bool isPart)
 {
     Random random(seed);
     for (int i = 0; !isStopped; ++i) {
         const auto gateway = random.below(Deployment::gatewayCount);
         const auto id = "pill-" + std::to_string(seed) + "-" + std::to_string(i);
-        (void)deployment.stream(gateway, id, "m", "key-a", "/stream/pill");
+        if (isPart)
+            (void)deployment.streamWithParts(gateway, id, "a:40,dead:90,f1:10");
+        else
+            (void)deployment.stream(gateway, id, "m", "key-a", "/stream/pill");
         std::this_thread::sleep_for(milliseconds(50));
     }
 }
 
 /// What is played beside the usual faults.
-enum class Beside { Nothing, Pill, Restores, Notices };
+enum class Beside { Nothing, Pill, DeadlyPart, Restores, Notices };
 
 /// \param beside with a pill a request ends the engines that run it, beside all other faults.
 /// Endpoints are reached without a proxy then, which would answer for an engine that has ended.
 void soak(std::uint64_t seed, Duration length, Beside beside)
 {
-    const bool withPill = beside == Beside::Pill;
+    const bool withPill = beside == Beside::Pill || beside == Beside::DeadlyPart;
     Deployment deployment(withPill ? Links::Store : Links::StoreAndEndpoints);
     Ledger ledger;
     std::atomic<bool> isStopped = false;
@@ -265,7 +269,9 @@
             callUntil(deployment, isStopped, seed * 10 + number, ledger, falseEnds);
         });
     if (withPill)
-        callers.emplace_back([&] { poisonUntil(deployment, isStopped, seed * 10 + 7); });
+        callers.emplace_back([&] {
+            poisonUntil(deployment, isStopped, seed * 10 + 7, beside == Beside::DeadlyPart);
+        });
     Faults faults(deployment, seed);
     const auto end = std::chrono::steady_clock::now() + length;
     for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
@@ -327,6 +333,11 @@
     soakAll(Beside::Pill);
 }
 
+Test(soak, deadly_part_among_faults_ends_few_engines)
+{
+    soakAll(Beside::DeadlyPart);
+}
+
 /// Read, not seen: versions go back, and what was written in the last seconds is gone.
 Test(soak, restores_of_the_store_among_faults_break_no_promise)
 {
--- a/tests/prompt_parts_loss/spread.cpp
+++ b/tests/prompt_parts_isolated/spread.cpp
@@ -6,7 +6,8 @@
 using namespace cardamombay;
 using namespace cardamombay::support;
 
-Test(prompt_parts_loss, no_entry_vm_sends_a_deadly_part_despite_loss_of_a_third_of_the_datagrams)
+Test(prompt_parts_isolated,
+     no_entry_vm_sends_a_deadly_part_despite_loss_of_a_third_of_the_datagrams)
 {
     for (const std::size_t entries : {7U, 74U, 195U}) {
         for (std::uint64_t seed = 1; seed <= 3; ++seed)
--- a/tests/serving/poison_parts.cpp
+++ b/tests/serving/poison_parts.cpp
@@ -120,8 +120,13 @@
 {
     PoisonPills pills;
     for (int number = 1; number <= 9; ++number)
-        pills.endpointCrashed(crashOf(number, {popular}), start + milliseconds(number * 10));
+        pills.endpointCrashed({engine(number), {waiting(content(number))}, {waiting(popular)}},
+                              start + milliseconds(number * 10));
     cr_assert_not(isRefused(pills, {popular}, reviewed(pills, start + milliseconds(90))));
+    pills.answered(Fingerprints{popular}, start - seconds(9), start - seconds(8));
+    for (int number = 11; number <= 19; ++number)
+        pills.endpointCrashed(crashOf(number, {popular}), start + milliseconds(number * 10));
+    cr_assert_not(isRefused(pills, {popular}, reviewed(pills, start + milliseconds(190))));
 }
 
 Test(poison_parts, part_is_not_judged_for_the_crashes_of_one_repeated_request)
--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -165,6 +165,13 @@
 load::CallResult Deployment::stream(std::size_t gateway, const std::string &id,
                                     const std::string &model, const std::string &key,
                                     const std::string &path) const
+{
+    return support::Caller({}).send(streamCall(gateway, id, model, key, path));
+}
+
+load::Call Deployment::streamCall(std::size_t gateway, const std::string &id,
+                                  const std::string &model, const std::string &key,
+                                  const std::string &path) const
 {
     load::Call call;
     call.address_ = {"127.0.0.1", ports_.at(gateway).callers_};
@@ -176,6 +183,15 @@
                     {"X-Token-Counts", "200,140"},
                     {"X-Deadline-Ms", "8000"},
                     {"Authorization", "Bearer " + key}};
+    return call;
+}
+
+load::CallResult Deployment::streamWithParts(std::size_t gateway, const std::string &id,
+                                             const std::string &parts,
+                                             const std::string &model) const
+{
+    auto call = streamCall(gateway, id, model, "key-a", "/stream/" + id);
+    call.fields_.push_back({"X-Prompt-Prefix", parts});
     return support::Caller({}).send(call);
 }
 
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -43,6 +43,11 @@
     load::CallResult stream(std::size_t gateway, const std::string &id,
                             const std::string &model = "m", const std::string &key = "key-a",
                             const std::string &path = "/stream/7") const;
+    /// \brief The same for a prompt with \p parts, such as "a:40,dead:90,b:200", and a path that no
+    /// other request has.
+    load::CallResult streamWithParts(std::size_t gateway, const std::string &id,
+                                     const std::string &parts,
+                                     const std::string &model = "m") const;
     /// \brief Sends a request to the plain service.
     load::CallResult call(std::size_t gateway, const std::string &path, const std::string &id,
                           const std::string &key = "key-a") const;
@@ -79,6 +84,9 @@
     static constexpr std::size_t gatewayCount = 3;
 
 private:
+    [[nodiscard]] load::Call streamCall(std::size_t gateway, const std::string &id,
+                                        const std::string &model, const std::string &key,
+                                        const std::string &path) const;
     struct Ports
     {
         std::uint16_t callers_ = 0;
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -215,6 +215,14 @@
     co_await stream(exchange);
 }
 
+/// The last part belongs to the request itself.
+bool GroupEngineStandin::hasDeadlyPart(StandinExchange &exchange)
+{
+    const auto parts = "," + headerOf(exchange.request(), "X-Prompt-Prefix");
+    const auto found = parts.find(",dead:");
+    return found != std::string::npos && parts.find(',', found + 1) != std::string::npos;
+}
+
 asio::awaitable<void> GroupEngineStandin::stream(StandinExchange &exchange)
 {
     const auto request = headerOf(exchange.request(), "X-Request-Id");
@@ -242,6 +250,14 @@
             co_await exchange.startStream(head);
             hasBegun = true;
         }
+        if (hasDeadlyPart(exchange)) {
+            const auto arrivedAt = std::chrono::system_clock::now();
+            co_await pauseFor(eventInterval);
+            reportCrash(id_, request, arrivedAt);
+            exchange.drop();
+            crash();
+            co_return;
+        }
         std::string text = "id: " + std::to_string(event) + "\ndata: " + request + "\n\n";
         co_await exchange.write(std::move(text));
         co_await pauseFor(eventInterval);
--- a/tests/support/group_engine_standin.hpp
+++ b/tests/support/group_engine_standin.hpp
@@ -27,7 +27,8 @@
 /// \brief One engine, or one endpoint of a plain service if it has no fabric domain.
 /// \details A group streams only while all its members respond. A request that starts in an
 /// incomplete group, and a join while the head of the engine's group is serving, are recorded as
-/// violations. A request for a path that ends with "/pill" crashes the engine when it starts to
+/// violations. A request for a path that ends with "/pill", or with part "dead" in its
+/// prompt, crashes the engine when it starts to
 /// run; the engine restarts after 1.5 s with the same id and without a group.
 class GroupEngineStandin
 {
@@ -81,6 +82,7 @@
     boost::asio::awaitable<void> becomeReady(std::uint64_t epoch, bool wasStaged);
     boost::asio::awaitable<void> becomeOpen(std::uint64_t epoch);
     /// \brief Simulates a process crash with a later restart.
+    [[nodiscard]] static bool hasDeadlyPart(StandinExchange &exchange);
     void crash();
     boost::asio::awaitable<void> restart();
     [[nodiscard]] bool isRefusing() const;
