--- a/include/cardamombay/serving/poison_pills.hpp
+++ b/include/cardamombay/serving/poison_pills.hpp
@@ -175,6 +175,11 @@
         bool isProven_ = false;  ///< Quarantined although it is vouched for.
     };
     using Entry = std::pair<const RequestFingerprint, Record>;
+    /// Time for which crashes and clearances are announced: seven digests, each over up to three
+    /// hops.
+    static constexpr Duration announcementPeriod = std::chrono::milliseconds(700);
+    /// The same for answers, from their start: an answer is known to last only after a while.
+    static constexpr Duration answerAnnouncementPeriod = std::chrono::seconds(2);
     template<typename Value>
     struct Announced
     {
--- a/src/serving/poison_verdicts.cpp
+++ b/src/serving/poison_verdicts.cpp
@@ -172,8 +172,8 @@
 bool PoisonPills::isExplainedByOneRequest(const Record &part) const
 {
     return std::any_of(records_.begin(), records_.end(), [&part](const auto &one) {
-        const auto &[fingerprint, record] = one;
-        return !fingerprint.isPromptPart()
+        const auto &record = one.second;
+        return !one.first.isPromptPart()
                && std::all_of(part.crashes_.begin(), part.crashes_.end(), [&](const auto &crash) {
                       const auto found = record.crashes_.find(crash.first);
                       return found != record.crashes_.end()
