--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -182,6 +182,7 @@
 #include <cardamombay/rpc/rpc_http_handler.hpp>
 
 #include <cardamombay/serving/answer_notices.hpp>
+#include <cardamombay/serving/answered_parts.hpp>
 #include <cardamombay/serving/avoidance_log.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/caller_buffers.hpp>
