Log each retry with what the entry VM believed of the fleet's budget

Cause: the hypotheses on repeats beyond the budget differ in what an entry VM believed of the others' use when it spent a repeat. No line named it.

Change: retry-taken for each repeat and retry-refused once a second, with the entry VM's own counts, the number of entry VMs that it divides by, the peers' counts and the age of the oldest of them. No decision changes.

Conclusion: which VM spent which repeat, and on what belief, can now be read from the logs.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -106,7 +106,8 @@
     /// \brief Sets the number of entry VMs that share the fleet's retry budget, including this one.
     void setEntryCount(std::size_t count);
     /// \brief Sets the counts of the last window as last reported by the other entry VMs.
-    void setPeerRetries(std::map<ServiceName, RetryCounts> counts);
+    /// \param oldestAt when the oldest of these reports arrived.
+    void setPeerRetries(std::map<ServiceName, RetryCounts> counts, TimePoint oldestAt = {});
     /// \brief Counts of this entry VM in the last window, to be reported to the others.
     [[nodiscard]] std::map<ServiceName, RetryCounts> retryCounts(TimePoint now);
     void setBounds(const GatewayBounds &bounds);
@@ -173,8 +174,9 @@
     }
     [[nodiscard]] double randomUnit() { return random_.unit(); }
     /// \brief Consumes one retry from the fleet's budget.
+    /// \param request named in the log.
     /// \returns false if neither this entry VM's share nor the fleet has any left.
-    [[nodiscard]] bool takeRetry(const ServiceName &service);
+    [[nodiscard]] bool takeRetry(const ServiceName &service, const RequestId &request);
     /// \brief Reports that the connection to \p target broke before the answer was complete.
     void onAttemptBroken(const Target &target, RequestAtCrash request,
                          std::span<const RequestFingerprint> parts);
@@ -214,6 +216,8 @@
     [[nodiscard]] std::optional<double> fleetRetriesLeft(const ServiceName &service, double margin,
                                                          TimePoint now);
     [[nodiscard]] bool fleetHasSurplus(const ServiceName &service, TimePoint now);
+    void logRetry(const ServiceName &service, const RequestId &request, bool isTaken,
+                  TimePoint now);
 
     GatewayParts parts_;
     GatewayBounds bounds_;
@@ -228,7 +232,9 @@
     std::map<ModelName, double> demand_;
     std::unordered_map<ServiceName, RetryWindow> retries_;
     std::map<ServiceName, RetryCounts> peerRetries_;
-    std::map<ServiceName, double> surplusRetries_; ///< Consumed since the peers' last report.
+    TimePoint peerRetriesAt_{};                       ///< When the oldest report in them arrived.
+    std::map<ServiceName, TimePoint> retryRefusedAt_; ///< Last refusal in the log.
+    std::map<ServiceName, double> surplusRetries_;    ///< Consumed since the peers' last report.
     FailureBlame failureBlame_;
     /// Kept apart from server errors: many callers may send the same request, and a connection that
     /// broke at one endpoint must not excuse the errors of another.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -148,6 +148,7 @@
     void recordLoad(const EntryId &from, LoadDigest sum, std::size_t entries, TimePoint now);
     [[nodiscard]] std::size_t entriesIn(const AvailabilityZone &zone) const;
     [[nodiscard]] std::map<ServiceName, RetryCounts> peerRetries() const;
+    [[nodiscard]] TimePoint oldestPeerRetries(TimePoint now) const;
     [[nodiscard]] std::vector<Address> relayTargets() const;
     void sendRelay(EndpointRelay relay, const std::vector<Address> &targets);
     void applyRelayState(const RelayState &relay, const Address &source, TimePoint now);
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -9,6 +9,7 @@
 #include <cardamombay/serving/engine_model.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 #include <vector>
@@ -29,6 +30,8 @@
 /// excess.
 constexpr double maxSurplusShares = 3;
 
+constexpr Duration refusalLogInterval = std::chrono::seconds(1);
+
 /// Maximum number of requests listed in one log line.
 constexpr std::size_t maxLoggedRequests = 16;
 
@@ -406,8 +409,9 @@
     return overload_.ownDemand(held, work, withTeams);
 }
 
-void Gateway::setPeerRetries(std::map<ServiceName, RetryCounts> counts)
+void Gateway::setPeerRetries(std::map<ServiceName, RetryCounts> counts, TimePoint oldestAt)
 {
+    peerRetriesAt_ = oldestAt;
     peerRetries_ = std::move(counts);
     surplusRetries_.clear();
 }
@@ -445,12 +449,14 @@
     return surplusRetries_[service] + 1 <= part;
 }
 
-bool Gateway::takeRetry(const ServiceName &service)
+bool Gateway::takeRetry(const ServiceName &service, const RequestId &request)
 {
     const auto now = parts_.clock_.now();
     const auto left = fleetRetriesLeft(service, fleetMargin, now);
-    if (left && *left < 1)
+    if (left && *left < 1) {
+        logRetry(service, request, false, now);
         return false;
+    }
     bool may = retries_[service].take(retryBound(), now);
     if (!may && fleetHasSurplus(service, now)) {
         retries_[service].takeBeyondBound(retryBound(), now);
@@ -459,7 +465,34 @@
     }
     if (may)
         parts_.metrics_.retries_.increment();
+    logRetry(service, request, may, now);
     return may;
 }
 
+/// Held requests ask for a retry at each sweep, so refusals are logged once per interval.
+void Gateway::logRetry(const ServiceName &service, const RequestId &request, bool isTaken,
+                       TimePoint now)
+{
+    auto &refusedAt = retryRefusedAt_[service];
+    if (!isTaken && refusedAt != TimePoint{} && now - refusedAt < refusalLogInterval)
+        return;
+    if (!isTaken)
+        refusedAt = now;
+    const auto own = retries_[service].counts(retryBound(), now);
+    const auto found = peerRetries_.find(service);
+    const bool isKnown = found != peerRetries_.end();
+    log::info(isTaken ? event::retryTaken : event::retryRefused,
+              {{"request", request.text()},
+               {"service", service.text()},
+               {"own-requests", std::to_string(std::lround(own.requests_))},
+               {"own-retries", std::to_string(std::lround(own.retries_))},
+               {"entry-vms", std::to_string(entryCount_)},
+               {"peer-requests",
+                isKnown ? std::to_string(std::lround(found->second.requests_)) : "unknown"},
+               {"peer-retries",
+                isKnown ? std::to_string(std::lround(found->second.retries_)) : "unknown"},
+               {"peers-age-ms",
+                isKnown ? std::to_string(toMilliseconds(now - peerRetriesAt_)) : "unknown"}});
+}
+
 } // namespace cardamombay::serving
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -10,6 +10,8 @@
 /// \{
 inline constexpr std::string_view requestFinished = "request-finished";
 inline constexpr std::string_view attemptFailed = "attempt-failed";
+inline constexpr std::string_view retryTaken = "retry-taken";
+inline constexpr std::string_view retryRefused = "retry-refused";
 inline constexpr std::string_view requestQuarantined = "request-quarantined";
 inline constexpr std::string_view quarantineLifted = "quarantine-lifted";
 inline constexpr std::string_view callerBuffersFull = "caller-buffers-full";
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -62,7 +62,7 @@
     chooseWatches(now);
     relistPeersIfDue(now);
     probeLostPeer(now);
-    parts_.gateway_.setPeerRetries(peerRetries());
+    parts_.gateway_.setPeerRetries(peerRetries(), oldestPeerRetries(now));
     parts_.clock_.schedule(digestPeriod, [this, alive = std::weak_ptr(isAlive_)] {
         if (!alive.expired())
             tickDigest();
@@ -283,6 +283,18 @@
     return result;
 }
 
+TimePoint Node::oldestPeerRetries(TimePoint now) const
+{
+    auto result = now;
+    for (const auto &[entry, sum] : sums_)
+        result = std::min(result, sum.at_);
+    for (const auto &[entry, peer] : peers_) {
+        if (!peer.retries_.empty())
+            result = std::min(result, peer.overloadAt_);
+    }
+    return result;
+}
+
 void Node::onDatagram(std::string_view text)
 {
     if (auto digest = decodeLoadDigest(text))
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -144,7 +144,7 @@
 {
     if (!needsRetryBudget_)
         return true;
-    needsRetryBudget_ = !gateway_.takeRetry(service_->name_);
+    needsRetryBudget_ = !gateway_.takeRetry(service_->name_, head_.request_);
     return !needsRetryBudget_;
 }
 
@@ -158,7 +158,7 @@
     const auto *target = std::get_if<Target>(&choice);
     const auto peer
         = target == nullptr && mayRelay() ? gateway_.carriers().choose(triedPeers_) : std::nullopt;
-    if ((target == nullptr && !peer) || !gateway_.takeRetry(service_->name_))
+    if ((target == nullptr && !peer) || !gateway_.takeRetry(service_->name_, head_.request_))
         return false;
     logFailure(why);
     dropAttempt();
