Reproduce repeats beyond the fleet's budget, on the paused clock

Cause: entry VMs that restart in turn, or are killed in series, spend the fleet's budget of repeats again.

NodeFleet can kill, start again and add entry VMs.

--- a/tests/support/node_fleet.cpp
+++ b/tests/support/node_fleet.cpp
@@ -307,6 +307,35 @@
     }
 }
 
+void NodeFleet::kill(std::size_t index)
+{
+    auto &node = *nodes_[index];
+    node.isRunning_ = false;
+    node.clock_.setPaused(true);
+    byAddress_.erase(node.address_);
+}
+
+FleetNode &NodeFleet::restart(std::size_t index)
+{
+    const auto zone = nodes_[index]->zone().text();
+    const bool isLarge = nodes_[index]->isLarge_;
+    ended_.push_back(std::move(nodes_[index]));
+    nodes_[index] = std::make_unique<FleetNode>(*this, index, zone, isLarge);
+    auto &node = *nodes_[index];
+    byAddress_.emplace(node.address_, &node);
+    node.start(false);
+    return node;
+}
+
+FleetNode &NodeFleet::add(const std::string &zone)
+{
+    nodes_.push_back(std::make_unique<FleetNode>(*this, nodes_.size(), zone, false));
+    auto &node = *nodes_.back();
+    byAddress_.emplace(node.address_, &node);
+    node.start(false);
+    return node;
+}
+
 void NodeFleet::list(const std::string &endpoint, const std::string &domain)
 {
     platform::Transaction transaction;
--- a/tests/support/node_fleet.hpp
+++ b/tests/support/node_fleet.hpp
@@ -92,6 +92,12 @@
     ~NodeFleet();
 
     void start(bool isFirstStart = true);
+    /// \brief Ends the process of an entry VM: what it had in flight is lost with its memory.
+    void kill(std::size_t index);
+    /// \brief Starts a new process of an entry VM that was killed.
+    FleetNode &restart(std::size_t index);
+    /// \brief Adds an entry VM and starts it.
+    FleetNode &add(const std::string &zone);
     /// \brief Advances the fleet's clock.
     void pass(Duration time) { clock_.advance(time); }
 
@@ -147,6 +153,8 @@
 
 private:
     std::vector<std::unique_ptr<FleetNode>> nodes_;
+    /// Processes that were killed; timers and answers of the store may still refer to them.
+    std::vector<std::unique_ptr<FleetNode>> ended_;
     std::map<Address, FleetNode *> byAddress_;
 };
 
@@ -169,6 +177,9 @@
 
     [[nodiscard]] const AvailabilityZone &zone() const { return zone_; }
 
+    /// \brief False once the process was killed.
+    [[nodiscard]] bool isRunning() const { return isRunning_; }
+
     /// \brief True if a request with \p key would be accepted now.
     [[nodiscard]] bool acceptsKey(const std::string &key) const;
 
@@ -206,6 +217,8 @@
     std::unique_ptr<serving::Node> node_;
 
 private:
+    friend class NodeFleet;
+
     class NoOrders;
     /// Lets a call time out if the store is silent for this node; true if so.
     template<typename Answer>
@@ -215,6 +228,7 @@
 
     EntryId entry_;
     AvailabilityZone zone_;
+    bool isRunning_ = true;
     std::unique_ptr<serving::ReplicaOrders> orders_;
     std::function<void(std::string_view)> handler_;
 };
