Divide the fleet's budget of retries into quotas that outlive processes

Callers saw nothing; the users counted more arrivals beyond the first of each request at transcribe-llm than a fifth of the requests plus the reserve.

Cause: an entry VM's count of retries ended with its process, peers dropped it when the entry VM left, fell silent or came back, and each divided the reserve by the entry VMs that it happened to know. The budget was then spent again.

Change: the budget is divided into quotas with one holder each, which is spent or transferred to a peer, never believed. Reports of a process stay with its peers, and the next process goes on from them; without a report it spends only what it receives until nothing counts any more. The reserve is divided among all entry VMs heard or listed within ten minutes, and those that have left as long as their retries count. Arrivals behind a carrier that refused a request now count as well. RetryWindow and the margins 0.7 and 0.82 are gone. Two tests set the counts of peers by hand: own_share_of_retries_is_unused_once_... is replaced by quota_given_to_peers_is_not_spent_here_as_well (no overspend whatever a peer takes), retries_left_by_other_entry_vms_are_used now uses transfers; both check the same promises without a margin.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -205,6 +205,7 @@
 #include <cardamombay/serving/evacuations.hpp>
 #include <cardamombay/serving/event_scanner.hpp>
 #include <cardamombay/serving/failure_blame.hpp>
+#include <cardamombay/serving/fleet_size.hpp>
 #include <cardamombay/serving/gated_orders.hpp>
 #include <cardamombay/serving/gateway.hpp>
 #include <cardamombay/serving/gateway_metrics.hpp>
@@ -224,6 +225,9 @@
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/propagation_budget.hpp>
 #include <cardamombay/serving/quantile_tracker.hpp>
+#include <cardamombay/serving/quota_exchange.hpp>
+#include <cardamombay/serving/quota_history.hpp>
+#include <cardamombay/serving/quota_messages.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
 #include <cardamombay/serving/replica_orders.hpp>
 #include <cardamombay/serving/replica_planner.hpp>
@@ -233,7 +237,8 @@
 #include <cardamombay/serving/reservation_coordinator.hpp>
 #include <cardamombay/serving/reservation_messages.hpp>
 #include <cardamombay/serving/reservation_scheduler.hpp>
-#include <cardamombay/serving/retry_window.hpp>
+#include <cardamombay/serving/retry_limiter.hpp>
+#include <cardamombay/serving/retry_quota.hpp>
 #include <cardamombay/serving/return_coordinator.hpp>
 #include <cardamombay/serving/return_messages.hpp>
 #include <cardamombay/serving/roster.hpp>
@@ -242,6 +247,7 @@
 #include <cardamombay/serving/send_gate.hpp>
 #include <cardamombay/serving/send_rates.hpp>
 #include <cardamombay/serving/servable.hpp>
+#include <cardamombay/serving/sliding_sum.hpp>
 #include <cardamombay/serving/store_format.hpp>
 #include <cardamombay/serving/store_watch.hpp>
 
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -22,7 +22,7 @@
 #include <cardamombay/serving/overload_control.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
 #include <cardamombay/serving/reservation_coordinator.hpp>
-#include <cardamombay/serving/retry_window.hpp>
+#include <cardamombay/serving/retry_limiter.hpp>
 
 #include <map>
 #include <memory>
@@ -103,13 +103,8 @@
     {
         parts_.metrics_.evacuatedZones_.set(static_cast<double>(zones));
     }
-    /// \brief Sets the number of entry VMs that share the fleet's retry budget, including this one.
-    void setEntryCount(std::size_t count);
-    /// \brief Sets the counts of the last window as last reported by the other entry VMs.
-    /// \param oldestAt when the oldest of these reports arrived.
-    void setPeerRetries(std::map<ServiceName, RetryCounts> counts, TimePoint oldestAt = {});
-    /// \brief Counts of this entry VM in the last window, to be reported to the others.
-    [[nodiscard]] std::map<ServiceName, RetryCounts> retryCounts(TimePoint now);
+    /// \brief Keeps retries within the fleet's budget.
+    [[nodiscard]] RetryLimiter &retries() { return retries_; }
     void setBounds(const GatewayBounds &bounds);
     /// \}
 
@@ -173,10 +168,6 @@
         return parts_.callerBuffers_ == nullptr ? ownCallerBuffers_ : *parts_.callerBuffers_;
     }
     [[nodiscard]] double randomUnit() { return random_.unit(); }
-    /// \brief Consumes one retry from the fleet's budget.
-    /// \param request named in the log.
-    /// \returns false if neither this entry VM's share nor the fleet has any left.
-    [[nodiscard]] bool takeRetry(const ServiceName &service, const RequestId &request);
     /// \brief Reports that the connection to \p target broke before the answer was complete.
     void onAttemptBroken(const Target &target, RequestAtCrash request,
                          std::span<const RequestFingerprint> parts);
@@ -212,17 +203,10 @@
     void logToldCrash(const EndpointIncarnation &endpoint, TimePoint now) const;
     void requestQuarantined(const PoisonVerdict &verdict);
     void retryHeld(std::vector<std::shared_ptr<Session>> &sessions);
-    [[nodiscard]] RetryBound retryBound() const;
-    [[nodiscard]] std::optional<double> fleetRetriesLeft(const ServiceName &service, double margin,
-                                                         TimePoint now);
-    [[nodiscard]] bool fleetHasSurplus(const ServiceName &service, TimePoint now);
-    void logRetry(const ServiceName &service, const RequestId &request, bool isTaken,
-                  TimePoint now);
 
     GatewayParts parts_;
     GatewayBounds bounds_;
     Random random_;
-    std::size_t entryCount_ = 1;
     bool isRefusing_ = false;
     bool isLearning_ = false;
     std::shared_ptr<const RouteTable> routes_;
@@ -230,11 +214,7 @@
     TimePoint endpointsConfirmedAt_{};
     TimePoint lastSweepAt_{};
     std::map<ModelName, double> demand_;
-    std::unordered_map<ServiceName, RetryWindow> retries_;
-    std::map<ServiceName, RetryCounts> peerRetries_;
-    TimePoint peerRetriesAt_{};                       ///< When the oldest report in them arrived.
-    std::map<ServiceName, TimePoint> retryRefusedAt_; ///< Last refusal in the log.
-    std::map<ServiceName, double> surplusRetries_;    ///< Consumed since the peers' last report.
+    RetryLimiter retries_;
     FailureBlame failureBlame_;
     /// Kept apart from server errors: many callers may send the same request, and a connection that
     /// broke at one endpoint must not excuse the errors of another.
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -20,6 +20,10 @@
     metrics::Counter failed_;         ///< Outcome unknown, or the answer was aborted.
     metrics::Counter callerLeft_;
     metrics::Counter retries_;
+    metrics::Counter quotaGiven_;    ///< Quota for retries given to other entry VMs.
+    metrics::Counter quotaReceived_; ///< Quota for retries received from other entry VMs.
+    /// Retries of the fleet in the last window, as far as known, as a share of those allowed.
+    metrics::Gauge retryBudgetUsed_;
     metrics::Counter stalls_;          ///< Attempts abandoned because the endpoint sent nothing.
     metrics::Counter endpointCrashes_; ///< Endpoints that crashed with requests from this entry VM.
     metrics::Counter quarantined_;     ///< Requests refused because they crash endpoints.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -9,9 +9,11 @@
 #include <cardamombay/serving/configuration_exchange.hpp>
 #include <cardamombay/serving/digest_hub.hpp>
 #include <cardamombay/serving/evacuations.hpp>
+#include <cardamombay/serving/fleet_size.hpp>
 #include <cardamombay/serving/gateway.hpp>
 #include <cardamombay/serving/peer_digests.hpp>
 #include <cardamombay/serving/propagation_budget.hpp>
+#include <cardamombay/serving/quota_history.hpp>
 #include <cardamombay/serving/replica_manager.hpp>
 #include <cardamombay/serving/reporters.hpp>
 #include <cardamombay/serving/roster.hpp>
@@ -126,7 +128,7 @@
     void startLease(TimePoint now);
     void tickPlan();
     void sendSilenceAlarm();
-    void reportCrashes();
+    void reportUrgent();
     void reportLostPaths();
     void notePartitioned(const LoadDigest &digest, TimePoint now);
     void expirePartitions(TimePoint now);
@@ -149,6 +151,15 @@
     [[nodiscard]] std::size_t entriesIn(const AvailabilityZone &zone) const;
     [[nodiscard]] std::map<ServiceName, RetryCounts> peerRetries() const;
     [[nodiscard]] TimePoint oldestPeerRetries(TimePoint now) const;
+    void updateReservePart(TimePoint now);
+    [[nodiscard]] double ownReservePart() const;
+    void recoverQuota(TimePoint now);
+    void askForQuotaReport();
+    void onQuotaReportRequest(const QuotaReportRequest &request);
+    void onQuotaReportAnswer(const QuotaReportAnswer &answer);
+    [[nodiscard]] bool hasUnreportedRetries() const;
+    [[nodiscard]] std::optional<QuotaReport> dueQuotaReport(TimePoint now);
+    void peerLeft(const EntryId &entry, TimePoint now);
     [[nodiscard]] std::vector<Address> relayTargets() const;
     void sendRelay(EndpointRelay relay, const std::vector<Address> &targets);
     void applyRelayState(const RelayState &relay, const Address &source, TimePoint now);
@@ -248,6 +259,12 @@
     std::function<void(const Configuration &)> configurationHandler_;
     std::map<EntryId, Peer> peers_;
     std::map<EntryId, TimePoint> leftAt_;
+    FleetSize fleetSize_; ///< Entry VMs that may have a part of the reserve of retries.
+    TimePoint fleetSizeAt_{};
+    QuotaHistory quotaHistory_; ///< What processes of peers have spent.
+    QuotaRecovery quotaRecovery_;
+    double inheritedReservePart_ = 0; ///< Of the previous process, if it has told.
+    TimePoint quotaReportedAt_{};
     PeerClocks clocks_;
     SendBudget sendBudget_; ///< Bandwidth limit for data relayed to peers.
     ConfigurationExchange exchange_;
--- a/include/cardamombay/serving/peer_digests.hpp
+++ b/include/cardamombay/serving/peer_digests.hpp
@@ -16,7 +16,8 @@
 #include <cardamombay/serving/evacuations.hpp>
 #include <cardamombay/serving/peer_clocks.hpp>
 #include <cardamombay/serving/poison_pills.hpp>
-#include <cardamombay/serving/retry_window.hpp>
+#include <cardamombay/serving/quota_messages.hpp>
+#include <cardamombay/serving/retry_quota.hpp>
 
 #include <functional>
 #include <map>
@@ -61,9 +62,11 @@
     /// Its request rate per model, weighted by work per request.
     std::map<ModelName, double> demand_;
     std::map<ServiceName, RetryCounts> retries_; ///< Counts of the last window.
-    PoisonUpdate poison_;                        ///< Requests that crash endpoints.
-    std::vector<LimitUpdate> limits_;            ///< Limits that endpoints announced.
-    overload::FleetDemand overload_;             ///< Work of services under admission control.
+    /// What its process has counted; not in sums, nor in each digest.
+    std::optional<QuotaReport> quota_;
+    PoisonUpdate poison_;             ///< Requests that crash endpoints.
+    std::vector<LimitUpdate> limits_; ///< Limits that endpoints announced.
+    overload::FleetDemand overload_;  ///< Work of services under admission control.
     /// Endpoints that break new requests, with the number of entry VMs that avoid them for it.
     std::unordered_map<VmId, std::size_t> failing_;
     /// Entry VMs that have lost their paths to endpoints.
--- a/include/cardamombay/serving/reporters.hpp
+++ b/include/cardamombay/serving/reporters.hpp
@@ -38,6 +38,9 @@
     /// \brief The reporter of this zone; none if it is this entry VM.
     [[nodiscard]] std::optional<EntryId> own(TimePoint now) const;
 
+    /// \brief Members of this zone without this entry VM, those first that may have been reporters.
+    [[nodiscard]] std::vector<EntryId> likely(std::size_t count) const;
+
     /// \brief The reporters of the other zones and their successors in case they fail.
     /// \details Includes entry VMs that report for their zone now, whatever their rank. While
     /// nobody is heard from a zone, a few more of its members are added, others at each call
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -9,7 +9,6 @@
 #include <cardamombay/serving/engine_model.hpp>
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 #include <tuple>
 #include <vector>
@@ -18,20 +17,6 @@
 
 namespace {
 
-/// Share of the fleet's retry budget that is used at most, since peers' counts arrive with a delay.
-constexpr double entryMargin = 0.7;
-
-/// Share of the fleet's budget beyond which an entry VM stops using its own share as well: peers
-/// may already have used it as surplus, each independently of the others.
-constexpr double fleetMargin = 0.82;
-
-/// Equal shares of the fleet's surplus that one entry VM may use until the next report of its
-/// peers. Few entry VMs need retries at the same time; if all did, the margin above covers the
-/// excess.
-constexpr double maxSurplusShares = 3;
-
-constexpr Duration refusalLogInterval = std::chrono::seconds(1);
-
 /// Maximum number of requests listed in one log line.
 constexpr std::size_t maxLoggedRequests = 16;
 
@@ -51,6 +36,7 @@
     : parts_(parts)
     , bounds_(bounds)
     , random_(random)
+    , retries_(parts.clock_, parts.metrics_, Random(random_.bits()))
     , paths_(parts.upstream_, parts.loadTracker_)
     , crashDetector_(parts.clock_, parts.upstream_)
     , notices_(parts.metrics_)
@@ -73,6 +59,7 @@
         [this](const VmId &endpoint) { return !parts_.balancer_.hasLeft(endpoint); });
     crashDetector_.setPathCheck([this](const VmId &endpoint) { return trustInPath(endpoint); });
     crashDetector_.onCrash([this](const EndpointCrash &crash) { endpointCrashed(crash); });
+    setBounds(bounds);
     poisonPills_.onVerdict([this](const PoisonVerdict &verdict) { requestQuarantined(verdict); });
 }
 
@@ -148,6 +135,7 @@
     coldEndpoints_.expire();
     reservations_.sweep();
     overload_.returns().sweep();
+    retries_.sweep();
     retryHeld(sessions);
 }
 
@@ -320,6 +308,7 @@
 void Gateway::setBounds(const GatewayBounds &bounds)
 {
     bounds_ = bounds;
+    retries_.setBound({bounds.retryShare_, bounds.retryReserve_, bounds.retryWindow_});
     ownCallerBuffers_.setBound(bounds.callerBufferBytes_);
 }
 
@@ -328,25 +317,9 @@
     return parts_.clock_.now() - confirmedAt_;
 }
 
-void Gateway::setEntryCount(std::size_t count)
-{
-    entryCount_ = std::max<std::size_t>(1, count);
-}
-
-/// The fleet's reserve is divided equally; the share per request applies to each entry VM's own
-/// requests.
-RetryBound Gateway::retryBound() const
-{
-    RetryBound bound;
-    bound.share_ = bounds_.retryShare_ * entryMargin;
-    bound.reserve_ = bounds_.retryReserve_ * entryMargin / static_cast<double>(entryCount_);
-    bound.window_ = bounds_.retryWindow_;
-    return bound;
-}
-
 void Gateway::countRequest(const Service &service, const RequestHead &head)
 {
-    retries_[service.name_].countRequest(retryBound(), parts_.clock_.now());
+    retries_.countRequest(service.name_);
     if (!service.engine_)
         return;
     if (const auto *model = service.engine_->model(head.model_))
@@ -366,6 +339,10 @@
 {
     routes_ = std::move(routes);
     overload_.setRoutes(routes_);
+    if (!routes_)
+        return;
+    for (const auto &service : routes_->configuration().services_)
+        retries_.addService(service.name_);
 }
 
 std::vector<overload::HeldRequest> Gateway::heldRequests(const ModelName &model) const
@@ -409,90 +386,4 @@
     return overload_.ownDemand(held, work, withTeams);
 }
 
-void Gateway::setPeerRetries(std::map<ServiceName, RetryCounts> counts, TimePoint oldestAt)
-{
-    peerRetriesAt_ = oldestAt;
-    peerRetries_ = std::move(counts);
-    surplusRetries_.clear();
-}
-
-std::map<ServiceName, RetryCounts> Gateway::retryCounts(TimePoint now)
-{
-    std::map<ServiceName, RetryCounts> result;
-    for (auto &[service, window] : retries_)
-        result.emplace(service, window.counts(retryBound(), now));
-    return result;
-}
-
-/// Estimated number of retries that the fleet has left within \p margin of its budget; std::nullopt
-/// if the peers' counts are unknown.
-std::optional<double> Gateway::fleetRetriesLeft(const ServiceName &service, double margin,
-                                                TimePoint now)
-{
-    const auto others = peerRetries_.find(service);
-    if (others == peerRetries_.end())
-        return std::nullopt;
-    const auto own = retries_[service].counts(retryBound(), now);
-    const auto requests = own.requests_ + others->second.requests_;
-    const auto retries = own.retries_ + others->second.retries_;
-    return (requests * bounds_.retryShare_ + bounds_.retryReserve_) * margin - retries;
-}
-
-/// Entry VMs may use the unused budget of their peers: the streams of a lost group are distributed
-/// unevenly, and the own share of an entry VM is only three retries plus one per seven requests.
-bool Gateway::fleetHasSurplus(const ServiceName &service, TimePoint now)
-{
-    const auto left = fleetRetriesLeft(service, entryMargin, now);
-    if (!left)
-        return false;
-    const auto part = *left * maxSurplusShares / static_cast<double>(entryCount_);
-    return surplusRetries_[service] + 1 <= part;
-}
-
-bool Gateway::takeRetry(const ServiceName &service, const RequestId &request)
-{
-    const auto now = parts_.clock_.now();
-    const auto left = fleetRetriesLeft(service, fleetMargin, now);
-    if (left && *left < 1) {
-        logRetry(service, request, false, now);
-        return false;
-    }
-    bool may = retries_[service].take(retryBound(), now);
-    if (!may && fleetHasSurplus(service, now)) {
-        retries_[service].takeBeyondBound(retryBound(), now);
-        surplusRetries_[service] += 1;
-        may = true;
-    }
-    if (may)
-        parts_.metrics_.retries_.increment();
-    logRetry(service, request, may, now);
-    return may;
-}
-
-/// Held requests ask for a retry at each sweep, so refusals are logged once per interval.
-void Gateway::logRetry(const ServiceName &service, const RequestId &request, bool isTaken,
-                       TimePoint now)
-{
-    auto &refusedAt = retryRefusedAt_[service];
-    if (!isTaken && refusedAt != TimePoint{} && now - refusedAt < refusalLogInterval)
-        return;
-    if (!isTaken)
-        refusedAt = now;
-    const auto own = retries_[service].counts(retryBound(), now);
-    const auto found = peerRetries_.find(service);
-    const bool isKnown = found != peerRetries_.end();
-    log::info(isTaken ? event::retryTaken : event::retryRefused,
-              {{"request", request.text()},
-               {"service", service.text()},
-               {"own-requests", std::to_string(std::lround(own.requests_))},
-               {"own-retries", std::to_string(std::lround(own.retries_))},
-               {"entry-vms", std::to_string(entryCount_)},
-               {"peer-requests",
-                isKnown ? std::to_string(std::lround(found->second.requests_)) : "unknown"},
-               {"peer-retries",
-                isKnown ? std::to_string(std::lround(found->second.retries_)) : "unknown"},
-               {"peers-age-ms",
-                isKnown ? std::to_string(toMilliseconds(now - peerRetriesAt_)) : "unknown"}});
-}
-
 } // namespace cardamombay::serving
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -28,6 +28,13 @@
                                    "Requests whose caller left before the end."))
     , retries_(registry.counter("cardamombay_gateway_repeats_total",
                                 "Attempts beyond the first of a request."))
+    , quotaGiven_(registry.counter("cardamombay_gateway_repeat_quota_given_total",
+                                   "Repeats left to other entry VMs."))
+    , quotaReceived_(registry.counter("cardamombay_gateway_repeat_quota_received_total",
+                                      "Repeats that other entry VMs left to this one."))
+    , retryBudgetUsed_(registry.gauge(
+          "cardamombay_gateway_repeat_budget_used",
+          "Share of the fleet's budget of repeats that is used, for the service nearest to it."))
     , stalls_(registry.counter("cardamombay_gateway_stalls_total",
                                "Attempts ended because the endpoint was silent."))
     , endpointCrashes_(registry.counter("cardamombay_gateway_endpoint_crashes_total",
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -61,6 +61,7 @@
           *this)
     , peerWatch_(parts.clock_, parts.store_, parts.feed_, {peerTable, {}, {}}, *this)
     , quarantineWatch_(parts.clock_, parts.store_, parts.feed_, {quarantineTable, {}, {}}, *this)
+    , quotaRecovery_(settings_.isFirstStart_, parts.clock_.now())
     , sendBudget_(settings_.linkMegabits_ * bytesPerMegabit * relayLinkShare)
     , exchange_(parts.datagrams_, settings_.digests_,
                 Random(stableHash(settings_.entry_.text(), settings_.incarnation_.value())))
@@ -78,6 +79,7 @@
     parts_.gateway_.notices().onLeaving({});
     parts_.gateway_.onEndpointCrash({});
     parts_.gateway_.reservations().onSend({});
+    parts_.gateway_.retries().exchange().onSend({});
     parts_.gateway_.overload().returns().onSend({});
 }
 
@@ -112,6 +114,12 @@
     returns.setSelf(settings_.entry_);
     returns.onSend(
         [this](const Address &to, std::string_view text) { parts_.datagrams_.send(to, text); });
+    auto &quota = parts_.gateway_.retries().exchange();
+    quota.setSelf(settings_.entry_, settings_.digests_);
+    quota.onSend(
+        [this](const Address &to, std::string_view text) { parts_.datagrams_.send(to, text); });
+    parts_.gateway_.retries().setReservePart(0);
+    recoverQuota(startedAt_);
     announce();
     peersChanged();
     if (settings_.isFirstStart_)
@@ -171,6 +179,7 @@
     isLeaving_ = true;
     parts_.lease_.release();
     parts_.gateway_.reservations().leave();
+    parts_.gateway_.retries().leave();
     announce();
     broadcast(ownDigest(parts_.clock_.now()));
 }
@@ -254,7 +263,7 @@
         return;
     const auto info = peerInfoIn(change.row_);
     if (change.isRemoved_ || !info) {
-        peers_.erase(entry);
+        peerLeft(entry, parts_.clock_.now());
         return;
     }
     Peer peer;
@@ -324,7 +333,7 @@
                                         {"rank", rank ? std::to_string(*rank) : "none"}});
     rank_ = rank;
     parts_.lease_.setCandidateRank(isStandingBy(parts_.clock_.now()) ? std::nullopt : rank_);
-    parts_.gateway_.setEntryCount(peers_.size() + 1);
+    parts_.gateway_.retries().exchange().setPeers(addresses);
     parts_.gateway_.carriers().setPeers(settings_.zone_, std::move(carriers));
     parts_.gateway_.overload().returns().setPeers(addresses);
     parts_.gateway_.reservations().setPeers(std::move(addresses));
@@ -374,9 +383,10 @@
 void Node::tickFast()
 {
     updateLearning();
+    recoverQuota(parts_.clock_.now());
     parts_.gateway_.sweep();
     sendSilenceAlarm();
-    reportCrashes();
+    reportUrgent();
     reportLostPaths();
     const bool ready = isReady();
     if (std::exchange(wasReady_, ready) != ready)
--- a/src/serving/node_peers.cpp
+++ b/src/serving/node_peers.cpp
@@ -62,7 +62,8 @@
     chooseWatches(now);
     relistPeersIfDue(now);
     probeLostPeer(now);
-    parts_.gateway_.setPeerRetries(peerRetries(), oldestPeerRetries(now));
+    updateReservePart(now);
+    parts_.gateway_.retries().setPeerCounts(peerRetries(), oldestPeerRetries(now));
     parts_.clock_.schedule(digestPeriod, [this, alive = std::weak_ptr(isAlive_)] {
         if (!alive.expired())
             tickDigest();
@@ -95,7 +96,8 @@
     digest.inquired_ = parts_.gateway_.paths().unconfirmed();
     digest.witnessed_ = parts_.loadTracker_.locallyWitnessed(now);
     digest.demand_ = ownDemand_;
-    digest.retries_ = parts_.gateway_.retryCounts(now);
+    digest.retries_ = parts_.gateway_.retries().counts();
+    digest.quota_ = dueQuotaReport(now);
     digest.overload_ = parts_.gateway_.overloadDemand(namesTeams());
     digest.poison_ = parts_.gateway_.poisonPills().pendingUpdate(now);
     auto &reservations = parts_.gateway_.reservations();
@@ -265,42 +267,13 @@
                       [&zone](const auto &one) { return one.second.zone_ == zone; }));
 }
 
-std::map<ServiceName, RetryCounts> Node::peerRetries() const
-{
-    std::map<ServiceName, RetryCounts> result;
-    const auto add = [&result](const std::map<ServiceName, RetryCounts> &counts) {
-        for (const auto &[service, one] : counts) {
-            result[service].requests_ += one.requests_;
-            result[service].retries_ += one.retries_;
-        }
-    };
-    for (const auto &[entry, sum] : sums_)
-        add(sum.retries_);
-    if (reporter_)
-        return result; // The reporter's sums cover all peers.
-    for (const auto &[entry, peer] : peers_)
-        add(peer.retries_);
-    return result;
-}
-
-TimePoint Node::oldestPeerRetries(TimePoint now) const
-{
-    auto result = now;
-    for (const auto &[entry, sum] : sums_)
-        result = std::min(result, sum.at_);
-    for (const auto &[entry, peer] : peers_) {
-        if (!peer.retries_.empty())
-            result = std::min(result, peer.overloadAt_);
-    }
-    return result;
-}
-
 void Node::onDatagram(std::string_view text)
 {
     if (auto digest = decodeLoadDigest(text))
         onDigest(*std::move(digest));
     else if (parts_.gateway_.reservations().take(text)
-             || parts_.gateway_.overload().returns().take(text))
+             || parts_.gateway_.overload().returns().take(text)
+             || parts_.gateway_.retries().exchange().take(text))
         return;
     else if (auto summary = decodeLoadSummary(text))
         onSummary(*std::move(summary));
@@ -316,6 +289,10 @@
         onRosterAnswer(*roster);
     else if (const auto relay = decodeEndpointRelay(text))
         onEndpointRelay(*relay);
+    else if (const auto asked = decodeQuotaReportRequest(text))
+        onQuotaReportRequest(*asked);
+    else if (const auto counted = decodeQuotaReportAnswer(text))
+        onQuotaReportAnswer(*counted);
     else if (const auto clock = decodeClockQuestion(text))
         onClockQuestion(*clock);
     else if (const auto answer = decodeClockAnswer(text))
@@ -346,10 +323,11 @@
 void Node::onDigest(LoadDigest digest)
 {
     const auto now = parts_.clock_.now();
+    if (digest.quota_)
+        quotaHistory_.reported(digest.from_, digest.stamp_.since_, *std::move(digest.quota_), now);
     if (digest.isDraining_) {
         leftAt_[digest.from_] = now;
-        if (peers_.erase(digest.from_) > 0)
-            markPeersChanged();
+        peerLeft(digest.from_, now);
         return;
     }
     leftAt_.erase(digest.from_);
@@ -405,11 +383,13 @@
 }
 
 /// The sooner peers know which requests were in flight at an endpoint that ended, the fewer
-/// endpoints the same request can end.
-void Node::reportCrashes()
+/// endpoints the same request can end. What this process has spent of its quota is known to nobody
+/// else once it has ended.
+void Node::reportUrgent()
 {
     const auto now = parts_.clock_.now();
-    if (hasUnreportedCrash_ && now - reportedAt_ >= minReportInterval)
+    const bool isUrgent = hasUnreportedCrash_ || hasUnreportedRetries();
+    if (isUrgent && now - reportedAt_ >= minReportInterval)
         report(now);
 }
 
--- a/src/serving/peer_digests.cpp
+++ b/src/serving/peer_digests.cpp
@@ -5,6 +5,7 @@
 #include "serving/notification.hpp"
 #include "serving/peer_info_json.hpp"
 #include "serving/poison_updates.hpp"
+#include "serving/quota_report_json.hpp"
 
 #include <cardamombay/config/address_text.hpp>
 
@@ -203,6 +204,8 @@
                         {"repeats", retriesObject(digest.retries_)},
                         {"draining", digest.isDraining_},
                         {"endpoints", digest.endpoints_.value()}};
+    if (digest.quota_)
+        params["quota"] = quotaReportObject(*digest.quota_);
     if (!digest.poison_.isEmpty())
         params["poison"] = poisonObject(digest.poison_);
     writeDemand(params, digest.overload_);
@@ -238,6 +241,8 @@
     readLoads(params.if_contains("loads"), digest);
     readDemand(params.if_contains("demand"), digest.demand_);
     digest.retries_ = retriesIn(params.if_contains("repeats"));
+    if (const auto *quota = params.if_contains("quota"))
+        digest.quota_ = quotaReportIn(quota);
     digest.silent_ = endpointsIn(params.if_contains("silent"));
     digest.poison_ = poisonIn(params.if_contains("poison"));
     digest.overload_ = readDemandFields(params);
--- a/src/serving/reporters.cpp
+++ b/src/serving/reporters.cpp
@@ -84,6 +84,19 @@
     return reporter == self_ ? std::nullopt : std::optional(std::move(reporter));
 }
 
+std::vector<EntryId> Reporters::likely(std::size_t count) const
+{
+    std::vector<EntryId> result;
+    const auto ranked = ranked_.find(zone_);
+    if (ranked == ranked_.end())
+        return result;
+    for (const auto &entry : ranked->second) {
+        if (result.size() < count && entry != self_)
+            result.push_back(entry);
+    }
+    return result;
+}
+
 std::vector<EntryId> Reporters::others(TimePoint now) const
 {
     std::vector<EntryId> result;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -110,6 +110,10 @@
         (void)holdForRoom(now);
         return target != nullptr;
     }
+    if (target != nullptr && gateway_.retries().awaitsQuota(service_->name_) && mayHold(now)) {
+        isHeld_ = true;
+        return true;
+    }
     if (target != nullptr) {
         giveUp("the fleet's repeats are used up");
         return true;
@@ -144,7 +148,7 @@
 {
     if (!needsRetryBudget_)
         return true;
-    needsRetryBudget_ = !gateway_.takeRetry(service_->name_, head_.request_);
+    needsRetryBudget_ = !gateway_.retries().take(service_->name_, head_.request_);
     return !needsRetryBudget_;
 }
 
@@ -158,7 +162,7 @@
     const auto *target = std::get_if<Target>(&choice);
     const auto peer
         = target == nullptr && mayRelay() ? gateway_.carriers().choose(triedPeers_) : std::nullopt;
-    if ((target == nullptr && !peer) || !gateway_.takeRetry(service_->name_, head_.request_))
+    if ((target == nullptr && !peer) || !gateway_.retries().take(service_->name_, head_.request_))
         return false;
     logFailure(why);
     dropAttempt();
--- a/src/serving/session_relay.cpp
+++ b/src/serving/session_relay.cpp
@@ -102,6 +102,8 @@
         --relays_;
     }
     gateway_.parts().metrics_.relaysRefused_.increment();
+    // An endpoint may have received the request and refused it.
+    needsRetryBudget_ = needsRetryBudget_ || !hasLostPaths(head);
     attemptFailed(Failure::NotSent, "refused by " + carrier_->entry_.text());
 }
 
--- a/tests/retry_budget/retry_simulation.cpp
+++ b/tests/retry_budget/retry_simulation.cpp
@@ -14,7 +14,6 @@
 constexpr Duration windowStep = milliseconds(10);
 constexpr Duration maxStep = milliseconds(20);
 constexpr Duration restartDelay = milliseconds(500);
-constexpr Duration gracePeriod = milliseconds(900); ///< From leaving to the end of the process.
 constexpr Duration answerTime = milliseconds(80);
 constexpr Duration breakTime = milliseconds(20);
 /// Callers still waiting get that long after the last one has arrived.
@@ -83,7 +82,7 @@
     if (!fleet_.node(entry).isRunning() || leaving_.contains(entry))
         return;
     remove(entry);
-    fleet_.clock_.schedule(gracePeriod, [this, entry] { startAgain(entry); });
+    fleet_.clock_.schedule(scenario_.gracePeriod_, [this, entry] { startAgain(entry); });
 }
 
 void RetrySimulation::remove(std::size_t entry)
@@ -92,7 +91,7 @@
     auto &node = fleet_.node(entry);
     node.node_->leave();
     node.gateway_.refuseNew();
-    fleet_.clock_.schedule(gracePeriod, [this, entry, &node] {
+    fleet_.clock_.schedule(scenario_.gracePeriod_, [this, entry, &node] {
         if (!node.isRunning())
             return;
         node.gateway_.terminateAll();
@@ -146,6 +145,8 @@
 /// A random entry VM that accepts callers.
 std::size_t RetrySimulation::reachableEntry()
 {
+    if (!scenario_.failingEntries_.empty() && random_.unit() < scenario_.entryShare_)
+        return *scenario_.failingEntries_.begin();
     for (std::size_t i = 0; i < fleet_.size() * 4; ++i) {
         const auto entry = random_.below(fleet_.size());
         if (fleet_.node(entry).isRunning() && !leaving_.contains(entry))
@@ -187,7 +188,10 @@
                 continue;
             if (!arrived_.insert(call->request_.target_).second)
                 retryTimes_.push_back(now());
-            const bool breaks = random_.unit() < scenario_.failingShare_;
+            const bool mayBreak
+                = scenario_.failingEntries_.empty() || scenario_.failingEntries_.contains(i);
+            const bool breaks = mayBreak && now() - startedAt_ >= scenario_.failsFrom_
+                                && random_.unit() < scenario_.failingShare_;
             attempts_.push_back({call, &node, now() + (breaks ? breakTime : answerTime), breaks});
         }
     }
@@ -253,7 +257,10 @@
             results_.mostUsed_ = used;
             results_.mostUsedAt_ = from - startedAt_;
         }
-        if (from + window <= startedAt_ + scenario_.length_) {
+        const bool isFull = from >= startedAt_ + scenario_.failsFrom_
+                            && from + window <= startedAt_ + scenario_.length_;
+        if (isFull) {
+            results_.leastUsed_ = windows == 0 ? used : std::min(results_.leastUsed_, used);
             sum += used;
             ++windows;
         }
--- a/tests/retry_budget/retry_simulation.hpp
+++ b/tests/retry_budget/retry_simulation.hpp
@@ -20,10 +20,16 @@
     std::size_t zones_ = 3;
     std::size_t groups_ = 30;
     double callersPerSecond_ = 160;
-    double share_ = 0.2;                           ///< Retries allowed per request.
-    double reserve_ = 134;                         ///< Retries allowed in addition.
-    double failingShare_ = 0.5;                    ///< Share of the attempts that break.
-    double lossShare_ = 0.01;                      ///< Share of lost datagrams between entry VMs.
+    double share_ = 0.2;        ///< Retries allowed per request.
+    double reserve_ = 134;      ///< Retries allowed in addition.
+    double failingShare_ = 0.5; ///< Share of the attempts that break.
+    /// Entry VMs whose attempts break; all if empty.
+    std::set<std::size_t> failingEntries_;
+    double entryShare_ = 0;   ///< Share of the callers that go to the first of them.
+    Duration failsFrom_{};    ///< Attempts break from then on.
+    double lossShare_ = 0.01; ///< Share of lost datagrams between entry VMs.
+    /// From when an entry VM leaves in order to the end of its process.
+    Duration gracePeriod_ = std::chrono::milliseconds(900);
     bool isStoreDown_ = false;                     ///< Unavailable from before the callers start.
     Duration settling_ = std::chrono::seconds(15); ///< Before the first caller.
     Duration length_ = std::chrono::seconds(30);   ///< Callers arrive for that long.
@@ -38,7 +44,10 @@
     /// Most retries in a window of 10 s, as a share of those allowed in it.
     double mostUsed_ = 0;
     Duration mostUsedAt_{}; ///< Start of that window, after the first caller.
-    double meanUsed_ = 0;   ///< Mean over windows that callers and failures fill.
+    /// Least retries in a window of 10 s that callers and failures fill, as a share of those
+    /// allowed.
+    double leastUsed_ = 0;
+    double meanUsed_ = 0; ///< Mean over windows that callers and failures fill.
 };
 
 /// \brief A fleet, its callers and its endpoints.
@@ -51,6 +60,8 @@
     /// \param time since the first caller.
     void at(Duration time, std::function<void()> action);
 
+    [[nodiscard]] Scenario &scenario() { return scenario_; }
+
     /// \name Disturbances
     /// \{
     /// \brief Kills entry VMs, each of which starts again after about half a second.
--- a/tests/serving/sessions.cpp
+++ b/tests/serving/sessions.cpp
@@ -192,50 +192,114 @@
     cr_assert_leq(retries, 20);
 }
 
-/// Entry VMs may use the surplus of their peers. When a peer needs its own share later, the budget
-/// of the fleet may already be used up.
-Test(sessions, own_share_of_retries_is_unused_once_the_fleet_has_used_its_budget)
+namespace {
+
+/// Retries of four requests that fail at their first endpoint.
+std::size_t retriesOfFour(GatewayFixture &fixture)
 {
-    const auto retriesWith = [](double peerRetries) {
-        GatewayFixture fixture;
-        GatewayBounds bounds;
-        bounds.retryShare_ = 0;
-        bounds.retryReserve_ = 100;
-        fixture.gateway_.setBounds(bounds);
-        fixture.gateway_.setEntryCount(5);
-        fixture.gateway_.setPeerRetries({{ServiceName("plain"), {0, peerRetries}}});
+    std::size_t retries = 0;
+    for (int i = 0; i < 4; ++i) {
         fixture.ask("/again/7");
         const auto before = fixture.upstream_.calls_.size();
         fixture.lastCall()->connect();
         fixture.lastCall()->head(500, {{"seal", "s"}});
-        return fixture.upstream_.calls_.size() - before;
-    };
-    cr_assert_eq(retriesWith(75), 1);
-    cr_assert_eq(retriesWith(85), 0);
+        retries += fixture.upstream_.calls_.size() - before;
+    }
+    return retries;
+}
+
+const ServiceName plainService("plain");
+
+} // namespace
+
+/// Whoever spends a retry, it counts once.
+Test(sessions, quota_given_to_peers_is_not_spent_here_as_well)
+{
+    GatewayFixture fixture;
+    GatewayBounds bounds;
+    bounds.retryShare_ = 0;
+    bounds.retryReserve_ = 100;
+    fixture.gateway_.setBounds(bounds);
+    double given = 0;
+    for (int i = 0; i < 20; ++i)
+        given += fixture.gateway_.retries().giveQuota(plainService, 1000);
+    cr_assert_geq(given, 85);
+    cr_assert_leq(retriesOfFour(fixture) + given, 100);
 }
 
 Test(sessions, retries_left_by_other_entry_vms_are_used)
 {
-    const auto retriesWith = [](double peerRetries) {
+    const auto retriesWith = [](double received, Duration age) {
         GatewayFixture fixture;
         GatewayBounds bounds;
-        bounds.retryShare_ = 0.2;
+        bounds.retryShare_ = 0;
         bounds.retryReserve_ = 0;
         fixture.gateway_.setBounds(bounds);
-        fixture.gateway_.setEntryCount(5);
-        fixture.gateway_.setPeerRetries({{ServiceName("plain"), {1000, peerRetries}}});
-        std::size_t retries = 0;
-        for (int i = 0; i < 4; ++i) {
-            fixture.ask("/again/7");
-            const auto before = fixture.upstream_.calls_.size();
-            fixture.lastCall()->connect();
-            fixture.lastCall()->head(500, {{"seal", "s"}});
-            retries += fixture.upstream_.calls_.size() - before;
-        }
-        return retries;
+        auto &retries = fixture.gateway_.retries();
+        retries.takeQuota(plainService, received, fixture.clock_.now() + retries.quotaLifetime());
+        fixture.pass(age);
+        return retriesOfFour(fixture);
+    };
+    cr_assert_eq(retriesWith(4, {}), 4);
+    cr_assert_eq(retriesWith(2.5, {}), 2);
+    cr_assert_eq(retriesWith(0, {}), 0);
+    cr_assert_eq(retriesWith(4, seconds(2)), 0);
+}
+
+/// The process before it may have spent the whole quota.
+Test(sessions, process_without_news_of_its_predecessor_spends_received_quota_only)
+{
+    const auto retriesIf = [](bool isBlocked) {
+        GatewayFixture fixture;
+        GatewayBounds bounds;
+        bounds.retryReserve_ = 100;
+        fixture.gateway_.setBounds(bounds);
+        auto &retries = fixture.gateway_.retries();
+        retries.setBlocked(isBlocked);
+        retries.takeQuota(plainService, 1, fixture.clock_.now() + retries.quotaLifetime());
+        return retriesOfFour(fixture);
     };
-    cr_assert_eq(retriesWith(0), 4);
-    cr_assert_eq(retriesWith(140), 0); // The usable budget of 0.7 x 0.2 x 1,000 is used up.
+    cr_assert_eq(retriesIf(true), 1);
+    cr_assert_eq(retriesIf(false), 4);
+}
+
+/// The peer answers within a few milliseconds.
+Test(sessions, plain_request_waits_for_quota_that_a_peer_may_give)
+{
+    GatewayFixture fixture;
+    GatewayBounds bounds;
+    bounds.retryShare_ = 0;
+    bounds.retryReserve_ = 0;
+    fixture.gateway_.setBounds(bounds);
+    auto &exchange = fixture.gateway_.retries().exchange();
+    std::optional<QuotaRequest> asked;
+    exchange.setSelf(EntryId("self"), {"10.0.0.1", 1});
+    exchange.setPeers({{EntryId("peer"), {"10.0.0.2", 1}}});
+    exchange.onSend([&asked](const Address & /*to*/, std::string_view text) {
+        asked = decodeQuotaRequest(text);
+    });
+    const auto caller = fixture.ask("/again/7");
+    fixture.lastCall()->connect();
+    fixture.lastCall()->fail(true);
+    cr_assert_eq(fixture.upstream_.calls_.size(), 1);
+    cr_assert_not(caller->answer_);
+    cr_assert(asked);
+    exchange.take(encode(QuotaTransfer{EntryId("peer"), asked->number_, asked->amount_}));
+    fixture.pass(Gateway::sweepPeriod);
+    cr_assert_eq(fixture.upstream_.calls_.size(), 2);
+}
+
+Test(sessions, plain_request_ends_at_once_if_no_peer_can_give_quota)
+{
+    GatewayFixture fixture;
+    GatewayBounds bounds;
+    bounds.retryShare_ = 0;
+    bounds.retryReserve_ = 0;
+    fixture.gateway_.setBounds(bounds);
+    const auto caller = fixture.ask("/again/7");
+    fixture.lastCall()->connect();
+    fixture.lastCall()->fail(true);
+    cr_assert(caller->answer_);
 }
 
 Test(sessions, request_waits_for_what_a_process_learns_at_its_start)
