Make two tests independent of how long a busy machine stops them

The stream had a deadline of 700 ms; if the endpoint's first event is later, the caller rightly gets 504 and no stream with an error (shown by a trial with an endpoint that waits 800 ms).

Change: the limit of 5 s for one text is processor time of the thread. The stream's deadline is 3 s; the test still checks the same promise, and prints the answer if it fails.

Conclusion: both failures are of the tests' clocks.

--- a/tests/fuzz/seeded_fuzz.cpp
+++ b/tests/fuzz/seeded_fuzz.cpp
@@ -10,6 +10,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
+#include <ctime>
 #include <exception>
 #include <filesystem>
 #include <fstream>
@@ -26,7 +27,7 @@
 namespace {
 
 constexpr std::uint64_t defaultSeed = 20261202;
-constexpr std::chrono::seconds longestRun{5}; ///< For one text, also on a busy machine.
+constexpr std::chrono::seconds longestRun{5}; ///< Processor time for one text.
 
 /// The text being run, for the handler of a crash.
 const std::string *current = nullptr;
@@ -90,17 +91,25 @@
     return corpus;
 }
 
+/// Processor time of this thread, which does not pass while a busy machine runs others.
+std::chrono::nanoseconds processorTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+}
+
 bool runOne(const FuzzTarget &target, const std::string &text)
 {
     current = &text;
-    const auto start = std::chrono::steady_clock::now();
+    const auto start = processorTime();
     std::string problem;
     try {
         target.run_(text);
     } catch (const std::exception &failure) {
         problem = failure.what();
     }
-    if (problem.empty() && std::chrono::steady_clock::now() - start > longestRun)
+    if (problem.empty() && processorTime() - start > longestRun)
         problem = "took too long";
     if (problem.empty())
         return true;
--- a/tests/traffic/streams.cpp
+++ b/tests/traffic/streams.cpp
@@ -169,10 +169,10 @@
     entry.addGroup("lm/a/0", engine.address());
     entry.publish();
 
-    const auto answer = streamFrom(entry, "X-Deadline-Ms: 700\r\n");
+    const auto answer = streamFrom(entry, "X-Deadline-Ms: 3000\r\n");
 
     cr_assert_not(contains(answer, "[DONE]"));
-    cr_assert(contains(answer, "event: error"));
+    cr_assert(contains(answer, "event: error"), "%s", answer.c_str());
     cr_assert(contains(answer, "X-Outcome: unknown"), "%s", answer.c_str());
 }
 
