--- a/tests/serving/retry_quota.cpp
+++ b/tests/serving/retry_quota.cpp
@@ -45,7 +45,7 @@
 }
 
 /// A holder with a fixed amount.
-class Purse final : public QuotaHolder
+class FixedHolder final : public QuotaHolder
 {
 public:
     [[nodiscard]] double giveQuota(const ServiceName & /*service*/, double wanted) override
@@ -75,7 +75,7 @@
         std::map<EntryId, Address> all;
         for (std::size_t i = 0; i < amounts.size(); ++i) {
             entries_.push_back(std::make_unique<Entry>(*this, i));
-            entries_.back()->purse_.left_ = amounts[i];
+            entries_.back()->holder_.left_ = amounts[i];
             all.emplace(nameOf(i), addressOf(i));
         }
         for (std::size_t i = 0; i < amounts.size(); ++i) {
@@ -90,7 +90,7 @@
     {
         return {"10.0.0.1", static_cast<std::uint16_t>(1000 + index)};
     }
-    Purse &purse(std::size_t index) { return entries_[index]->purse_; }
+    FixedHolder &holder(std::size_t index) { return entries_[index]->holder_; }
     QuotaExchange &exchange(std::size_t index) { return entries_[index]->exchange_; }
 
     void deliver()
@@ -107,7 +107,7 @@
     void need(double amount, Duration time)
     {
         for (Duration passed{}; passed < time; passed += milliseconds(20)) {
-            const auto lacking = amount - purse(0).received_;
+            const auto lacking = amount - holder(0).received_;
             if (lacking > 0)
                 exchange(0).need(service, lacking);
             deliver();
@@ -125,14 +125,14 @@
     struct Entry
     {
         Entry(Exchanges &all, std::size_t index)
-            : exchange_(all.clock_, purse_, Random(index))
+            : exchange_(all.clock_, holder_, Random(index))
         {
             exchange_.setSelf(nameOf(index), addressOf(index));
             exchange_.onSend([&all](const Address &to, std::string_view text) {
                 all.messages_.emplace_back(to.port_ - 1000U, text);
             });
         }
-        Purse purse_;
+        FixedHolder holder_;
         QuotaExchange exchange_;
     };
     std::vector<std::unique_ptr<Entry>> entries_;
@@ -233,7 +233,7 @@
 {
     Exchanges fleet({0, 10, 10, 10, 0, 10, 10, 10});
     fleet.need(60, seconds(2));
-    cr_assert_float_eq(fleet.purse(0).received_, 60, 1e-6);
+    cr_assert_float_eq(fleet.holder(0).received_, 60, 1e-6);
 }
 
 Test(quota_exchange, fleet_without_unused_quota_is_asked_rarely)
@@ -244,20 +244,20 @@
     cr_assert_geq(fleet.delivered_, 2 * 7);
     Exchanges full({0, 0, 0, 5});
     full.need(3, seconds(3));
-    cr_assert_float_eq(full.purse(0).received_, 3, 1e-6);
+    cr_assert_float_eq(full.holder(0).received_, 3, 1e-6);
 }
 
 Test(quota_exchange, silent_peer_is_passed_over)
 {
     Exchanges fleet({0, 0, 5});
     for (int i = 0; i < 50; ++i) {
-        fleet.exchange(0).need(service, 3 - fleet.purse(0).received_);
+        fleet.exchange(0).need(service, 3 - fleet.holder(0).received_);
         std::erase_if(fleet.messages_, [](const auto &message) { return message.first == 1; });
         fleet.deliver();
         fleet.clock_.advance(milliseconds(20));
         fleet.exchange(0).sweep();
     }
-    cr_assert_float_eq(fleet.purse(0).received_, 3, 1e-6);
+    cr_assert_float_eq(fleet.holder(0).received_, 3, 1e-6);
 }
 
 /// Otherwise a datagram that arrives twice, or late, would create quota.
@@ -269,13 +269,13 @@
     const auto transfer = encode(QuotaTransfer{Exchanges::nameOf(1), request.number_, 2});
     fleet.exchange(0).take(transfer);
     fleet.exchange(0).take(transfer);
-    cr_assert_eq(fleet.purse(0).received_, 2);
+    cr_assert_eq(fleet.holder(0).received_, 2);
     fleet.messages_.clear();
     fleet.exchange(0).need(service, 2);
     const auto late = *decodeQuotaRequest(fleet.messages_.front().second);
     fleet.clock_.advance(seconds(2));
     fleet.exchange(0).take(encode(QuotaTransfer{Exchanges::nameOf(1), late.number_, 2}));
-    cr_assert_eq(fleet.purse(0).received_, 2);
+    cr_assert_eq(fleet.holder(0).received_, 2);
 }
 
 Test(quota_exchange, transfers_that_were_not_asked_for_are_ignored)
@@ -285,10 +285,10 @@
     const auto request = *decodeQuotaRequest(fleet.messages_.front().second);
     const auto stranger = Exchanges::nameOf(3 - fleet.messages_.front().first);
     fleet.exchange(0).take(encode(QuotaTransfer{stranger, request.number_, 2}));
-    cr_assert_eq(fleet.purse(0).received_, 0);
+    cr_assert_eq(fleet.holder(0).received_, 0);
     fleet.exchange(0).take(encode(
         QuotaTransfer{Exchanges::nameOf(fleet.messages_.front().first), request.number_, 1e9}));
-    cr_assert_eq(fleet.purse(0).received_, 2);
+    cr_assert_eq(fleet.holder(0).received_, 2);
 }
 
 Test(fleet_size, entry_vms_count_until_their_part_cannot_be_in_use)
