--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -88,8 +88,9 @@
 
 } // namespace
 
-Deployment::Deployment(Links links)
+Deployment::Deployment(Links links, std::uint32_t memoryMegabytes)
     : harness_(PROGRAM_FOLDER)
+    , memoryMegabytes_(memoryMegabytes)
 {
     const auto platform
         = harness_.start("platform", harness_.program("fleet_platform_standin"), {});
@@ -158,7 +159,10 @@
             + "digests = " + addressText(ports.digests_) + "[store]\naddress = "
             + addressText(storeLinkPorts_.empty() ? store_ : storeLinkPorts_.at(number))
             + "[bounds]\nstop_within = \"8s\"\nrevoke_within = \"5s\"\nretry_share = 0.2\n"
-              "retry_window = \"10s\"\nretry_reserve = 130\n");
+              "retry_window = \"10s\"\nretry_reserve = 130\n"
+            + (memoryMegabytes_ == 0
+                   ? std::string()
+                   : "[machine]\nmemory_mb = " + std::to_string(memoryMegabytes_) + "\n"));
     return harness_.start(name, harness_.program("cardamombay-gateway"), {"--settings", settings});
 }
 
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -35,7 +35,8 @@
 public:
     /// \brief Starts all processes and waits until every gateway is ready and serves both models.
     /// \param links connections of the gateways that pass through the fault proxy.
-    explicit Deployment(Links links = Links::None);
+    /// \param memoryMegabytes memory of each gateway's machine; 0 leaves it unset.
+    explicit Deployment(Links links = Links::None, std::uint32_t memoryMegabytes = 0);
 
     /// \name Caller requests
     /// \{
@@ -71,6 +72,16 @@
                      const std::string &body = {}) const;
     /// \}
 
+    /// \brief Listen ports of a gateway.
+    struct Ports
+    {
+        std::uint16_t callers_ = 0;
+        std::uint16_t readiness_ = 0;
+        std::uint16_t digests_ = 0;
+        std::uint16_t metrics_ = 0;
+    };
+
+    [[nodiscard]] const Ports &ports(std::size_t gateway) const { return ports_.at(gateway); }
     [[nodiscard]] bool isReady(std::size_t gateway) const;
     [[nodiscard]] support::ProcessHarness &harness() { return harness_; }
     [[nodiscard]] support::ProcessId gateway(std::size_t number) const
@@ -87,18 +98,11 @@
     [[nodiscard]] load::Call streamCall(std::size_t gateway, const std::string &id,
                                         const std::string &model, const std::string &key,
                                         const std::string &path) const;
-    struct Ports
-    {
-        std::uint16_t callers_ = 0;
-        std::uint16_t readiness_ = 0;
-        std::uint16_t digests_ = 0;
-        std::uint16_t metrics_ = 0;
-    };
-
     void openLinks(Links links);
     [[nodiscard]] std::uint16_t openLink(std::uint16_t target);
 
     support::ProcessHarness harness_;
+    std::uint32_t memoryMegabytes_;
     std::uint16_t store_ = 0;
     std::uint16_t proxy_ = 0;
     std::size_t linkCount_ = 0;
