serving: share the body of a request among its attempts

Callers lost their requests when the gateway was killed for its memory.

Attempts now share one immutable body, which a session drops as it ends. No behaviour changes.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -69,6 +69,7 @@
 #include <cardamombay/core/random.hpp>
 #include <cardamombay/core/result.hpp>
 #include <cardamombay/core/row_version.hpp>
+#include <cardamombay/core/shared_bytes.hpp>
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/core/whole_number.hpp>
 
--- a/include/cardamombay/net/upstream.hpp
+++ b/include/cardamombay/net/upstream.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cardamombay/core/address.hpp>
+#include <cardamombay/core/shared_bytes.hpp>
 #include <cardamombay/core/time.hpp>
 #include <cardamombay/net/http_client.hpp>
 
@@ -24,7 +25,7 @@
     std::string method_ = "POST";
     std::string target_ = "/";
     std::vector<HttpField> fields_;
-    std::string body_;
+    SharedBytes body_;
     Duration connectTimeout_ = std::chrono::seconds(1);
     Duration longestIdle_
         = std::chrono::seconds(4); ///< A kept connection that was unused for
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -30,7 +30,7 @@
 
 bool carriesBody(const UpstreamRequest &request)
 {
-    return !request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT"
+    return !request.body_.isEmpty() || request.method_ == "POST" || request.method_ == "PUT"
            || request.method_ == "PATCH";
 }
 
@@ -129,7 +129,7 @@
     std::string head_;
     std::string id_;
     bool isHeadRequest_;
-    std::string requestBody_;
+    SharedBytes requestBody_;
     std::optional<impl::http::response_parser<impl::http::buffer_body>> parser_;
     std::string body_; ///< Unconsumed bytes first, then room for more.
     std::size_t filled_ = 0;
@@ -185,8 +185,8 @@
 
 void Exchange::send()
 {
-    const std::array<boost::asio::const_buffer, 2> buffers{boost::asio::buffer(head_),
-                                                           boost::asio::buffer(requestBody_)};
+    const std::array<boost::asio::const_buffer, 2> buffers{
+        boost::asio::buffer(head_), boost::asio::buffer(requestBody_.view())};
     boost::asio::async_write(connection_->stream_, buffers,
                              [self = shared_from_this()](impl::error_code error, std::size_t) {
                                  // An endpoint may answer and close before it has read all.
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -46,7 +46,7 @@
     message.set(http::field::connection, "close");
     for (const auto &field : request.fields_)
         message.insert(field.name_, field.value_);
-    message.body() = std::move(request.body_);
+    message.body() = request.body_.view();
     message.prepare_payload();
     return message;
 }
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -51,6 +51,7 @@
     : gateway_(gateway)
     , number_(number)
     , request_(std::move(request))
+    , body_(std::exchange(request_.body_, {}))
     , exchange_(std::move(exchange))
     , origin_(origin)
     , head_(gateway.parts().dialect_.parseRequestHead(request_.fields_))
@@ -254,7 +255,7 @@
     upstream.method_ = request_.method_;
     upstream.target_ = request_.target_;
     upstream.fields_ = gateway_.parts().dialect_.attemptFields(request_.fields_, attempt);
-    upstream.body_ = request_.body_;
+    upstream.body_ = body_;
     send_ = gateway_.parts().loadTracker_.started(target.endpoint_,
                                                   service_->engine_ ? prefillTokens() : 0, now);
     startCall(std::move(upstream));
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -213,7 +213,8 @@
 
     Gateway &gateway_;
     std::uint64_t number_;
-    net::ServerRequest request_;
+    net::ServerRequest request_; ///< Without its body.
+    SharedBytes body_;           ///< Of the request; its attempts share it.
     std::shared_ptr<net::ServerExchange> exchange_;
     RequestOrigin origin_;
     RequestHead head_;
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -99,7 +99,7 @@
     if (head_.arePartsIncomplete_)
         gateway_.parts().metrics_.incompleteParts_.increment();
     fingerprint_
-        = fingerprintOf({request_.method_, head_.host_, request_.target_, team_, request_.body_});
+        = fingerprintOf({request_.method_, head_.host_, request_.target_, team_, body_.view()});
     fingerprints_ = {fingerprint_};
     fingerprints_.insert(fingerprints_.end(), head_.sharedParts_.begin(), head_.sharedParts_.end());
     if (refuseQuarantined())
--- a/src/serving/session_end.cpp
+++ b/src/serving/session_end.cpp
@@ -132,6 +132,7 @@
     dropAttempt();
     reservation_.reset();
     bufferShare_.reset();
+    body_ = {};
     auto &metrics = gateway_.parts().metrics_;
     const auto elapsed = gateway_.parts().clock_.now() - arrivedAt_;
     if (outcome == "served") {
--- a/src/serving/session_relay.cpp
+++ b/src/serving/session_relay.cpp
@@ -76,7 +76,7 @@
     upstream.target_ = request_.target_;
     upstream.fields_ = gateway_.parts().dialect_.relayFields(request_.fields_, head);
     setPriorRuns(upstream.fields_, possibleRuns_);
-    upstream.body_ = request_.body_;
+    upstream.body_ = body_;
     startCall(std::move(upstream));
     gateway_.carriers().started(peer.entry_);
     gateway_.parts().metrics_.relayed_.increment();
--- a/tests/partitioned_entries/partition_simulation.cpp
+++ b/tests/partitioned_entries/partition_simulation.cpp
@@ -335,7 +335,7 @@
     request.method_ = call->request_.method_;
     request.target_ = call->request_.target_;
     request.fields_ = call->request_.fields_;
-    request.body_ = call->request_.body_;
+    request.body_ = call->request_.body_.view();
     fleet_.clock_.schedule(hop, [this, peer, request = std::move(request), exchange]() mutable {
         fleet_.node(peer).gateway_.handleRelayed(std::move(request), exchange);
     });
--- a/tests/traffic/sessions.cpp
+++ b/tests/traffic/sessions.cpp
@@ -39,7 +39,7 @@
 std::uint64_t resumePosition(const FakeCall &call)
 {
     net::ServerRequest request;
-    request.body_ = call.request_.body_;
+    request.body_ = call.request_.body_.view();
     return resumeFrom(request);
 }
 
