gateway: give the memory of freed long bodies back to the system

A gateway that had held long bodies kept their memory after their callers had left: the allocator raises the size from which blocks are mapped with the first large block that is freed, and serves the next ones from its heap.

The size is now fixed at 128 KiB, the allocator's initial value, so the memory of a long body is unmapped when it is freed. Smaller blocks are handled as before.

--- a/apps/cardamombay-gateway/main.cpp
+++ b/apps/cardamombay-gateway/main.cpp
@@ -10,10 +10,16 @@
 #include <iostream>
 #include <string_view>
 
+#include <malloc.h>
+
 using namespace cardamombay;
 
 namespace {
 
+/// Blocks from this size on are given back to the system when they are freed. The allocator would
+/// raise the limit with the first long body and keep the memory of the next ones.
+constexpr int mappedBlockBytes = 128 * 1024;
+
 log::Level levelOf(std::string_view name)
 {
     if (name == "debug")
@@ -31,6 +37,7 @@
 
 int runGateway(serving::GatewaySettings settings, std::string file)
 {
+    ::mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
     log::configure(levelOf(settings.logLevel_), log::Output::Standard);
     gateway::GatewayDaemon daemon(std::move(settings), std::move(file));
     const auto result = daemon.run();
