net: bound the memory of what callers send

Callers of a gateway lost their requests when clients that exceed or exhaust the declared limits took the process over the memory of its machine.

Cause: nothing counted bytes over connections. Each of up to 4,096 connections could hold MaxBodyBytes, chunked bodies beyond that by the growth of their buffer, and whatever its socket held unread; the ports for peers, readiness and metrics the same.

It counts for each connection a fixed cost, the body as it is received until its request is answered, and what the socket may hold unread; receive buffers are small, so that this is bounded, and grow for long bodies only. At the bound, large incomplete requests give way first, by bytes and silence, then connections that receive nothing. Large requests may not use the last quarter, so that ordinary ones find room. An announced length that cannot fit is refused before it is read. A refusal is 503 with Retry-After; the request was never handed over, so it has not run. Complete requests are never released. The body is parsed by hand, since Beast's read operation goes on while the input ends within the head of a chunk and a body of one-byte chunks would not be counted.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -33,6 +33,9 @@
 
 constexpr std::size_t relayHeaderAllowance = 1024;
 
+constexpr std::size_t statusBodyBytes = 4096;
+constexpr std::size_t statusConnections = 128;
+
 constexpr Duration leavePollInterval = std::chrono::milliseconds(20);
 constexpr int maxLeavePolls = 20;
 
@@ -62,6 +65,15 @@
     return limits;
 }
 
+/// Readiness checks and requests for metrics are few and have no body.
+net::HttpServerLimits statusLimits()
+{
+    net::HttpServerLimits limits;
+    limits.bodyBytes_ = statusBodyBytes;
+    limits.connections_ = statusConnections;
+    return limits;
+}
+
 /// Identifies this run of the process; increases across restarts as long as the system clock does.
 Incarnation makeIncarnation()
 {
@@ -117,6 +129,7 @@
 GatewayDaemon::GatewayDaemon(serving::GatewaySettings settings, std::string file)
     : settings_(std::move(settings))
     , file_(std::move(file))
+    , inputBudget_(clock_, settings_.inputBytes_, &inputMetrics_)
     , storeHttp_(context_, limitsOf(storeConnections))
     , orderHttp_(context_, limitsOf(2))
     , store_(storeHttp_, {settings_.store_, storeTimeout})
@@ -134,10 +147,10 @@
         return isServing && node_->isReady() ? std::optional<std::string>("ready\n") : std::nullopt;
     })
     , metricsHandler_([this] { return std::optional(registry_.text()); })
-    , callers_({{&context_, &gateway_}}, callerLimits({}))
-    , relays_({{&context_, &relayHandler_}}, relayLimits({}))
-    , readinessServer_({{&context_, &readiness_}}, {})
-    , metricsServer_({{&context_, &metricsHandler_}}, {})
+    , callers_({{&context_, &gateway_, &inputBudget_}}, callerLimits({}))
+    , relays_({{&context_, &relayHandler_, &inputBudget_}}, relayLimits({}))
+    , readinessServer_({{&context_, &readiness_, &inputBudget_}}, statusLimits())
+    , metricsServer_({{&context_, &metricsHandler_, &inputBudget_}}, statusLimits())
 {
 }
 
@@ -261,7 +274,9 @@
         return;
     }
     gateway_.setBounds(valueOf(loaded).bounds_);
-    log::info("settings-reloaded", {{"taken", "bounds"}, {"needs-restart", "addresses and names"}});
+    inputBudget_.setBound(valueOf(loaded).inputBytes_);
+    log::info("settings-reloaded",
+              {{"taken", "bounds, memory"}, {"needs-restart", "addresses and names"}});
 }
 
 void GatewayDaemon::setHealthy(bool isHealthy)
--- a/apps/cardamombay-gateway/gateway_daemon.hpp
+++ b/apps/cardamombay-gateway/gateway_daemon.hpp
@@ -90,10 +90,13 @@
 
     serving::GatewaySettings settings_;
     std::string file_;
+    // Connections of callers give back their shares when the context is destroyed.
+    metrics::Registry registry_;
+    net::InputMetrics inputMetrics_{registry_};
+    net::BoundedInputBudget inputBudget_;
     boost::asio::io_context context_{1};
     boost::asio::signal_set signals_{context_};
     net::AsioClock clock_{context_};
-    metrics::Registry registry_;
     net::AsioHttpClient storeHttp_;
     net::AsioHttpClient orderHttp_;
     net::KeptUpstream upstream_{context_, clock_};
--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -126,6 +126,7 @@
 #include <cardamombay/net/http_client.hpp>
 #include <cardamombay/net/http_server.hpp>
 #include <cardamombay/net/http_status.hpp>
+#include <cardamombay/net/input_budget.hpp>
 #include <cardamombay/net/kept_upstream.hpp>
 #include <cardamombay/net/server_exchange.hpp>
 #include <cardamombay/net/udp_channel.hpp>
--- a/include/cardamombay/log/events.hpp
+++ b/include/cardamombay/log/events.hpp
@@ -30,6 +30,7 @@
 inline constexpr std::string_view attemptStopped = "attempt-stopped";
 inline constexpr std::string_view streamResumed = "stream-resumed";
 inline constexpr std::string_view badInput = "bad-input";
+inline constexpr std::string_view inputRefused = "input-refused";
 /// \}
 
 } // namespace cardamombay::log::event
--- a/include/cardamombay/net/http_server.hpp
+++ b/include/cardamombay/net/http_server.hpp
@@ -9,6 +9,7 @@
 #include <cardamombay/core/address.hpp>
 #include <cardamombay/core/result.hpp>
 #include <cardamombay/core/time.hpp>
+#include <cardamombay/net/input_budget.hpp>
 #include <cardamombay/net/server_exchange.hpp>
 
 #include <cstddef>
@@ -43,6 +44,7 @@
     SlowRequest,    ///< 408
     BodyTooLarge,   ///< 413
     HeaderTooLarge, ///< 431
+    OutOfMemory,    ///< 503: others' requests use the memory for input.
 };
 
 /// \brief Status code of a fault.
@@ -69,6 +71,9 @@
 {
     boost::asio::io_context *context_ = nullptr;
     HttpHandler *handler_ = nullptr;
+    /// Shared by the servers of the thread, and outlives them. Without one, the server has a budget
+    /// of its own, of the default bound divided among its workers.
+    InputBudget *budget_ = nullptr;
 };
 
 /// \brief HTTP/1.1 server.
--- a/include/cardamombay/serving/gateway_settings.hpp
+++ b/include/cardamombay/serving/gateway_settings.hpp
@@ -8,6 +8,7 @@
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/core/result.hpp>
 #include <cardamombay/core/time.hpp>
+#include <cardamombay/net/input_budget.hpp>
 #include <cardamombay/serving/gateway.hpp>
 
 #include <map>
@@ -36,6 +37,8 @@
     Duration grace_ = std::chrono::seconds(8); ///< Time between the stop request and the kill.
     /// Maximum time until all entry VMs know of a leaving endpoint or a new configuration.
     Duration propagationBound_ = std::chrono::seconds(2);
+    /// Memory for what callers send, in bytes.
+    std::size_t inputBytes_ = net::BoundedInputBudget::defaultBound;
     GatewayBounds bounds_;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -58,6 +58,8 @@
         return 413;
     case ServerFault::HeaderTooLarge:
         return 431;
+    case ServerFault::OutOfMemory:
+        return 503;
     }
     return 400;
 }
@@ -76,6 +78,13 @@
             auto shared = std::make_shared<impl::WorkerState>();
             shared->context_ = worker.context_;
             shared->handler_ = worker.handler_;
+            shared->budget_ = worker.budget_;
+            if (shared->budget_ == nullptr) {
+                shared->ownClock_ = std::make_unique<AsioClock>(*worker.context_);
+                shared->ownBudget_ = std::make_unique<BoundedInputBudget>(
+                    *shared->ownClock_, BoundedInputBudget::defaultBound / workers.size());
+                shared->budget_ = shared->ownBudget_.get();
+            }
             shared->server_ = state_;
             workers_.push_back(std::move(shared));
         }
@@ -113,6 +122,10 @@
         acceptor_.set_option(impl::Tcp::acceptor::reuse_address(true), error);
     if (!error)
         acceptor_.bind(endpoint, error);
+    impl::error_code ignored;
+    // Inherited by the connections; set later, it would not bound what a window already offers.
+    acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(impl::receiveBuffer),
+                         ignored);
     if (!error)
         acceptor_.listen(listenBacklog, error);
     if (error)
--- a/src/net/http_server_answer.cpp
+++ b/src/net/http_server_answer.cpp
@@ -178,7 +178,12 @@
     stream_.socket().shutdown(Tcp::socket::shutdown_send, ignored);
     setTimeout(stream_, lingerTime);
     buffer_.clear();
-    readUntilEnd();
+    freeInput();
+    mayHaveUnread_ = true;
+    if (updateShare(InputUse::Closing))
+        readUntilEnd();
+    else
+        close();
 }
 
 void ServerConnection::readUntilEnd()
@@ -202,6 +207,10 @@
     lost_ = nullptr;
     readTimer_.cancel();
     stream_.close();
+    // A read that has ended without its handler having run still refers to the parser.
+    if (parser_)
+        std::string().swap(parser_->get().body());
+    (void)worker_->budget_->update(share_, InputUse::Idle, 0);
 }
 
 void ServerConnection::closeIfIdle()
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamombay::net::impl {
@@ -16,6 +18,13 @@
 namespace {
 
 constexpr std::size_t firstRead = 4096;
+constexpr std::size_t bodyRead = std::size_t{16} * 1024;
+/// Cost of a connection beside its body and its socket's data, in bytes.
+constexpr std::size_t connectionBytes = std::size_t{8} * 1024;
+/// A body beyond this size gets a larger receive window.
+constexpr std::size_t longBody = std::size_t{32} * 1024;
+constexpr std::string_view noMemory = "too many bytes of other requests are in memory";
+constexpr std::string_view tooSlow = "the request did not arrive in time";
 constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string textOf(boost::core::string_view text)
@@ -37,7 +46,13 @@
     return error.category() == make_error_code(http::error::bad_method).category();
 }
 
-ServerRequest takeRequest(http::request<http::string_body> message)
+/// Bytes that a socket holds unread with a receive buffer of \p size.
+constexpr std::size_t unreadWith(std::size_t size)
+{
+    return size * 3 / 2;
+}
+
+ServerRequest takeRequest(http::request<ReceivedBody> message)
 {
     ServerRequest request;
     request.method_ = textOf(message.method_string());
@@ -55,12 +70,16 @@
     , readTimer_(stream_.get_executor())
     , worker_(std::move(worker))
     , buffer_(worker_->server_->limits_.headerBytes_ + firstRead)
+    , windowBytes_(unreadWith(receiveBuffer))
 {
     worker_->connections_.insert(this);
+    share_.holder_ = this;
+    worker_->budget_->add(share_);
 }
 
 ServerConnection::~ServerConnection()
 {
+    worker_->budget_->remove(share_);
     worker_->connections_.erase(this);
     worker_->server_->connections_.fetch_sub(1);
 }
@@ -72,7 +91,11 @@
     const auto caller = stream_.socket().remote_endpoint(error);
     if (error)
         return;
-    callerIp_ = caller.address().to_string();
+    share_.callerIp_ = caller.address().to_string();
+    if (!updateShare(InputUse::Idle)) {
+        close();
+        return;
+    }
     watchForReset();
     readRequest();
 }
@@ -108,10 +131,57 @@
         return;
     char byte = 0;
     const auto size = ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (size == 0)
+    if (size == 0) {
         lose();
-    else if (size < 0)
+    } else if (size < 0) {
         watchForClose();
+    } else {
+        mayHaveUnread_ = true;
+        (void)updateShare(InputUse::Answering);
+    }
+}
+
+std::size_t ServerConnection::heldBytes() const
+{
+    return connectionBytes + bodyBytes_ + (mayHaveUnread_ ? windowBytes_ : 0);
+}
+
+/// \returns false if the bytes do not fit.
+bool ServerConnection::updateShare(InputUse use)
+{
+    return worker_->budget_->update(share_, use, heldBytes());
+}
+
+void ServerConnection::widenWindow()
+{
+    if (windowBytes_ >= unreadWith(largeReceiveBuffer))
+        return;
+    windowBytes_ = unreadWith(largeReceiveBuffer);
+    error_code ignored;
+    stream_.socket().set_option(boost::asio::socket_base::receive_buffer_size(largeReceiveBuffer),
+                                ignored);
+    const int window = static_cast<int>(largeReceiveBuffer);
+    (void)::setsockopt(stream_.socket().native_handle(), IPPROTO_TCP, TCP_WINDOW_CLAMP, &window,
+                       sizeof window);
+}
+
+/// Frees what belongs to the last request.
+void ServerConnection::freeInput()
+{
+    parser_.reset();
+    bodyBytes_ = 0;
+    if (buffer_.size() == 0 && buffer_.capacity() > firstRead)
+        buffer_.shrink_to_fit();
+}
+
+void ServerConnection::releaseInput()
+{
+    if (activity_ != Activity::Reading) {
+        close();
+        return;
+    }
+    readFault_ = ServerFault::OutOfMemory;
+    stream_.cancel();
 }
 
 void ServerConnection::setActivity(Activity activity)
@@ -129,6 +199,9 @@
 {
     const auto &limits = worker_->server_->limits_;
     setActivity(Activity::Idle);
+    freeInput();
+    mayHaveUnread_ = false;
+    (void)updateShare(InputUse::Idle);
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes_));
     parser_->body_limit(limits.bodyBytes_);
@@ -155,7 +228,7 @@
     readTimer_.async_wait([self = shared_from_this()](error_code error) {
         if (error || self->activity_ != Activity::Reading)
             return;
-        self->isSlow_ = true;
+        self->readFault_ = ServerFault::SlowRequest;
         self->stream_.cancel();
     });
 }
@@ -164,52 +237,101 @@
 {
     setActivity(Activity::Reading);
     clearTimeout(stream_);
+    mayHaveUnread_ = true;
+    if (!updateShare(InputUse::Receiving)) {
+        refuse(ServerFault::OutOfMemory, noMemory);
+        return;
+    }
     startReadTimer();
     http::async_read_header(stream_, buffer_, *parser_,
                             [self = shared_from_this()](error_code error, std::size_t) {
-                                if (error)
+                                if (error || self->readFault_)
                                     self->handleReadError(error);
                                 else
                                     self->readBody();
                             });
 }
 
+/// \returns false if the body that the head announces can find no room.
+bool ServerConnection::acceptsBody()
+{
+    const auto length = parser_->content_length().value_or(0);
+    if (!worker_->budget_->canHold(share_, heldBytes() + length))
+        return false;
+    if (length > longBody)
+        widenWindow();
+    return true;
+}
+
 void ServerConnection::readBody()
 {
     if (parser_->is_done()) {
         handleRequest();
         return;
     }
+    if (!acceptsBody()) {
+        refuse(ServerFault::OutOfMemory, noMemory);
+        return;
+    }
+    parser_->eager(true);
     if (!beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
         readBodyBytes();
         return;
     }
     boost::asio::async_write(stream_, boost::asio::buffer(continueLine.data(), continueLine.size()),
                              [self = shared_from_this()](error_code error, std::size_t) {
-                                 if (error)
+                                 if (error || self->readFault_)
                                      self->handleReadError(error);
                                  else
                                      self->readBodyBytes();
                              });
 }
 
+/// Parses what was read before it reads on, so that the share of the request is up to date. Beast's
+/// own operation goes on while the input ends within the head of a chunk.
 void ServerConnection::readBodyBytes()
 {
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](error_code error, std::size_t) {
-                         if (error)
-                             self->handleReadError(error);
-                         else
-                             self->handleRequest();
-                     });
+    error_code error;
+    if (buffer_.size() != 0)
+        buffer_.consume(parser_->put(buffer_.data(), error));
+    if (error && error != http::error::need_more) {
+        handleReadError(error);
+        return;
+    }
+    bodyBytes_ = parser_->get().body().size();
+    if (bodyBytes_ > longBody)
+        widenWindow();
+    if (!updateShare(InputUse::Receiving))
+        refuse(ServerFault::OutOfMemory, noMemory);
+    else if (parser_->is_done())
+        handleRequest();
+    else if (buffer_.size() == buffer_.max_size())
+        handleReadError(http::error::buffer_overflow);
+    else
+        awaitBodyBytes();
+}
+
+void ServerConnection::awaitBodyBytes()
+{
+    const auto room = buffer_.max_size() - buffer_.size();
+    stream_.async_read_some(buffer_.prepare(std::min(bodyRead, room)),
+                            [self = shared_from_this()](error_code error, std::size_t size) {
+                                self->buffer_.commit(size);
+                                if (error == boost::asio::error::eof)
+                                    error = http::error::partial_message;
+                                if (error || self->readFault_)
+                                    self->handleReadError(error);
+                                else
+                                    self->readBodyBytes();
+                            });
 }
 
 void ServerConnection::handleReadError(error_code error)
 {
     if (isClosed_)
         return;
-    if (isSlow_)
-        refuse(ServerFault::SlowRequest, "the request did not arrive in time");
+    if (readFault_)
+        refuse(*readFault_, *readFault_ == ServerFault::SlowRequest ? tooSlow : noMemory);
     else if (isHttpError(error) && error != http::error::end_of_stream)
         refuse(faultOf(error), error.message());
     else
@@ -222,6 +344,8 @@
     keepsAlive_ = false;
     isHead_ = false;
     setActivity(Activity::Answering);
+    freeInput();
+    (void)updateShare(InputUse::Closing);
     respond(worker_->handler_->refusal(fault, detail));
 }
 
@@ -234,7 +358,11 @@
     isHead_ = message.method() == http::verb::head;
     isChunked_ = message.version() >= 11;
     auto request = takeRequest(std::move(message));
-    request.callerIp_ = callerIp_;
+    request.callerIp_ = share_.callerIp_;
+    parser_.reset();
+    bodyBytes_ = request.body_.size();
+    mayHaveUnread_ = buffer_.size() != 0;
+    (void)updateShare(InputUse::Answering);
     auto exchange = std::make_shared<ServerConnectionExchange>(shared_from_this());
     watchForClose();
     worker_->handler_->handle(std::move(request), std::move(exchange));
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -5,13 +5,13 @@
 #include "net/timeouts.hpp"
 
 #include <net/http_server_state.hpp>
+#include <net/received_body.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 
 #include <functional>
 #include <memory>
@@ -28,17 +28,20 @@
 using boost::system::error_code;
 
 /// \brief Connection; kept alive by its pending operations and its exchange.
-class ServerConnection final : public std::enable_shared_from_this<ServerConnection>
+class ServerConnection final : public InputHolder,
+                               public std::enable_shared_from_this<ServerConnection>
 {
 public:
     ServerConnection(Tcp::socket socket, std::shared_ptr<WorkerState> worker);
-    ~ServerConnection();
+    ~ServerConnection() override;
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
 
     void start();
     void close();
     void closeIfIdle();
+    void releaseInput() override;
+    [[nodiscard]] const InputShare &share() const { return share_; }
 
     /// \name Answering; called by the exchange of the present request
     /// \{
@@ -56,8 +59,10 @@
     /// \{
     void readRequest();
     void readHeader();
+    [[nodiscard]] bool acceptsBody();
     void readBody();
     void readBodyBytes();
+    void awaitBodyBytes();
     void handleRequest();
     void handleReadError(error_code error);
     void refuse(ServerFault fault, std::string_view detail);
@@ -68,6 +73,14 @@
     void checkForClose();
     /// \}
 
+    /// \name Memory
+    /// \{
+    [[nodiscard]] std::size_t heldBytes() const;
+    [[nodiscard]] bool updateShare(InputUse use);
+    void widenWindow();
+    void freeInput();
+    /// \}
+
     /// \name Writing
     /// \{
     [[nodiscard]] std::string headText(const HttpResponse &response,
@@ -82,12 +95,15 @@
     beast::tcp_stream stream_;
     TimeoutTimer readTimer_;
     std::shared_ptr<WorkerState> worker_;
-    std::string callerIp_;
     beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<http::request_parser<ReceivedBody>> parser_;
     Activity activity_ = Activity::Idle;
+    InputShare share_;
+    std::size_t windowBytes_;   ///< What the socket may hold unread.
+    std::size_t bodyBytes_ = 0; ///< Of the present request.
+    bool mayHaveUnread_ = false;
+    std::optional<ServerFault> readFault_; ///< Why the pending read was cancelled.
     bool isClosed_ = false;
-    bool isSlow_ = false;
     bool isWatchingClose_ = false;
     bool keepsAlive_ = true;
     bool isHead_ = false;
--- a/src/net/http_server_state.hpp
+++ b/src/net/http_server_state.hpp
@@ -4,6 +4,9 @@
 
 #include <cardamombay/net/http_server.hpp>
 
+#include <cardamombay/net/asio_clock.hpp>
+#include <cardamombay/net/input_budget.hpp>
+
 #include <atomic>
 #include <memory>
 #include <unordered_set>
@@ -12,6 +15,13 @@
 
 class ServerConnection;
 
+/// \brief Size of a listener's and its connections' receive buffers. The kernel doubles it, and
+/// three quarters of that hold data.
+inline constexpr std::size_t receiveBuffer = std::size_t{16} * 1024;
+/// \brief The same of a connection that receives a long body; larger ones need a window scale,
+/// which a listener with a small buffer does not negotiate.
+inline constexpr std::size_t largeReceiveBuffer = std::size_t{64} * 1024;
+
 /// \brief Shared by all workers of a server.
 struct ServerState
 {
@@ -26,7 +36,11 @@
 {
     boost::asio::io_context *context_ = nullptr;
     HttpHandler *handler_ = nullptr;
+    InputBudget *budget_ = nullptr;
     std::shared_ptr<ServerState> server_;
+    /// Used if the server was given no budget.
+    std::unique_ptr<AsioClock> ownClock_;
+    std::unique_ptr<BoundedInputBudget> ownBudget_;
     std::unordered_set<ServerConnection *> connections_;
 };
 
--- /dev/null
+++ b/src/net/input_budget.cpp
@@ -0,0 +1,177 @@
+#include <cardamombay/net/input_budget.hpp>
+
+#include <cardamombay/log/events.hpp>
+#include <cardamombay/log/log.hpp>
+
+#include <string>
+#include <utility>
+
+namespace cardamombay::net {
+
+namespace {
+
+/// Shares up to this size may use the whole bound. A request with a body of 32 KB has one.
+constexpr std::size_t smallShare = std::size_t{64} * 1024;
+/// Large shares may not use this part of the bound.
+constexpr std::size_t reserveDivisor = 4;
+
+/// A small share is released only after it has received nothing for this time.
+constexpr Duration minSilence = std::chrono::milliseconds(500);
+
+constexpr Duration logPeriod = std::chrono::seconds(1);
+
+} // namespace
+
+InputMetrics::InputMetrics(metrics::Registry &registry)
+    : bytes_(registry.gauge("cardamombay_input_bytes",
+                            "Memory of callers' connections and of the bodies they have sent."))
+    , connections_(registry.gauge("cardamombay_input_connections", "Connections of callers."))
+    , refused_(registry.counter("cardamombay_input_refused_total",
+                                "Requests refused before they were complete for want of memory."))
+    , closed_(registry.counter("cardamombay_input_closed_total",
+                               "Connections without a request that were closed to make room."))
+{
+}
+
+BoundedInputBudget::BoundedInputBudget(const Clock &clock, std::size_t bound,
+                                       const InputMetrics *metrics)
+    : clock_(clock)
+    , bound_(bound)
+    , metrics_(metrics)
+{
+}
+
+void BoundedInputBudget::add(InputShare &share)
+{
+    shares_.insert(&share);
+}
+
+void BoundedInputBudget::remove(InputShare &share)
+{
+    resize(share, InputUse::Idle, 0);
+    shares_.erase(&share);
+}
+
+bool BoundedInputBudget::update(InputShare &share, InputUse use, std::size_t bytes)
+{
+    share.changedAt_ = clock_.now();
+    if (use == InputUse::Closing && bytes_ - share.bytes_ + bytes > bound_)
+        return false;
+    const bool fits = use == InputUse::Closing || bytes <= share.bytes_ || makeRoom(share, bytes);
+    if (fits || use == InputUse::Answering) {
+        resize(share, use, bytes);
+        return true;
+    }
+    resize(share, use, share.bytes_);
+    if (use == InputUse::Receiving)
+        recordRefusal(share);
+    return false;
+}
+
+bool BoundedInputBudget::canHold(const InputShare &share, std::size_t bytes) const
+{
+    const auto own = share.use_ == InputUse::Answering ? share.bytes_ : 0;
+    return answering_ - own + bytes <= limitFor(bytes);
+}
+
+std::size_t BoundedInputBudget::limitFor(std::size_t bytes) const
+{
+    return bytes > smallShare ? bound_ - bound_ / reserveDivisor : bound_;
+}
+
+bool BoundedInputBudget::makeRoom(const InputShare &share, std::size_t bytes)
+{
+    const auto growth = bytes - share.bytes_;
+    while (bytes_ + growth > limitFor(bytes)) {
+        auto *other = largeOther(share);
+        if (other == nullptr)
+            other = silentOther(share);
+        if (other == nullptr)
+            return false;
+        release(*other);
+    }
+    return true;
+}
+
+/// Weighs bytes with silence: a transfer that goes on holds its memory for a shorter time.
+InputShare *BoundedInputBudget::largeOther(const InputShare &share) const
+{
+    const auto now = clock_.now();
+    InputShare *result = nullptr;
+    double most = -1;
+    for (auto *other : shares_) {
+        if (other == &share || other->use_ != InputUse::Receiving || other->bytes_ <= smallShare)
+            continue;
+        const auto weight = static_cast<double>(other->bytes_) * toSeconds(now - other->changedAt_);
+        if (weight > most) {
+            most = weight;
+            result = other;
+        }
+    }
+    return result;
+}
+
+InputShare *BoundedInputBudget::silentOther(const InputShare &share) const
+{
+    const auto latest = clock_.now() - minSilence;
+    InputShare *result = nullptr;
+    for (auto *other : shares_) {
+        if (other == &share || other->use_ == InputUse::Answering || other->bytes_ == 0)
+            continue;
+        if (other->use_ == InputUse::Closing)
+            return other;
+        if (other->changedAt_ > latest)
+            continue;
+        if (result == nullptr || other->changedAt_ < result->changedAt_)
+            result = other;
+    }
+    return result;
+}
+
+void BoundedInputBudget::release(InputShare &share)
+{
+    if (share.use_ == InputUse::Receiving)
+        recordRefusal(share);
+    else if (share.use_ == InputUse::Idle && metrics_ != nullptr)
+        metrics_->closed_.increment();
+    resize(share, share.use_, 0);
+    share.holder_->releaseInput();
+}
+
+void BoundedInputBudget::resize(InputShare &share, InputUse use, std::size_t bytes)
+{
+    if (share.use_ == InputUse::Answering)
+        answering_ -= share.bytes_;
+    bytes_ = bytes_ - share.bytes_ + bytes;
+    share.use_ = use;
+    share.bytes_ = bytes;
+    if (use == InputUse::Answering)
+        answering_ += bytes;
+    if (metrics_ != nullptr) {
+        metrics_->bytes_.set(static_cast<double>(bytes_));
+        metrics_->connections_.set(static_cast<double>(shares_.size()));
+    }
+}
+
+/// The line names the last of the refused callers.
+void BoundedInputBudget::recordRefusal(const InputShare &share)
+{
+    if (metrics_ != nullptr)
+        metrics_->refused_.increment();
+    ++refusals_;
+    const auto now = clock_.now();
+    if (loggedAt_ != TimePoint::min() && now - loggedAt_ < logPeriod)
+        return;
+    loggedAt_ = now;
+    log::warning(log::event::inputRefused,
+                 {{"bytes", std::to_string(bytes_)},
+                  {"bound", std::to_string(bound_)},
+                  {"answering", std::to_string(answering_)},
+                  {"connections", std::to_string(shares_.size())},
+                  {"refused", std::to_string(std::exchange(refusals_, 0))},
+                  {"caller", share.callerIp_},
+                  {"held", std::to_string(share.bytes_)},
+                  {"silent-ms", std::to_string(toMilliseconds(now - share.changedAt_))}});
+}
+
+} // namespace cardamombay::net
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -24,6 +24,9 @@
 /// silence of the endpoints.
 constexpr Duration maxSweepGap = std::chrono::milliseconds(120);
 
+/// Retry delay of callers whose requests found no memory: answers under way free theirs meanwhile.
+constexpr Duration inputRetryDelay = std::chrono::milliseconds(500);
+
 /// Expected length of the answer: the caller's estimate, or else half of the limit that it set.
 std::size_t expectedAnswerTokens(const RequestHead &head)
 {
@@ -99,7 +102,9 @@
 
 net::HttpResponse Gateway::refusal(net::ServerFault fault, std::string_view detail)
 {
-    return parts_.dialect_.failure(net::statusOf(fault), detail, std::nullopt);
+    const bool isTransient = fault == net::ServerFault::OutOfMemory;
+    return parts_.dialect_.failure(net::statusOf(fault), detail,
+                                   isTransient ? std::optional(inputRetryDelay) : std::nullopt);
 }
 
 void Gateway::release(Session &session)
--- a/src/serving/gateway_settings.cpp
+++ b/src/serving/gateway_settings.cpp
@@ -91,9 +91,14 @@
     reader.read("link_mbps", result.linkMegabits_, linkRange);
     double memory = 0;
     reader.read("memory_mb", memory, memoryRange);
-    if (memory > 0)
-        result.bounds_.callerBufferBytes_ = static_cast<std::size_t>(
-            memory * bytesPerMegabyte * BoundedCallerBuffers::memoryShare);
+    if (memory <= 0) {
+        reader.finish();
+        return;
+    }
+    const double bytes = memory * bytesPerMegabyte;
+    result.inputBytes_ = static_cast<std::size_t>(bytes * net::BoundedInputBudget::memoryShare);
+    result.bounds_.callerBufferBytes_
+        = static_cast<std::size_t>(bytes * BoundedCallerBuffers::memoryShare);
     reader.finish();
 }
 
--- a/src/traffic/worker.cpp
+++ b/src/traffic/worker.cpp
@@ -18,6 +18,9 @@
 constexpr Duration tickPeriod = std::chrono::milliseconds(20);
 constexpr std::uint64_t ticksPerReport = 5;
 
+/// Answers under way free memory for input meanwhile.
+constexpr Duration inputRetryDelay = std::chrono::milliseconds(500);
+
 net::HttpResponse textResponse(std::uint32_t status, std::string body)
 {
     return {status, {{"Content-Type", "text/plain; version=0.0.4"}}, std::move(body)};
@@ -49,6 +52,12 @@
         problem.title_ = "The header is too large";
         problem.remedy_ = "send fewer or shorter fields, or raise limits.header_bytes";
         break;
+    case net::ServerFault::OutOfMemory:
+        problem.type_ = "input-memory-used-up";
+        problem.title_ = "The bodies of other requests use the memory";
+        problem.remedy_ = "send the request again, which has not run, to this or another entry VM";
+        problem.retryAfter_ = inputRetryDelay;
+        break;
     }
     return problem;
 }
--- a/tests/client_memory/client_attack.hpp
+++ b/tests/client_memory/client_attack.hpp
@@ -103,6 +103,42 @@
     return result;
 }
 
+/// \brief What a client of any kind sends, by the number of the kind.
+inline support::Transmission transmissionOfKind(std::size_t kind, const std::string &id)
+{
+    constexpr std::size_t endless = 4096;
+    const auto flood = std::string(256 * kilobyte, 'x');
+    switch (kind) {
+    case 0:
+        return {0, lengthHead(id, 1024 * megabyte), flood, endless, "", {}};
+    case 1:
+        return {0, chunkedHead(id), chunkOf(256 * kilobyte), endless, "", {}};
+    case 2:
+        return {0, lengthHead(id, 10), flood, endless, "", {}};
+    case 3:
+        return sizedBody(id, 1, true);
+    case 4:
+        return sizedBody(id, 1, false);
+    case 5: {
+        auto result = sizedBody(id, 256, false);
+        result.pause_ = std::chrono::milliseconds(2);
+        return result;
+    }
+    case 6:
+        return chunkedBody(id, 128 * kilobyte, false);
+    case 7:
+        return chunkedBody(id, 1, false);
+    default: // A request, and behind it one that stops short of its end.
+        return {0,
+                lengthHead(id, 10) + std::string(10, 'x') + lengthHead(id + "-next", largestBody),
+                std::string(largestBody - missingBytes, 'x'),
+                1,
+                "",
+                {}};
+    }
+}
+inline constexpr std::size_t kindCount = 9;
+
 /// \brief A deployment of which the first gateway meets the clients.
 class AttackedDeployment
 {
--- a/tests/support/process_usage.cpp
+++ b/tests/support/process_usage.cpp
@@ -37,6 +37,13 @@
 
 } // namespace
 
+bool runsProgram(pid_t process, std::string_view program)
+{
+    std::error_code ended;
+    const auto file = std::filesystem::read_symlink(folderOf(process) / "exe", ended);
+    return !ended && file.filename() == program;
+}
+
 std::size_t residentBytes(pid_t process)
 {
     std::ifstream file(folderOf(process) / "statm");
--- a/tests/support/process_usage.hpp
+++ b/tests/support/process_usage.hpp
@@ -5,11 +5,16 @@
 #include <cstddef>
 #include <cstdint>
 #include <span>
+#include <string_view>
 
 #include <sys/types.h>
 
 namespace cardamombay::support {
 
+/// \brief True if the process runs the program with the file name \p program. Between fork and
+/// exec, a process shows the memory of its parent.
+[[nodiscard]] bool runsProgram(pid_t process, std::string_view program);
+
 /// \brief Resident bytes, including the pages of files. 0 if the process has ended.
 [[nodiscard]] std::size_t residentBytes(pid_t process);
 
