net: notice callers that leave behind a pipelined request

Callers that sent the next request while one was being answered, and closed the connection, stayed: engines went on working for them, and their connections, unread bytes and descriptors were kept until the answer.

Cause: the end of the data is seen by reading, and the bytes of the next request stand before it. Connections without input are watched as before.

Test server_input close_behind_the_next_request_ends_the_one_that_is_answered failed before (the loss was not noticed within 20 s) and passes.

--- a/src/net/http_server_answer.cpp
+++ b/src/net/http_server_answer.cpp
@@ -161,6 +161,7 @@
     if (isClosed_)
         return;
     lost_ = nullptr;
+    readTimer_.cancel();
     head_.clear();
     body_.clear();
     if (isLast)
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/beast/http/read.hpp>
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -23,6 +24,7 @@
 constexpr std::size_t connectionBytes = std::size_t{8} * 1024;
 /// A body beyond this size gets a larger receive window.
 constexpr std::size_t longBody = std::size_t{32} * 1024;
+constexpr Duration hangUpPollPeriod = std::chrono::milliseconds(200);
 constexpr std::string_view noMemory = "too many bytes of other requests are in memory";
 constexpr std::string_view tooSlow = "the request did not arrive in time";
 constexpr std::string_view continueLine = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -114,8 +116,12 @@
 /// Input while a request is answered is the next request or the end of the caller's data.
 void ServerConnection::watchForClose()
 {
-    if (!worker_->server_->limits_.endsOnHalfClose_ || isWatchingClose_ || buffer_.size() != 0)
+    if (!worker_->server_->limits_.endsOnHalfClose_ || isWatchingClose_)
         return;
+    if (buffer_.size() != 0) {
+        awaitHangUp();
+        return;
+    }
     isWatchingClose_ = true;
     stream_.socket().async_wait(Tcp::socket::wait_read,
                                 [self = shared_from_this()](error_code error) {
@@ -138,9 +144,31 @@
     } else {
         mayHaveUnread_ = true;
         (void)updateShare(InputUse::Answering);
+        awaitHangUp();
     }
 }
 
+/// The end of the caller's data cannot be read behind a request that waits for its turn.
+void ServerConnection::awaitHangUp()
+{
+    setTimeout(readTimer_, hangUpPollPeriod);
+    readTimer_.async_wait([self = shared_from_this()](error_code error) {
+        if (!error)
+            self->checkForHangUp();
+    });
+}
+
+void ServerConnection::checkForHangUp()
+{
+    if (isClosed_ || activity_ != Activity::Answering)
+        return;
+    pollfd state{stream_.socket().native_handle(), POLLRDHUP, 0};
+    if (::poll(&state, 1, 0) > 0)
+        lose();
+    else
+        awaitHangUp();
+}
+
 std::size_t ServerConnection::heldBytes() const
 {
     return connectionBytes + bodyBytes_ + (mayHaveUnread_ ? windowBytes_ : 0);
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -71,6 +71,8 @@
     void watchForReset();
     void watchForClose();
     void checkForClose();
+    void awaitHangUp();
+    void checkForHangUp();
     /// \}
 
     /// \name Memory
--- a/tests/net/server_input.cpp
+++ b/tests/net/server_input.cpp
@@ -197,6 +197,20 @@
     cr_assert(fixture.endsWithoutBytes());
 }
 
+Test(server_input, close_behind_the_next_request_ends_the_one_that_is_answered)
+{
+    Fixture fixture;
+    auto socket = fixture.connect();
+    fixture.send(socket, headWithLength(1) + "x");
+    cr_assert(fixture.runUntil([&] { return fixture.handler_.bodies_.size() == 1; }));
+    fixture.send(socket, headWithLength(bodySize) + std::string(bodySize / 16, 'x'));
+    fixture.runUntil([&] { return fixture.budget_.bytes() > bodySize / 4; });
+    socket.close();
+    cr_assert(fixture.runUntil([&] { return fixture.handler_.lost_ == 1; }));
+    fixture.handler_.exchanges_.clear();
+    cr_assert(fixture.endsWithoutBytes());
+}
+
 Test(server_input, announced_body_that_cannot_fit_is_refused_before_it_is_sent)
 {
     Fixture fixture;
