net: do not let connections that only stay open keep others out

Callers found no entry while a crowd held all connections of a server open: accepting paused for everyone, and connections of callers could use every descriptor, those for endpoints included.

At its limit a server now closes the connections that have received nothing for the longest time, 64 at a time, and accepts others; those with a complete request stay.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -33,6 +33,11 @@
 
 constexpr std::size_t relayHeaderAllowance = 1024;
 
+/// Parts of the process's descriptors that connections of callers and of peers may use; the rest is
+/// for endpoints, the store and files.
+constexpr std::size_t callerDescriptorDivisor = 2;
+constexpr std::size_t relayDescriptorDivisor = 8;
+
 constexpr std::size_t statusBodyBytes = 4096;
 constexpr std::size_t statusConnections = 128;
 
@@ -46,9 +51,12 @@
     return limits;
 }
 
-net::HttpServerLimits callerLimits(const serving::CallerLimits &declared)
+/// \param descriptors of the process; 0 keeps the default number of connections.
+net::HttpServerLimits callerLimits(const serving::CallerLimits &declared, std::size_t descriptors)
 {
     net::HttpServerLimits limits;
+    if (descriptors > 0)
+        limits.connections_ = descriptors / callerDescriptorDivisor;
     limits.headerBytes_ = declared.headerBytes_;
     limits.bodyBytes_ = declared.bodyBytes_;
     limits.readTimeout_ = declared.headerTime_ + idleMargin;
@@ -58,9 +66,11 @@
 }
 
 /// Relayed requests have been accepted from callers, and carry a few more fields.
-net::HttpServerLimits relayLimits(const serving::CallerLimits &declared)
+net::HttpServerLimits relayLimits(const serving::CallerLimits &declared, std::size_t descriptors)
 {
-    auto limits = callerLimits(declared);
+    auto limits = callerLimits(declared, descriptors);
+    if (descriptors > 0)
+        limits.connections_ = descriptors / relayDescriptorDivisor;
     limits.headerBytes_ += relayHeaderAllowance;
     return limits;
 }
@@ -147,8 +157,8 @@
         return isServing && node_->isReady() ? std::optional<std::string>("ready\n") : std::nullopt;
     })
     , metricsHandler_([this] { return std::optional(registry_.text()); })
-    , callers_({{&context_, &gateway_, &inputBudget_}}, callerLimits({}))
-    , relays_({{&context_, &relayHandler_, &inputBudget_}}, relayLimits({}))
+    , callers_({{&context_, &gateway_, &inputBudget_}}, callerLimits({}, settings_.descriptors_))
+    , relays_({{&context_, &relayHandler_, &inputBudget_}}, relayLimits({}, settings_.descriptors_))
     , readinessServer_({{&context_, &readiness_, &inputBudget_}}, statusLimits())
     , metricsServer_({{&context_, &metricsHandler_, &inputBudget_}}, statusLimits())
 {
@@ -177,8 +187,8 @@
     if (!isOk(listening))
         return listening;
     node_->onConfiguration([this](const serving::Configuration &configuration) {
-        callers_.setLimits(callerLimits(configuration.limits_));
-        relays_.setLimits(relayLimits(configuration.limits_));
+        callers_.setLimits(callerLimits(configuration.limits_, settings_.descriptors_));
+        relays_.setLimits(relayLimits(configuration.limits_, settings_.descriptors_));
     });
     node_->start();
     lifecycle_->ready();
--- a/include/cardamombay/serving/gateway_settings.hpp
+++ b/include/cardamombay/serving/gateway_settings.hpp
@@ -39,6 +39,8 @@
     Duration propagationBound_ = std::chrono::seconds(2);
     /// Memory for what callers send, in bytes.
     std::size_t inputBytes_ = net::BoundedInputBudget::defaultBound;
+    /// File descriptors of the process; 0 if not set.
+    std::size_t descriptors_ = 0;
     GatewayBounds bounds_;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -15,6 +15,8 @@
 
 constexpr int listenBacklog = 1024;
 constexpr auto acceptPause = std::chrono::milliseconds(100);
+/// Connections that are released at the limit of connections before others are accepted.
+constexpr std::size_t releasedAtLimit = 64;
 
 char lowerOf(char c)
 {
@@ -102,6 +104,7 @@
 private:
     void take(impl::Tcp::socket socket, const std::shared_ptr<impl::WorkerState> &worker);
     void pauseAccepting();
+    void releaseSilent();
 
     impl::Tcp::acceptor acceptor_;
     impl::TimeoutTimer pause_;
@@ -137,6 +140,7 @@
 void HttpServer::Impl::accept()
 {
     if (state_->connections_ >= state_->limits_.connections_) {
+        releaseSilent();
         pauseAccepting();
         return;
     }
@@ -174,6 +178,24 @@
     });
 }
 
+/// Connections that only stay open must not keep others out. Those of the worker of this thread.
+void HttpServer::Impl::releaseSilent()
+{
+    std::vector<impl::ServerConnection *> connections;
+    for (auto *connection : workers_.front()->connections_) {
+        if (connection->share().use_ != InputUse::Answering)
+            connections.push_back(connection);
+    }
+    const auto count = std::min(releasedAtLimit, connections.size());
+    std::partial_sort(connections.begin(), connections.begin() + static_cast<std::ptrdiff_t>(count),
+                      connections.end(), [](const auto *left, const auto *right) {
+                          return left->share().changedAt_ < right->share().changedAt_;
+                      });
+    connections.resize(count);
+    for (auto *connection : connections)
+        connection->releaseInput();
+}
+
 void HttpServer::Impl::stopAccepting()
 {
     boost::asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
--- a/src/serving/gateway_settings.cpp
+++ b/src/serving/gateway_settings.cpp
@@ -22,6 +22,7 @@
 constexpr Range<double> coreRange{0.01, 1024};
 constexpr Range<double> linkRange{0.1, 1'000'000};
 constexpr Range<double> memoryRange{1, 100'000'000};
+constexpr Range<std::uint32_t> descriptorRange{256, 100'000'000};
 constexpr double bytesPerMegabyte = 1024 * 1024;
 constexpr Range<double> reserveRange{0, 1'000'000};
 
@@ -91,6 +92,9 @@
     reader.read("link_mbps", result.linkMegabits_, linkRange);
     double memory = 0;
     reader.read("memory_mb", memory, memoryRange);
+    std::uint32_t descriptors = 0;
+    reader.read("descriptors", descriptors, descriptorRange);
+    result.descriptors_ = descriptors;
     if (memory <= 0) {
         reader.finish();
         return;
--- a/tests/net/server_input.cpp
+++ b/tests/net/server_input.cpp
@@ -256,3 +256,18 @@
     socket.close();
     cr_assert(fixture.endsWithoutBytes());
 }
+
+Test(server_input, connections_that_only_stay_open_do_not_keep_others_out)
+{
+    HttpServerLimits limits;
+    limits.connections_ = 4;
+    Fixture fixture(limits);
+    std::vector<Tcp::socket> idle;
+    for (std::size_t i = 0; i < limits.connections_; ++i)
+        idle.push_back(fixture.connect());
+    cr_assert(fixture.runUntil([&] { return fixture.server_->connections() == 4; }));
+    auto socket = fixture.connect();
+    fixture.send(socket, headWithLength(1) + "x");
+    cr_assert(fixture.runUntil([&] { return fixture.handler_.bodies_.size() == 1; }));
+    cr_assert_leq(fixture.server_->connections(), 4);
+}
