tests: soak gateways among faults beside clients that exceed the limits

Clients of nine kinds at all ports of three gateways on machines of 56 MiB, beside the usual seeded faults and callers. Checks memory, descriptors, the promises of refusals, and that all gateways serve afterwards.

--- a/tests/fleet_platform/soak_play.hpp
+++ b/tests/fleet_platform/soak_play.hpp
@@ -2,6 +2,7 @@
 /// \brief A soak of real gateways among seeded faults, for the tests of several labels.
 #pragma once
 
+#include "client_memory/client_attack.hpp"
 #include "support/fleet_platform_deployment.hpp"
 
 #include <cardamombay/core/random.hpp>
@@ -12,6 +13,7 @@
 #include <cstdlib>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <thread>
 
@@ -149,6 +151,12 @@
         paused_.clear();
     }
 
+    /// \brief The present process of a gateway.
+    [[nodiscard]] pid_t process(std::size_t number) const
+    {
+        return deployment_.harness().pid(processes_[number]);
+    }
+
 private:
     void restart(std::size_t number, bool isGraceful)
     {
@@ -252,15 +260,62 @@
     }
 }
 
+/// Clients of every kind at each port of each gateway that takes requests.
+std::vector<support::Transmission> hostileTransmissions(const Deployment &deployment,
+                                                        std::uint64_t seed)
+{
+    constexpr std::size_t clientsOfGateway = 45;
+    Random random(seed);
+    std::vector<support::Transmission> result;
+    for (std::size_t number = 0; number < Deployment::gatewayCount; ++number) {
+        const auto &ports = deployment.ports(number);
+        for (std::size_t client = 0; client < clientsOfGateway; ++client) {
+            const auto id = "h-" + std::to_string(number) + "-" + std::to_string(client);
+            result.push_back(transmissionOfKind(client % kindCount, id));
+            const auto port = random.below(8);
+            result.back().port_ = port == 0   ? ports.digests_
+                                  : port == 1 ? ports.readiness_
+                                  : port == 2 ? ports.metrics_
+                                              : ports.callers_;
+        }
+    }
+    return result;
+}
+
+/// Largest sum of resident and unread bytes of the gateways' processes; largest count of
+/// descriptors.
+struct GatewayPeaks
+{
+    void sample(const Deployment &deployment, const Faults &faults)
+    {
+        for (std::size_t number = 0; number < Deployment::gatewayCount; ++number) {
+            const auto &ports = deployment.ports(number);
+            const std::array listening{ports.callers_, ports.readiness_, ports.digests_,
+                                       ports.metrics_};
+            const auto process = faults.process(number);
+            if (!support::runsProgram(process, "cardamombay-gateway"))
+                continue;
+            bytes_ = std::max(bytes_, support::residentBytes(process)
+                                          + support::unreadBytes(process, listening));
+            descriptors_ = std::max(descriptors_, support::openDescriptors(process));
+        }
+    }
+
+    std::size_t bytes_ = 0;
+    std::size_t descriptors_ = 0;
+};
+
 /// What is played beside the usual faults.
-enum class Beside { Nothing, Pill, DeadlyPart, Restores, Notices };
+enum class Beside { Nothing, Pill, DeadlyPart, Restores, Notices, HostileClients };
 
 /// \param beside with a pill a request ends the engines that run it, beside all other faults.
 /// Endpoints are reached without a proxy then, which would answer for an engine that has ended.
 void soak(std::uint64_t seed, Duration length, Beside beside)
 {
     const bool withPill = beside == Beside::Pill || beside == Beside::DeadlyPart;
-    Deployment deployment(withPill ? Links::Store : Links::StoreAndEndpoints);
+    const bool withHostile = beside == Beside::HostileClients;
+    Deployment deployment(withPill ? Links::Store : Links::StoreAndEndpoints,
+                          withHostile ? bodiesBeyondMemory.machineMegabytes_ : 0);
     Ledger ledger;
     std::atomic<bool> isStopped = false;
     std::atomic<int> falseEnds = 0;
@@ -273,6 +328,10 @@
         callers.emplace_back([&] {
             poisonUntil(deployment, isStopped, seed * 10 + 7, beside == Beside::DeadlyPart);
         });
+    std::optional<support::ClientCrowd> hostile;
+    if (withHostile)
+        hostile.emplace(hostileTransmissions(deployment, seed));
+    GatewayPeaks peaks;
     Faults faults(deployment, seed);
     const auto end = std::chrono::steady_clock::now() + length;
     for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
@@ -282,9 +341,14 @@
             faults.sendNotice();
         else
             faults.step();
-        std::this_thread::sleep_for(milliseconds(700));
+        for (int sample = 0; sample < 14; ++sample) {
+            if (withHostile)
+                peaks.sample(deployment, faults);
+            std::this_thread::sleep_for(milliseconds(50));
+        }
     }
     faults.undo();
+    hostile.reset();
     const bool recovers = support::waitUntil([&deployment] {
         for (std::size_t number = 0; number < Deployment::gatewayCount; ++number) {
             if (countSequentialEvents(deployment.stream(number, "after").body_) != wholeStream
@@ -301,6 +365,14 @@
     if (withPill)
         std::printf("seed %llu: %d engines ended under the poison pill\n",
                     static_cast<unsigned long long>(seed), report.crashes_);
+    if (withHostile) {
+        std::printf("seed %llu: %zu bytes and %zu descriptors at most\n",
+                    static_cast<unsigned long long>(seed), peaks.bytes_, peaks.descriptors_);
+        cr_assert_leq(peaks.bytes_, bodiesBeyondMemory.machineMegabytes_ * megabyte, "seed %llu",
+                      static_cast<unsigned long long>(seed));
+        cr_assert_leq(peaks.descriptors_, bodiesBeyondMemory.descriptors_, "seed %llu",
+                      static_cast<unsigned long long>(seed));
+    }
     cr_assert_leq(report.crashes_, mostCrashes, "seed %llu", static_cast<unsigned long long>(seed));
     const auto broken = ledger.broken(report);
     for (const auto &promise : broken)
