docs: describe the bound on input; warn of a body limit that memory cannot hold

A server without a budget of its own divided 96 MB among its workers, so that cardamombayd with a large limits.body_bytes would have refused legal bodies in calm: each worker's bound is now twice the largest body at least. The gateway warns if the configuration allows bodies that its bound can never hold.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -189,6 +189,7 @@
     node_->onConfiguration([this](const serving::Configuration &configuration) {
         callers_.setLimits(callerLimits(configuration.limits_, settings_.descriptors_));
         relays_.setLimits(relayLimits(configuration.limits_, settings_.descriptors_));
+        warnOfBodyLimit(configuration.limits_.bodyBytes_);
     });
     node_->start();
     lifecycle_->ready();
@@ -257,6 +258,16 @@
     return Done{};
 }
 
+void GatewayDaemon::warnOfBodyLimit(std::size_t bodyBytes) const
+{
+    if (bodyBytes <= inputBudget_.largestBody())
+        return;
+    log::warning(log::event::bodyLimitExceedsMemory,
+                 {{"limit", std::to_string(bodyBytes)},
+                  {"largest", std::to_string(inputBudget_.largestBody())},
+                  {"remedy", "give the VM more memory, or lower the limit of bodies"}});
+}
+
 void GatewayDaemon::waitForSignal()
 {
     signals_.async_wait([this](boost::system::error_code error, int signal) {
--- a/apps/cardamombay-gateway/gateway_daemon.hpp
+++ b/apps/cardamombay-gateway/gateway_daemon.hpp
@@ -73,6 +73,8 @@
     [[nodiscard]] Result<Done> start();
     [[nodiscard]] Result<Done> makeControl();
     [[nodiscard]] Result<Done> listen();
+    /// Requests with bodies that the memory cannot hold are refused with 503.
+    void warnOfBodyLimit(std::size_t bodyBytes) const;
     void waitForSignal();
     void reload();
     void pollUntilLeft(std::function<void()> done, int pollsLeft);
--- a/include/cardamombay/log/events.hpp
+++ b/include/cardamombay/log/events.hpp
@@ -31,6 +31,7 @@
 inline constexpr std::string_view streamResumed = "stream-resumed";
 inline constexpr std::string_view badInput = "bad-input";
 inline constexpr std::string_view inputRefused = "input-refused";
+inline constexpr std::string_view bodyLimitExceedsMemory = "body-limit-exceeds-memory";
 /// \}
 
 } // namespace cardamombay::log::event
--- a/include/cardamombay/net/http_server.hpp
+++ b/include/cardamombay/net/http_server.hpp
@@ -71,8 +71,8 @@
 {
     boost::asio::io_context *context_ = nullptr;
     HttpHandler *handler_ = nullptr;
-    /// Shared by the servers of the thread, and outlives them. Without one, the server has a budget
-    /// of its own, of the default bound divided among its workers.
+    /// Shared by the servers of the thread, and outlives their connections. Without one, the worker
+    /// has a budget of its own: its part of the default bound, twice the largest body at least.
     InputBudget *budget_ = nullptr;
 };
 
--- a/include/cardamombay/net/input_budget.hpp
+++ b/include/cardamombay/net/input_budget.hpp
@@ -102,6 +102,8 @@
 
     /// \brief Changes the bound, in bytes. Shares above it are released as others grow.
     void setBound(std::size_t bound) { bound_ = bound; }
+    /// \brief Largest body that finds room while nothing else is received, in bytes.
+    [[nodiscard]] std::size_t largestBody() const;
     /// \brief Bytes of all shares.
     [[nodiscard]] std::size_t bytes() const { return bytes_; }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -29,6 +29,13 @@
                       [](char a, char b) { return lowerOf(a) == lowerOf(b); });
 }
 
+/// Bound of each of \p workers without a budget; one body of the largest size finds room in any
+/// case.
+std::size_t ownBound(const HttpServerLimits &limits, std::size_t workers)
+{
+    return std::max(BoundedInputBudget::defaultBound / workers, 2 * limits.bodyBytes_);
+}
+
 InvalidInput cannotListen(const Address &address, const std::string &problem)
 {
     InvalidInput error;
@@ -84,7 +91,7 @@
             if (shared->budget_ == nullptr) {
                 shared->ownClock_ = std::make_unique<AsioClock>(*worker.context_);
                 shared->ownBudget_ = std::make_unique<BoundedInputBudget>(
-                    *shared->ownClock_, BoundedInputBudget::defaultBound / workers.size());
+                    *shared->ownClock_, ownBound(limits, workers.size()));
                 shared->budget_ = shared->ownBudget_.get();
             }
             shared->server_ = state_;
--- a/src/net/input_budget.cpp
+++ b/src/net/input_budget.cpp
@@ -3,6 +3,7 @@
 #include <cardamombay/log/events.hpp>
 #include <cardamombay/log/log.hpp>
 
+#include <algorithm>
 #include <string>
 #include <utility>
 
@@ -74,6 +75,12 @@
     return answering_ - own + bytes <= limitFor(bytes);
 }
 
+std::size_t BoundedInputBudget::largestBody() const
+{
+    const auto limit = limitFor(bound_);
+    return limit - std::min(limit, 2 * smallShare);
+}
+
 std::size_t BoundedInputBudget::limitFor(std::size_t bytes) const
 {
     return bytes > smallShare ? bound_ - bound_ / reserveDivisor : bound_;
--- a/tests/net/input_budget.cpp
+++ b/tests/net/input_budget.cpp
@@ -149,6 +149,15 @@
     cr_assert_eq(fixture.budget_.bytes(), small);
 }
 
+Test(input_budget, largest_body_is_accepted_in_calm)
+{
+    Fixture fixture;
+    const auto overhead = 2 * 64 * kilobyte;
+    auto &connection = fixture.add();
+    cr_assert(connection.set(InputUse::Receiving, fixture.budget_.largestBody() + overhead));
+    cr_assert(connection.set(InputUse::Answering, fixture.budget_.largestBody() + overhead));
+}
+
 Test(input_budget, removed_share_gives_its_bytes_back)
 {
     Fixture fixture;
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -397,6 +397,7 @@
 cores = 0.12
 link_mbps = 20
 memory_mb = 96.5
+descriptors = 4100
 [bounds]
 stop_within = "7.5s"
 revoke_within = "4000.5ms"
@@ -413,4 +414,7 @@
     cr_assert_float_eq(settings.cores_, 0.12, 1e-9);
     // An eighth of 96.5 MB.
     cr_assert_eq(settings.bounds_.callerBufferBytes_, 12'648'448);
+    // Three eighths of it.
+    cr_assert_eq(settings.inputBytes_, 37'945'344);
+    cr_assert_eq(settings.descriptors_, 4100);
 }
