net: drop reads of connections that were closed meanwhile

A read that had succeeded before its connection was closed or its request refused still started the request: its caller was gone, and the connection stayed counted as busy. Such reads are now dropped. Found by reading; the new test, which breaks connections at random moments and expects no connection, busy count or byte left, also passed before, so the case is only suspected.

A refusal whose own bytes shrink is charged with them also while the bound is exceeded, and connections that are closed for want of memory are counted.

--- a/include/cardamombay/net/input_budget.hpp
+++ b/include/cardamombay/net/input_budget.hpp
@@ -79,7 +79,7 @@
     metrics::Gauge bytes_;       ///< Bytes of all shares.
     metrics::Gauge connections_; ///< Number of shares.
     metrics::Counter refused_;   ///< Requests refused since they did not fit or were released.
-    metrics::Counter closed_;    ///< Connections without a request that were released.
+    metrics::Counter closed_;    ///< Connections without a request that were closed.
 };
 
 /// \brief Releases incomplete requests in favour of others while a bound is reached.
@@ -119,6 +119,7 @@
     [[nodiscard]] InputShare *silentOther(const InputShare &share) const;
     void release(InputShare &share);
     void resize(InputShare &share, InputUse use, std::size_t bytes);
+    void recordRelease(const InputShare &share);
     void recordRefusal(const InputShare &share);
 
     const Clock &clock_;
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -240,7 +240,7 @@
     setTimeout(stream_, limits.idleTimeout_);
     stream_.async_read_some(buffer_.prepare(firstRead),
                             [self = shared_from_this()](error_code error, std::size_t size) {
-                                if (error) {
+                                if (error || self->isClosed_) {
                                     self->close();
                                     return;
                                 }
@@ -273,7 +273,7 @@
     startReadTimer();
     http::async_read_header(stream_, buffer_, *parser_,
                             [self = shared_from_this()](error_code error, std::size_t) {
-                                if (error || self->readFault_)
+                                if (error || self->isReadEnded())
                                     self->handleReadError(error);
                                 else
                                     self->readBody();
@@ -308,7 +308,7 @@
     }
     boost::asio::async_write(stream_, boost::asio::buffer(continueLine.data(), continueLine.size()),
                              [self = shared_from_this()](error_code error, std::size_t) {
-                                 if (error || self->readFault_)
+                                 if (error || self->isReadEnded())
                                      self->handleReadError(error);
                                  else
                                      self->readBodyBytes();
@@ -347,7 +347,7 @@
                                 self->buffer_.commit(size);
                                 if (error == boost::asio::error::eof)
                                     error = http::error::partial_message;
-                                if (error || self->readFault_)
+                                if (error || self->isReadEnded())
                                     self->handleReadError(error);
                                 else
                                     self->readBodyBytes();
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -65,6 +65,8 @@
     void awaitBodyBytes();
     void handleRequest();
     void handleReadError(error_code error);
+    /// \brief True for a read that was cancelled after it had succeeded.
+    [[nodiscard]] bool isReadEnded() const { return isClosed_ || readFault_; }
     void refuse(ServerFault fault, std::string_view detail);
     void startReadTimer();
     void setActivity(Activity activity);
--- a/src/net/input_budget.cpp
+++ b/src/net/input_budget.cpp
@@ -56,16 +56,16 @@
 bool BoundedInputBudget::update(InputShare &share, InputUse use, std::size_t bytes)
 {
     share.changedAt_ = clock_.now();
-    if (use == InputUse::Closing && bytes_ - share.bytes_ + bytes > bound_)
-        return false;
-    const bool fits = use == InputUse::Closing || bytes <= share.bytes_ || makeRoom(share, bytes);
+    bool fits = bytes <= share.bytes_;
+    if (!fits)
+        fits = use == InputUse::Closing ? bytes_ - share.bytes_ + bytes <= bound_
+                                        : makeRoom(share, bytes);
     if (fits || use == InputUse::Answering) {
         resize(share, use, bytes);
         return true;
     }
     resize(share, use, share.bytes_);
-    if (use == InputUse::Receiving)
-        recordRefusal(share);
+    recordRelease(share);
     return false;
 }
 
@@ -137,10 +137,7 @@
 
 void BoundedInputBudget::release(InputShare &share)
 {
-    if (share.use_ == InputUse::Receiving)
-        recordRefusal(share);
-    else if (share.use_ == InputUse::Idle && metrics_ != nullptr)
-        metrics_->closed_.increment();
+    recordRelease(share);
     resize(share, share.use_, 0);
     share.holder_->releaseInput();
 }
@@ -160,6 +157,14 @@
     }
 }
 
+void BoundedInputBudget::recordRelease(const InputShare &share)
+{
+    if (share.use_ == InputUse::Receiving)
+        recordRefusal(share);
+    else if (share.use_ == InputUse::Idle && metrics_ != nullptr)
+        metrics_->closed_.increment();
+}
+
 /// The line names the last of the refused callers.
 void BoundedInputBudget::recordRefusal(const InputShare &share)
 {
--- a/tests/net/server_input.cpp
+++ b/tests/net/server_input.cpp
@@ -1,11 +1,13 @@
 // The memory that a server's connections are charged, on all ways that a request can end.
 #include <cardamombay/core/manual_clock.hpp>
+#include <cardamombay/core/random.hpp>
 #include <cardamombay/net/http_server.hpp>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
+#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -271,3 +273,33 @@
     cr_assert(fixture.runUntil([&] { return fixture.handler_.bodies_.size() == 1; }));
     cr_assert_leq(fixture.server_->connections(), 4);
 }
+
+/// A connection that breaks after a read has succeeded must not start that request.
+Test(server_input, connections_that_break_at_any_moment_leave_nothing_behind)
+{
+    Fixture fixture;
+    Random random(7);
+    const std::string whole = headWithLength(bodySize) + std::string(bodySize, 'x');
+    std::deque<Tcp::socket> sockets; // Their writes end after they are closed.
+    for (int round = 0; round < 300; ++round) {
+        for (int i = 0; i < 4; ++i) {
+            sockets.push_back(fixture.connect());
+            fixture.send(sockets.back(), whole + whole.substr(0, random.below(whole.size())));
+        }
+        for (auto socket = sockets.end() - 4; socket != sockets.end(); ++socket) {
+            for (std::size_t turn = random.below(12); turn > 0; --turn)
+                fixture.context_.poll_one();
+            if (random.below(3) == 0)
+                fixture.handler_.answerAll();
+            socket->set_option(boost::asio::socket_base::linger(random.below(2) == 0, 0));
+            socket->close();
+        }
+        fixture.clock_.advance(milliseconds(1));
+    }
+    cr_assert(fixture.runUntil([&fixture] {
+        fixture.handler_.answerAll();
+        return fixture.server_->connections() == 0;
+    }));
+    cr_assert_eq(fixture.budget_.bytes(), 0);
+    cr_assert_eq(fixture.server_->busyConnections(), 0);
+}
