net: keep large transfers that go on in favour of later ones

Cause: at the bound the large incomplete request with the most bytes and silence was released, also if it received data. Transfers that went on cut each other off, so that hardly any ended.

Only requests without progress for half a second are now chosen that way; 16 KiB count as progress, so a caller that trickles does not keep its memory. If all go on, the one of which the least has been received gives way. New tests of input_budget for both.

--- a/include/cardamombay/net/input_budget.hpp
+++ b/include/cardamombay/net/input_budget.hpp
@@ -44,7 +44,8 @@
     std::string callerIp_;
     InputUse use_ = InputUse::Idle;
     std::size_t bytes_ = 0;
-    TimePoint changedAt_{}; ///< Last input, or the last change of use.
+    TimePoint changedAt_{};         ///< Last progress of the request, or the last change of use.
+    std::size_t progressBytes_ = 0; ///< Bytes at that time.
 };
 
 /// \brief Memory for the input of all connections of a thread; use on that thread only.
@@ -84,9 +85,10 @@
 
 /// \brief Releases incomplete requests in favour of others while a bound is reached.
 /// \details Large shares may not use the last quarter of the bound, so that ordinary requests find
-/// room beside them. Released first are large incomplete requests, by bytes and silence; then
-/// connections that only drop input or have received nothing for a while. A share for which nothing
-/// can be released does not grow.
+/// room beside them. Released first are large incomplete requests without progress, by bytes and
+/// time; then connections that only drop input or have received nothing for a while; then large
+/// requests of which less has been received. A share for which nothing can be released does not
+/// grow.
 class BoundedInputBudget final : public InputBudget
 {
 public:
@@ -115,8 +117,9 @@
 private:
     [[nodiscard]] std::size_t limitFor(std::size_t bytes) const;
     [[nodiscard]] bool makeRoom(const InputShare &share, std::size_t bytes);
-    [[nodiscard]] InputShare *largeOther(const InputShare &share) const;
+    [[nodiscard]] InputShare *stalledOther(const InputShare &share) const;
     [[nodiscard]] InputShare *silentOther(const InputShare &share) const;
+    [[nodiscard]] InputShare *smallerOther(const InputShare &share, std::size_t bytes) const;
     void release(InputShare &share);
     void resize(InputShare &share, InputUse use, std::size_t bytes);
     void recordRelease(const InputShare &share);
--- a/src/net/input_budget.cpp
+++ b/src/net/input_budget.cpp
@@ -16,11 +16,19 @@
 /// Large shares may not use this part of the bound.
 constexpr std::size_t reserveDivisor = 4;
 
-/// A small share is released only after it has received nothing for this time.
+/// A share may be released after it has made no progress for this time.
 constexpr Duration minSilence = std::chrono::milliseconds(500);
+/// Input in bytes that counts as progress of a request.
+constexpr std::size_t minProgress = std::size_t{16} * 1024;
 
 constexpr Duration logPeriod = std::chrono::seconds(1);
 
+/// True for a large request that is not complete.
+bool isLargeInput(const InputShare &share)
+{
+    return share.use_ == InputUse::Receiving && share.bytes_ > smallShare;
+}
+
 } // namespace
 
 InputMetrics::InputMetrics(metrics::Registry &registry)
@@ -55,7 +63,12 @@
 
 bool BoundedInputBudget::update(InputShare &share, InputUse use, std::size_t bytes)
 {
-    share.changedAt_ = clock_.now();
+    const bool isTrickle = use == share.use_ && use == InputUse::Receiving
+                           && bytes < share.progressBytes_ + minProgress;
+    if (!isTrickle) {
+        share.changedAt_ = clock_.now();
+        share.progressBytes_ = bytes;
+    }
     bool fits = bytes <= share.bytes_;
     if (!fits)
         fits = use == InputUse::Closing ? bytes_ - share.bytes_ + bytes <= bound_
@@ -90,9 +103,11 @@
 {
     const auto growth = bytes - share.bytes_;
     while (bytes_ + growth > limitFor(bytes)) {
-        auto *other = largeOther(share);
+        auto *other = stalledOther(share);
         if (other == nullptr)
             other = silentOther(share);
+        if (other == nullptr)
+            other = smallerOther(share, bytes);
         if (other == nullptr)
             return false;
         release(*other);
@@ -100,16 +115,17 @@
     return true;
 }
 
-/// Weighs bytes with silence: a transfer that goes on holds its memory for a shorter time.
-InputShare *BoundedInputBudget::largeOther(const InputShare &share) const
+/// Weighs bytes with the time without progress, so that the memory of stopped transfers is freed.
+InputShare *BoundedInputBudget::stalledOther(const InputShare &share) const
 {
     const auto now = clock_.now();
     InputShare *result = nullptr;
-    double most = -1;
+    double most = 0;
     for (auto *other : shares_) {
-        if (other == &share || other->use_ != InputUse::Receiving || other->bytes_ <= smallShare)
+        const auto silence = now - other->changedAt_;
+        if (other == &share || !isLargeInput(*other) || silence < minSilence)
             continue;
-        const auto weight = static_cast<double>(other->bytes_) * toSeconds(now - other->changedAt_);
+        const auto weight = static_cast<double>(other->bytes_) * toSeconds(silence);
         if (weight > most) {
             most = weight;
             result = other;
@@ -135,6 +151,20 @@
     return result;
 }
 
+/// Transfers that are further on are kept: otherwise all would be cut off and none would end.
+InputShare *BoundedInputBudget::smallerOther(const InputShare &share, std::size_t bytes) const
+{
+    InputShare *result = nullptr;
+    for (auto *other : shares_) {
+        const bool isFurther = bytes > smallShare && other->bytes_ >= bytes;
+        if (other == &share || !isLargeInput(*other) || isFurther)
+            continue;
+        if (result == nullptr || other->bytes_ < result->bytes_)
+            result = other;
+    }
+    return result;
+}
+
 void BoundedInputBudget::release(InputShare &share)
 {
     recordRelease(share);
--- a/tests/net/input_budget.cpp
+++ b/tests/net/input_budget.cpp
@@ -75,6 +75,37 @@
     cr_assert_eq(fixture.budget_.bytes(), bound * 5 / 8);
 }
 
+Test(input_budget, transfers_that_go_on_are_not_cut_off_in_favour_of_later_ones)
+{
+    Fixture fixture;
+    auto &first = fixture.add();
+    auto &second = fixture.add();
+    auto &third = fixture.add();
+    bool isThirdRefused = false;
+    for (std::size_t bytes = 16 * kilobyte; bytes <= bound * 3 / 8; bytes += 16 * kilobyte) {
+        cr_assert(first.set(InputUse::Receiving, bytes));
+        cr_assert(second.set(InputUse::Receiving, bytes));
+        isThirdRefused
+            = isThirdRefused || third.releases_ > 0 || !third.set(InputUse::Receiving, bytes / 2);
+        fixture.clock_.advance(milliseconds(1));
+    }
+    cr_assert(isThirdRefused);
+    cr_assert_eq(first.releases_ + second.releases_, 0);
+}
+
+Test(input_budget, large_request_that_trickles_gives_way)
+{
+    Fixture fixture;
+    std::size_t held = bound / 2;
+    auto &trickling = fixture.add(InputUse::Receiving, held);
+    for (int i = 0; i < 10; ++i) {
+        fixture.clock_.advance(milliseconds(100));
+        cr_assert(trickling.set(InputUse::Receiving, ++held));
+    }
+    cr_assert(fixture.add().set(InputUse::Receiving, bound / 2));
+    cr_assert_eq(trickling.releases_, 1);
+}
+
 Test(input_budget, complete_requests_are_never_released)
 {
     Fixture fixture;
@@ -143,7 +174,7 @@
     Fixture fixture;
     auto &silent = fixture.add(InputUse::Receiving, bound / 2);
     fixture.budget_.setBound(bound / 4);
-    fixture.clock_.advance(milliseconds(1));
+    fixture.clock_.advance(seconds(1));
     cr_assert(fixture.add().set(InputUse::Receiving, small));
     cr_assert_eq(silent.releases_, 1);
     cr_assert_eq(fixture.budget_.bytes(), small);
