--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -36,7 +36,7 @@
     return {text.data(), text.size()};
 }
 
-http::request<http::string_body> messageOf(UpstreamRequest request)
+http::request<http::string_body> messageOf(const UpstreamRequest &request)
 {
     http::request<http::string_body> message;
     message.method_string(request.method_);
