--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -55,12 +55,12 @@
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(asio::io_context &context, UpstreamRequest request, UpstreamListener &listener)
+    Exchange(asio::io_context &context, const UpstreamRequest &request, UpstreamListener &listener)
         : stream_(context)
         , listener_(&listener)
         , address_(request.address_)
         , connectTimeout_(request.connectTimeout_)
-        , message_(messageOf(std::move(request)))
+        , message_(messageOf(request))
     {
         parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
         parser_.header_limit(headerLimit);
