tests: serve the users' largest body on their smallest machine

Cause: the calm test had bodies of 1 MiB on 56 MiB; that a body of 4 MiB is served on 112 MiB, the smallest machine of the deployments, was shown in a trial only.

Change: a deployment takes the largest body of its configuration; a test of label client-memory sends one body of 4 MiB to a gateway of 112 MiB.

Conclusion: the bound does not refuse a legal body in calm there.

--- a/tests/client_memory/bodies.cpp
+++ b/tests/client_memory/bodies.cpp
@@ -152,3 +152,13 @@
     cr_assert_eq(statusOf(chunkedBody("large-chunks", 128 * kilobyte, true)), 200);
     cr_assert_eq(statusOf(chunkedBody("small-chunks", 1, true)), 200);
 }
+
+Test(client_memory, largest_body_of_the_users_is_served_on_their_smallest_machine)
+{
+    constexpr std::uint32_t smallestMachine = 112;
+    constexpr std::size_t usersLargestBody = 4 * megabyte;
+    const Deployment deployment(Links::None, smallestMachine, usersLargestBody);
+    auto transmission = sizedBody("largest", 64, true, usersLargestBody);
+    transmission.port_ = deployment.ports(0).callers_;
+    cr_assert_eq(support::statusOf(transmission), 200);
+}
--- a/tests/client_memory/client_attack.hpp
+++ b/tests/client_memory/client_attack.hpp
@@ -91,15 +91,16 @@
     return result;
 }
 
-/// \brief A body of the largest legal size, in pieces; whole, or short of its end.
-inline support::Transmission sizedBody(const std::string &id, std::size_t pieces, bool isWhole)
+/// \brief A body of \p size in pieces; whole, or short of its end.
+inline support::Transmission sizedBody(const std::string &id, std::size_t pieces, bool isWhole,
+                                       std::size_t size = largestBody)
 {
     support::Transmission result;
-    result.head_ = lengthHead(id, largestBody);
+    result.head_ = lengthHead(id, size);
     result.pieces_ = pieces;
-    result.piece_ = std::string((largestBody - missingBytes) / pieces, 'x');
+    result.piece_ = std::string((size - missingBytes) / pieces, 'x');
     if (isWhole)
-        result.end_ = std::string(largestBody - result.pieces_ * result.piece_.size(), 'x');
+        result.end_ = std::string(size - result.pieces_ * result.piece_.size(), 'x');
     return result;
 }
 
--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -13,7 +13,8 @@
 
 constexpr auto callTimeout = std::chrono::seconds(10);
 
-std::string configurationText(int version, const std::string &extraRoute, bool hasKeyA)
+std::string configurationText(int version, const std::string &extraRoute, bool hasKeyA,
+                              std::size_t bodyBytes)
 {
     json::array routes{{{"Name", "stream"},
                         {"Host", "h"},
@@ -75,7 +76,7 @@
                                           {{"Name", "app"}, {"MaxConns", 100}}}},
                                         {"Limits",
                                          {{"MaxHeaderBytes", 16384},
-                                          {"MaxBodyBytes", 1048576},
+                                          {"MaxBodyBytes", bodyBytes},
                                           {"HeaderTimeoutMs", 3000},
                                           {"IdleTimeoutMs", 15000}}},
                                         {"Tenants", {{{"Name", "team-a"}, {"ApiKeys", keys}}}}});
@@ -88,9 +89,10 @@
 
 } // namespace
 
-Deployment::Deployment(Links links, std::uint32_t memoryMegabytes)
+Deployment::Deployment(Links links, std::uint32_t memoryMegabytes, std::size_t bodyBytes)
     : harness_(PROGRAM_FOLDER)
     , memoryMegabytes_(memoryMegabytes)
+    , bodyBytes_(bodyBytes)
 {
     const auto platform
         = harness_.start("platform", harness_.program("fleet_platform_standin"), {});
@@ -215,7 +217,7 @@
 
 void Deployment::configure(int version, const std::string &extraRoute, bool hasKeyA) const
 {
-    tell("config", configurationText(version, extraRoute, hasKeyA));
+    tell("config", configurationText(version, extraRoute, hasKeyA, bodyBytes_));
 }
 
 void Deployment::tell(const std::string &what, const std::string &body) const
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -36,7 +36,9 @@
     /// \brief Starts all processes and waits until every gateway is ready and serves both models.
     /// \param links connections of the gateways that pass through the fault proxy.
     /// \param memoryMegabytes memory of each gateway's machine; 0 leaves it unset.
-    explicit Deployment(Links links = Links::None, std::uint32_t memoryMegabytes = 0);
+    /// \param bodyBytes largest body that the configuration allows.
+    explicit Deployment(Links links = Links::None, std::uint32_t memoryMegabytes = 0,
+                        std::size_t bodyBytes = std::size_t{1024} * 1024);
 
     /// \name Caller requests
     /// \{
@@ -103,6 +105,7 @@
 
     support::ProcessHarness harness_;
     std::uint32_t memoryMegabytes_;
+    std::size_t bodyBytes_;
     std::uint16_t store_ = 0;
     std::uint16_t proxy_ = 0;
     std::size_t linkCount_ = 0;
