net: charge heads and trailers to the budget

Cause: the fixed cost of a connection stood for its head. A complete request holds its fields as received, as those of an attempt and as text to send, so 2,000 callers with heads of 16 KiB that wait for endpoints could hold some 90 MB beside the bound (reckoned, not played).

Change: the size of the fields, trailers included, is part of a connection's share; three times that once the request is complete.

Conclusion: the one bound covers heads and trailers.

--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t bodyRead = std::size_t{16} * 1024;
 /// Cost of a connection beside its body and its socket's data, in bytes.
 constexpr std::size_t connectionBytes = std::size_t{8} * 1024;
+/// A head is held as received, as fields of an attempt and as text to send.
+constexpr std::size_t headCopies = 3;
 /// A body beyond this size gets a larger receive window.
 constexpr std::size_t longBody = std::size_t{32} * 1024;
 constexpr Duration hangUpPollPeriod = std::chrono::milliseconds(200);
@@ -54,6 +56,16 @@
     return size * 3 / 2;
 }
 
+/// Size of the fields of a head, trailers included.
+template<typename Message>
+std::size_t fieldBytes(const Message &message)
+{
+    std::size_t size = 0;
+    for (const auto &field : message)
+        size += field.name_string().size() + field.value().size();
+    return size;
+}
+
 ServerRequest takeRequest(http::request<ReceivedBody> message)
 {
     ServerRequest request;
@@ -171,7 +183,7 @@
 
 std::size_t ServerConnection::heldBytes() const
 {
-    return connectionBytes + bodyBytes_ + (mayHaveUnread_ ? windowBytes_ : 0);
+    return connectionBytes + headBytes_ + bodyBytes_ + (mayHaveUnread_ ? windowBytes_ : 0);
 }
 
 /// \returns false if the bytes do not fit.
@@ -197,6 +209,7 @@
 void ServerConnection::freeInput()
 {
     parser_.reset();
+    headBytes_ = 0;
     bodyBytes_ = 0;
     if (buffer_.size() == 0 && buffer_.capacity() > firstRead)
         buffer_.shrink_to_fit();
@@ -283,6 +296,7 @@
 /// \returns false if the body that the head announces can find no room.
 bool ServerConnection::acceptsBody()
 {
+    headBytes_ = fieldBytes(parser_->get());
     const auto length = parser_->content_length().value_or(0);
     if (!worker_->budget_->canHold(share_, heldBytes() + length))
         return false;
@@ -382,6 +396,7 @@
     readTimer_.cancel();
     setActivity(Activity::Answering);
     auto message = parser_->release();
+    headBytes_ = headCopies * fieldBytes(message);
     keepsAlive_ = message.keep_alive();
     isHead_ = message.method() == http::verb::head;
     isChunked_ = message.version() >= 11;
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -104,6 +104,7 @@
     Activity activity_ = Activity::Idle;
     InputShare share_;
     std::size_t windowBytes_;   ///< What the socket may hold unread.
+    std::size_t headBytes_ = 0; ///< Of the present request.
     std::size_t bodyBytes_ = 0; ///< Of the present request.
     bool mayHaveUnread_ = false;
     std::optional<ServerFault> readFault_; ///< Why the pending read was cancelled.
--- a/tests/net/server_input.cpp
+++ b/tests/net/server_input.cpp
@@ -137,6 +137,25 @@
     cr_assert(fixture.endsWithoutBytes());
 }
 
+Test(server_input, long_heads_and_trailers_are_charged_until_the_answer)
+{
+    Fixture fixture;
+    constexpr std::size_t fieldSize = std::size_t{6} * 1024;
+    const std::string field(fieldSize, 'f');
+    auto socket = fixture.connect();
+    fixture.send(socket, "POST / HTTP/1.1\r\nHost: h\r\nLong: " + field
+                             + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer-Field: " + field
+                             + "\r\n\r\n");
+    cr_assert(fixture.runUntil([&] { return fixture.handler_.bodies_.size() == 1; }));
+    const auto held = fixture.budget_.bytes();
+    fixture.handler_.answerAll();
+    cr_assert_eq(fixture.receiveLine(socket), "HTTP/1.1 200 OK");
+    cr_assert(fixture.runUntil([&] { return fixture.budget_.bytes() < held; }));
+    cr_assert_geq(held - fixture.budget_.bytes(), 2 * fieldSize);
+    socket.close();
+    cr_assert(fixture.endsWithoutBytes());
+}
+
 Test(server_input, body_of_one_byte_chunks_is_whole_and_charged_as_it_comes)
 {
     Fixture fixture;
