serving: refuse all keys if the configuration declares no team

Cause: an absent, an empty and an unreadable declaration of teams were decoded into the same empty list, and Session::admit asked for a key only if that list was not empty. Evidence: each gateway logs the new version in force with teams=0 and accepts from that line on; no refusal "keys not confirmed lately" comes before, which rules out a version that did not arrive or was not confirmed.

Change: Configuration::keyPolicy_ states what was declared, by default that keys are required. A declaration that is not a list: requests with keys get 503, since no key can be checked. An empty key of a team matched requests without a key and is not valid any longer. Routes without keys are served in all cases. New: log event configuration-teams-unreadable, field keys of configuration-in-force, metric cardamombay_gateway_configuration_unreadable.

Conclusion: no code concludes from an empty list that anyone may enter.

--- a/include/cardamombay/serving/configuration.hpp
+++ b/include/cardamombay/serving/configuration.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamombay::serving {
@@ -103,7 +104,7 @@
 struct Team
 {
     TeamName name_;
-    std::vector<std::string> keys_;
+    std::vector<std::string> keys_;         ///< An empty key is never valid.
     std::optional<std::uint32_t> priority_; ///< Overrides the route's priority.
     std::vector<RegionName> regions_{};     ///< Regions allowed to run its requests; empty: all.
 
@@ -122,13 +123,25 @@
     friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
 };
 
+/// \brief What a configuration states about the keys of requests.
+enum class KeyPolicy {
+    Required,    ///< Only keys of the declared teams are valid; without any team, none is.
+    NotRequired, ///< No teams are declared, so no request needs a key.
+    Unreadable,  ///< The declaration of teams cannot be read, so no key can be checked.
+};
+
+/// \returns the name of \p policy for logs.
+[[nodiscard]] std::string_view nameOf(KeyPolicy policy);
+
 /// \brief One version of the operator configuration.
 struct Configuration
 {
     ConfigVersion version_;
     std::vector<Route> routes_;
     std::vector<Service> services_;
-    std::vector<Team> teams_; ///< If empty, no key is required.
+    KeyPolicy keyPolicy_ = KeyPolicy::Required;
+    std::vector<Team> teams_;
+    std::size_t unreadableTeams_ = 0; ///< Entries of teams that cannot be read completely.
     CallerLimits limits_;
 
     friend bool operator==(const Configuration &, const Configuration &) = default;
--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -99,6 +99,10 @@
     /// \brief Counts a reassignment of duties among the entry VMs.
     void countPeerUpdate() { parts_.metrics_.peerUpdates_.increment(); }
     /// \brief Sets the number of availability zones that are being evacuated.
+    void setConfigurationReadable(bool isReadable)
+    {
+        parts_.metrics_.unreadableConfiguration_.set(isReadable ? 0 : 1);
+    }
     void countEvacuated(std::size_t zones)
     {
         parts_.metrics_.evacuatedZones_.set(static_cast<double>(zones));
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -92,6 +92,7 @@
 
 private:
     void applyConfiguration(std::string_view text, RowVersion row);
+    void noteTeams(const Configuration &configuration);
     void onConfigurationPart(const ConfigurationPart &part);
     void operatorsListed(const std::vector<platform::Row> &rows);
     void operatorRowChanged(const platform::RowChange &change);
--- a/src/serving/configuration.cpp
+++ b/src/serving/configuration.cpp
@@ -11,4 +11,17 @@
     return found == models_.end() ? nullptr : &*found;
 }
 
+std::string_view nameOf(KeyPolicy policy)
+{
+    switch (policy) {
+    case KeyPolicy::Required:
+        return "required";
+    case KeyPolicy::NotRequired:
+        return "not-required";
+    case KeyPolicy::Unreadable:
+        break;
+    }
+    return "unreadable";
+}
+
 } // namespace cardamombay::serving
--- a/src/serving/log_events.hpp
+++ b/src/serving/log_events.hpp
@@ -45,6 +45,7 @@
 /// \{
 inline constexpr std::string_view configurationInForce = "configuration-in-force";
 inline constexpr std::string_view configurationRefused = "configuration-refused";
+inline constexpr std::string_view teamsUnreadable = "configuration-teams-unreadable";
 inline constexpr std::string_view usualSizesUnknown = "usual-sizes-unknown";
 inline constexpr std::string_view zoneEvacuated = "zone-evacuated";
 inline constexpr std::string_view zoneReturned = "zone-returned";
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -242,7 +242,9 @@
               {{"version", std::to_string(version.value())},
                {"row", row.isNone() ? "from-peer" : std::to_string(row.value())},
                {"routes", std::to_string(valueOf(configuration).routes_.size())},
-               {"teams", std::to_string(valueOf(configuration).teams_.size())}});
+               {"teams", std::to_string(valueOf(configuration).teams_.size())},
+               {"keys", std::string(nameOf(valueOf(configuration).keyPolicy_))}});
+    noteTeams(valueOf(configuration));
     for (const auto &service : valueOf(configuration).services_) {
         if (service.engine_ && service.engine_->meanPromptTokens_ == 0)
             log::info(event::usualSizesUnknown, {{"service", service.name_.text()},
@@ -256,6 +258,19 @@
         configurationHandler_(parts_.gateway_.routes()->configuration());
 }
 
+void Node::noteTeams(const Configuration &configuration)
+{
+    const bool isReadable
+        = configuration.keyPolicy_ != KeyPolicy::Unreadable && configuration.unreadableTeams_ == 0;
+    parts_.gateway_.setConfigurationReadable(isReadable);
+    if (!isReadable)
+        log::error(event::teamsUnreadable,
+                   {{"version", std::to_string(configuration.version_.value())},
+                    {"keys", std::string(nameOf(configuration.keyPolicy_))},
+                    {"unreadable-teams", std::to_string(configuration.unreadableTeams_)},
+                    {"remedy", "declare a list of teams, each with a name and a list of keys"}});
+}
+
 void Node::applyPeerRow(const platform::RowChange &change)
 {
     const EntryId entry(change.row_.key_.key_);
--- a/src/serving/route_table.cpp
+++ b/src/serving/route_table.cpp
@@ -50,8 +50,11 @@
     for (auto &[host, routes] : routesByHost_)
         std::stable_sort(routes.begin(), routes.end(), hasLongerPrefix);
     for (const auto &team : configuration_.teams_) {
-        for (const auto &key : team.keys_)
-            teamsByKey_.emplace(key, &team);
+        for (const auto &key : team.keys_) {
+            // A request without a key has an empty one.
+            if (!key.empty())
+                teamsByKey_.emplace(key, &team);
+        }
     }
     for (const auto &service : configuration_.services_)
         services_.emplace(service.name_, &service);
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -124,6 +124,7 @@
     /// \{
     void begin();
     [[nodiscard]] bool admit();
+    [[nodiscard]] bool admitKey();
     [[nodiscard]] bool isStartupWaitOver(TimePoint now) const;
     [[nodiscard]] std::optional<std::string_view> rejectionReason(TimePoint now) const;
     [[nodiscard]] std::optional<Duration> quarantineLeft() const;
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -76,20 +76,8 @@
     deadline_ = arrivedAt_ + allowed;
     regions_.ofRoute_ = route_->regions_;
     priority_ = route_->priority_;
-    if (route_->needsKey_ && !routes_->configuration().teams_.empty()) {
-        if (gateway_.unconfirmedFor() > gateway_.bounds().longestUnconfirmed_) {
-            refuse(statusUnavailable, "keys not confirmed lately", controlStateRetryDelay);
-            return false;
-        }
-        const auto *team = routes_->team(head_.key_);
-        if (team == nullptr) {
-            refuse(statusUnauthorized, "unknown key", std::nullopt);
-            return false;
-        }
-        team_ = team->name_;
-        regions_.ofTeam_ = team->regions_;
-        priority_ = team->priority_.value_or(priority_);
-    }
+    if (route_->needsKey_ && !admitKey())
+        return false;
     const auto *backend = chooseBackend(*route_, gateway_.randomUnit());
     service_ = backend == nullptr ? nullptr : routes_->service(backend->service_);
     if (service_ == nullptr) {
@@ -111,6 +99,32 @@
     return !isStream() || openBufferShare();
 }
 
+/// Sets what depends on the team of the request's key.
+/// \returns false if the request was refused.
+bool Session::admitKey()
+{
+    const auto policy = routes_->configuration().keyPolicy_;
+    if (policy == KeyPolicy::NotRequired)
+        return true;
+    if (policy == KeyPolicy::Unreadable) {
+        refuse(statusUnavailable, "keys of the configuration unreadable", controlStateRetryDelay);
+        return false;
+    }
+    if (gateway_.unconfirmedFor() > gateway_.bounds().longestUnconfirmed_) {
+        refuse(statusUnavailable, "keys not confirmed lately", controlStateRetryDelay);
+        return false;
+    }
+    const auto *team = routes_->team(head_.key_);
+    if (team == nullptr) {
+        refuse(statusUnauthorized, "unknown key", std::nullopt);
+        return false;
+    }
+    team_ = team->name_;
+    regions_.ofTeam_ = team->regions_;
+    priority_ = team->priority_.value_or(priority_);
+    return true;
+}
+
 /// \returns false if the stream was refused, since other callers have too much left to read.
 bool Session::openBufferShare()
 {
