serving: do not confirm a configuration that the store has replaced by an unreadable one

What callers see: when the store holds a configuration that a gateway refuses as a whole, keys of the previous one are accepted for any length of time, also those that the new one removes.

Cause: applyConfiguration logged the refusal and returned; the watch then reported its copy as complete and tableConfirmed confirmed the configuration in force as the newest. The bound on unconfirmed keys never applied, and peers got the confirmation in digests.

Change: the watch confirms nothing while the store's configuration cannot be read. Requests with keys are then refused with 503 within the bound of revocation, as after the loss of the store; routes without keys are served. configuration-refused names the remedy; the metric of unreadable configurations covers this case.

Conclusion: an unreadable configuration is handled as a lost one. The store accepts valid configurations only, so this is a second line of defence.

--- a/include/cardamombay/serving/configuration.hpp
+++ b/include/cardamombay/serving/configuration.hpp
@@ -144,6 +144,11 @@
     std::size_t unreadableTeams_ = 0; ///< Entries of teams that cannot be read completely.
     CallerLimits limits_;
 
+    /// \returns false if some declared key cannot be read.
+    [[nodiscard]] bool areKeysReadable() const
+    {
+        return keyPolicy_ != KeyPolicy::Unreadable && unreadableTeams_ == 0;
+    }
     friend bool operator==(const Configuration &, const Configuration &) = default;
 };
 
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -43,7 +43,7 @@
     metrics::Counter coldStarts_; ///< Endpoints detected as cold.
     metrics::Gauge coldEndpoints_;
     metrics::Gauge evacuatedZones_;
-    metrics::Gauge unreadableConfiguration_; ///< 1 while keys of the configuration cannot be read.
+    metrics::Gauge unreadableConfiguration_; ///< 1 while it, or a key in it, cannot be read.
     metrics::Gauge lostPaths_;        ///< Endpoints that others reach and this entry VM does not.
     metrics::Gauge partitioned_;      ///< 1 while this entry VM has lost its paths to endpoints.
     metrics::Counter relayed_;        ///< Requests sent to another entry VM, which carries them.
--- a/include/cardamombay/serving/node.hpp
+++ b/include/cardamombay/serving/node.hpp
@@ -92,7 +92,7 @@
 
 private:
     void applyConfiguration(std::string_view text, RowVersion row);
-    void noteTeams(const Configuration &configuration);
+    void reportReadability();
     void onConfigurationPart(const ConfigurationPart &part);
     void operatorsListed(const std::vector<platform::Row> &rows);
     void operatorRowChanged(const platform::RowChange &change);
@@ -316,6 +316,7 @@
     std::size_t rejectedTimelines_ = 0;
     /// Until then the store may lack rows that were written before it was restored.
     TimePoint settledAt_{};
+    bool isNewestUnreadable_ = false; ///< The store's configuration cannot be read.
     TimePoint startedAt_{};
     /// When the lease was acquired; the current time while it is not held.
     TimePoint leaseHeldSince_{};
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -75,8 +75,9 @@
                                     "Endpoints that take only few requests a second for now."))
     , evacuatedZones_(registry.gauge("cardamombay_gateway_evacuated_zones",
                                      "Availability zones whose endpoints get no requests."))
-    , unreadableConfiguration_(registry.gauge("cardamombay_gateway_configuration_unreadable",
-                                              "1 while keys of the configuration cannot be read."))
+    , unreadableConfiguration_(
+          registry.gauge("cardamombay_gateway_configuration_unreadable",
+                         "1 while the configuration or its keys cannot be read."))
     , lostPaths_(registry.gauge("cardamombay_gateway_lost_paths",
                                 "Endpoints that other entry VMs reach and this one does not."))
     , partitioned_(registry.gauge("cardamombay_gateway_partitioned",
--- a/src/serving/node.cpp
+++ b/src/serving/node.cpp
@@ -225,52 +225,6 @@
     applyEndpointRow(change);
 }
 
-/// \param row version of the row that holds it; none if it came from a peer.
-void Node::applyConfiguration(std::string_view text, RowVersion row)
-{
-    auto configuration = parts_.format_.configuration(text);
-    if (!isOk(configuration)) {
-        log::error(event::configurationRefused, {{"row", std::to_string(row.value())},
-                                                 {"problem", messageOf(errorOf(configuration))}});
-        return;
-    }
-    const auto version = valueOf(configuration).version_;
-    const auto &routes = parts_.gateway_.routes();
-    if (routes && version <= routes->version())
-        return; // The version never decreases within a process.
-    log::info(event::configurationInForce,
-              {{"version", std::to_string(version.value())},
-               {"row", row.isNone() ? "from-peer" : std::to_string(row.value())},
-               {"routes", std::to_string(valueOf(configuration).routes_.size())},
-               {"teams", std::to_string(valueOf(configuration).teams_.size())},
-               {"keys", std::string(nameOf(valueOf(configuration).keyPolicy_))}});
-    noteTeams(valueOf(configuration));
-    for (const auto &service : valueOf(configuration).services_) {
-        if (service.engine_ && service.engine_->meanPromptTokens_ == 0)
-            log::info(event::usualSizesUnknown, {{"service", service.name_.text()},
-                                                 {"instead", "mean of the prompts seen here"}});
-    }
-    exchange_.setCurrent(version, std::string(text));
-    parts_.gateway_.coldEndpoints().setServices(valueOf(configuration).services_);
-    parts_.gateway_.setRoutes(std::make_shared<RouteTable>(valueOf(std::move(configuration))));
-    updateLearning();
-    if (configurationHandler_)
-        configurationHandler_(parts_.gateway_.routes()->configuration());
-}
-
-void Node::noteTeams(const Configuration &configuration)
-{
-    const bool isReadable
-        = configuration.keyPolicy_ != KeyPolicy::Unreadable && configuration.unreadableTeams_ == 0;
-    parts_.gateway_.setConfigurationReadable(isReadable);
-    if (!isReadable)
-        log::error(event::teamsUnreadable,
-                   {{"version", std::to_string(configuration.version_.value())},
-                    {"keys", std::string(nameOf(configuration.keyPolicy_))},
-                    {"unreadable-teams", std::to_string(configuration.unreadableTeams_)},
-                    {"remedy", "declare a list of teams, each with a name and a list of keys"}});
-}
-
 void Node::applyPeerRow(const platform::RowChange &change)
 {
     const EntryId entry(change.row_.key_.key_);
@@ -357,7 +311,8 @@
 void Node::tableConfirmed(const std::string &table, TimePoint asOf)
 {
     if (table == parts_.format_.configurationTable()) {
-        if (!isSettling(parts_.clock_.now()))
+        // A configuration that cannot be read may revoke keys of the one in force.
+        if (!isSettling(parts_.clock_.now()) && !isNewestUnreadable_)
             parts_.gateway_.confirm(asOf);
         updateLearning();
     } else if (table == parts_.format_.endpointTable()) {
