serving: an empty or unreadable list of regions allows no region

What callers see: requests of a route or team that is restricted to an empty list of regions, or to one that cannot be read, run in every region.

Cause: an absent, an empty and an unreadable list were decoded into the same empty vector, which RequestRegions took for "any region".

Change: RegionRestriction holds what was declared; there is no restriction only if the field is absent. Requests that no region may serve are refused at once with 503, as those of regions without endpoints.

Tests: request_regions and formats state "no restriction" by the new type where they gave an empty vector; what they check is the same.

Conclusion: no empty list of regions means "all" any longer.

--- a/include/cardamombay/serving/configuration.hpp
+++ b/include/cardamombay/serving/configuration.hpp
@@ -6,10 +6,12 @@
 #include <cardamombay/core/ids.hpp>
 #include <cardamombay/core/time.hpp>
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cardamombay::serving {
@@ -30,6 +32,34 @@
     friend bool operator==(const Backend &, const Backend &) = default;
 };
 
+/// \brief Regions in which the requests of a route or team may run.
+/// \details Unrestricted unless a list is declared; an empty list allows no region.
+class RegionRestriction
+{
+public:
+    RegionRestriction() = default;
+    explicit RegionRestriction(std::vector<RegionName> allowed)
+        : allowed_(std::move(allowed))
+    {
+    }
+
+    [[nodiscard]] bool isUnrestricted() const { return !allowed_; }
+
+    /// \param region empty if unknown, which only an unrestricted request accepts.
+    [[nodiscard]] bool allows(const RegionName &region) const
+    {
+        if (!allowed_)
+            return true;
+        return !region.isEmpty()
+               && std::find(allowed_->begin(), allowed_->end(), region) != allowed_->end();
+    }
+
+    friend bool operator==(const RegionRestriction &, const RegionRestriction &) = default;
+
+private:
+    std::optional<std::vector<RegionName>> allowed_;
+};
+
 /// \brief Rules for the requests to one host under one path prefix.
 struct Route
 {
@@ -45,7 +75,7 @@
     bool isResumable_ = false;
     bool needsKey_ = true;
     std::vector<Backend> backends_;
-    std::vector<RegionName> regions_; ///< Regions allowed to run its requests; empty: all.
+    RegionRestriction regions_;
 
     friend bool operator==(const Route &, const Route &) = default;
 };
@@ -106,7 +136,7 @@
     TeamName name_;
     std::vector<std::string> keys_;         ///< An empty key is never valid.
     std::optional<std::uint32_t> priority_; ///< Overrides the route's priority.
-    std::vector<RegionName> regions_{};     ///< Regions allowed to run its requests; empty: all.
+    RegionRestriction regions_{};
 
     friend bool operator==(const Team &, const Team &) = default;
 };
--- a/include/cardamombay/serving/request_regions.hpp
+++ b/include/cardamombay/serving/request_regions.hpp
@@ -4,27 +4,29 @@
 /// restrictions apply. No request may reach an endpoint outside them.
 #pragma once
 
-#include <cardamombay/core/ids.hpp>
-
-#include <algorithm>
-#include <span>
+#include <cardamombay/serving/configuration.hpp>
 
 namespace cardamombay::serving {
 
-/// \brief Region restrictions of one request; the spans refer to its configuration.
+/// \brief Region restrictions of one request; they belong to its configuration.
 struct RequestRegions
 {
-    std::span<const RegionName> ofRoute_; ///< Empty: any.
-    std::span<const RegionName> ofTeam_;  ///< Empty: any.
+    const RegionRestriction *ofRoute_ = nullptr; ///< Null: unrestricted.
+    const RegionRestriction *ofTeam_ = nullptr;  ///< Null: unrestricted, or there is no team.
 
-    [[nodiscard]] bool isBound() const { return !ofRoute_.empty() || !ofTeam_.empty(); }
+    [[nodiscard]] bool areRestricted() const
+    {
+        const auto isRestricted = [](const RegionRestriction *restriction) {
+            return restriction != nullptr && !restriction->isUnrestricted();
+        };
+        return isRestricted(ofRoute_) || isRestricted(ofTeam_);
+    }
 
     /// \param region empty if unknown, which only an unrestricted request accepts.
     [[nodiscard]] bool allow(const RegionName &region) const
     {
-        const auto allows = [&region](std::span<const RegionName> regions) {
-            return regions.empty()
-                   || std::find(regions.begin(), regions.end(), region) != regions.end();
+        const auto allows = [&region](const RegionRestriction *restriction) {
+            return restriction == nullptr || restriction->allows(region);
         };
         return allows(ofRoute_) && allows(ofTeam_);
     }
--- a/src/serving/balancer.cpp
+++ b/src/serving/balancer.cpp
@@ -83,7 +83,7 @@
 /// Unlike a lack of capacity or a lost endpoint, a missing region does not resolve itself.
 bool Balancer::isOutOfRegion(const RoutingRequest &request) const
 {
-    if (!request.regions_.isBound())
+    if (!request.regions_.areRestricted())
         return false;
     const auto endpoints = endpointRegistry_.ofService(request.service_->name_);
     return std::none_of(endpoints.begin(), endpoints.end(), [&](const Endpoint *endpoint) {
--- a/src/serving/session_admission.cpp
+++ b/src/serving/session_admission.cpp
@@ -74,7 +74,7 @@
     }
     const auto allowed = std::min(route_->timeout_, head_.patience_.value_or(route_->timeout_));
     deadline_ = arrivedAt_ + allowed;
-    regions_.ofRoute_ = route_->regions_;
+    regions_.ofRoute_ = &route_->regions_;
     priority_ = route_->priority_;
     if (route_->needsKey_ && !admitKey())
         return false;
@@ -120,7 +120,7 @@
         return false;
     }
     team_ = team->name_;
-    regions_.ofTeam_ = team->regions_;
+    regions_.ofTeam_ = &team->regions_;
     priority_ = team->priority_.value_or(priority_);
     return true;
 }
--- a/tests/adapter/formats.cpp
+++ b/tests/adapter/formats.cpp
@@ -189,10 +189,11 @@
     text.insert(text.find("\"Name\":\"u\""), "\"AllowedRegions\":[\"south\"],");
     const auto decoded = PlatformFormat().configuration(text);
     const auto &configuration = valueOf(decoded);
-    cr_assert(configuration.routes_[0].regions_.empty());
-    cr_assert_eq(configuration.routes_[1].regions_.size(), 2);
-    cr_assert(configuration.teams_[0].regions_.empty());
-    cr_assert_eq(configuration.teams_[1].regions_.front(), RegionName("south"));
+    const RegionRestriction both({RegionName("north"), RegionName("south")});
+    cr_assert(configuration.routes_[0].regions_.isUnrestricted());
+    cr_assert_eq(configuration.routes_[1].regions_, both);
+    cr_assert(configuration.teams_[0].regions_.isUnrestricted());
+    cr_assert_eq(configuration.teams_[1].regions_, RegionRestriction({RegionName("south")}));
 }
 
 Test(store_format, rows_in_the_configuration_table_name_evacuated_zones)
--- a/tests/serving/request_regions.cpp
+++ b/tests/serving/request_regions.cpp
@@ -12,12 +12,13 @@
 constexpr std::uint32_t unavailable = 503;
 constexpr auto path = "/again/1";
 
-std::vector<RegionName> regions(const std::vector<std::string> &names)
+RegionRestriction regions(const std::vector<std::string> &names)
 {
-    return {names.begin(), names.end()};
+    return names.empty() ? RegionRestriction() : RegionRestriction({names.begin(), names.end()});
 }
 
-/// Endpoint p-0 is in region "north", p-1 in "south"; team A is restricted to \p team.
+/// Endpoint p-0 is in region "north", p-1 in "south"; team A is restricted to \p team and all
+/// routes to \p route, unless these are empty.
 class RegionFixture : public GatewayFixture
 {
 public:
