traffic: a team whose last token was removed admits nobody by name

What callers see: cardamombayd lets everybody in who names a team in X-Team after an operator has removed the team's last token (token_sha256 = []).

Cause: an absent list of tokens, which asks for X-Team, and an empty one were read into the same empty vector.

Change: config::Team::tokens_ is absent if the base file has no such key. A team with a list, also an empty one, is named by its tokens only.

Conclusion: removing tokens never widens who may call.

--- a/include/cardamombay/config/configuration.hpp
+++ b/include/cardamombay/config/configuration.hpp
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,8 +29,10 @@
 struct Team
 {
     TeamName name_;
-    double weight_ = 1.0;             ///< Share of capacity under contention.
-    std::vector<std::string> tokens_; ///< SHA-256 (hex) of the bearer tokens that name the team.
+    double weight_ = 1.0; ///< Share of capacity under contention.
+    /// SHA-256 (hex) of the bearer tokens that name the team; if absent, callers name it in a
+    /// field.
+    std::optional<std::vector<std::string>> tokens_;
 
     friend bool operator==(const Team &, const Team &) = default;
 };
--- a/src/config/base_reader.cpp
+++ b/src/config/base_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace cardamombay::config::impl {
 
@@ -48,8 +49,9 @@
     Team team;
     team.name_ = TeamName(name);
     reader.read("weight", team.weight_, weightRange);
-    reader.read("token_sha256", team.tokens_);
-    for (const auto &token : team.tokens_) {
+    std::vector<std::string> tokens;
+    reader.read("token_sha256", tokens);
+    for (const auto &token : tokens) {
         if (!isSha256(token))
             reader.report("token_sha256", "\"" + token + "\" is no SHA-256 in lower-case hex",
                           "give the hash, never the token: printf %s TOKEN | sha256sum");
@@ -58,6 +60,8 @@
             reader.report("token_sha256", "team '" + owner->second + "' has the same token",
                           "give every team tokens of its own");
     }
+    if (reader.has("token_sha256"))
+        team.tokens_ = std::move(tokens);
     reader.finish();
     return team;
 }
--- a/src/traffic/team_lookup.cpp
+++ b/src/traffic/team_lookup.cpp
@@ -34,7 +34,7 @@
     problem.title_ = "The team is not known";
     problem.detail_ = std::move(detail);
     problem.remedy_ = "send the team's bearer token in Authorization, or its name in X-Team if "
-                      "the configuration gives the team no tokens";
+                      "the configuration declares no tokens for the team";
     return problem;
 }
 
@@ -43,7 +43,8 @@
 {
     const auto hash = sha256Of(token);
     for (const auto &team : configuration.teams_) {
-        if (std::find(team.tokens_.begin(), team.tokens_.end(), hash) != team.tokens_.end())
+        const auto &tokens = team.tokens_;
+        if (tokens && std::find(tokens->begin(), tokens->end(), hash) != tokens->end())
             return team.name_;
     }
     return unauthorized("no team has this bearer token");
@@ -63,7 +64,7 @@
     const auto *team = configuration.team(name);
     if (team == nullptr)
         return unauthorized("there is no team '" + name.text() + "'");
-    if (!team->tokens_.empty())
+    if (team->tokens_)
         return unauthorized("team '" + name.text() + "' is named by its bearer token only");
     return name;
 }
--- a/src/traffic/team_lookup.hpp
+++ b/src/traffic/team_lookup.hpp
@@ -10,7 +10,7 @@
 
 namespace cardamombay::traffic::impl {
 
-/// \brief The team by bearer token or, for a team without tokens, by the X-Team field.
+/// \brief The team by bearer token or, for a team without declared tokens, by the X-Team field.
 [[nodiscard]] std::variant<TeamName, Problem> findTeam(const net::ServerRequest &request,
                                                        const config::Configuration &configuration);
 
