net: bound what HTTP clients read of answers that do not end

What callers see: an endpoint that sends a chunk's head or trailers without end, or answers of another request, makes the gateway read until the route's time-out; the process grows until it is killed, and all its requests with it.

Cause: the read buffers of all three clients had no limit of their own. The parser's limit covers the first head only, so a chunk extension and trailers were buffered whole. Nothing counted the bytes of answers to other requests, and up to 32 MiB of each answer could wait to be consumed. Answers to orders could have 8 MiB each.

Change: read buffers hold 64 KiB, which bounds every head and line. A call of KeptUpstream fails once it has dropped 8 MiB of other requests' answers or 8 MiB of its own are not consumed, and returns a large buffer once that is consumed. Answers of engines to orders and questions: 64 KiB.

Before, suite endless_answers of label net: 5 of 7 failed (kept_upstream_, upstream_client_ and http_client_gives_up_a_line_without_end, call_gives_up_after_too_many_bytes_for_other_requests and ..._that_are_not_consumed; the last two without the lines that set limits, which did not exist). After: 7 of 7, label net 80 of 80.

Conclusion: every line of an answer has a limit, and bytes that belong to no request end the call.

--- a/apps/cardamombay-gateway/gateway_daemon.cpp
+++ b/apps/cardamombay-gateway/gateway_daemon.cpp
@@ -21,6 +21,7 @@
 
 /// Watches occupy connections of their own in addition to other calls.
 constexpr std::size_t storeConnections = 8;
+constexpr std::size_t orderConnections = 2;
 
 /// The load balancer excludes an entry VM after two failed checks, one second apart.
 constexpr Duration announcePeriod = std::chrono::milliseconds(2600);
@@ -44,10 +45,21 @@
 constexpr Duration leavePollInterval = std::chrono::milliseconds(20);
 constexpr int maxLeavePolls = 20;
 
-net::HttpClientLimits limitsOf(std::size_t connections)
+/// Engines answer orders and questions about their state with less than a tenth of that.
+constexpr std::size_t maxOrderAnswerBytes = std::size_t{64} * 1024;
+
+net::HttpClientLimits storeLimits()
+{
+    net::HttpClientLimits limits;
+    limits.connectionsPerAddress_ = storeConnections;
+    return limits;
+}
+
+net::HttpClientLimits orderLimits()
 {
     net::HttpClientLimits limits;
-    limits.connectionsPerAddress_ = connections;
+    limits.connectionsPerAddress_ = orderConnections;
+    limits.responseBytes_ = maxOrderAnswerBytes;
     return limits;
 }
 
@@ -140,8 +152,8 @@
     : settings_(std::move(settings))
     , file_(std::move(file))
     , inputBudget_(clock_, settings_.inputBytes_, &inputMetrics_)
-    , storeHttp_(context_, limitsOf(storeConnections))
-    , orderHttp_(context_, limitsOf(2))
+    , storeHttp_(context_, storeLimits())
+    , orderHttp_(context_, orderLimits())
     , store_(storeHttp_, {settings_.store_, storeTimeout})
     , orders_(orderHttp_, orderTimeout, stateTimeout)
     , meteredStore_(clock_, store_, store_, registry_)
--- a/include/cardamombay/net/kept_upstream.hpp
+++ b/include/cardamombay/net/kept_upstream.hpp
@@ -25,6 +25,10 @@
     Duration idleTimeout_ = std::chrono::seconds(4);
     /// What is sent must reach the endpoint before its own timeout is over.
     Duration idleReserve_ = std::chrono::milliseconds(800);
+    /// Bytes of an answer that may wait to be consumed; a call whose answer has more fails.
+    std::size_t unconsumedBytes_ = std::size_t{8} * 1024 * 1024;
+    /// Bytes of answers to other requests that a call drops before it fails.
+    std::size_t foreignBytes_ = std::size_t{8} * 1024 * 1024;
 };
 
 /// \brief Starts calls over TCP on kept connections.
--- a/src/net/asio_http_client.cpp
+++ b/src/net/asio_http_client.cpp
@@ -32,7 +32,8 @@
 
 namespace {
 
-constexpr std::uint32_t responseHeaderBytes = 64 * 1024;
+/// Also of a line between the parts of a body, such as the head of a chunk.
+constexpr std::size_t responseHeaderBytes = std::size_t{64} * 1024;
 
 struct Connection
 {
@@ -43,7 +44,7 @@
     }
 
     tcp::socket socket_;
-    boost::beast::flat_buffer buffer_;
+    boost::beast::flat_buffer buffer_{responseHeaderBytes};
     impl::TimeoutTimer idleTimer_;
 };
 
--- a/src/net/kept_connection.hpp
+++ b/src/net/kept_connection.hpp
@@ -24,6 +24,10 @@
 using boost::system::error_code;
 using Tcp = boost::asio::ip::tcp;
 
+/// \brief Largest head of an answer, in bytes. No line between the parts of a body, such as the
+/// head of a chunk, may be larger.
+inline constexpr std::size_t maxAnswerHeadBytes = std::size_t{64} * 1024;
+
 /// \brief A connection to an endpoint, in use by one exchange or kept by the pool.
 struct KeptConnection
 {
@@ -35,7 +39,8 @@
     void close() { stream_.close(); }
 
     boost::beast::tcp_stream stream_;
-    boost::beast::flat_buffer buffer_; ///< What was read beyond the last answer.
+    /// What was read and not parsed yet.
+    boost::beast::flat_buffer buffer_{maxAnswerHeadBytes};
     TimePoint keptAt_;
     Duration keptFor_{}; ///< Unused, by the endpoint's word.
     bool isKept_ = false;
@@ -71,6 +76,7 @@
     [[nodiscard]] std::size_t opened() const { return opened_; }
     [[nodiscard]] std::size_t idle() const;
     [[nodiscard]] boost::asio::io_context &context() { return context_; }
+    [[nodiscard]] const KeptUpstreamLimits &limits() const { return limits_; }
 
 private:
     using Connections = std::vector<std::shared_ptr<KeptConnection>>;
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -20,8 +20,8 @@
 namespace {
 
 constexpr std::size_t firstBuffer = std::size_t{4} * 1024;
-constexpr std::size_t mostUnconsumed = std::size_t{32} * 1024 * 1024;
-constexpr std::uint32_t headerLimit = 64 * 1024;
+/// A larger buffer is given back once all of it is consumed.
+constexpr std::size_t mostRetained = std::size_t{64} * 1024;
 
 std::string textOf(boost::core::string_view text)
 {
@@ -68,6 +68,15 @@
     return std::chrono::seconds(seconds);
 }
 
+template<typename Message>
+std::size_t fieldBytes(const Message &message)
+{
+    std::size_t size = 0;
+    for (const auto &field : message)
+        size += field.name_string().size() + field.value().size();
+    return size;
+}
+
 std::string idOf(const UpstreamRequest &request)
 {
     for (const auto &field : request.fields_) {
@@ -113,6 +122,7 @@
     void readHead();
     void takeHead();
     [[nodiscard]] bool belongsElsewhere() const;
+    [[nodiscard]] bool dropForeign(std::size_t size);
     void readBody();
     void takeBody(impl::error_code error);
     void end();
@@ -134,6 +144,7 @@
     std::string body_; ///< Unconsumed bytes first, then room for more.
     std::size_t filled_ = 0;
     bool isForeign_ = false; ///< The answer being read is another request's.
+    std::size_t foreignBytes_ = 0;
 };
 
 void Exchange::start()
@@ -202,7 +213,7 @@
 {
     parser_.emplace();
     parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
-    parser_->header_limit(headerLimit);
+    parser_->header_limit(impl::maxAnswerHeadBytes);
     parser_->skip(isHeadRequest_);
 }
 
@@ -227,12 +238,25 @@
     return echoed != message.end() && !id_.empty() && echoed->value() != id_;
 }
 
+/// Counts bytes of an answer to another request.
+/// \returns false if these were too many and the call has failed.
+bool Exchange::dropForeign(std::size_t size)
+{
+    foreignBytes_ += size;
+    if (foreignBytes_ <= pool_->limits().foreignBytes_)
+        return true;
+    fail({true, false, "too many bytes of answers to other requests"});
+    return false;
+}
+
 void Exchange::takeHead()
 {
     if (listener_ == nullptr)
         return;
     isForeign_ = belongsElsewhere();
     const auto &message = parser_->get();
+    if (isForeign_ && !dropForeign(fieldBytes(message)))
+        return;
     if (!isForeign_) {
         HttpResponse head;
         head.status_ = message.result_int();
@@ -251,12 +275,13 @@
 
 void Exchange::readBody()
 {
-    if (filled_ >= mostUnconsumed) {
-        fail({true, false, "the answer is too large"});
+    const auto limit = pool_->limits().unconsumedBytes_;
+    if (filled_ >= limit) {
+        fail({true, false, "too many bytes of the answer are not consumed"});
         return;
     }
     if (body_.size() - filled_ < firstBuffer / 2)
-        body_.resize(std::max(firstBuffer, body_.size() * 2));
+        body_.resize(std::min(std::max(firstBuffer, body_.size() * 2), limit + firstBuffer));
     auto &body = parser_->get().body();
     body.data = body_.data() + filled_;
     body.size = body_.size() - filled_;
@@ -277,8 +302,11 @@
     }
     const auto before = filled_;
     filled_ = body_.size() - parser_->get().body().size;
-    if (isForeign_)
-        filled_ = before;
+    if (isForeign_) {
+        const auto size = std::exchange(filled_, before) - before;
+        if (!dropForeign(size))
+            return;
+    }
     if (parser_->is_done()) {
         end();
         return;
@@ -314,6 +342,8 @@
 {
     std::memmove(body_.data(), body_.data() + size, filled_ - size);
     filled_ -= size;
+    if (filled_ == 0 && body_.size() > mostRetained)
+        body_ = {};
     if (listener_ != nullptr)
         readBody();
 }
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -29,7 +29,8 @@
 
 constexpr std::size_t firstBuffer = std::size_t{8} * 1024;
 constexpr std::size_t mostUnconsumed = std::size_t{32} * 1024 * 1024;
-constexpr std::uint32_t headerLimit = 64 * 1024;
+/// Also of a line between the parts of a body, such as the head of a chunk.
+constexpr std::size_t headerLimit = std::size_t{64} * 1024;
 
 std::string textOf(boost::core::string_view text)
 {
@@ -87,7 +88,7 @@
     Duration connectTimeout_;
     http::request<http::string_body> message_;
     http::response_parser<http::buffer_body> parser_;
-    beast::flat_buffer buffer_;
+    beast::flat_buffer buffer_{headerLimit};
     std::string body_; ///< Unconsumed bytes first, then room for more.
     std::size_t filled_ = 0;
 };
