serving: bound incomplete answers of endpoints

What callers see: one endpoint that sends a body without end, with a length, in chunks or without either, also as a failure, makes the gateway grow until the route's time-out; the process is killed for its memory and with it all requests, also those at sound endpoints. An event without end takes up to 32 MiB for each stream.

Cause: an answer that is not a stream was collected without a bound, and so was the part of a stream behind its last whole event.

Change: bounds.answer_bytes (8 MiB) and bounds.event_bytes (1 MiB) limit one answer and event; AnswerBuffers limits their sum to a sixteenth of machine.memory_mb (32 MiB if it is not set): beyond 32 KiB an answer may not be larger than what is then still free, so others find room.

Conclusion: what endpoints send cannot end the process by its size. Open: complete answers that callers read slowly, cardamombayd's model answers.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -8,6 +8,7 @@
 #include <cardamombay/core/random.hpp>
 #include <cardamombay/net/http_server.hpp>
 #include <cardamombay/net/upstream.hpp>
+#include <cardamombay/serving/answer_buffers.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/caller_buffers.hpp>
 #include <cardamombay/serving/carriers.hpp>
@@ -48,6 +49,11 @@
     double retryReserve_ = 100; ///< Retries per window regardless of load, over all entry VMs.
     /// Bytes that may be buffered for callers that do not read.
     std::size_t callerBufferBytes_ = BoundedCallerBuffers::defaultBound;
+    std::size_t answerBytes_
+        = std::size_t{8} * 1024 * 1024;                     ///< Largest answer other than a stream.
+    std::size_t eventBytes_ = std::size_t{1} * 1024 * 1024; ///< Largest event of a stream.
+    /// Bytes that all incomplete answers may use together.
+    std::size_t answerBufferBytes_ = BoundedAnswerBuffers::defaultBound;
 };
 
 /// \brief Dependencies of the gateway and its sessions; all must outlive the gateway.
@@ -171,6 +177,8 @@
     {
         return parts_.callerBuffers_ == nullptr ? ownCallerBuffers_ : *parts_.callerBuffers_;
     }
+    /// \brief Bytes of incomplete answers.
+    [[nodiscard]] AnswerBuffers &answerBuffers() { return answerBuffers_; }
     [[nodiscard]] double randomUnit() { return random_.unit(); }
     /// \brief Reports that the connection to \p target broke before the answer was complete.
     void onAttemptBroken(const Target &target, RequestAtCrash request,
@@ -235,6 +243,7 @@
     EndpointGate gate_;
     std::function<void()> crashCallback_;
     BoundedCallerBuffers ownCallerBuffers_;
+    BoundedAnswerBuffers answerBuffers_;
     Carriers carriers_;
     std::uint64_t lastSession_ = 0; ///< Number of the last session.
     /// By number, so that sessions are visited in the order of their arrival.
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -60,6 +60,8 @@
     metrics::Gauge callerBufferBytes_;        ///< Bytes buffered for callers, over all streams.
     metrics::Counter readPauses_;             ///< Streams paused since their callers do not read.
     metrics::Counter callerBufferRefusals_;   ///< Streams refused since the buffers are full.
+    metrics::Gauge answerBufferBytes_;        ///< Bytes of incomplete answers of endpoints.
+    metrics::Counter oversizedAnswers_;       ///< Attempts given up since the answer is too large.
     /// Requests whose list of prompt parts is malformed or too long to be read whole.
     metrics::Counter incompleteParts_;
     /// Age of the confirmed endpoint data at each send, in seconds.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -49,6 +49,7 @@
     , overload_(parts.clock_, parts.balancer_, parts.metrics_, Random(random.bits()))
     , gate_(parts.balancer_, notices_, reservations_, paths_)
     , ownCallerBuffers_(bounds.callerBufferBytes_, parts.metrics_)
+    , answerBuffers_(bounds.answerBufferBytes_, parts.metrics_)
     , carriers_(parts.clock_, Random(random.bits()))
 {
     paths_.onExonerated([this](const VmId &endpoint, const Address &address) {
@@ -315,6 +316,7 @@
     bounds_ = bounds;
     retries_.setBound({bounds.retryShare_, bounds.retryReserve_, bounds.retryWindow_});
     ownCallerBuffers_.setBound(bounds.callerBufferBytes_);
+    answerBuffers_.setBound(bounds.answerBufferBytes_);
 }
 
 Duration Gateway::unconfirmedFor() const
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -111,6 +111,10 @@
     , callerBufferRefusals_(
           registry.counter("cardamombay_gateway_caller_buffer_refusals_total",
                            "Streams refused because callers had too many bytes left to read."))
+    , answerBufferBytes_(registry.gauge("cardamombay_gateway_answer_buffer_bytes",
+                                        "Bytes of incomplete answers of endpoints."))
+    , oversizedAnswers_(registry.counter("cardamombay_gateway_oversized_answers_total",
+                                         "Attempts given up because the answer is too large."))
     , incompleteParts_(
           registry.counter("cardamombay_gateway_incomplete_prompt_parts_total",
                            "Requests whose list of prompt parts is malformed or too long."))
--- a/src/serving/gateway_settings.cpp
+++ b/src/serving/gateway_settings.cpp
@@ -24,6 +24,7 @@
 constexpr Range<double> memoryRange{1, 100'000'000};
 constexpr Range<std::uint32_t> descriptorRange{256, 100'000'000};
 constexpr double bytesPerMegabyte = 1024 * 1024;
+constexpr Range<std::uint32_t> answerRange{1024, 1U << 30U};
 constexpr Range<double> reserveRange{0, 1'000'000};
 
 /// Share of the revocation limit for which a confirmed configuration may be used; the rest is left
@@ -59,6 +60,13 @@
     reader.finish();
 }
 
+void readBytes(TableReader &reader, std::string_view key, std::size_t &target)
+{
+    auto bytes = static_cast<std::uint32_t>(target);
+    reader.read(key, bytes, answerRange);
+    target = bytes;
+}
+
 void readBounds(TableReader &root, GatewaySettings &result)
 {
     const auto *table = root.table("bounds");
@@ -79,6 +87,8 @@
     reader.read("retry_share", bounds.retryShare_, {0, 1});
     reader.read("retry_window", bounds.retryWindow_, boundRange);
     reader.read("retry_reserve", bounds.retryReserve_, reserveRange);
+    readBytes(reader, "answer_bytes", bounds.answerBytes_);
+    readBytes(reader, "event_bytes", bounds.eventBytes_);
     reader.finish();
 }
 
@@ -103,6 +113,8 @@
     result.inputBytes_ = static_cast<std::size_t>(bytes * net::BoundedInputBudget::memoryShare);
     result.bounds_.callerBufferBytes_
         = static_cast<std::size_t>(bytes * BoundedCallerBuffers::memoryShare);
+    result.bounds_.answerBufferBytes_
+        = static_cast<std::size_t>(bytes * BoundedAnswerBuffers::memoryShare);
     reader.finish();
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -283,6 +283,7 @@
     if (!call_)
         return;
     call_.reset();
+    answerShare_.reset();
     isReadingPaused_ = false;
     unconsumed_ = 0;
     if (carrier_)
--- a/src/serving/session.hpp
+++ b/src/serving/session.hpp
@@ -7,6 +7,7 @@
 
 #include <cardamombay/net/server_exchange.hpp>
 #include <cardamombay/net/upstream.hpp>
+#include <cardamombay/serving/answer_buffers.hpp>
 #include <cardamombay/serving/balancer.hpp>
 #include <cardamombay/serving/caller_buffers.hpp>
 #include <cardamombay/serving/carriers.hpp>
@@ -192,6 +193,8 @@
     void recordNotices(const EndpointResponseHead &answer, TimePoint now);
     void takeStreamHead(const net::HttpResponse &head);
     void discardAnswer();
+    void recordError(TimePoint now);
+    [[nodiscard]] bool holdAnswer(std::size_t bytes, std::size_t limit);
     void recordEvents(TimePoint now);
     void reportAnsweredParts(TimePoint now);
     [[nodiscard]] bool mayReadOn() const;
@@ -274,6 +277,7 @@
     std::string pending_;        ///< Complete events that wait for the current write.
     std::string writing_;
     std::optional<BufferShare> bufferShare_; ///< Of a stream that was admitted.
+    std::optional<AnswerShare> answerShare_; ///< Of the current attempt, once it has data.
     bool isReadingPaused_ = false; ///< The endpoint is not read, since the caller does not read.
     std::size_t unconsumed_ = 0;   ///< Bytes to consume when reading resumes.
     bool isWriting_ = false;
--- a/src/serving/session_answer.cpp
+++ b/src/serving/session_answer.cpp
@@ -85,21 +85,25 @@
         tried_.pop_back();
 }
 
-/// A server error counts as a run. It counts against the endpoint unless the request has failed at
-/// other endpoints too.
+/// A server error counts as a run.
 void Session::recordAnswerStatus(std::uint32_t status, TimePoint now)
 {
-    auto &board = gateway_.parts().loadTracker_;
     if (status < minServerError) {
-        board.progressed(target_.endpoint_, now);
+        gateway_.parts().loadTracker_.progressed(target_.endpoint_, now);
         return;
     }
     recordProgress(now);
-    if (!gateway_.blamesEndpoint(fingerprints_, target_.endpoint_))
+    recordError(now);
+}
+
+/// Counts against the endpoint unless the request has failed at other endpoints too.
+void Session::recordError(TimePoint now)
+{
+    if (carrier_ || !gateway_.blamesEndpoint(fingerprints_, target_.endpoint_))
         return;
-    board.erred(target_.endpoint_,
-                service_->engine_ ? LoadTracker::groupErrorWeight : LoadTracker::plainErrorWeight,
-                now);
+    const auto weight
+        = service_->engine_ ? LoadTracker::groupErrorWeight : LoadTracker::plainErrorWeight;
+    gateway_.parts().loadTracker_.erred(target_.endpoint_, weight, now);
 }
 
 void Session::takeStreamHead(const net::HttpResponse &head)
@@ -115,6 +119,8 @@
     const auto now = gateway_.parts().clock_.now();
     recordAnswerData(now);
     if (phase_ == Phase::Buffered) {
+        if (!holdAnswer(answer_.body_.size() + data.size(), gateway_.bounds().answerBytes_))
+            return;
         recordProgress(now);
         answer_.body_.append(data);
         call_->consume(data.size());
@@ -174,7 +180,24 @@
         pending_.append(data.substr(0, whole.size_));
     }
     flush();
-    readOnOrPause(whole.size_);
+    if (call_ && holdAnswer(data.size() - whole.size_, gateway_.bounds().eventBytes_))
+        readOnOrPause(whole.size_);
+}
+
+/// Counts \p bytes of the answer that cannot be sent to the caller yet.
+/// \returns false if these are too many and the attempt has failed.
+bool Session::holdAnswer(std::size_t bytes, std::size_t limit)
+{
+    if (!answerShare_)
+        answerShare_.emplace(gateway_.answerBuffers());
+    const bool isTooLarge = bytes > limit;
+    if (!isTooLarge && answerShare_->set(bytes))
+        return true;
+    gateway_.parts().metrics_.oversizedAnswers_.increment();
+    recordError(gateway_.parts().clock_.now());
+    attemptFailed(Failure::Unknown, isTooLarge ? "the answer, or an event of it, is too large"
+                                               : "no memory is free for an answer of that size");
+    return false;
 }
 
 bool Session::mayReadOn() const
--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -233,6 +233,9 @@
     const auto object = json::parse(result.body_).as_object();
     EngineReport report;
     report.crashes_ = object.at("crashes").to_number<int>();
+    report.endlessOpen_ = object.at("endless_open").to_number<std::size_t>();
+    report.endlessStarted_ = object.at("endless_started").to_number<std::size_t>();
+    report.endlessBytes_ = object.at("endless_bytes").to_number<std::uint64_t>();
     for (const auto &endpoint : object.at("endpoint_crashes").as_object())
         report.endpointCrashes_[std::string(endpoint.key())] = endpoint.value().to_number<int>();
     for (const auto &run : object.at("runs").as_object())
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -23,6 +23,10 @@
     std::map<std::string, std::vector<std::int64_t>> arrivals_;
     int crashes_ = 0; ///< Endpoint crashes caused by poison-pill requests.
     std::map<std::string, int> endpointCrashes_; ///< The same by endpoint id.
+    /// Connections on which endpoints send bytes without end: open now, so far, and bytes sent.
+    std::size_t endlessOpen_ = 0;
+    std::size_t endlessStarted_ = 0;
+    std::uint64_t endlessBytes_ = 0;
 };
 
 /// \brief Which connections pass through a fault proxy. The proxy accepts connections even if the
--- a/tests/support/group_engine_standin.cpp
+++ b/tests/support/group_engine_standin.cpp
@@ -21,6 +21,7 @@
 constexpr auto plainServiceTime = std::chrono::milliseconds(20);
 constexpr auto restartDelay = std::chrono::milliseconds(1500);
 constexpr int eventsPerStream = 20;
+constexpr std::string_view controlPrefix = "control-";
 
 /// Three for each gateway that may run within one refusal period, including restarted gateways.
 constexpr std::size_t maxRefusals = 24;
@@ -168,6 +169,10 @@
         co_await refuse(exchange);
         co_return;
     }
+    if (answersEndlessly(exchange)) {
+        co_await answerEndlessly(exchange);
+        co_return;
+    }
     if (exchange.request().target() == "/-/order") {
         co_await order(exchange);
         co_return;
@@ -180,6 +185,26 @@
     co_await exchange.respond(std::move(report));
 }
 
+/// Members of a group that do not serve refuse requests as usual.
+bool GroupEngineStandin::answersEndlessly(const StandinExchange &exchange) const
+{
+    if (endlessKind_.empty())
+        return false;
+    const bool isControl = exchange.request().target().starts_with("/-/");
+    if (isControl || endlessKind_.starts_with(controlPrefix))
+        return isControl && endlessKind_.starts_with(controlPrefix);
+    return domain_.empty() || (group_ && group_->state_ == "open" && group_->rank_ == 0);
+}
+
+asio::awaitable<void> GroupEngineStandin::answerEndlessly(StandinExchange &exchange)
+{
+    std::string_view kind = endlessKind_;
+    if (kind.starts_with(controlPrefix))
+        kind.remove_prefix(controlPrefix.size());
+    auto answer = endlessAnswer(kind, headerOf(exchange.request(), "X-Request-Id"), id_);
+    co_await sendEndlessly(exchange, std::move(answer), registry_.endlessAnswers_);
+}
+
 asio::awaitable<void> GroupEngineStandin::run(StandinExchange &exchange)
 {
     const auto request = headerOf(exchange.request(), "X-Request-Id");
--- a/tests/support/group_engine_standin.hpp
+++ b/tests/support/group_engine_standin.hpp
@@ -2,6 +2,7 @@
 /// \brief Test double of the users' engines, which form groups on orders, and of plain endpoints.
 #pragma once
 
+#include "support/endless_answer.hpp"
 #include "support/row_store_standin.hpp"
 
 #include <chrono>
@@ -22,6 +23,7 @@
     std::map<std::string, int> runs_; ///< Execution starts by request id.
     std::vector<std::string> violations_;
     int crashes_ = 0; ///< Engine crashes caused by poison-pill requests.
+    EndlessAnswers endlessAnswers_{};
 };
 
 /// \brief One engine, or one endpoint of a plain service if it has no fabric domain.
@@ -55,6 +57,10 @@
     /// \brief Announces in its responses, but not in its entry, that it is leaving, and clears the
     /// recorded arrivals.
     void announceLeaving();
+    /// \brief Sends bytes without end in place of answers.
+    /// \param kind as of endlessAnswer(); with "control-" before it, orders and questions about the
+    /// state are answered so, otherwise requests. Empty: the engine answers again.
+    void setEndlessAnswers(std::string kind) { endlessKind_ = std::move(kind); }
     /// \brief Arrival times of requests since the limit, cooldown or leaving state was last set.
     [[nodiscard]] const std::vector<std::chrono::steady_clock::time_point> &arrivals() const
     {
@@ -87,6 +93,8 @@
     boost::asio::awaitable<void> restart();
     [[nodiscard]] bool isRefusing() const;
     boost::asio::awaitable<void> refuse(StandinExchange &exchange);
+    [[nodiscard]] bool answersEndlessly(const StandinExchange &exchange) const;
+    boost::asio::awaitable<void> answerEndlessly(StandinExchange &exchange);
     /// \brief Adds the header fields about the endpoint itself: rate limit and leaving.
     void addEndpointFields(StandinResponse &response) const;
     [[nodiscard]] bool isWhole() const;
@@ -109,8 +117,9 @@
     bool isDraining_ = false;
     bool announcesLeaving_ = false;
     std::chrono::steady_clock::time_point refusesUntil_{};
-    std::string cooldown_; ///< Retry-After in refusals, seconds.
-    std::string limit_;    ///< Requests per second; empty if there is none.
+    std::string cooldown_;    ///< Retry-After in refusals, seconds.
+    std::string endlessKind_; ///< Empty if the engine answers.
+    std::string limit_;       ///< Requests per second; empty if there is none.
     std::vector<std::chrono::steady_clock::time_point> arrivals_;
     std::uint16_t registeredPort_ = 0; ///< Registered in place of the actual port unless 0.
     StandinServer server_;
--- a/tests/support/programs/fleet_platform_standin.cpp
+++ b/tests/support/programs/fleet_platform_standin.cpp
@@ -8,6 +8,8 @@
 /// - /test/limit/ID: the endpoint announces the rate limit in the body (requests per second).
 /// - /test/cooldown/ID: the endpoint refuses for a while, with the Retry-After in the body.
 /// - /test/leaving/ID: the endpoint announces in its responses, not in its entry, that it leaves.
+/// - /test/endless/ID: the endpoint sends bytes without end, of the kind in the body; an empty body
+///   ends this.
 /// - /test/port/ID: the endpoint registers the port in the body.
 /// - /test/restore/AGE: restores a backup of at least that age in milliseconds.
 /// - /test/outage/STATUS: the store responds with that status only; 0 ends the outage.
@@ -55,6 +57,9 @@
                                         {"arrivals", std::move(arrivals)},
                                         {"crashes", registry.crashes_},
                                         {"endpoint_crashes", std::move(endpointCrashes)},
+                                        {"endless_open", registry.endlessAnswers_.open_},
+                                        {"endless_started", registry.endlessAnswers_.started_},
+                                        {"endless_bytes", registry.endlessAnswers_.bytes_},
                                         {"violations", std::move(violations)},
                                         {"ports", std::move(ports)}});
 }
@@ -81,6 +86,8 @@
         registry.engines_.at(id)->startCooldown(refusalPeriod, body);
     else if (verb == "/test/leaving")
         registry.engines_.at(id)->announceLeaving();
+    else if (verb == "/test/endless")
+        registry.engines_.at(id)->setEndlessAnswers(body);
     else if (verb == "/test/port")
         registry.engines_.at(id)->registerAt(static_cast<std::uint16_t>(std::stoul(body)));
     else if (verb == "/test/restore")
@@ -114,7 +121,7 @@
         .parse(argc, argv);
     boost::asio::io_context context;
     RowStoreStandin store;
-    EngineRegistry registry{store, {}, {}, {}, 0};
+    EngineRegistry registry{store, {}, {}, {}, 0, {}};
     const auto add = [&](const std::string &id, const std::string &service,
                          const std::string &domain) {
         auto engine = std::make_shared<GroupEngineStandin>(context, registry, id, service, domain);
--- a/tests/support/standin_server.cpp
+++ b/tests/support/standin_server.cpp
@@ -113,6 +113,11 @@
     co_await asio::async_write(stream_, http::make_chunk_last(), asio::use_awaitable);
 }
 
+asio::awaitable<void> StandinExchange::writeRaw(std::string_view bytes)
+{
+    co_await asio::async_write(stream_, asio::buffer(bytes), asio::use_awaitable);
+}
+
 void StandinExchange::drop()
 {
     isDropped_ = true;
--- a/tests/support/standin_server.hpp
+++ b/tests/support/standin_server.hpp
@@ -49,6 +49,9 @@
     boost::asio::awaitable<void> finishStream();
     /// \}
 
+    /// \brief Sends \p bytes as they are; they must outlive the write.
+    boost::asio::awaitable<void> writeRaw(std::string_view bytes);
+
     /// \brief Cuts the connection; nothing further is sent.
     void drop();
 
