serving: limit the setting of the largest event to what a connection holds

Cause: a connection to an endpoint holds an event until it is complete, up to 8 MiB, but bounds.event_bytes could be set to 1 GiB; events between both would have failed with another reason than the setting's. A comment on the gauge of evacuated zones stood at another function.

Change: bounds.event_bytes is at most KeptUpstreamLimits::unconsumedBytes_. New test bounds_of_answers_are_read (it was not run before the change; the last of its checks tests it).

Defaults are unchanged.

--- a/include/cardamombay/serving/gateway.hpp
+++ b/include/cardamombay/serving/gateway.hpp
@@ -49,9 +49,10 @@
     double retryReserve_ = 100; ///< Retries per window regardless of load, over all entry VMs.
     /// Bytes that may be buffered for callers that do not read.
     std::size_t callerBufferBytes_ = BoundedCallerBuffers::defaultBound;
-    std::size_t answerBytes_
-        = std::size_t{8} * 1024 * 1024;                     ///< Largest answer other than a stream.
-    std::size_t eventBytes_ = std::size_t{1} * 1024 * 1024; ///< Largest event of a stream.
+    /// Largest answer other than a stream, in bytes.
+    std::size_t answerBytes_ = std::size_t{8} * 1024 * 1024;
+    /// Largest event of a stream, in bytes; at most KeptUpstreamLimits::unconsumedBytes_.
+    std::size_t eventBytes_ = std::size_t{1} * 1024 * 1024;
     /// Bytes that all incomplete answers may use together.
     std::size_t answerBufferBytes_ = BoundedAnswerBuffers::defaultBound;
 };
@@ -104,11 +105,12 @@
     void countStoreRestore() { parts_.metrics_.storeRestores_.increment(); }
     /// \brief Counts a reassignment of duties among the entry VMs.
     void countPeerUpdate() { parts_.metrics_.peerUpdates_.increment(); }
-    /// \brief Sets the number of availability zones that are being evacuated.
+    /// \brief Reports whether the store's configuration, and all keys in it, can be read.
     void setConfigurationReadable(bool isReadable)
     {
         parts_.metrics_.unreadableConfiguration_.set(isReadable ? 0 : 1);
     }
+    /// \brief Sets the number of availability zones that are being evacuated.
     void countEvacuated(std::size_t zones)
     {
         parts_.metrics_.evacuatedZones_.set(static_cast<double>(zones));
--- a/src/serving/gateway_settings.cpp
+++ b/src/serving/gateway_settings.cpp
@@ -3,6 +3,7 @@
 #include "config/toml_reader.hpp"
 
 #include <cardamombay/config/text_file.hpp>
+#include <cardamombay/net/kept_upstream.hpp>
 
 #include <algorithm>
 
@@ -25,6 +26,8 @@
 constexpr Range<std::uint32_t> descriptorRange{256, 100'000'000};
 constexpr double bytesPerMegabyte = 1024 * 1024;
 constexpr Range<std::uint32_t> answerRange{1024, 1U << 30U};
+/// The connection to the endpoint holds an event until it is complete.
+constexpr Range<std::uint32_t> eventRange{1024, net::KeptUpstreamLimits{}.unconsumedBytes_};
 constexpr Range<double> reserveRange{0, 1'000'000};
 
 /// Share of the revocation limit for which a confirmed configuration may be used; the rest is left
@@ -60,10 +63,11 @@
     reader.finish();
 }
 
-void readBytes(TableReader &reader, std::string_view key, std::size_t &target)
+void readBytes(TableReader &reader, std::string_view key, std::size_t &target,
+               Range<std::uint32_t> range)
 {
     auto bytes = static_cast<std::uint32_t>(target);
-    reader.read(key, bytes, answerRange);
+    reader.read(key, bytes, range);
     target = bytes;
 }
 
@@ -87,8 +91,8 @@
     reader.read("retry_share", bounds.retryShare_, {0, 1});
     reader.read("retry_window", bounds.retryWindow_, boundRange);
     reader.read("retry_reserve", bounds.retryReserve_, reserveRange);
-    readBytes(reader, "answer_bytes", bounds.answerBytes_);
-    readBytes(reader, "event_bytes", bounds.eventBytes_);
+    readBytes(reader, "answer_bytes", bounds.answerBytes_, answerRange);
+    readBytes(reader, "event_bytes", bounds.eventBytes_, eventRange);
     reader.finish();
 }
 
--- a/tests/serving/tables.cpp
+++ b/tests/serving/tables.cpp
@@ -382,6 +382,20 @@
     cr_assert_not(isOk(parseGatewaySettings(text + "7\n", "s.toml")));
 }
 
+Test(gateway_settings, bounds_of_answers_are_read)
+{
+    const std::string text = "entry = \"e\"\nzone = \"z\"\n[listen]\ncallers = \"10.0.0.1:80\"\n"
+                             "readiness = \"10.0.0.1:81\"\ndigests = \"10.0.0.1:82\"\n[store]\n"
+                             "address = \"10.0.0.2:80\"\n[machine]\nmemory_mb = 160\n[bounds]\n";
+    const auto parsed
+        = parseGatewaySettings(text + "answer_bytes = 4096\nevent_bytes = 2048\n", "s.toml");
+    cr_assert(isOk(parsed));
+    cr_expect_eq(valueOf(parsed).bounds_.answerBytes_, 4096);
+    cr_expect_eq(valueOf(parsed).bounds_.eventBytes_, 2048);
+    cr_expect_eq(valueOf(parsed).bounds_.answerBufferBytes_, std::size_t{10} << 20U);
+    cr_expect_not(isOk(parseGatewaySettings(text + "event_bytes = 8388609\n", "s.toml")));
+}
+
 Test(gateway_settings, bounds_may_be_fractions)
 {
     const auto parsed = parseGatewaySettings(R"(
