--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -1,3 +1,4 @@
+#include "net/field_bytes.hpp"
 #include "net/timeouts.hpp"
 
 #include <net/http_server_connection.hpp>
@@ -56,16 +57,6 @@
     return size * 3 / 2;
 }
 
-/// Size of the fields of a head, trailers included.
-template<typename Message>
-std::size_t fieldBytes(const Message &message)
-{
-    std::size_t size = 0;
-    for (const auto &field : message)
-        size += field.name_string().size() + field.value().size();
-    return size;
-}
-
 ServerRequest takeRequest(http::request<ReceivedBody> message)
 {
     ServerRequest request;
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -1,5 +1,6 @@
 #include <cardamombay/net/kept_upstream.hpp>
 
+#include "net/field_bytes.hpp"
 #include "net/kept_connection.hpp"
 #include "net/timeouts.hpp"
 
@@ -68,15 +69,6 @@
     return std::chrono::seconds(seconds);
 }
 
-template<typename Message>
-std::size_t fieldBytes(const Message &message)
-{
-    std::size_t size = 0;
-    for (const auto &field : message)
-        size += field.name_string().size() + field.value().size();
-    return size;
-}
-
 std::string idOf(const UpstreamRequest &request)
 {
     for (const auto &field : request.fields_) {
@@ -255,7 +247,7 @@
         return;
     isForeign_ = belongsElsewhere();
     const auto &message = parser_->get();
-    if (isForeign_ && !dropForeign(fieldBytes(message)))
+    if (isForeign_ && !dropForeign(impl::fieldBytes(message)))
         return;
     if (!isForeign_) {
         HttpResponse head;
