--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -183,6 +183,7 @@
 #include <cardamombay/rpc/json_rpc_peer_transport.hpp>
 #include <cardamombay/rpc/rpc_http_handler.hpp>
 
+#include <cardamombay/serving/answer_buffers.hpp>
 #include <cardamombay/serving/answer_notices.hpp>
 #include <cardamombay/serving/answered_parts.hpp>
 #include <cardamombay/serving/avoidance_log.hpp>
