net: reject answers whose status is not one of HTTP

What callers saw: an endpoint in trouble answered with the status 000, and its caller got it as the answer.

Cause: the parser accepts any three digits. All HTTP clients passed the head on, and what follows compares the status with limits: below 500 it is progress and no error.

Change: net::defectOf() states which heads are answers; every client asks it before it reports a head, and the attempt fails like one whose head cannot be parsed. Callers get 502, or the answer of another endpoint if the request may run again. Metric cardamombay_gateway_broken_answers_total by defect. The two upstream clients share the function that makes a head of a message.

--- a/include/cardamombay/cardamombay.hpp
+++ b/include/cardamombay/cardamombay.hpp
@@ -121,6 +121,7 @@
 
 #include <cardamombay/metrics/registry.hpp>
 
+#include <cardamombay/net/answer_defect.hpp>
 #include <cardamombay/net/asio_clock.hpp>
 #include <cardamombay/net/asio_http_client.hpp>
 #include <cardamombay/net/http_client.hpp>
--- /dev/null
+++ b/include/cardamombay/net/answer_defect.hpp
@@ -0,0 +1,35 @@
+/// \file
+/// \brief Which received heads are answers of an endpoint.
+/// \details Decides for all HTTP clients what the parser leaves open: it accepts more than the
+/// protocol does. Guards the promise that callers get answers of endpoints, or a failure of ours.
+/// It does no I/O and knows nothing about requests and their outcomes.
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string_view>
+
+namespace cardamombay::net {
+
+struct HttpResponse;
+
+/// \brief Why received bytes are not an answer.
+enum class AnswerDefect {
+    Syntax, ///< The parser cannot read them.
+    Status, ///< The status is outside 100 to 599 (RFC 9110, 15).
+};
+
+/// \brief All defects, for tables by defect.
+inline constexpr std::array answerDefects{AnswerDefect::Syntax, AnswerDefect::Status};
+
+/// \returns a word such as "status", for metrics.
+[[nodiscard]] std::string_view nameOf(AnswerDefect defect);
+
+/// \returns a phrase such as "the answer's status is not one of HTTP", for logs.
+[[nodiscard]] std::string_view textOf(AnswerDefect defect);
+
+/// \param head its body does not count.
+/// \returns the first defect, or nothing if the head is one of an answer.
+[[nodiscard]] std::optional<AnswerDefect> defectOf(const HttpResponse &head);
+
+} // namespace cardamombay::net
--- a/include/cardamombay/net/upstream.hpp
+++ b/include/cardamombay/net/upstream.hpp
@@ -7,10 +7,12 @@
 #include <cardamombay/core/address.hpp>
 #include <cardamombay/core/shared_bytes.hpp>
 #include <cardamombay/core/time.hpp>
+#include <cardamombay/net/answer_defect.hpp>
 #include <cardamombay/net/http_client.hpp>
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -39,6 +41,8 @@
     bool isTimeout_ = false;
     std::string detail_;
     bool isRefused_ = false; ///< Nobody listens at the address.
+    /// Set if the endpoint has sent what is not an answer.
+    std::optional<AnswerDefect> defect_ = {};
 };
 
 /// \brief Receives the events of one call; never called from inside a function of the call.
--- a/include/cardamombay/serving/gateway_metrics.hpp
+++ b/include/cardamombay/serving/gateway_metrics.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <cardamombay/metrics/registry.hpp>
+#include <cardamombay/net/answer_defect.hpp>
 #include <cardamombay/serving/overload_metrics.hpp>
 
+#include <map>
+
 namespace cardamombay::serving {
 
 /// \brief Metrics of the gateway; listed in docs/operations/fleet_platform.md.
@@ -62,6 +65,8 @@
     metrics::Counter callerBufferRefusals_;   ///< Streams refused since the buffers are full.
     metrics::Gauge answerBufferBytes_;        ///< Bytes of incomplete answers of endpoints.
     metrics::Counter oversizedAnswers_;       ///< Attempts given up since the answer is too large.
+    /// Attempts whose endpoint has sent what is not an answer.
+    std::map<net::AnswerDefect, metrics::Counter> brokenAnswers_;
     /// Requests whose list of prompt parts is malformed or too long to be read whole.
     metrics::Counter incompleteParts_;
     /// Age of the confirmed endpoint data at each send, in seconds.
--- a/src/net/asio_http_client.cpp
+++ b/src/net/asio_http_client.cpp
@@ -3,6 +3,8 @@
 #include "net/http_messages.hpp"
 #include "net/timeouts.hpp"
 
+#include <cardamombay/net/answer_defect.hpp>
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -261,15 +263,21 @@
         fail(exchange, {true, false, "the answer belongs to another request"});
         return;
     }
+    const bool keepsAlive = message.keep_alive();
+    auto response = impl::toResponse(std::move(message));
+    if (const auto defect = defectOf(response)) {
+        fail(exchange, {true, false, std::string(textOf(*defect))});
+        return;
+    }
     const ConnectionPointer connection = std::exchange(exchange->connection_, nullptr);
-    const bool isReusable = message.keep_alive() && connection->buffer_.size() == 0;
+    const bool isReusable = keepsAlive && connection->buffer_.size() == 0;
     if (isReusable) {
         keep(exchange->address_, connection);
     } else {
         closeSocket(*connection);
         --pools_[exchange->address_].open_;
     }
-    finish(exchange, impl::toResponse(std::move(message)));
+    finish(exchange, std::move(response));
     dispatch(exchange->address_);
 }
 
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -1,5 +1,6 @@
 #include <cardamombay/net/kept_upstream.hpp>
 
+#include "net/answer_head.hpp"
 #include "net/field_bytes.hpp"
 #include "net/kept_connection.hpp"
 #include "net/timeouts.hpp"
@@ -24,11 +25,6 @@
 /// A larger buffer is given back once all of it is consumed.
 constexpr std::size_t mostRetained = std::size_t{64} * 1024;
 
-std::string textOf(boost::core::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 bool carriesBody(const UpstreamRequest &request)
 {
     return !request.body_.isEmpty() || request.method_ == "POST" || request.method_ == "PUT"
@@ -57,7 +53,7 @@
     const auto field = message.find("Keep-Alive");
     if (field == message.end())
         return std::nullopt;
-    const auto text = textOf(field->value());
+    const std::string text(field->value());
     const auto place = text.find(name);
     if (place == std::string::npos)
         return std::nullopt;
@@ -78,13 +74,6 @@
     return {};
 }
 
-/// True if the body ends with the connection.
-template<typename Parser>
-bool isUnframed(const Parser &parser)
-{
-    return !parser.chunked() && !parser.content_length() && !parser.is_done();
-}
-
 /// One request and its answer; lives until its operations are done.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -120,6 +109,7 @@
     void end();
     void keepConnection();
     void fail(impl::error_code error, bool mayHaveLeft);
+    void fail(AnswerDefect defect);
     void fail(UpstreamFailure failure);
 
     std::shared_ptr<KeptPool> pool_;
@@ -245,16 +235,15 @@
 {
     if (listener_ == nullptr)
         return;
+    auto head = impl::headOf(*parser_);
+    if (const auto defect = defectOf(head)) {
+        fail(*defect);
+        return;
+    }
     isForeign_ = belongsElsewhere();
-    const auto &message = parser_->get();
-    if (isForeign_ && !dropForeign(impl::fieldBytes(message)))
+    if (isForeign_ && !dropForeign(impl::fieldBytes(parser_->get())))
         return;
     if (!isForeign_) {
-        HttpResponse head;
-        head.status_ = message.result_int();
-        head.endsWithConnection_ = isUnframed(*parser_);
-        for (const auto &field : message)
-            head.fields_.push_back({textOf(field.name_string()), textOf(field.value())});
         listener_->onHead(std::move(head));
         if (listener_ == nullptr)
             return;
@@ -343,7 +332,12 @@
 void Exchange::fail(impl::error_code error, bool mayHaveLeft)
 {
     fail({mayHaveLeft, error == boost::beast::error::timeout, error.message(),
-          error == boost::asio::error::connection_refused});
+          error == boost::asio::error::connection_refused, impl::defectOf(error)});
+}
+
+void Exchange::fail(AnswerDefect defect)
+{
+    fail({.detail_ = std::string(textOf(defect)), .defect_ = defect});
 }
 
 void Exchange::fail(UpstreamFailure failure)
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -1,3 +1,4 @@
+#include "net/answer_head.hpp"
 #include "net/timeouts.hpp"
 
 #include <cardamombay/net/upstream_client.hpp>
@@ -32,11 +33,6 @@
 /// Also of a line between the parts of a body, such as the head of a chunk.
 constexpr std::size_t headerLimit = std::size_t{64} * 1024;
 
-std::string textOf(boost::core::string_view text)
-{
-    return {text.data(), text.size()};
-}
-
 http::request<http::string_body> messageOf(const UpstreamRequest &request)
 {
     http::request<http::string_body> message;
@@ -80,6 +76,7 @@
     void readBody();
     void takeBody(error_code error);
     void fail(error_code error, bool mayHaveLeft);
+    void fail(AnswerDefect defect);
     void fail(UpstreamFailure failure);
 
     beast::tcp_stream stream_;
@@ -145,13 +142,11 @@
 {
     if (listener_ == nullptr)
         return;
-    const auto &message = parser_.get();
-    HttpResponse head;
-    head.status_ = message.result_int();
-    head.endsWithConnection_
-        = !parser_.chunked() && !parser_.content_length() && !parser_.is_done();
-    for (const auto &field : message)
-        head.fields_.push_back({textOf(field.name_string()), textOf(field.value())});
+    auto head = impl::headOf(parser_);
+    if (const auto defect = defectOf(head)) {
+        fail(*defect);
+        return;
+    }
     listener_->onHead(std::move(head));
     if (listener_ == nullptr)
         return;
@@ -211,11 +206,18 @@
 
 void Exchange::fail(error_code error, bool mayHaveLeft)
 {
-    fail({mayHaveLeft, error == beast::error::timeout, error.message()});
+    fail({mayHaveLeft, error == beast::error::timeout, error.message(), false,
+          impl::defectOf(error)});
+}
+
+void Exchange::fail(AnswerDefect defect)
+{
+    fail({.detail_ = std::string(textOf(defect)), .defect_ = defect});
 }
 
 void Exchange::fail(UpstreamFailure failure)
 {
+    stream_.close();
     if (auto *listener = std::exchange(listener_, nullptr))
         listener->onFailure(std::move(failure));
 }
--- a/src/serving/gateway_metrics.cpp
+++ b/src/serving/gateway_metrics.cpp
@@ -11,6 +11,17 @@
 /// Bounds in seconds; cover the 2 to 4 s after which a leaving endpoint gets no new requests.
 const std::vector<double> ageBuckets{0.25, 0.5, 1, 1.25, 1.5, 1.75, 2, 2.5, 3, 4, 8};
 
+std::map<net::AnswerDefect, metrics::Counter> brokenAnswerCounters(metrics::Registry &registry)
+{
+    std::map<net::AnswerDefect, metrics::Counter> result;
+    for (const auto defect : net::answerDefects)
+        result.emplace(defect,
+                       registry.counter("cardamombay_gateway_broken_answers_total",
+                                        "Attempts whose endpoint has sent what is not an answer.",
+                                        {{"defect", std::string(nameOf(defect))}}));
+    return result;
+}
+
 } // namespace
 
 GatewayMetrics::GatewayMetrics(metrics::Registry &registry)
@@ -115,6 +126,7 @@
                                         "Bytes of incomplete answers of endpoints."))
     , oversizedAnswers_(registry.counter("cardamombay_gateway_oversized_answers_total",
                                          "Attempts given up because the answer is too large."))
+    , brokenAnswers_(brokenAnswerCounters(registry))
     , incompleteParts_(
           registry.counter("cardamombay_gateway_incomplete_prompt_parts_total",
                            "Requests whose list of prompt parts is malformed or too long."))
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -327,6 +327,8 @@
 
 void Session::onFailure(net::UpstreamFailure failure)
 {
+    if (failure.defect_)
+        gateway_.parts().metrics_.brokenAnswers_.at(*failure.defect_).increment();
     if (carrier_) {
         relayFailed(failure);
         return;
--- /dev/null
+++ b/tests/broken_answers/broken_answers.cpp
@@ -0,0 +1,121 @@
+// Real gateways before endpoints that send broken answers, some of them during an upload.
+#include "support/early_server.hpp"
+#include "support/fleet_platform_deployment.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include <criterion/criterion.h>
+
+using namespace cardamombay;
+using namespace cardamombay::support;
+using namespace cardamombay::test;
+
+namespace {
+
+constexpr std::uint32_t badGateway = 502;
+
+std::string answer(const std::string &status, const std::string &fields, const std::string &body)
+{
+    return "HTTP/1.1 " + status + " X\r\nX-Response-Seal: p-0\r\n" + fields + "\r\n" + body;
+}
+
+const auto statusNone = answer("000", "Content-Length: 4\r\n", "body");
+
+const std::vector<std::string> bothEndpoints{"p-0", "p-1"};
+
+/// Endpoints of the plain service that give the same answer to every request.
+class TroubledEndpoints
+{
+public:
+    TroubledEndpoints(Deployment &deployment, EarlyAnswer early,
+                      const std::vector<std::string> &endpoints = bothEndpoints)
+        : deployment_(deployment)
+        , server_(context_, std::move(early))
+        , thread_([this] { context_.run(); })
+    {
+        for (const auto &endpoint : endpoints)
+            deployment_.tell("port/" + endpoint, std::to_string(server_.address().port_));
+    }
+    ~TroubledEndpoints() { context_.stop(); }
+    TroubledEndpoints(const TroubledEndpoints &) = delete;
+    TroubledEndpoints &operator=(const TroubledEndpoints &) = delete;
+
+    [[nodiscard]] std::size_t answers() const { return server_.answers(); }
+
+    /// \brief Sends requests until one has reached these endpoints.
+    /// \returns what its caller received.
+    load::CallResult call(const std::string &body)
+    {
+        load::CallResult result;
+        const bool isReached = waitUntil([&] {
+            const auto before = server_.answers();
+            result = deployment_.call(0, "/once/1", "c-" + std::to_string(++calls_), "key-a", body);
+            return server_.answers() > before;
+        });
+        cr_assert(isReached);
+        return result;
+    }
+
+private:
+    Deployment &deployment_;
+    boost::asio::io_context context_;
+    EarlyServer server_;
+    std::size_t calls_ = 0;
+    std::jthread thread_;
+};
+
+void expectFailure(Deployment &deployment, EarlyAnswer early, const std::string &body)
+{
+    TroubledEndpoints endpoints(deployment, std::move(early));
+    const auto result = endpoints.call(body);
+    cr_expect(result.isWhole_);
+    cr_expect_eq(result.status_, badGateway, "status %u, body %s", result.status_,
+                 result.body_.c_str());
+}
+
+} // namespace
+
+Test(broken_answers, status_000_does_not_reach_the_caller)
+{
+    Deployment deployment;
+    expectFailure(deployment, {.bytes_ = statusNone, .end_ = EarlyEnd::CloseAndRead}, {});
+}
+
+Test(broken_answers, request_that_may_run_again_gets_the_sound_answer_of_another_endpoint)
+{
+    Deployment deployment;
+    deployment.configure(2, "/again/");
+    cr_assert(waitUntil([&] { return deployment.call(0, "/again/1", "before").status_ == 200; }));
+    const TroubledEndpoints endpoints(
+        deployment, {.bytes_ = statusNone, .end_ = EarlyEnd::CloseAndRead}, {"p-0"});
+    std::atomic<std::size_t> failures = 0;
+    const bool isReached = waitUntil([&] {
+        std::vector<std::jthread> callers;
+        for (int caller = 0; caller < 4; ++caller)
+            callers.emplace_back([&, id = "again-" + std::to_string(caller)] {
+                const auto result = deployment.call(0, "/again/1", id);
+                failures += result.status_ != 200 || !result.isWhole_ ? 1 : 0;
+            });
+        callers.clear();
+        return endpoints.answers() > 0;
+    });
+    cr_expect(isReached);
+    cr_expect_eq(failures, 0);
+}
+
+Test(broken_answers, answer_with_a_malformed_field_name_does_not_reach_the_caller)
+{
+    Deployment deployment;
+    for (const std::string line : {"X Field: 1", "Content-Length : 2",
+                                   "X\x01"
+                                   "Field: 1",
+                                   "X-Field\t: 1"})
+        expectFailure(deployment,
+                      {.bytes_ = answer("200", line + "\r\nContent-Length: 4\r\n", "body"),
+                       .end_ = EarlyEnd::CloseAndRead},
+                      {});
+}
--- a/tests/net/unframed_answers.cpp
+++ b/tests/net/unframed_answers.cpp
@@ -1,78 +1,26 @@
 // Answers with neither a length nor chunks, which end with their connection: both clients take them
 // as whole if the connection is closed in order, and as broken if it is reset.
 #include "support/scripted_server.hpp"
-
-#include <cardamombay/net/asio_clock.hpp>
-#include <cardamombay/net/kept_upstream.hpp>
-#include <cardamombay/net/upstream_client.hpp>
-
-#include <boost/asio/io_context.hpp>
-
-#include <optional>
+#include "upstream_fixture.hpp"
 
 #include <criterion/criterion.h>
 
 using namespace cardamombay;
 using namespace cardamombay::net;
 using namespace cardamombay::support;
-using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
 
 constexpr auto head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
 
-struct Listener final : public UpstreamListener
+struct Bench : UpstreamFixture
 {
-    bool onConnected() override { return true; }
-    void onHead(HttpResponse answer) override
+    std::unique_ptr<RecordingListener> call(Upstream &upstream)
     {
-        status_ = answer.status_;
-        endsWithConnection_ = answer.endsWithConnection_;
+        return UpstreamFixture::call(upstream, server_.address());
     }
-    void onData(std::string_view data) override
-    {
-        begun_ = data;
-        if (call_)
-            call_->consume(0);
-    }
-    void onEnd(std::string_view rest) override { body_ = rest; }
-    void onFailure(UpstreamFailure failure) override { failure_ = std::move(failure); }
-
-    [[nodiscard]] bool isOver() const { return body_ || failure_; }
-
-    std::unique_ptr<UpstreamCall> call_;
-    std::uint32_t status_ = 0;
-    bool endsWithConnection_ = false;
-    std::string begun_;
-    std::optional<std::string> body_;
-    std::optional<UpstreamFailure> failure_;
-};
-
-struct Bench
-{
-    /// Sends a request and waits for its answer.
-    std::unique_ptr<Listener> call(Upstream &upstream)
-    {
-        auto listener = std::make_unique<Listener>();
-        UpstreamRequest request;
-        request.address_ = server_.address();
-        request.fields_ = {{"X-Request-Id", "own"}};
-        listener->call_ = upstream.start(std::move(request), *listener);
-        const auto end = std::chrono::steady_clock::now() + seconds(3);
-        while (!listener->isOver() && std::chrono::steady_clock::now() < end)
-            context_.run_for(milliseconds(5));
-        context_.restart();
-        return listener;
-    }
-
-    std::vector<Upstream *> clients() { return {&kept_, &fresh_}; }
 
-    boost::asio::io_context context_;
     ScriptedServer server_{context_};
-    AsioClock clock_{context_};
-    KeptUpstream kept_{context_, clock_};
-    UpstreamClient fresh_{context_};
 };
 
 } // namespace
--- a/tests/support/fleet_platform_deployment.cpp
+++ b/tests/support/fleet_platform_deployment.cpp
@@ -202,12 +202,14 @@
 }
 
 load::CallResult Deployment::call(std::size_t gateway, const std::string &path,
-                                  const std::string &id, const std::string &key) const
+                                  const std::string &id, const std::string &key,
+                                  std::string body) const
 {
     load::Call call;
     call.address_ = {"127.0.0.1", ports_.at(gateway).callers_};
     call.target_ = path;
     call.timeout_ = callTimeout;
+    call.body_ = std::move(body);
     call.fields_ = {{"Host", "h"},
                     {"X-Request-Id", id},
                     {"X-Deadline-Ms", "3000"},
--- a/tests/support/fleet_platform_deployment.hpp
+++ b/tests/support/fleet_platform_deployment.hpp
@@ -57,7 +57,7 @@
                                      const std::string &model = "m") const;
     /// \brief Sends a request to the plain service.
     load::CallResult call(std::size_t gateway, const std::string &path, const std::string &id,
-                          const std::string &key = "key-a") const;
+                          const std::string &key = "key-a", std::string body = {}) const;
     /// \}
 
     /// \name Platform control
