net: an unframed answer that is reset during the upload is not whole

What callers saw: an endpoint answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. The caller got the part as a complete answer.

Cause: a socket tells its error once. The write of the request got "connection reset" and passed it over, since an endpoint may answer before it has read a request; the read then saw the bytes and an end in order, which is the end of a body with neither a length nor chunks.

Handled before, and kept as tests: parts of answers with a length or chunks, parts of heads, and the clients of cardamombayd and of the store.

Change: KeptUpstream remembers that the write was told of a reset, and net::defectOfEnd() states that an unframed answer is then not whole. Why it works: when the endpoint closes in order before it resets, the write fails with "broken pipe" instead, so early answers still arrive whole: framed ones before any end, unframed ones that end in order (three tests; a fourth with a real gateway).

--- a/include/cardamombay/net/answer_defect.hpp
+++ b/include/cardamombay/net/answer_defect.hpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Which received heads are answers of an endpoint.
+/// \brief Which received heads are answers of an endpoint, and when an answer is whole.
 /// \details Decides for all HTTP clients what the parser leaves open: it accepts more than the
 /// protocol does. Guards the promise that callers get answers of endpoints, or a failure of ours.
 /// It does no I/O and knows nothing about requests and their outcomes.
@@ -17,10 +17,12 @@
 enum class AnswerDefect {
     Syntax, ///< The parser cannot read them.
     Status, ///< The status is outside 100 to 599 (RFC 9110, 15).
+    Reset,  ///< A body that ends with its connection was cut off by a reset (RFC 9112, 8).
 };
 
 /// \brief All defects, for tables by defect.
-inline constexpr std::array answerDefects{AnswerDefect::Syntax, AnswerDefect::Status};
+inline constexpr std::array answerDefects{AnswerDefect::Syntax, AnswerDefect::Status,
+                                          AnswerDefect::Reset};
 
 /// \returns a word such as "status", for metrics.
 [[nodiscard]] std::string_view nameOf(AnswerDefect defect);
@@ -32,4 +34,11 @@
 /// \returns the first defect, or nothing if the head is one of an answer.
 [[nodiscard]] std::optional<AnswerDefect> defectOf(const HttpResponse &head);
 
+/// \brief Judges an answer whose body has ended, as far as the parser can tell.
+/// \param endsWithConnection the body has neither a length nor chunks.
+/// \param wasReset the connection was reset, as a read or a write has told. The other one then
+/// sees an end in order, since a socket tells its error once.
+/// \returns the defect, or nothing if the answer is whole.
+[[nodiscard]] std::optional<AnswerDefect> defectOfEnd(bool endsWithConnection, bool wasReset);
+
 } // namespace cardamombay::net
--- a/src/net/answer_defect.cpp
+++ b/src/net/answer_defect.cpp
@@ -24,6 +24,8 @@
         return {"syntax", "the answer is not HTTP"};
     case AnswerDefect::Status:
         return {"status", "the answer's status is not one of HTTP"};
+    case AnswerDefect::Reset:
+        return {"reset", "the connection was reset before the end of the answer"};
     }
     return {};
 }
@@ -47,4 +49,11 @@
     return std::nullopt;
 }
 
+std::optional<AnswerDefect> defectOfEnd(bool endsWithConnection, bool wasReset)
+{
+    if (endsWithConnection && wasReset)
+        return AnswerDefect::Reset;
+    return std::nullopt;
+}
+
 } // namespace cardamombay::net
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -99,6 +99,7 @@
     void connect();
     void begin();
     void send();
+    void endSending(impl::error_code error);
     void resetParser();
     void readHead();
     void takeHead();
@@ -123,7 +124,8 @@
     bool isHeadRequest_;
     SharedBytes requestBody_;
     std::optional<impl::http::response_parser<impl::http::buffer_body>> parser_;
-    std::string body_; ///< Unconsumed bytes first, then room for more.
+    bool wasReset_ = false; ///< As told by the write of the request.
+    std::string body_;      ///< Unconsumed bytes first, then room for more.
     std::size_t filled_ = 0;
     bool isForeign_ = false; ///< The answer being read is another request's.
     std::size_t foreignBytes_ = 0;
@@ -182,15 +184,20 @@
         boost::asio::buffer(head_), boost::asio::buffer(requestBody_.view())};
     boost::asio::async_write(connection_->stream_, buffers,
                              [self = shared_from_this()](impl::error_code error, std::size_t) {
-                                 // An endpoint may answer and close before it has read all.
-                                 if (error && error != boost::asio::error::broken_pipe
-                                     && error != boost::asio::error::connection_reset)
-                                     self->fail(error, true);
-                                 else
-                                     self->readHead();
+                                 self->endSending(error);
                              });
 }
 
+/// An endpoint may answer and close before it has read the whole request.
+void Exchange::endSending(impl::error_code error)
+{
+    wasReset_ = error == boost::asio::error::connection_reset;
+    if (error && !wasReset_ && error != boost::asio::error::broken_pipe)
+        fail(error, true);
+    else
+        readHead();
+}
+
 void Exchange::resetParser()
 {
     parser_.emplace();
@@ -304,6 +311,10 @@
         readHead();
         return;
     }
+    if (const auto defect = defectOfEnd(parser_->need_eof(), wasReset_)) {
+        fail(*defect);
+        return;
+    }
     keepConnection();
     if (auto *listener = std::exchange(listener_, nullptr))
         listener->onEnd({body_.data(), filled_});
--- a/tests/broken_answers/broken_answers.cpp
+++ b/tests/broken_answers/broken_answers.cpp
@@ -1,4 +1,5 @@
-// Real gateways before endpoints that send broken answers, some of them during an upload.
+// Real gateways before endpoints that send broken answers, some of them during
+// an upload.
 #include "support/early_server.hpp"
 #include "support/fleet_platform_deployment.hpp"
 
@@ -13,10 +14,15 @@
 using namespace cardamombay;
 using namespace cardamombay::support;
 using namespace cardamombay::test;
+using std::chrono::milliseconds;
 
 namespace {
 
 constexpr std::uint32_t badGateway = 502;
+constexpr std::size_t megabyte = std::size_t{1024} * 1024;
+/// More than the buffers of a connection hold.
+constexpr std::size_t uploadBytes = 8 * megabyte;
+constexpr std::size_t bodyLimit = 2 * uploadBytes;
 
 std::string answer(const std::string &status, const std::string &fields, const std::string &body)
 {
@@ -77,6 +83,15 @@
                  result.body_.c_str());
 }
 
+void expectAnswer(Deployment &deployment, EarlyAnswer early, const std::string &body)
+{
+    TroubledEndpoints endpoints(deployment, std::move(early));
+    const auto result = endpoints.call(body);
+    cr_expect(result.isWhole_);
+    cr_expect_eq(result.status_, 200);
+    cr_expect_eq(result.body_, "answer");
+}
+
 } // namespace
 
 Test(broken_answers, status_000_does_not_reach_the_caller)
@@ -107,6 +122,17 @@
     cr_expect_eq(failures, 0);
 }
 
+Test(broken_answers, part_of_an_unframed_answer_that_is_reset_does_not_reach_the_caller)
+{
+    Deployment deployment(Links::None, 0, bodyLimit);
+    for (const auto delay : {milliseconds(0), milliseconds(2), milliseconds(20)}) {
+        for (const auto bytesRead : {std::size_t{0}, megabyte}) {
+            const EarlyAnswer early{answer("200", "", "part"), bytesRead, delay, EarlyEnd::Reset};
+            expectFailure(deployment, early, std::string(uploadBytes, 'x'));
+        }
+    }
+}
+
 Test(broken_answers, answer_with_a_malformed_field_name_does_not_reach_the_caller)
 {
     Deployment deployment;
@@ -119,3 +145,15 @@
                        .end_ = EarlyEnd::CloseAndRead},
                       {});
 }
+
+Test(broken_answers, early_answers_during_an_upload_reach_the_caller_whole)
+{
+    Deployment deployment(Links::None, 0, bodyLimit);
+    const std::string upload(uploadBytes, 'x');
+    const auto framed = answer("200", "Content-Length: 6\r\n", "answer");
+    const auto unframed = answer("200", "", "answer");
+    expectAnswer(deployment, {framed, megabyte, milliseconds(2), EarlyEnd::Reset}, upload);
+    expectAnswer(deployment, {unframed, megabyte, milliseconds(2), EarlyEnd::CloseAndReset},
+                 upload);
+    expectAnswer(deployment, {unframed, 0, {}, EarlyEnd::CloseAndRead}, upload);
+}
--- a/tests/support/early_server.cpp
+++ b/tests/support/early_server.cpp
@@ -60,7 +60,7 @@
     ++*answers;
     co_await skip(socket, answer.bytesRead_);
     co_await asio::async_write(socket, asio::buffer(answer.bytes_), into(ignored));
-    if (answer.end_ != EarlyEnd::Reset)
+    if (answer.end_ == EarlyEnd::CloseAndReset || answer.end_ == EarlyEnd::CloseAndRead)
         socket.shutdown(tcp::socket::shutdown_send, ignored);
     if (answer.end_ == EarlyEnd::CloseAndRead) {
         co_await skip(socket, SIZE_MAX);
@@ -68,7 +68,8 @@
     }
     if (answer.delay_ > Duration::zero())
         co_await pauseFor(answer.delay_);
-    socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    if (answer.end_ != EarlyEnd::CloseUnread)
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
     socket.close(ignored);
 }
 
--- a/tests/support/early_server.hpp
+++ b/tests/support/early_server.hpp
@@ -18,6 +18,7 @@
 /// \brief How the server ends a connection after its answer.
 enum class EarlyEnd {
     Reset,         ///< Resets the connection.
+    CloseUnread,   ///< Closes it; the kernel resets it if bytes of the request are unread.
     CloseAndReset, ///< Ends its direction in order, then resets the connection.
     CloseAndRead,  ///< Ends its direction in order and reads the rest of the request.
 };
