net: reject bodies in codings that nobody asked for

What callers would see: bytes of an endpoint in trouble that are not its body.

Cause: the parser undoes chunks and ignores other codings, and no client looked at them. A transfer coding is not even told to the caller, as Transfer-Encoding is a field of the connection.

Evidence: with the check of transfer codings switched off, transfer_coding_other_than_chunked_is_rejected fails with all three clients; with that of content codings off, content_coding_that_the_request_does_not_ accept_is_rejected fails.

Change: net::defectOf() rejects transfer codings other than one "chunked", and content codings of bodies that the request's Accept-Encoding does not name. Chunked bodies, codings that the request accepts, identity, and heads without a body still arrive whole (three tests).

--- a/include/cardamombay/net/answer_defect.hpp
+++ b/include/cardamombay/net/answer_defect.hpp
@@ -19,12 +19,15 @@
     Status,  ///< It is outside 100 to 599 (RFC 9110, 15), or 101, which needs a request for it.
     Field,   ///< The name or value of a field has characters that it must not have.
     Folding, ///< A field goes on in a line that begins with a blank (RFC 9112, 5.2).
-    Reset,   ///< A body that ends with its connection was cut off by a reset (RFC 9112, 8).
+    TransferCoding, ///< The body is transferred in another coding than "chunked".
+    ContentCoding,  ///< The body has a coding that the request did not accept.
+    Reset,          ///< A body that ends with its connection was cut off by a reset (RFC 9112, 8).
 };
 
 /// \brief All defects, for tables by defect.
-inline constexpr std::array answerDefects{AnswerDefect::Syntax, AnswerDefect::Status,
-                                          AnswerDefect::Field, AnswerDefect::Folding,
+inline constexpr std::array answerDefects{AnswerDefect::Syntax,         AnswerDefect::Status,
+                                          AnswerDefect::Field,          AnswerDefect::Folding,
+                                          AnswerDefect::TransferCoding, AnswerDefect::ContentCoding,
                                           AnswerDefect::Reset};
 
 /// \returns a word such as "status", for metrics.
@@ -33,10 +36,21 @@
 /// \returns a phrase such as "the answer's status is not one of HTTP", for logs.
 [[nodiscard]] std::string_view textOf(AnswerDefect defect);
 
+/// \brief What the fields of a head do not tell.
+struct HeadContext
+{
+    /// A field was spread over several lines, which the parser has joined.
+    bool isFolded_ = false;
+    /// A body follows.
+    bool hasBody_ = true;
+    /// The request's Accept-Encoding; without one it accepts no content coding.
+    std::string_view acceptedCodings_ = {};
+};
+
 /// \param head its body does not count.
-/// \param isFolded a field was spread over several lines, which the parser has joined.
 /// \returns the first defect, or nothing if the head is one of an answer.
-[[nodiscard]] std::optional<AnswerDefect> defectOf(const HttpResponse &head, bool isFolded);
+[[nodiscard]] std::optional<AnswerDefect> defectOf(const HttpResponse &head,
+                                                   const HeadContext &context);
 
 /// \brief True if the answer itself follows after a head with this status (RFC 9110, 15.2).
 [[nodiscard]] bool isInterim(std::uint32_t status);
--- a/src/net/answer_defect.cpp
+++ b/src/net/answer_defect.cpp
@@ -1,9 +1,12 @@
 #include <cardamombay/net/answer_defect.hpp>
 
 #include "net/field_syntax.hpp"
+#include "net/field_values.hpp"
 
 #include <cardamombay/net/http_client.hpp>
 
+#include <boost/beast/core/string.hpp>
+
 #include <algorithm>
 #include <cstdint>
 
@@ -33,6 +36,10 @@
         return {"field", "a field of the answer's head is malformed"};
     case AnswerDefect::Folding:
         return {"folding", "a field of the answer's head is folded"};
+    case AnswerDefect::TransferCoding:
+        return {"transfer-coding", "the answer has another transfer coding than chunked"};
+    case AnswerDefect::ContentCoding:
+        return {"content-coding", "the answer has a coding that the request does not accept"};
     case AnswerDefect::Reset:
         return {"reset", "the connection was reset before the end of the answer"};
     }
@@ -44,6 +51,22 @@
     return impl::isToken(field.name_) && !impl::hasControlCharacter(field.value_);
 }
 
+/// The clients can undo chunks only.
+bool hasKnownTransferCoding(const HttpResponse &head)
+{
+    const auto codings = impl::elementsOf(head.fields_, "Transfer-Encoding");
+    return codings.empty()
+           || (codings.size() == 1 && boost::beast::iequals(codings.front(), "chunked"));
+}
+
+bool hasAcceptedContentCodings(const HttpResponse &head, std::string_view accepted)
+{
+    const auto codings = impl::elementsOf(head.fields_, "Content-Encoding");
+    return std::all_of(codings.begin(), codings.end(), [accepted](std::string_view coding) {
+        return impl::acceptsCoding(accepted, coding);
+    });
+}
+
 } // namespace
 
 std::string_view nameOf(AnswerDefect defect)
@@ -56,14 +79,18 @@
     return wordsOf(defect).text_;
 }
 
-std::optional<AnswerDefect> defectOf(const HttpResponse &head, bool isFolded)
+std::optional<AnswerDefect> defectOf(const HttpResponse &head, const HeadContext &context)
 {
     if (head.status_ < minStatus || head.status_ > maxStatus || head.status_ == switchingProtocols)
         return AnswerDefect::Status;
-    if (isFolded)
+    if (context.isFolded_)
         return AnswerDefect::Folding;
     if (!std::all_of(head.fields_.begin(), head.fields_.end(), isWellFormed))
         return AnswerDefect::Field;
+    if (!hasKnownTransferCoding(head))
+        return AnswerDefect::TransferCoding;
+    if (context.hasBody_ && !hasAcceptedContentCodings(head, context.acceptedCodings_))
+        return AnswerDefect::ContentCoding;
     return std::nullopt;
 }
 
--- a/src/net/asio_http_client.cpp
+++ b/src/net/asio_http_client.cpp
@@ -262,7 +262,10 @@
         return;
     }
     auto &connection = *exchange->connection_;
-    const auto defect = defectOf(impl::headOf(*exchange->parser_), connection.buffer_.endHead());
+    const auto &parser = *exchange->parser_;
+    const auto defect
+        = defectOf(impl::headOf(parser), {connection.buffer_.endHead(), !parser.is_done(),
+                                          exchange->message_[http::field::accept_encoding]});
     if (defect) {
         fail(exchange, {true, false, std::string(textOf(*defect))});
         return;
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -1,6 +1,7 @@
 #include <cardamombay/net/kept_upstream.hpp>
 
 #include "net/answer_head.hpp"
+#include "net/field_values.hpp"
 #include "net/kept_connection.hpp"
 #include "net/timeouts.hpp"
 
@@ -64,15 +65,6 @@
     return std::chrono::seconds(seconds);
 }
 
-std::string idOf(const UpstreamRequest &request)
-{
-    for (const auto &field : request.fields_) {
-        if (boost::beast::iequals(field.name_, requestIdField))
-            return field.value_;
-    }
-    return {};
-}
-
 /// One request and its answer; lives until its operations are done.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -84,7 +76,8 @@
         , connectTimeout_(request.connectTimeout_)
         , longestIdle_(request.longestIdle_)
         , head_(headText(request))
-        , id_(idOf(request))
+        , id_(impl::valueOf(request.fields_, requestIdField))
+        , acceptedCodings_(impl::valueOf(request.fields_, "Accept-Encoding"))
         , isHeadRequest_(request.method_ == "HEAD")
         , requestBody_(std::move(request.body_))
     {
@@ -120,6 +113,7 @@
     Duration longestIdle_;
     std::string head_;
     std::string id_;
+    std::string acceptedCodings_;
     bool isHeadRequest_;
     SharedBytes requestBody_;
     std::optional<impl::http::response_parser<impl::http::buffer_body>> parser_;
@@ -243,7 +237,8 @@
     if (listener_ == nullptr)
         return;
     auto head = impl::headOf(*parser_);
-    if (const auto defect = defectOf(head, connection_->buffer_.endHead())) {
+    if (const auto defect
+        = defectOf(head, {connection_->buffer_.endHead(), !parser_->is_done(), acceptedCodings_})) {
         fail(*defect);
         return;
     }
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -146,7 +146,8 @@
     if (listener_ == nullptr)
         return;
     auto head = impl::headOf(*parser_);
-    if (const auto defect = defectOf(head, buffer_.endHead())) {
+    if (const auto defect = defectOf(head, {buffer_.endHead(), !parser_->is_done(),
+                                            message_[http::field::accept_encoding]})) {
         fail(*defect);
         return;
     }
--- a/tests/net/malformed_heads.cpp
+++ b/tests/net/malformed_heads.cpp
@@ -111,3 +111,35 @@
 {
     expectWhole(answerWithLine("X-Field: \t 1 2\t3 "), 200, "body");
 }
+
+Test(malformed_heads, transfer_coding_other_than_chunked_is_rejected)
+{
+    expectRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nbody");
+    expectRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+                   "4\r\nbody\r\n0\r\n\r\n");
+    expectRejected("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\nTransfer-Encoding: "
+                   "chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n");
+    expectRejected(answerWithLine("Transfer-Encoding: gzip"));
+    expectWhole("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", 200,
+                "body");
+}
+
+Test(malformed_heads, content_coding_that_the_request_does_not_accept_is_rejected)
+{
+    expectRejected(answerWithLine("Content-Encoding: gzip"));
+    expectRejected(answerWithLine("Content-Encoding: identity, br"));
+    expectWhole(answerWithLine("Content-Encoding: identity"), 200, "body");
+    expectWhole("HTTP/1.1 204 X\r\nContent-Encoding: gzip\r\n\r\n", 204, "");
+}
+
+Test(malformed_heads, content_coding_that_the_request_accepts_is_whole)
+{
+    UpstreamFixture fixture;
+    ScriptedServer server(fixture.context_);
+    for (auto *client : fixture.clients()) {
+        server.add({.bytes_ = answerWithLine("Content-Encoding: gzip"), .closes_ = true});
+        const auto listener
+            = fixture.call(*client, server.address(), {}, {{"accept-encoding", "br, gzip;q=0.5"}});
+        cr_expect_eq(listener->body_.value_or("none"), "body");
+    }
+}
--- a/tests/net/upstream_fixture.hpp
+++ b/tests/net/upstream_fixture.hpp
@@ -51,12 +51,14 @@
 {
     /// \brief Sends a request and waits for its answer.
     std::unique_ptr<RecordingListener> call(net::Upstream &upstream, const Address &address,
-                                            std::string body = {})
+                                            std::string body = {},
+                                            const std::vector<net::HttpField> &fields = {})
     {
         auto listener = std::make_unique<RecordingListener>();
         net::UpstreamRequest request;
         request.address_ = address;
         request.fields_ = {{"X-Request-Id", "own"}};
+        request.fields_.insert(request.fields_.end(), fields.begin(), fields.end());
         request.body_ = std::move(body);
         listener->call_ = upstream.start(std::move(request), *listener);
         const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
