--- a/src/net/answer_defect.cpp
+++ b/src/net/answer_defect.cpp
@@ -51,12 +51,20 @@
     return impl::isToken(field.name_) && !impl::hasControlCharacter(field.value_);
 }
 
+bool hasField(const HttpResponse &head, std::string_view name)
+{
+    return std::any_of(head.fields_.begin(), head.fields_.end(), [name](const HttpField &field) {
+        return boost::beast::iequals(field.name_, name);
+    });
+}
+
 /// The clients can undo chunks only.
 bool hasKnownTransferCoding(const HttpResponse &head)
 {
     const auto codings = impl::elementsOf(head.fields_, "Transfer-Encoding");
-    return codings.empty()
-           || (codings.size() == 1 && boost::beast::iequals(codings.front(), "chunked"));
+    if (codings.empty())
+        return !hasField(head, "Transfer-Encoding"); // An empty list names no coding either.
+    return codings.size() == 1 && boost::beast::iequals(codings.front(), "chunked");
 }
 
 bool hasAcceptedContentCodings(const HttpResponse &head, std::string_view accepted)
--- a/tests/net/answer_defect.cpp
+++ b/tests/net/answer_defect.cpp
@@ -71,8 +71,8 @@
 {
     cr_expect_not(defectOfField("Transfer-Encoding", "chunked"));
     cr_expect_not(defectOfField("transfer-encoding", " Chunked "));
-    for (const auto *value :
-         {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "identity", "xchunked"})
+    for (const auto *value : {"", ",", "gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked",
+                              "identity", "xchunked"})
         cr_expect(defectOfField("Transfer-Encoding", value) == AnswerDefect::TransferCoding, "%s",
                   value);
 }
--- a/tests/net/upstream_fixture.hpp
+++ b/tests/net/upstream_fixture.hpp
@@ -63,7 +63,7 @@
         listener->call_ = upstream.start(std::move(request), *listener);
         const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(3);
         while (!listener->isOver() && std::chrono::steady_clock::now() < end)
-            context_.run_for(std::chrono::milliseconds(5));
+            context_.run_one_for(std::chrono::milliseconds(5));
         context_.restart();
         return listener;
     }
