load: judge answers as the clients do

What was seen: cardamombay-bench, which counts what callers are told, took a status 000, an interim answer or a body in a coding for an answer, and the part of an unframed answer that was reset during the upload for a complete one. Tests that read answers through it could not tell either.

Cause: a reader of its own, which passes over the error of a write as the gateway's did.

Change: HttpCaller reads the head through the same functions as the clients (headOf, defectOf, isInterim, defectOfEnd). A head with a defect counts as no answer. The tests with real gateways also check the metric by defect, and the log line for the status.

--- a/include/cardamombay/load/http_caller.hpp
+++ b/include/cardamombay/load/http_caller.hpp
@@ -32,7 +32,7 @@
 /// \brief What the caller saw.
 struct CallResult
 {
-    std::uint32_t status_ = 0; ///< Zero if no response head came.
+    std::uint32_t status_ = 0; ///< Zero if no head of an answer came.
     std::vector<net::HttpField> fields_;
     std::string body_;         ///< Whatever of it came, chunk framing removed.
     bool isWhole_ = false;     ///< The response ended as HTTP says it must.
--- a/src/load/http_caller.cpp
+++ b/src/load/http_caller.cpp
@@ -1,17 +1,21 @@
 #include <cardamombay/load/http_caller.hpp>
 
+#include "net/answer_head.hpp"
+#include "net/field_values.hpp"
+#include "net/head_buffer.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <optional>
 #include <utility>
 
 namespace cardamombay::load {
@@ -54,16 +58,35 @@
     return request;
 }
 
-void copyHead(const Parser &parser, CallResult &result)
+/// Reads the head of the answer; interim ones are skipped.
+/// \returns why what was received is no head of an answer; empty if it is one.
+asio::awaitable<std::string> readHead(beast::tcp_stream &stream, net::impl::HeadBuffer &buffer,
+                                      std::optional<Parser> &parser, const Call &call)
 {
-    result.status_ = parser.get().result_int();
-    for (const auto &field : parser.get())
-        result.fields_.push_back({std::string(field.name_string()), std::string(field.value())});
+    const auto acceptedCodings = net::impl::valueOf(call.fields_, "Accept-Encoding");
+    do {
+        parser.emplace();
+        parser->body_limit(bodyLimit);
+        parser->skip(call.method_ == "HEAD");
+        beast::error_code error;
+        buffer.beginHead();
+        co_await http::async_read_header(stream, buffer, *parser, into(error));
+        if (error)
+            co_return "read: " + error.message();
+        const auto defect = defectOf(net::impl::headOf(*parser),
+                                     {buffer.endHead(), !parser->is_done(), acceptedCodings});
+        if (defect)
+            co_return std::string(textOf(*defect));
+    } while (net::isInterim(parser->get().result_int()));
+    co_return std::string();
 }
 
-asio::awaitable<void> readBody(beast::tcp_stream &stream, beast::flat_buffer &buffer,
-                               Parser &parser, CallResult &result, beast::error_code &error)
+asio::awaitable<beast::error_code> readBody(beast::tcp_stream &stream,
+                                            net::impl::HeadBuffer &buffer, Parser &parser,
+                                            CallResult &result)
 {
+    beast::error_code error;
+    parser.eager(true);
     std::size_t seen = 0;
     while (!error && !parser.is_done()) {
         if (parser.get().body().size() > seen) {
@@ -74,6 +97,28 @@
     }
     if (parser.get().body().size() > seen)
         result.readAt_.push_back(now());
+    co_return error;
+}
+
+/// Reads the answer; a body that comes is kept also if it breaks off.
+/// \param wasReset as told by the write of the request.
+/// \returns why there is no whole answer; empty if there is one.
+asio::awaitable<std::string> readAnswer(beast::tcp_stream &stream, const Call &call, bool wasReset,
+                                        CallResult &result)
+{
+    net::impl::HeadBuffer buffer;
+    std::optional<Parser> parser;
+    if (auto failure = co_await readHead(stream, buffer, parser, call); !failure.empty())
+        co_return failure;
+    auto head = net::impl::headOf(*parser);
+    result.status_ = head.status_;
+    result.fields_ = std::move(head.fields_);
+    const auto error = co_await readBody(stream, buffer, *parser, result);
+    result.body_ = parser->get().body();
+    if (!parser->is_done())
+        co_return "read: " + error.message();
+    const auto defect = net::defectOfEnd(parser->need_eof(), wasReset);
+    co_return defect ? std::string(textOf(*defect)) : std::string();
 }
 
 asio::awaitable<void> exchange(const Call &call, CallResult &result)
@@ -93,21 +138,9 @@
     const auto request = toMessage(call);
     // A refusal may come before the body was taken, so an answer is read even if this fails.
     co_await http::async_write(stream, request, into(error));
-    beast::flat_buffer buffer;
-    Parser parser;
-    parser.body_limit(bodyLimit);
-    parser.eager(true);
-    if (call.method_ == "HEAD")
-        parser.skip(true);
-    error = {};
-    co_await http::async_read_header(stream, buffer, parser, into(error));
-    if (parser.is_header_done())
-        copyHead(parser, result);
-    co_await readBody(stream, buffer, parser, result, error);
-    result.isWhole_ = parser.is_done();
-    result.body_ = parser.get().body();
-    if (!result.isWhole_)
-        result.failure_ = "read: " + error.message();
+    const bool wasReset = error == asio::error::connection_reset;
+    result.failure_ = co_await readAnswer(stream, call, wasReset, result);
+    result.isWhole_ = result.failure_.empty();
 }
 
 asio::awaitable<void> run(Call call, std::function<void(CallResult)> done)
--- a/tests/broken_answers/broken_answers.cpp
+++ b/tests/broken_answers/broken_answers.cpp
@@ -3,6 +3,8 @@
 #include "support/early_server.hpp"
 #include "support/fleet_platform_deployment.hpp"
 
+#include <cardamombay/net/answer_defect.hpp>
+
 #include <boost/asio/io_context.hpp>
 
 #include <atomic>
@@ -74,10 +76,25 @@
     std::jthread thread_;
 };
 
-void expectFailure(Deployment &deployment, EarlyAnswer early, const std::string &body)
+/// Answers that the first gateway has counted for \p defect.
+std::size_t countOf(const Deployment &deployment, net::AnswerDefect defect)
 {
+    const auto metrics = Caller({"127.0.0.1", deployment.ports(0).metrics_}).fetch("/metrics");
+    const auto name = "cardamombay_gateway_broken_answers_total{defect=\""
+                      + std::string(nameOf(defect)) + "\"} ";
+    const auto place = metrics.body_.find(name);
+    cr_assert_neq(place, std::string::npos, "%s", metrics.body_.c_str());
+    return std::stoul(metrics.body_.substr(place + name.size()));
+}
+
+/// Expects that the caller gets a failure of the gateway, and that operators can tell the reason.
+void expectFailure(Deployment &deployment, EarlyAnswer early, net::AnswerDefect defect,
+                   const std::string &body = {})
+{
+    const auto before = countOf(deployment, defect);
     TroubledEndpoints endpoints(deployment, std::move(early));
     const auto result = endpoints.call(body);
+    cr_expect_gt(countOf(deployment, defect), before);
     cr_expect(result.isWhole_);
     cr_expect_eq(result.status_, badGateway, "status %u, body %s", result.status_,
                  result.body_.c_str());
@@ -97,7 +114,10 @@
 Test(broken_answers, status_000_does_not_reach_the_caller)
 {
     Deployment deployment;
-    expectFailure(deployment, {.bytes_ = statusNone, .end_ = EarlyEnd::CloseAndRead}, {});
+    expectFailure(deployment, {.bytes_ = statusNone, .end_ = EarlyEnd::CloseAndRead},
+                  net::AnswerDefect::Status);
+    const auto reason = textOf(net::AnswerDefect::Status);
+    cr_expect_not(deployment.logLinesContaining(0, std::string(reason)).empty());
 }
 
 Test(broken_answers, request_that_may_run_again_gets_the_sound_answer_of_another_endpoint)
@@ -128,7 +148,8 @@
     for (const auto delay : {milliseconds(0), milliseconds(2), milliseconds(20)}) {
         for (const auto bytesRead : {std::size_t{0}, megabyte}) {
             const EarlyAnswer early{answer("200", "", "part"), bytesRead, delay, EarlyEnd::Reset};
-            expectFailure(deployment, early, std::string(uploadBytes, 'x'));
+            expectFailure(deployment, early, net::AnswerDefect::Reset,
+                          std::string(uploadBytes, 'x'));
         }
     }
 }
@@ -139,11 +160,13 @@
     for (const std::string line : {"X Field: 1", " X-Field: 1", "Content-Length : 2",
                                    "X\x01"
                                    "Field: 1",
-                                   "X-Field\t: 1"})
+                                   "X-Field\t: 1"}) {
+        const bool isFolded = line.front() == ' ';
         expectFailure(deployment,
                       {.bytes_ = answer("200", line + "\r\nContent-Length: 4\r\n", "body"),
                        .end_ = EarlyEnd::CloseAndRead},
-                      {});
+                      isFolded ? net::AnswerDefect::Folding : net::AnswerDefect::Syntax);
+    }
 }
 
 Test(broken_answers, early_answers_during_an_upload_reach_the_caller_whole)
