net: compare an answer with the first request id that was sent

What callers would see: of a request with two fields X-Request-Id, an answer that echoes the first was dropped as another request's, and the caller waited for its deadline. Not on: had replaced the search for the id by a function that joins the values of all fields.

Evidence: answer_to_a_request_with_two_ids_echoes_the_first (label net) fails with that function and passes with the former one, which is back.

--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -65,6 +65,16 @@
     return std::chrono::seconds(seconds);
 }
 
+/// The first one, if the caller has sent several.
+std::string idOf(const UpstreamRequest &request)
+{
+    for (const auto &field : request.fields_) {
+        if (boost::beast::iequals(field.name_, requestIdField))
+            return field.value_;
+    }
+    return {};
+}
+
 /// One request and its answer; lives until its operations are done.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -76,7 +86,7 @@
         , connectTimeout_(request.connectTimeout_)
         , longestIdle_(request.longestIdle_)
         , head_(headText(request))
-        , id_(impl::valueOf(request.fields_, requestIdField))
+        , id_(idOf(request))
         , acceptedCodings_(impl::valueOf(request.fields_, "Accept-Encoding"))
         , isHeadRequest_(request.method_ == "HEAD")
         , requestBody_(std::move(request.body_))
--- a/tests/net/kept_upstream.cpp
+++ b/tests/net/kept_upstream.cpp
@@ -1,5 +1,6 @@
 // Connections to endpoints: which are used again, and whose bytes a caller gets.
 #include "support/scripted_server.hpp"
+#include "upstream_fixture.hpp"
 
 #include <cardamombay/core/manual_clock.hpp>
 #include <cardamombay/net/asio_clock.hpp>
@@ -150,6 +151,16 @@
     cr_assert_eq(*bench.call(), "own");
 }
 
+Test(kept_upstream, answer_to_a_request_with_two_ids_echoes_the_first)
+{
+    UpstreamFixture fixture;
+    ScriptedServer server(fixture.context_);
+    server.add({jsonAnswer("own", 200, "X-Request-Id: own\r\n")});
+    const auto listener
+        = fixture.call(fixture.kept_, server.address(), {}, {{"X-Request-Id", "second"}});
+    cr_assert_eq(listener->body_.value_or("none"), "own");
+}
+
 /// A VM that is suspended for six seconds wakes with connections that its monotonic clock takes for
 /// fresh. A request that may run once was sent on one that the endpoint had closed meanwhile, and
 /// its caller was told that it may have run.
