net: break off unframed streams by a reset

What callers would see: a caller that speaks HTTP/1.0 took the part of a stream that is broken off for the whole stream.

Cause: without chunks a stream ends with its connection, and abort() closed the connection in order.

Change: from the head of an unframed stream until its last part is written, closing its connection resets it; the kernel does the same when the process ends (not tested).

--- a/include/cardamombay/net/server_exchange.hpp
+++ b/include/cardamombay/net/server_exchange.hpp
@@ -56,7 +56,8 @@
     /// \param trailers fields that follow the body.
     virtual void finish(std::span<const HttpField> trailers) = 0;
 
-    /// \brief Cuts the connection, so that the caller sees a truncated response.
+    /// \brief Cuts the connection, so that the caller sees a truncated response: the last chunk
+    /// lacks, or the connection is reset if it is the end of the response.
     virtual void abort() = 0;
 
     /// \brief Calls \p lost once if the caller's connection breaks before the answer is out.
--- a/src/net/http_server_answer.cpp
+++ b/src/net/http_server_answer.cpp
@@ -99,11 +99,21 @@
 {
     if (isClosed_)
         return;
-    if (!isChunked_)
+    if (!isChunked_) {
         keepsAlive_ = false;
+        setResetsOnClose(true);
+    }
     head_ = headText(head, isChunked_ ? chunkedField : std::string_view());
 }
 
+/// A body that ends with its connection is whole when that is closed in order, so whatever breaks
+/// it off, also the end of the process, must reset the connection.
+void ServerConnection::setResetsOnClose(bool resets)
+{
+    error_code ignored;
+    stream_.socket().set_option(boost::asio::socket_base::linger(resets, 0), ignored);
+}
+
 void ServerConnection::write(std::span<const std::string_view> parts, std::function<void()> written)
 {
     if (isClosed_)
@@ -148,6 +158,8 @@
     setTimeout(stream_, worker_->server_->limits_.writeTimeout_);
     boost::asio::async_write(stream_, buffers,
                              [self = shared_from_this(), isLast](error_code error, std::size_t) {
+                                 if (!self->isChunked_ && !error)
+                                     self->setResetsOnClose(false);
                                  self->answered(error, isLast);
                              });
 }
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -90,6 +90,7 @@
     [[nodiscard]] std::string headText(const HttpResponse &response,
                                        std::string_view framing) const;
     [[nodiscard]] bool endsConnection() const;
+    void setResetsOnClose(bool resets);
     void answered(error_code error, bool isLast);
     void linger();
     void readUntilEnd();
