--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -4,12 +4,12 @@
 #include "net/field_values.hpp"
 #include "net/kept_connection.hpp"
 #include "net/timeouts.hpp"
+#include "net/upstream_messages.hpp"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include <charconv>
 #include <cstring>
 #include <limits>
 #include <utility>
@@ -25,56 +25,6 @@
 /// A larger buffer is given back once all of it is consumed.
 constexpr std::size_t mostRetained = std::size_t{64} * 1024;
 
-bool carriesBody(const UpstreamRequest &request)
-{
-    return !request.body_.isEmpty() || request.method_ == "POST" || request.method_ == "PUT"
-           || request.method_ == "PATCH";
-}
-
-std::string headText(const UpstreamRequest &request)
-{
-    std::string text = request.method_ + " " + request.target_ + " HTTP/1.1\r\n";
-    for (const auto &field : request.fields_) {
-        text += field.name_;
-        text += ": ";
-        text += field.value_;
-        text += "\r\n";
-    }
-    if (carriesBody(request))
-        text += "Content-Length: " + std::to_string(request.body_.size()) + "\r\n";
-    return text + "\r\n";
-}
-
-/// The time in "Keep-Alive: timeout=5", seconds; none if it is not there or not a number.
-template<typename Message>
-std::optional<Duration> idleTimeoutIn(const Message &message)
-{
-    constexpr std::string_view name = "timeout=";
-    const auto field = message.find("Keep-Alive");
-    if (field == message.end())
-        return std::nullopt;
-    const std::string text(field->value());
-    const auto place = text.find(name);
-    if (place == std::string::npos)
-        return std::nullopt;
-    std::uint32_t seconds = 0;
-    const auto *begin = text.data() + place + name.size();
-    const auto read = std::from_chars(begin, text.data() + text.size(), seconds);
-    if (read.ec != std::errc())
-        return std::nullopt;
-    return std::chrono::seconds(seconds);
-}
-
-/// The first one, if the caller has sent several.
-std::string idOf(const UpstreamRequest &request)
-{
-    for (const auto &field : request.fields_) {
-        if (boost::beast::iequals(field.name_, requestIdField))
-            return field.value_;
-    }
-    return {};
-}
-
 /// One request and its answer; lives until its operations are done.
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
@@ -85,8 +35,8 @@
         , address_(request.address_)
         , connectTimeout_(request.connectTimeout_)
         , longestIdle_(request.longestIdle_)
-        , head_(headText(request))
-        , id_(idOf(request))
+        , head_(impl::headText(request))
+        , id_(impl::requestIdOf(request))
         , acceptedCodings_(impl::valueOf(request.fields_, "Accept-Encoding"))
         , isHeadRequest_(request.method_ == "HEAD")
         , requestBody_(std::move(request.body_))
@@ -344,7 +294,8 @@
 {
     const bool isReusable = parser_->keep_alive() && connection_->buffer_.size() == 0;
     if (isReusable)
-        pool_->keep(address_, connection_, idleTimeoutIn(parser_->get()));
+        pool_->keep(address_, connection_,
+                    impl::idleTimeoutIn(parser_->get()[impl::http::field::keep_alive]));
     else
         connection_->close();
     connection_.reset();
