net: one function for taking the head of an answer

Cause: four readers built the same context for defectOf().

Change: takeHead() in net/answer_head.hpp gives the head and its defect. No change of behaviour.

--- a/src/load/http_caller.cpp
+++ b/src/load/http_caller.cpp
@@ -2,7 +2,6 @@
 
 #include "net/answer_head.hpp"
 #include "net/field_values.hpp"
-#include "net/head_buffer.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -58,13 +57,14 @@
     return request;
 }
 
-/// Reads the head of the answer; interim ones are skipped.
+/// Reads the head of the answer into \p result; interim ones are skipped.
 /// \returns why what was received is no head of an answer; empty if it is one.
 asio::awaitable<std::string> readHead(beast::tcp_stream &stream, net::impl::HeadBuffer &buffer,
-                                      std::optional<Parser> &parser, const Call &call)
+                                      std::optional<Parser> &parser, const Call &call,
+                                      CallResult &result)
 {
     const auto acceptedCodings = net::impl::valueOf(call.fields_, "Accept-Encoding");
-    do {
+    for (;;) {
         parser.emplace();
         parser->body_limit(bodyLimit);
         parser->skip(call.method_ == "HEAD");
@@ -73,12 +73,15 @@
         co_await http::async_read_header(stream, buffer, *parser, into(error));
         if (error)
             co_return "read: " + error.message();
-        const auto defect = defectOf(net::impl::headOf(*parser),
-                                     {buffer.endHead(), !parser->is_done(), acceptedCodings});
+        auto [head, defect] = net::impl::takeHead(*parser, buffer, acceptedCodings);
         if (defect)
             co_return std::string(textOf(*defect));
-    } while (net::isInterim(parser->get().result_int()));
-    co_return std::string();
+        if (net::isInterim(head.status_))
+            continue;
+        result.status_ = head.status_;
+        result.fields_ = std::move(head.fields_);
+        co_return std::string();
+    }
 }
 
 asio::awaitable<beast::error_code> readBody(beast::tcp_stream &stream,
@@ -108,11 +111,8 @@
 {
     net::impl::HeadBuffer buffer;
     std::optional<Parser> parser;
-    if (auto failure = co_await readHead(stream, buffer, parser, call); !failure.empty())
+    if (auto failure = co_await readHead(stream, buffer, parser, call, result); !failure.empty())
         co_return failure;
-    auto head = net::impl::headOf(*parser);
-    result.status_ = head.status_;
-    result.fields_ = std::move(head.fields_);
     const auto error = co_await readBody(stream, buffer, *parser, result);
     result.body_ = parser->get().body();
     if (!parser->is_done())
--- a/src/net/answer_head.hpp
+++ b/src/net/answer_head.hpp
@@ -2,6 +2,8 @@
 /// \brief What the HTTP clients share in reading the head of an answer.
 #pragma once
 
+#include "net/head_buffer.hpp"
+
 #include <cardamombay/net/answer_defect.hpp>
 #include <cardamombay/net/http_client.hpp>
 
@@ -9,6 +11,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace cardamombay::net::impl {
 
@@ -33,6 +36,24 @@
     return head;
 }
 
+/// \brief A head that was read, and why it is not that of an answer, if so.
+struct ReceivedHead
+{
+    HttpResponse head_;
+    std::optional<AnswerDefect> defect_;
+};
+
+/// \param parser has read the head out of \p buffer.
+/// \param acceptedCodings the request's Accept-Encoding; empty if it has none.
+template<typename Parser>
+ReceivedHead takeHead(const Parser &parser, HeadBuffer &buffer, std::string_view acceptedCodings)
+{
+    ReceivedHead received{headOf(parser), std::nullopt};
+    received.defect_
+        = defectOf(received.head_, {buffer.endHead(), !parser.is_done(), acceptedCodings});
+    return received;
+}
+
 /// \param error from reading an answer.
 /// \returns the defect if the parser has refused what was received; nothing if the connection
 /// ended or broke.
--- a/src/net/asio_http_client.cpp
+++ b/src/net/asio_http_client.cpp
@@ -1,7 +1,6 @@
 #include <cardamombay/net/asio_http_client.hpp>
 
 #include "net/answer_head.hpp"
-#include "net/head_buffer.hpp"
 #include "net/http_messages.hpp"
 #include "net/timeouts.hpp"
 
@@ -262,15 +261,13 @@
         return;
     }
     auto &connection = *exchange->connection_;
-    const auto &parser = *exchange->parser_;
-    const auto defect
-        = defectOf(impl::headOf(parser), {connection.buffer_.endHead(), !parser.is_done(),
-                                          exchange->message_[http::field::accept_encoding]});
+    const auto [head, defect] = impl::takeHead(*exchange->parser_, connection.buffer_,
+                                               exchange->message_[http::field::accept_encoding]);
     if (defect) {
         fail(exchange, {true, false, std::string(textOf(*defect))});
         return;
     }
-    if (isInterim(exchange->parser_->get().result_int())) {
+    if (isInterim(head.status_)) {
         exchange->interimBytes_ += connection.buffer_.headBytes();
         if (exchange->interimBytes_ > responseHeaderBytes)
             fail(exchange, {true, false, "too many bytes before the answer"});
--- a/src/net/kept_upstream.cpp
+++ b/src/net/kept_upstream.cpp
@@ -59,7 +59,7 @@
     [[nodiscard]] bool dropBytes(std::size_t size);
     void readBody();
     void takeBody(impl::error_code error);
-    void nextAnswer();
+    void readNextAnswer();
     void end();
     void keepConnection();
     void fail(impl::error_code error, bool mayHaveLeft);
@@ -197,9 +197,8 @@
 {
     if (listener_ == nullptr)
         return;
-    auto head = impl::headOf(*parser_);
-    if (const auto defect
-        = defectOf(head, {connection_->buffer_.endHead(), !parser_->is_done(), acceptedCodings_})) {
+    auto [head, defect] = impl::takeHead(*parser_, connection_->buffer_, acceptedCodings_);
+    if (defect) {
         fail(*defect);
         return;
     }
@@ -267,7 +266,7 @@
 }
 
 /// A connection that has ended tells so once; reading on might wait for ever.
-void Exchange::nextAnswer()
+void Exchange::readNextAnswer()
 {
     if (parser_->need_eof())
         fail(impl::http::error::end_of_stream, true);
@@ -278,7 +277,7 @@
 void Exchange::end()
 {
     if (isForeign_) {
-        nextAnswer();
+        readNextAnswer();
         return;
     }
     if (const auto defect = defectOfEnd(parser_->need_eof(), wasReset_)) {
--- a/src/net/upstream_client.cpp
+++ b/src/net/upstream_client.cpp
@@ -1,5 +1,4 @@
 #include "net/answer_head.hpp"
-#include "net/head_buffer.hpp"
 #include "net/timeouts.hpp"
 
 #include <cardamombay/net/upstream_client.hpp>
@@ -145,9 +144,8 @@
 {
     if (listener_ == nullptr)
         return;
-    auto head = impl::headOf(*parser_);
-    if (const auto defect = defectOf(head, {buffer_.endHead(), !parser_->is_done(),
-                                            message_[http::field::accept_encoding]})) {
+    auto [head, defect] = impl::takeHead(*parser_, buffer_, message_[http::field::accept_encoding]);
+    if (defect) {
         fail(*defect);
         return;
     }
