--- a/tests/support/early_server.cpp
+++ b/tests/support/early_server.cpp
@@ -7,15 +7,14 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include <algorithm>
-#include <array>
 #include <atomic>
-#include <cstdint>
+#include <string>
 #include <utility>
 
 namespace cardamombay::support {
@@ -34,20 +33,6 @@
     return asio::redirect_error(asio::use_awaitable, error);
 }
 
-/// Reads and drops bytes until \p bytes have come or the peer has closed.
-asio::awaitable<void> skip(tcp::socket &socket, std::size_t bytes)
-{
-    std::array<char, receiveBufferBytes> buffer{};
-    while (bytes > 0) {
-        error_code error;
-        const auto size = co_await socket.async_read_some(
-            asio::buffer(buffer.data(), std::min(buffer.size(), bytes)), into(error));
-        if (error)
-            co_return;
-        bytes -= size;
-    }
-}
-
 using Count = std::shared_ptr<std::atomic<std::size_t>>;
 
 asio::awaitable<void> serve(tcp::socket socket, EarlyAnswer answer, Count answers)
@@ -58,12 +43,14 @@
     if (ignored)
         co_return;
     ++*answers;
-    co_await skip(socket, answer.bytesRead_);
+    std::string body;
+    co_await asio::async_read(socket, asio::dynamic_buffer(body),
+                              asio::transfer_exactly(answer.bytesRead_), into(ignored));
     co_await asio::async_write(socket, asio::buffer(answer.bytes_), into(ignored));
     if (answer.end_ == EarlyEnd::CloseAndReset || answer.end_ == EarlyEnd::CloseAndRead)
         socket.shutdown(tcp::socket::shutdown_send, ignored);
     if (answer.end_ == EarlyEnd::CloseAndRead) {
-        co_await skip(socket, SIZE_MAX);
+        co_await asio::async_read(socket, asio::dynamic_buffer(body), into(ignored));
         co_return;
     }
     if (answer.delay_ > Duration::zero())
