--- a/include/cardamombay/net/kept_upstream.hpp
+++ b/include/cardamombay/net/kept_upstream.hpp
@@ -34,10 +34,13 @@
 /// \brief Starts calls over TCP on kept connections.
 /// \details A connection is kept only after a whole answer that did not ask to close it, and is
 /// closed as soon as anything arrives on it while it is unused. Interim answers, and answers that
-/// echo another request's id, are read and dropped, and the call waits for its own. A kept
+/// echo another request's id, are read and dropped; the call then waits for its own. A kept
 /// connection can turn out dead only after the request was written; UpstreamFailure then says that
-/// it may have left. \code net::KeptUpstream upstream(context, clock); auto call =
-/// upstream.start({.address_ = {"10.0.0.7", 8080}, .target_ = "/draft"}, listener); \endcode
+/// it may have left.
+/// \code
+/// net::KeptUpstream upstream(context, clock);
+/// auto call = upstream.start({.address_ = {"10.0.0.7", 8080}, .target_ = "/draft"}, listener);
+/// \endcode
 class KeptUpstream final : public Upstream, public UnusedConnections
 {
 public:
