tests: streams that are reset during an upload, names in trailers

Cause: a review of the change asked for both; no test stated them.

Change: events_of_a_stream_that_is_reset_arrive_before_the_failure: the events that came are reported, and then the defect "reset". With the check of the end switched off it fails. answer_with_a_malformed_name_in_its_trailers_is_broken: handled before, by the parser; it passes without a change.

--- a/tests/net/interrupted_uploads.cpp
+++ b/tests/net/interrupted_uploads.cpp
@@ -152,3 +152,18 @@
 {
     expectWhole(unframedAnswer, {EarlyEnd::CloseAndReset, EarlyEnd::CloseAndRead}, "part");
 }
+
+Test(interrupted_uploads, events_of_a_stream_that_is_reset_arrive_before_the_failure)
+{
+    const std::string event = "id: 1\ndata: 1\n\n";
+    const auto bytes = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + event;
+    for (const auto &reset : interruptions(bytes, {EarlyEnd::Reset}, {largeUpload})) {
+        UpstreamFixture fixture;
+        const EarlyServer server(fixture.context_, reset.answer_);
+        const auto listener
+            = fixture.call(fixture.kept_, server.address(), std::string(reset.uploadBytes_, 'x'));
+        cr_expect_not(listener->body_, "%s", reset.text().c_str());
+        cr_expect(listener->failure_ && listener->failure_->defect_ == AnswerDefect::Reset);
+        cr_expect_eq(listener->begun_, event, "%s", reset.text().c_str());
+    }
+}
--- a/tests/net/malformed_heads.cpp
+++ b/tests/net/malformed_heads.cpp
@@ -143,3 +143,25 @@
         cr_expect_eq(listener->body_.value_or("none"), "body");
     }
 }
+
+Test(malformed_heads, answer_with_a_malformed_name_in_its_trailers_is_broken)
+{
+    for (const std::string line : {"X Field: 1", " X-Field: 1", "X-Field : 1",
+                                   "X\x01"
+                                   "Field: 1"}) {
+        const auto bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n"
+                           + line + "\r\n\r\n";
+        UpstreamFixture fixture;
+        ScriptedServer server(fixture.context_);
+        for (auto *client : fixture.clients()) {
+            server.add({.bytes_ = bytes, .closes_ = true});
+            const auto listener = fixture.call(*client, server.address());
+            cr_expect_not(listener->body_, "%s", bytes.c_str());
+            cr_expect(listener->failure_ && listener->failure_->defect_ == AnswerDefect::Syntax);
+        }
+        ClientFixture client;
+        client.server_.add({.bytes_ = bytes, .closes_ = true});
+        cr_expect(std::holds_alternative<HttpFailure>(client.exchange(postWithId("own"))), "%s",
+                  bytes.c_str());
+    }
+}
